Lay out the workspace

Cause: the project starts empty. Ruled out: one crate for everything, since the coordination core has to be embeddable without the daemons. Conclusion: the modules can now be written side by side.

--- /dev/null
+++ b/crates/petrellatch-core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Coordination for a layer-4 load balancer, without input or output.
+//!
+//! Every state machine in this crate follows the same shape: it is told what
+//! happened (`handle_*`, always with the current [`Timestamp`]), it is asked
+//! what it wants to do (`poll_*`), and it says when it wants to be called
+//! again (`poll_timeout`). It opens no socket, starts no thread, reads no
+//! clock and draws randomness only from a seed that it was given. The daemons
+//! and the simulator therefore run exactly the same code.
+
+pub mod identity;
+pub mod time;
+
+pub use time::Timestamp;
