Add placement tables with exact quotas

Cause: every balancer needs the same map from bucket to back end, computed from the shares alone, and bucket imbalance is load imbalance.

Ruled out: floating-point logarithms, whose results differ between platforms; storing the secondary, which doubles the table and is a few nanoseconds a back end to compute.

--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! and the simulator therefore run exactly the same code.
 
 pub mod identity;
+pub mod placement;
 pub mod time;
 
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/petrellatch-core/src/placement/assignment.rs
@@ -0,0 +1,123 @@
+//! Assignment of buckets to back ends with quotas.
+//!
+//! This is the deferred acceptance algorithm (Gale and Shapley 1962). Each
+//! bucket proposes to the back end with the lowest cost that has not rejected
+//! it; a back end above its quota keeps the buckets of the lowest cost and
+//! rejects the rest. The result is stable: a change of one back end's quota
+//! moves only the buckets that gain by it, or are displaced by those.
+
+use crate::identity::{BackendId, BucketIndex};
+
+use super::rendezvous::BackendSeed;
+
+/// A back end that takes part in a table, with its weight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Candidate {
+    pub(super) backend: BackendId,
+    pub(super) seed: BackendSeed,
+    pub(super) weight: u32,
+}
+
+impl Candidate {
+    /// Returns the cost of giving `bucket` to this back end.
+    pub(super) fn cost(&self, bucket: u32) -> u64 {
+        self.seed.cost(BucketIndex(bucket), self.weight)
+    }
+}
+
+/// The place of a back end in a bucket's order of preference: by cost, then
+/// by position.
+type Preference = (u64, u16);
+
+/// A bucket that a back end holds for now.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct HeldBucket {
+    cost: u64,
+    bucket: u32,
+}
+
+/// A bucket that looks for a back end.
+struct Proposal {
+    bucket: u32,
+    /// The back end that rejected the bucket last.
+    rejected_by: Option<Preference>,
+}
+
+/// Returns for each bucket the position of its back end in `candidates`. The
+/// quotas must add up to `bucket_count`.
+pub(super) fn assign(bucket_count: u32, candidates: &[Candidate], quotas: &[u32]) -> Box<[u16]> {
+    let mut held: Vec<Vec<HeldBucket>> = Vec::with_capacity(candidates.len());
+    held.resize_with(candidates.len(), Vec::new);
+    let mut proposals: Vec<Proposal> = (0..bucket_count)
+        .map(|bucket| Proposal {
+            bucket,
+            rejected_by: None,
+        })
+        .collect();
+    while !proposals.is_empty() {
+        for proposal in proposals.drain(..) {
+            propose(&proposal, candidates, &mut held);
+        }
+        for (position, buckets) in held.iter_mut().enumerate() {
+            let quota = quotas[position] as usize;
+            reject_above_quota(position, quota, buckets, &mut proposals);
+        }
+    }
+    collect_positions(bucket_count, &held)
+}
+
+/// Adds the bucket to its most preferred back end after the last rejection.
+fn propose(proposal: &Proposal, candidates: &[Candidate], held: &mut [Vec<HeldBucket>]) {
+    let next = preferences(proposal.bucket, candidates)
+        .filter(|&preference| Some(preference) > proposal.rejected_by)
+        .min();
+    // The quotas cover all buckets, so some back end always has room.
+    let Some((cost, position)) = next else {
+        return;
+    };
+    held[usize::from(position)].push(HeldBucket {
+        cost,
+        bucket: proposal.bucket,
+    });
+}
+
+/// Returns the preferences of a bucket in no particular order.
+pub(super) fn preferences(
+    bucket: u32,
+    candidates: &[Candidate],
+) -> impl Iterator<Item = Preference> {
+    let positions = 0_u16..;
+    positions
+        .zip(candidates)
+        .map(move |(position, candidate)| (candidate.cost(bucket), position))
+}
+
+/// Moves the buckets of the highest cost back to the proposals.
+fn reject_above_quota(
+    position: usize,
+    quota: usize,
+    buckets: &mut Vec<HeldBucket>,
+    proposals: &mut Vec<Proposal>,
+) {
+    if buckets.len() <= quota {
+        return;
+    }
+    buckets.select_nth_unstable(quota);
+    for rejected in buckets.drain(quota..) {
+        proposals.push(Proposal {
+            bucket: rejected.bucket,
+            rejected_by: Some((rejected.cost, position as u16)),
+        });
+    }
+}
+
+/// Turns the lists of buckets into one position for each bucket.
+fn collect_positions(bucket_count: u32, held: &[Vec<HeldBucket>]) -> Box<[u16]> {
+    let mut positions = vec![0; bucket_count as usize].into_boxed_slice();
+    for (position, buckets) in held.iter().enumerate() {
+        for held_bucket in buckets {
+            positions[held_bucket.bucket as usize] = position as u16;
+        }
+    }
+    positions
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/placement/bucket_table.rs
@@ -0,0 +1,138 @@
+//! The placement table of one service.
+
+use crate::identity::{BackendId, BucketIndex, ServiceId};
+
+use super::assignment::{self, Candidate};
+use super::quota;
+use super::rendezvous::BackendSeed;
+use super::share::Share;
+
+/// The largest number of back ends in a table, because positions take 16
+/// bits. Of more back ends, those with the lowest identifiers are used.
+pub const MAXIMUM_BACKENDS: usize = 1 << 16;
+
+/// The largest number of buckets in a table; a larger count is cut to this.
+pub const MAXIMUM_BUCKETS: u32 = 1 << 16;
+
+/// Names for each bucket of a service the back ends that receive new flows.
+///
+/// It takes two bytes a bucket and 24 bytes a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BucketTable {
+    service: ServiceId,
+    /// The back ends of positive weight, in the order of their identifiers.
+    candidates: Box<[Candidate]>,
+    /// For each bucket a position in `candidates`; empty without candidates.
+    primaries: Box<[u16]>,
+    bucket_count: u32,
+}
+
+impl BucketTable {
+    /// Computes the table. The result depends on nothing but the arguments,
+    /// and not on the order of `shares`. Of several shares of one back end
+    /// the largest counts.
+    pub fn compute(service: ServiceId, bucket_count: u32, shares: &[Share]) -> BucketTable {
+        let bucket_count = bucket_count.clamp(1, MAXIMUM_BUCKETS);
+        let candidates = select_candidates(service, shares);
+        let primaries = assign_primaries(bucket_count, &candidates);
+        BucketTable {
+            service,
+            candidates,
+            primaries,
+            bucket_count,
+        }
+    }
+
+    /// Returns the service of this table.
+    pub fn service(&self) -> ServiceId {
+        self.service
+    }
+
+    /// Returns the number of buckets.
+    pub fn bucket_count(&self) -> u32 {
+        self.bucket_count
+    }
+
+    /// Returns whether no back end receives new flows.
+    pub fn is_empty(&self) -> bool {
+        self.candidates.is_empty()
+    }
+
+    /// Returns the back end that admits the new flows of `bucket`, or `None`
+    /// when there is no back end of positive weight or no such bucket.
+    pub fn primary(&self, bucket: BucketIndex) -> Option<BackendId> {
+        let position = self.primary_position(bucket)?;
+        Some(self.candidates[usize::from(position)].backend)
+    }
+
+    /// Returns the back end to which the primary passes new flows of `bucket`
+    /// that it has no room for, or `None` when there is no second back end of
+    /// positive weight. It is computed at each call, which costs a few
+    /// nanoseconds a back end and saves half of the table.
+    pub fn secondary(&self, bucket: BucketIndex) -> Option<BackendId> {
+        let primary = self.primary_position(bucket)?;
+        let (_, position) = assignment::preferences(bucket.0, &self.candidates)
+            .filter(|&(_, position)| position != primary)
+            .min()?;
+        Some(self.candidates[usize::from(position)].backend)
+    }
+
+    /// Returns the buckets whose primary is `backend`, in ascending order.
+    pub fn buckets_of(&self, backend: BackendId) -> impl Iterator<Item = BucketIndex> {
+        self.buckets()
+            .filter(move |&bucket| self.primary(bucket) == Some(backend))
+    }
+
+    /// Returns the buckets whose primary differs in `newer`, in ascending
+    /// order. Both tables should have the same number of buckets.
+    pub fn changed_buckets(&self, newer: &BucketTable) -> impl Iterator<Item = BucketIndex> {
+        self.buckets()
+            .filter(|&bucket| self.primary(bucket) != newer.primary(bucket))
+    }
+
+    /// Returns all buckets in ascending order.
+    pub fn buckets(&self) -> impl Iterator<Item = BucketIndex> + use<> {
+        (0..self.bucket_count).map(BucketIndex)
+    }
+
+    /// Returns the bytes that this table takes, with its allocations.
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Self>() + size_of_val(&*self.candidates) + size_of_val(&*self.primaries)
+    }
+
+    /// Returns the position of the bucket's primary in `candidates`.
+    fn primary_position(&self, bucket: BucketIndex) -> Option<u16> {
+        self.primaries.get(bucket.0 as usize).copied()
+    }
+}
+
+/// Returns the back ends of positive weight in the order of identifiers.
+fn select_candidates(service: ServiceId, shares: &[Share]) -> Box<[Candidate]> {
+    let mut positive: Vec<Share> = shares
+        .iter()
+        .copied()
+        .filter(|share| share.weight > 0)
+        .collect();
+    positive.sort_unstable_by_key(|share| (share.backend, u32::MAX - share.weight));
+    positive.dedup_by_key(|share| share.backend);
+    positive.truncate(MAXIMUM_BACKENDS);
+    positive
+        .iter()
+        .map(|share| Candidate {
+            backend: share.backend,
+            seed: BackendSeed::new(service, share.backend),
+            weight: share.weight,
+        })
+        .collect()
+}
+
+/// Gives every bucket a back end, within the quotas.
+fn assign_primaries(bucket_count: u32, candidates: &[Candidate]) -> Box<[u16]> {
+    if candidates.is_empty() {
+        return Box::default();
+    }
+    let weights: Vec<u32> = candidates.iter().map(|it| it.weight).collect();
+    let tie_breaker = |position: usize| candidates[position].seed.value();
+    let quotas = quota::apportion(bucket_count, &weights, tie_breaker);
+    assignment::assign(bucket_count, candidates, &quotas)
+}
