Define the messages and the cluster view

Cause: the modules need one set of messages and one record model. Ruled out: one message type a module, since relays combine them; generated code, since derive macros need no protocol compiler. Conclusion: balancers, agents, relays and the control group can be written against these.

--- /dev/null
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -0,0 +1,241 @@
+//! The records of one version.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use petrellatch_proto::dissemination::Delta;
+use petrellatch_proto::record::{
+    BackendRecord, MemberRecord, PlacementRecord, PolicyRecord, Record, RecordChange, RecordKey,
+    ServiceRecord,
+};
+use snafu::{Snafu, ensure};
+
+use crate::identity::{BackendId, Incarnation, NodeId, ServiceId};
+
+/// Why a delta or snapshot was not applied.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ApplyError {
+    /// The delta does not follow the version in force.
+    #[snafu(display("delta {version} does not follow version {current}"))]
+    OutOfOrder {
+        /// The version in force.
+        current: u64,
+        /// The version of the delta.
+        version: u64,
+    },
+    /// The snapshot is not newer than the version in force.
+    #[snafu(display("snapshot {version} is not newer than version {current}"))]
+    Older {
+        /// The version in force.
+        current: u64,
+        /// The version of the snapshot.
+        version: u64,
+    },
+}
+
+/// All records of the cluster at one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClusterView {
+    version: u64,
+    services: BTreeMap<ServiceId, ServiceRecord>,
+    backends: BTreeMap<BackendId, BackendRecord>,
+    policies: BTreeMap<String, PolicyRecord>,
+    members: BTreeMap<NodeId, MemberRecord>,
+    placements: BTreeMap<ServiceId, PlacementRecord>,
+}
+
+impl ClusterView {
+    /// Makes an empty view at version zero.
+    pub fn new() -> Self {
+        ClusterView::default()
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Applies the delta that follows the version in force.
+    pub fn apply(&mut self, delta: &Delta) -> Result<(), ApplyError> {
+        ensure!(
+            delta.version == self.version + 1,
+            OutOfOrderSnafu {
+                current: self.version,
+                version: delta.version
+            }
+        );
+        self.version = delta.version;
+        for change in &delta.changes {
+            self.apply_change(change);
+        }
+        Ok(())
+    }
+
+    /// Replaces the whole content by a snapshot of a newer version.
+    pub fn replace(&mut self, version: u64, records: &[RecordChange]) -> Result<(), ApplyError> {
+        ensure!(
+            version > self.version,
+            OlderSnafu {
+                current: self.version,
+                version
+            }
+        );
+        *self = ClusterView::new();
+        self.version = version;
+        for change in records {
+            self.apply_change(change);
+        }
+        Ok(())
+    }
+
+    /// Returns all records as puts, in a fixed order.
+    pub fn records(&self) -> Vec<RecordChange> {
+        let policies = self.policies.values().cloned().map(Record::Policy);
+        let services = self.services.values().cloned().map(Record::Service);
+        let backends = self.backends.values().cloned().map(Record::Backend);
+        let members = self.members.values().cloned().map(Record::Member);
+        let placements = self.placements.values().cloned().map(Record::Placement);
+        policies
+            .chain(services)
+            .chain(backends)
+            .chain(members)
+            .chain(placements)
+            .map(|record| RecordChange {
+                put: Some(record),
+                remove: None,
+            })
+            .collect()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceRecord> {
+        self.services.get(&id)
+    }
+
+    /// Returns a service by the operator's name for it.
+    pub fn service_by_name(&self, name: &str) -> Option<&ServiceRecord> {
+        self.services.values().find(|service| service.name == name)
+    }
+
+    /// Returns the service that callers reach at this address.
+    pub fn service_by_address(&self, address: SocketAddrV4) -> Option<&ServiceRecord> {
+        self.services
+            .values()
+            .find(|service| SocketAddrV4::from(service.address) == address)
+    }
+
+    /// Returns all services by identifier.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRecord> {
+        self.services.values()
+    }
+
+    /// Returns a back end.
+    pub fn backend(&self, id: BackendId) -> Option<&BackendRecord> {
+        self.backends.get(&id)
+    }
+
+    /// Returns a back end by the operator's name for it.
+    pub fn backend_by_name(&self, name: &str) -> Option<&BackendRecord> {
+        self.backends.values().find(|backend| backend.name == name)
+    }
+
+    /// Returns all back ends by identifier.
+    pub fn backends(&self) -> impl Iterator<Item = &BackendRecord> {
+        self.backends.values()
+    }
+
+    /// Returns the back ends of one service by identifier.
+    pub fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = &BackendRecord> {
+        self.backends
+            .values()
+            .filter(move |backend| backend.service == service.0)
+    }
+
+    /// Returns a policy.
+    pub fn policy(&self, name: &str) -> Option<&PolicyRecord> {
+        self.policies.get(name)
+    }
+
+    /// Returns all policies by name.
+    pub fn policies(&self) -> impl Iterator<Item = &PolicyRecord> {
+        self.policies.values()
+    }
+
+    /// Returns a member.
+    pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
+        self.members.get(&node)
+    }
+
+    /// Returns whether this life of a node is a member. A life that is not one
+    /// (any more) has been fenced: it can admit nothing.
+    pub fn is_member(&self, node: NodeId, incarnation: Incarnation) -> bool {
+        self.members
+            .get(&node)
+            .is_some_and(|member| member.incarnation == incarnation.0)
+    }
+
+    /// Returns all members by node.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values()
+    }
+
+    /// Returns the placement of a service.
+    pub fn placement(&self, service: ServiceId) -> Option<&PlacementRecord> {
+        self.placements.get(&service)
+    }
+
+    /// Returns all placements by service.
+    pub fn placements(&self) -> impl Iterator<Item = &PlacementRecord> {
+        self.placements.values()
+    }
+
+    fn apply_change(&mut self, change: &RecordChange) {
+        if let Some(key) = &change.remove {
+            self.remove(key);
+        }
+        if let Some(record) = &change.put {
+            self.put(record.clone());
+        }
+    }
+
+    fn put(&mut self, record: Record) {
+        match record {
+            Record::Service(service) => {
+                self.services.insert(ServiceId(service.id), service);
+            }
+            Record::Backend(backend) => {
+                self.backends.insert(BackendId(backend.id), backend);
+            }
+            Record::Policy(policy) => {
+                self.policies.insert(policy.name.clone(), policy);
+            }
+            Record::Member(member) => {
+                self.members.insert(NodeId(member.node), member);
+            }
+            Record::Placement(placement) => {
+                self.placements
+                    .insert(ServiceId(placement.service), placement);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &RecordKey) {
+        match key {
+            RecordKey::Service(id) => {
+                self.services.remove(&ServiceId(*id));
+            }
+            RecordKey::Backend(id) => {
+                self.backends.remove(&BackendId(*id));
+            }
+            RecordKey::Policy(name) => {
+                self.policies.remove(name);
+            }
+            RecordKey::Member(node) => {
+                self.members.remove(&NodeId(*node));
+            }
+            RecordKey::Placement(service) => {
+                self.placements.remove(&ServiceId(*service));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/cluster/mod.rs
@@ -0,0 +1,19 @@
+//! The versioned state that every process of the cluster holds.
+//!
+//! The control group's replicated state and every daemon's copy of it are the
+//! same [`ClusterView`]: a set of records at one version. A view moves only
+//! forward, one version at a time by deltas or in one step by a snapshot.
+//!
+//! ```
+//! use petrellatch_core::cluster::ClusterView;
+//! use petrellatch_proto::dissemination::Delta;
+//!
+//! let mut view = ClusterView::new();
+//! let delta = Delta { version: 1, changes: Vec::new() };
+//! assert!(view.apply(&delta).is_ok());
+//! assert!(view.apply(&delta).is_err(), "a version is applied only once");
+//! ```
+
+mod cluster_view;
+
+pub use cluster_view::{ApplyError, ClusterView};
--- /dev/null
+++ b/crates/petrellatch-core/src/error_kind.rs
@@ -0,0 +1,111 @@
+//! The closed list of error kinds and what each one means for a client.
+
+use std::time::Duration;
+
+/// Every kind of failure that a client of petrellatch can meet. The table in
+/// `docs/ERRORS.md` is checked against this list by a test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ErrorKind {
+    /// The change was based on an older version than the current one.
+    Conflict,
+    /// This replica is not the leader; the answer names the leader if known.
+    NotLeader,
+    /// No leader with a quorum is reachable; whether a change that was sent is
+    /// accepted is unknown until it is resent with the same request id.
+    Unavailable,
+    /// The request was refused at once to protect the process; it did not run.
+    Overloaded,
+    /// The document or request is larger than allowed.
+    TooLarge,
+    /// The document or request is not well formed or names impossible values.
+    Invalid,
+    /// A policy does not compile, is too costly or yields an invalid weight.
+    InvalidPolicy,
+    /// The named thing does not exist.
+    NotFound,
+    /// The deadline passed before the answer was known.
+    DeadlineExceeded,
+    /// A settings file or flag is wrong.
+    InvalidSettings,
+    /// An address is already in use or can't be bound.
+    AddressUnavailable,
+    /// Stored data fails its checksum.
+    StorageDamaged,
+    /// Data could not be written and synced.
+    StorageFailed,
+    /// A fault of the program itself.
+    Internal,
+}
+
+/// What a client gets for an error kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The stable name in documents and logs.
+    pub name: &'static str,
+    /// The HTTP status of the operator API.
+    pub http_status: u16,
+    /// The exit code of the command line.
+    pub exit_code: i32,
+    /// Whether a client may send the same request again.
+    pub retryable: bool,
+    /// How long a client waits before it does so.
+    pub retry_after: Option<Duration>,
+}
+
+impl ErrorKind {
+    /// All kinds, in the order of the documentation.
+    pub const ALL: [ErrorKind; 14] = [
+        ErrorKind::Conflict,
+        ErrorKind::NotLeader,
+        ErrorKind::Unavailable,
+        ErrorKind::Overloaded,
+        ErrorKind::TooLarge,
+        ErrorKind::Invalid,
+        ErrorKind::InvalidPolicy,
+        ErrorKind::NotFound,
+        ErrorKind::DeadlineExceeded,
+        ErrorKind::InvalidSettings,
+        ErrorKind::AddressUnavailable,
+        ErrorKind::StorageDamaged,
+        ErrorKind::StorageFailed,
+        ErrorKind::Internal,
+    ];
+
+    /// Returns what a client gets.
+    pub const fn answer(self) -> Answer {
+        const SOON: Option<Duration> = Some(Duration::from_millis(250));
+        const LATER: Option<Duration> = Some(Duration::from_secs(1));
+        match self {
+            ErrorKind::Conflict => answer("conflict", 409, 3, false, None),
+            ErrorKind::NotLeader => answer("not_leader", 421, 4, true, SOON),
+            ErrorKind::Unavailable => answer("unavailable", 503, 5, true, LATER),
+            ErrorKind::Overloaded => answer("overloaded", 429, 6, true, LATER),
+            ErrorKind::TooLarge => answer("too_large", 413, 7, false, None),
+            ErrorKind::Invalid => answer("invalid", 400, 8, false, None),
+            ErrorKind::InvalidPolicy => answer("invalid_policy", 422, 9, false, None),
+            ErrorKind::NotFound => answer("not_found", 404, 10, false, None),
+            ErrorKind::DeadlineExceeded => answer("deadline_exceeded", 504, 11, true, SOON),
+            ErrorKind::InvalidSettings => answer("invalid_settings", 500, 2, false, None),
+            ErrorKind::AddressUnavailable => answer("address_unavailable", 500, 12, false, None),
+            ErrorKind::StorageDamaged => answer("storage_damaged", 500, 13, false, None),
+            ErrorKind::StorageFailed => answer("storage_failed", 507, 14, false, None),
+            ErrorKind::Internal => answer("internal", 500, 1, false, None),
+        }
+    }
+}
+
+const fn answer(
+    name: &'static str,
+    http_status: u16,
+    exit_code: i32,
+    retryable: bool,
+    retry_after: Option<Duration>,
+) -> Answer {
+    Answer {
+        name,
+        http_status,
+        exit_code,
+        retryable,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/event.rs
@@ -0,0 +1,120 @@
+//! Numbered events that the state machines report for the log.
+
+/// How serious an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Severity {
+    /// Of interest when looking for a fault.
+    Debug,
+    /// Normal operation.
+    Info,
+    /// Something an operator may want to look at.
+    Warning,
+    /// Something an operator has to look at.
+    Error,
+}
+
+macro_rules! events {
+    ($($(#[doc = $documentation:literal])* $name:ident = $number:literal, $severity:ident;)*) => {
+        /// The closed list of events. The catalogue in `docs/EVENTS.md` is
+        /// checked against it by a test.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum EventKind {
+            $($(#[doc = $documentation])* $name,)*
+        }
+
+        impl EventKind {
+            /// All kinds by number.
+            pub const ALL: &'static [EventKind] = &[$(EventKind::$name,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub const fn number(self) -> u16 {
+                match self { $(EventKind::$name => $number,)* }
+            }
+
+            /// Returns the name.
+            pub const fn name(self) -> &'static str {
+                match self { $(EventKind::$name => stringify!($name),)* }
+            }
+
+            /// Returns the severity.
+            pub const fn severity(self) -> Severity {
+                match self { $(EventKind::$name => Severity::$severity,)* }
+            }
+
+            /// Returns the explanation that the catalogue gives.
+            pub const fn explanation(self) -> &'static str {
+                match self { $(EventKind::$name => concat!($($documentation),*),)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process started and serves its addresses.
+    ProcessStarted = 100, Info;
+    /// The process was asked to stop and finishes what it has.
+    ProcessStopping = 101, Info;
+    /// The process stopped.
+    ProcessStopped = 102, Info;
+    /// A datagram was dropped because its seal or content was wrong.
+    DatagramRejected = 103, Warning;
+    /// A control replica became leader.
+    LeaderElected = 200, Info;
+    /// A control replica stopped being leader.
+    LeaderSteppedDown = 201, Info;
+    /// An operator's change was accepted.
+    ChangeAccepted = 202, Info;
+    /// An operator's change was refused.
+    ChangeRefused = 203, Info;
+    /// The torn end of the log was cut off at start.
+    LogTailCut = 204, Warning;
+    /// A replica without its disk asked to join again.
+    ReplicaRejoining = 205, Warning;
+    /// The set of replicas changed.
+    ReplicasChanged = 206, Info;
+    /// A balancer or agent was registered.
+    MemberRegistered = 300, Info;
+    /// A member stopped sending heartbeats.
+    MemberSuspected = 301, Warning;
+    /// A life of a member was fenced: it can admit nothing any more.
+    MemberFenced = 302, Warning;
+    /// A daemon changed its parent in the dissemination tree.
+    ParentChanged = 303, Info;
+    /// A daemon applied a snapshot.
+    SnapshotApplied = 304, Info;
+    /// A daemon is current: it has what was committed when it asked.
+    BecameCurrent = 305, Info;
+    /// An agent's admission lease ran out.
+    LeaseExpired = 400, Warning;
+    /// An agent received an admission lease after it had none.
+    LeaseAcquired = 401, Info;
+    /// A placement generation took effect at an agent.
+    PlacementApplied = 402, Debug;
+    /// All buckets of a generation were handed over to this agent.
+    PlacementSettled = 403, Debug;
+    /// A back end can't be reached by its agent.
+    BackendUnreachable = 404, Warning;
+    /// A back end can be reached again.
+    BackendReachable = 405, Info;
+    /// A service has no eligible back end.
+    NoEligibleBackend = 406, Error;
+}
+
+/// One event with what it is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// What happened.
+    pub kind: EventKind,
+    /// To what or whom, in a few words.
+    pub subject: String,
+}
+
+impl Event {
+    /// Makes an event.
+    pub fn new(kind: EventKind, subject: impl Into<String>) -> Self {
+        Event {
+            kind,
+            subject: subject.into(),
+        }
+    }
+}
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -7,7 +7,12 @@
 //! clock and draws randomness only from a seed that it was given. The daemons
 //! and the simulator therefore run exactly the same code.
 
+pub mod cluster;
+pub mod error_kind;
+pub mod event;
 pub mod identity;
 pub mod time;
 
+pub use error_kind::ErrorKind;
+pub use event::{Event, EventKind};
 pub use time::Timestamp;
