Add placement policies as checked CEL expressions

Cause: operators state by short programs which back ends receive new flows and how many; a wrong program has to be refused when it is submitted.

Ruled out: loops over labels (their cost depends on the data), regular expressions, times and random numbers (not deterministic or not bounded); relying on evaluation alone, since the crate has no type checker and its run-time errors carry no place.

Change: Policy::compile bounds size, nesting and cost, refuses unknown names and mismatched types with line and column; Policy::check evaluates current and generated edge-case back ends; shares() yields table weights and the reason for each back end.

Conclusion: the control group can check, evaluate and explain policies.

--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod identity;
 pub mod placement;
+pub mod policy;
 pub mod time;
 
 pub use error_kind::ErrorKind;
--- /dev/null
+++ b/crates/petrellatch-core/src/policy/edge_cases.rs
@@ -0,0 +1,124 @@
+//! Back ends that don't exist yet, for checking policies.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::view::{BackendView, HEALTH_SCALE, ServiceView};
+
+/// The name of generated back ends, for error messages.
+const NAME: &str = "(edge case)";
+
+/// The zone of generated back ends that no real back end has.
+const UNKNOWN_ZONE: &str = "(unknown zone)";
+
+/// The largest number of real zones that are combined with the other cases.
+const MAXIMUM_ZONES: usize = 3;
+
+/// Slots and free slots: none, one that is busy, all free, and the largest.
+const SLOTS: [(u32, u32); 5] = [(0, 0), (1, 0), (1, 1), (7, 7), (u32::MAX, u32::MAX)];
+
+/// Open flows: none, the usual limit, the largest.
+const CONNECTIONS: [u32; 3] = [0, 2_000, u32::MAX];
+
+/// Health: down, half, well.
+const HEALTH: [u32; 3] = [0, HEALTH_SCALE / 2, HEALTH_SCALE];
+
+/// Ages in seconds: just started, one minute, a hundred years.
+const AGES: [u64; 3] = [0, 60, 3_153_600_000];
+
+/// Labels of a back end.
+type Labels = BTreeMap<String, String>;
+
+/// Returns the service with and without a zone.
+pub(super) fn services(service: &ServiceView) -> [ServiceView; 2] {
+    let without_zone = ServiceView {
+        zone: None,
+        ..service.clone()
+    };
+    let zone = service.zone.clone();
+    let with_zone = ServiceView {
+        zone: Some(zone.unwrap_or_else(|| UNKNOWN_ZONE.to_owned())),
+        ..service.clone()
+    };
+    [without_zone, with_zone]
+}
+
+/// Returns all combinations of the edge cases of the single fields. Labels are
+/// missing altogether, or only one of `label_keys` is present.
+pub(super) fn backends(current: &[BackendView], label_keys: &[String]) -> Vec<BackendView> {
+    let zones = zones(current);
+    let loads = loads();
+    let mut backends = Vec::new();
+    for labels in label_sets(current, label_keys) {
+        for zone in &zones {
+            backends.extend(loads.iter().map(|load| BackendView {
+                zone: zone.clone(),
+                labels: labels.clone(),
+                ..load.clone()
+            }));
+        }
+    }
+    backends
+}
+
+/// Returns back ends without zone and labels, with all combinations of load.
+fn loads() -> Vec<BackendView> {
+    let mut loads = vec![BackendView {
+        name: NAME.to_owned(),
+        ..BackendView::default()
+    }];
+    loads = vary(&loads, &SLOTS, |load, (slots, free_slots)| {
+        load.slots = slots;
+        load.free_slots = free_slots;
+    });
+    loads = vary(&loads, &CONNECTIONS, |load, connections| {
+        load.connections = connections;
+    });
+    loads = vary(&loads, &HEALTH, |load, health| load.health = health);
+    loads = vary(&loads, &AGES, |load, age| {
+        load.age = Duration::from_secs(age)
+    });
+    vary(&loads, &[false, true], |load, draining| {
+        load.draining = draining;
+    })
+}
+
+/// Returns each back end once with each of `values` set.
+fn vary<Value: Copy>(
+    backends: &[BackendView],
+    values: &[Value],
+    set: impl Fn(&mut BackendView, Value),
+) -> Vec<BackendView> {
+    let mut varied = Vec::with_capacity(backends.len() * values.len());
+    for backend in backends {
+        for &value in values {
+            let mut backend = backend.clone();
+            set(&mut backend, value);
+            varied.push(backend);
+        }
+    }
+    varied
+}
+
+/// Returns no zone, an unknown one, and some of the real ones.
+fn zones(current: &[BackendView]) -> Vec<String> {
+    let real: BTreeSet<&str> = current
+        .iter()
+        .map(|backend| backend.zone.as_str())
+        .collect();
+    let mut zones = vec![String::new(), UNKNOWN_ZONE.to_owned()];
+    zones.extend(real.into_iter().take(MAXIMUM_ZONES).map(str::to_owned));
+    zones
+}
+
+/// Returns no labels, and for each key a set with that key alone. The value is
+/// one that a real back end has, since a label's values are the operator's.
+fn label_sets(current: &[BackendView], label_keys: &[String]) -> Vec<Labels> {
+    let mut sets = vec![Labels::new()];
+    for key in label_keys {
+        let real = current.iter().find_map(|backend| backend.labels.get(key));
+        let value = real.cloned().unwrap_or_default();
+        sets.push(Labels::from([(key.clone(), value)]));
+    }
+    sets
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/policy/mod.rs
@@ -0,0 +1,37 @@
+//! Placement policies: short programs that say which back ends of a service
+//! receive new flows, and how many.
+//!
+//! A policy has two expressions in the Common Expression Language (CEL):
+//! `eligible` (a boolean) and `weight` (a number of at least zero; 1 is
+//! nominal). [`Policy::compile`] refuses what is malformed, too large, too
+//! costly or of the wrong type; [`Policy::check`] evaluates it for the current
+//! back ends and for generated edge cases; [`shares`] turns it into the input
+//! of a placement table. An evaluation reads nothing but its arguments, has no
+//! loops, and gives the same result on every machine.
+
+mod checker;
+mod context;
+mod edge_cases;
+mod error;
+mod explanation;
+mod expression;
+mod expression_type;
+mod functions;
+mod policy_source;
+mod position;
+mod program;
+mod shares;
+mod view;
+
+#[cfg(test)]
+mod tests;
+
+pub use checker::{MAXIMUM_COST, MAXIMUM_DEPTH, MAXIMUM_NODES};
+pub use error::{PolicyError, PolicyErrorReason};
+pub use explanation::{BackendExplanation, Explanation};
+pub use expression::MAXIMUM_SOURCE_BYTES;
+pub use policy_source::{PolicyPart, PolicySource};
+pub use position::SourcePosition;
+pub use program::{Evaluation, Policy};
+pub use shares::{Shares, shares};
+pub use view::{BackendView, HEALTH_SCALE, ServiceView};
