Add the replicated log's replica

Ruled out: counting a replica by its node alone, because a replica that lost its disk would forget its votes and acknowledgements; swapping a lost voter for its successor in one change, because that is unsafe if the old process turns out to be alive.

--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/apply.rs
@@ -0,0 +1,190 @@
+//! Changes of the log itself, and handing out what is committed.
+
+use std::sync::Arc;
+
+use crate::Timestamp;
+
+use super::entry::{EntryPayload, LogEntry, LogIndex, LogPosition, Term};
+use super::membership_history::MembershipHistory;
+use super::output::ReplicaOutput;
+use super::persistence::{PersistTicket, Snapshot};
+use super::replica::{Part, Replica};
+
+impl Replica {
+    /// Takes over the application's state after the entry at `index`, so that
+    /// the log up to it can be dropped. An index that isn't applied yet or is
+    /// covered by a newer snapshot is ignored.
+    pub fn install_application_snapshot(
+        &mut self,
+        now: Timestamp,
+        index: LogIndex,
+        bytes: Vec<u8>,
+    ) {
+        self.observe_clock(now);
+        let applied = index <= self.applied_index && self.pending_restore.is_none();
+        if !applied || index <= self.snapshot_index() {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = Arc::new(Snapshot {
+            position: LogPosition { term, index },
+            membership: self.memberships.at(index).clone(),
+            data: bytes,
+        });
+        self.writes.note_snapshot(Arc::clone(&snapshot));
+        self.snapshot = Some(snapshot);
+        // Some entries stay in memory for followers that are a little behind.
+        let kept = self.settings.compaction_threshold / 2;
+        let dropped = index.saturating_sub(kept).max(self.log.base_index());
+        self.log.compact_to(dropped);
+        self.memberships.compact_to(dropped);
+    }
+
+    pub(super) fn append_to_log(&mut self, entry: LogEntry) {
+        let membership_changed = self.memberships.record(&entry);
+        self.log.append(entry);
+        if membership_changed {
+            self.follow_membership();
+        }
+    }
+
+    /// Removes uncommitted entries that another leader's log contradicts.
+    pub(super) fn truncate_log(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.writes.note_truncation(index);
+        if self.memberships.truncate_from(index) {
+            self.follow_membership();
+        }
+        let lost = self.own_proposals.split_off(&index);
+        for (index, term) in lost {
+            let position = LogPosition { term, index };
+            self.emit(ReplicaOutput::ProposalLost { position });
+        }
+    }
+
+    /// Takes over a snapshot that a leader sent.
+    pub(super) fn install_received_snapshot(&mut self, snapshot: Snapshot) {
+        let position = snapshot.position;
+        let index = position.index;
+        let snapshot = Arc::new(snapshot);
+        self.lose_proposals_covered_by(index);
+        if self.log.term_at(index) == Some(position.term) {
+            self.log.compact_to(index);
+            self.memberships.compact_to(index);
+        } else {
+            self.replace_log(&snapshot);
+        }
+        self.commit_index = index;
+        self.applied_index = index;
+        self.snapshot_wanted_at = index;
+        self.writes.note_snapshot(Arc::clone(&snapshot));
+        self.snapshot = Some(snapshot);
+        self.pending_restore = self.writes.barrier(&self.log);
+    }
+
+    /// Hands an installed snapshot to the application once it is durable.
+    pub(super) fn finish_restore(&mut self, persisted: PersistTicket) {
+        let due = self.pending_restore.take_if(|needed| *needed <= persisted);
+        if due.is_none() {
+            return;
+        }
+        if let Some(snapshot) = self.snapshot.clone() {
+            self.emit_restore(&snapshot);
+        }
+    }
+
+    pub(super) fn emit_restore(&mut self, snapshot: &Snapshot) {
+        if snapshot.position.index == 0 {
+            return;
+        }
+        self.emit(ReplicaOutput::RestoreSnapshot {
+            index: snapshot.position.index,
+            bytes: snapshot.data.clone(),
+        });
+    }
+
+    /// Hands out what is committed and durable here, and answers reads that
+    /// waited for it.
+    pub(super) fn apply_committed(&mut self) {
+        let limit = self.commit_index.min(self.own_durable_index());
+        while self.pending_restore.is_none() && self.applied_index < limit {
+            let index = self.applied_index + 1;
+            let Some(entry) = self.log.entry(index) else {
+                break;
+            };
+            let term = entry.position.term;
+            let payload = entry.payload.clone();
+            self.applied_index = index;
+            self.apply(index, term, payload);
+        }
+        self.request_snapshot_if_due();
+        self.answer_reads();
+    }
+
+    pub(super) fn snapshot_index(&self) -> LogIndex {
+        let snapshot = self.snapshot.as_ref();
+        snapshot.map_or(0, |snapshot| snapshot.position.index)
+    }
+
+    /// The last entry of the own log that counts as durable.
+    pub(super) fn own_durable_index(&self) -> LogIndex {
+        if self.settings.mutations.acknowledge_before_sync {
+            return self.log.last_index();
+        }
+        self.writes.durable_index()
+    }
+
+    fn apply(&mut self, index: LogIndex, term: Term, payload: EntryPayload) {
+        self.own_proposals.remove(&index);
+        if let EntryPayload::Command(command) = payload {
+            self.emit(ReplicaOutput::Apply {
+                index,
+                term,
+                command,
+            });
+        }
+    }
+
+    fn replace_log(&mut self, snapshot: &Snapshot) {
+        let index = snapshot.position.index;
+        self.lose_proposals_covered_by(LogIndex::MAX);
+        self.log.reset(snapshot.position);
+        self.writes.note_replaced_log(index);
+        self.memberships = MembershipHistory::new(index, snapshot.membership.clone());
+        self.follow_membership();
+    }
+
+    fn lose_proposals_covered_by(&mut self, last: LogIndex) {
+        while let Some(proposal) = self.own_proposals.first_entry() {
+            if *proposal.key() > last {
+                return;
+            }
+            let (index, term) = proposal.remove_entry();
+            let position = LogPosition { term, index };
+            self.emit(ReplicaOutput::ProposalLost { position });
+        }
+    }
+
+    fn request_snapshot_if_due(&mut self) {
+        let threshold = self.settings.compaction_threshold;
+        let newest = self.snapshot_index().max(self.snapshot_wanted_at);
+        if self.applied_index.saturating_sub(newest) < threshold {
+            return;
+        }
+        self.snapshot_wanted_at = self.applied_index;
+        let index = self.applied_index;
+        self.emit(ReplicaOutput::SnapshotWanted { index });
+    }
+
+    /// Takes note of another membership in effect.
+    fn follow_membership(&mut self) {
+        let membership = self.memberships.current().clone();
+        let last_index = self.log.last_index();
+        if let Part::Leader(leadership) = &mut self.part {
+            leadership.follow_membership(self.id, &membership, last_index);
+        }
+        self.emit(ReplicaOutput::MembershipChanged(membership));
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/leadership.rs
@@ -0,0 +1,108 @@
+//! State that only a leader has.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::Timestamp;
+use crate::identity::{Incarnation, NodeId};
+
+use super::entry::LogIndex;
+use super::membership::{Membership, ReplicaId};
+use super::output::PeerProgress;
+use super::progress::{Progress, ReplicationState};
+
+/// How many announced replicas of unknown nodes a leader remembers.
+const MAX_WAITING_REPLICAS: usize = 16;
+
+/// A leader's state in its term.
+#[derive(Debug)]
+pub(super) struct Leadership {
+    /// The other members, learners included.
+    pub(super) peers: BTreeMap<NodeId, Progress>,
+    /// When the term was won.
+    pub(super) since: Timestamp,
+    /// The entry that marks the term's start.
+    pub(super) first_index: LogIndex,
+    pub(super) next_heartbeat: Timestamp,
+    /// Number of the current leadership confirmation round.
+    pub(super) round: u64,
+    /// Whether a round must be started for waiting reads.
+    pub(super) round_wanted: bool,
+    pub(super) reads: VecDeque<PendingRead>,
+    waiting: BTreeMap<NodeId, Incarnation>,
+}
+
+/// A read that waits for the confirmation of leadership.
+#[derive(Debug)]
+pub(super) struct PendingRead {
+    pub(super) token: u64,
+    /// Must be applied before the read is served.
+    pub(super) index: LogIndex,
+    /// Must be answered by a quorum.
+    pub(super) round: u64,
+}
+
+impl Leadership {
+    pub(super) fn new(since: Timestamp, first_index: LogIndex) -> Self {
+        Leadership {
+            peers: BTreeMap::new(),
+            since,
+            first_index,
+            next_heartbeat: since,
+            round: 0,
+            round_wanted: false,
+            reads: VecDeque::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Adapts the peers to a membership. Who stays keeps its progress.
+    pub(super) fn follow_membership(
+        &mut self,
+        own: ReplicaId,
+        membership: &Membership,
+        last_index: LogIndex,
+    ) {
+        self.peers
+            .retain(|_, progress| membership.contains(progress.replica));
+        for member in membership.members() {
+            let replica = member.replica;
+            if replica == own {
+                continue;
+            }
+            let peer = self.peers.entry(replica.node);
+            peer.or_insert_with(|| Progress::new(replica, last_index));
+            self.waiting.remove(&replica.node);
+        }
+    }
+
+    /// The progress of exactly this replica.
+    pub(super) fn progress_of(&mut self, replica: ReplicaId) -> Option<&mut Progress> {
+        let progress = self.peers.get_mut(&replica.node)?;
+        (progress.replica == replica).then_some(progress)
+    }
+
+    pub(super) fn note_waiting(&mut self, replica: ReplicaId) {
+        let known = self.waiting.contains_key(&replica.node);
+        if known || self.waiting.len() < MAX_WAITING_REPLICAS {
+            self.waiting.insert(replica.node, replica.incarnation);
+        }
+    }
+
+    pub(super) fn waiting_replicas(&self) -> Vec<ReplicaId> {
+        let replica = |(node, incarnation): (&NodeId, &Incarnation)| ReplicaId {
+            node: *node,
+            incarnation: *incarnation,
+        };
+        self.waiting.iter().map(replica).collect()
+    }
+
+    pub(super) fn peer_progress(&self) -> Vec<PeerProgress> {
+        let report = |progress: &Progress| PeerProgress {
+            replica: progress.replica,
+            match_index: progress.match_index,
+            last_contact: progress.last_contact,
+            receives_snapshot: matches!(progress.state, ReplicationState::Snapshot(_)),
+        };
+        self.peers.values().map(report).collect()
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/membership.rs
@@ -0,0 +1,264 @@
+//! Who belongs to the group, and who of them counts for quorums.
+
+use snafu::Snafu;
+
+use crate::identity::{Incarnation, NodeId};
+
+use super::NotLeader;
+
+/// How many removed replicas a membership remembers. Older ones are forgotten;
+/// they could then announce themselves again, which is safe but pointless.
+const MAX_RETIRED_REPLICAS: usize = 32;
+
+/// Upper bound of members of one group.
+pub const MAX_MEMBERS: usize = 16;
+
+/// A node together with one life of its data folder. A node that lost its
+/// folder comes back as a different replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReplicaId {
+    /// The node.
+    pub node: NodeId,
+    /// Drawn when the data folder was formatted.
+    pub incarnation: Incarnation,
+}
+
+/// The part that a member takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberRole {
+    /// Counts for quorums and may become leader.
+    Voter,
+    /// Receives the log only.
+    Learner,
+    /// Receives the log; the leader promotes it to voter once it has durably
+    /// caught up.
+    JoiningVoter,
+}
+
+/// One member of the group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The part that it takes.
+    pub role: MemberRole,
+}
+
+/// The members of a group, at most one replica of each node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Membership {
+    members: Vec<Member>,
+    retired: Vec<ReplicaId>,
+}
+
+/// A change that an operator asks for. Every change alters at most one voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipChange {
+    /// Adds a replica that receives the log only.
+    AddLearner(ReplicaId),
+    /// Adds a replica as a learner and promotes it once it has caught up.
+    AddVoter(ReplicaId),
+    /// Makes a learner that has durably caught up a voter.
+    Promote(NodeId),
+    /// Removes a member.
+    Remove(NodeId),
+}
+
+/// Why a membership change was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum MembershipError {
+    /// This replica doesn't lead.
+    #[snafu(display("{source}"), context(false))]
+    ChangeNotLeader {
+        /// Where to ask instead.
+        source: NotLeader,
+    },
+    /// An earlier change isn't committed yet, or the term has only begun.
+    #[snafu(display("an earlier membership change or the term start is not committed yet"))]
+    ChangeInProgress,
+    /// The node is no member.
+    #[snafu(display("node {node} is no member"))]
+    UnknownMember {
+        /// The node that was named.
+        node: NodeId,
+    },
+    /// The node is a member already.
+    #[snafu(display("node {node} is a member already"))]
+    AlreadyMember {
+        /// The node that was named.
+        node: NodeId,
+    },
+    /// The learner lacks committed entries.
+    #[snafu(display("learner {node} has not caught up"))]
+    NotCaughtUp {
+        /// The node that was named.
+        node: NodeId,
+    },
+    /// The group would lose its last voter.
+    #[snafu(display("the last voter cannot be removed"))]
+    LastVoter,
+    /// The group has [`MAX_MEMBERS`] members.
+    #[snafu(display("the group is full"))]
+    GroupFull,
+}
+
+impl Membership {
+    /// Makes a membership of these members. Of several replicas of one node
+    /// the last one counts.
+    pub fn new(members: impl IntoIterator<Item = Member>) -> Self {
+        let mut membership = Membership::default();
+        for member in members {
+            membership.insert(member);
+        }
+        membership
+    }
+
+    /// Makes a membership in which all these replicas are voters.
+    pub fn of_voters(replicas: impl IntoIterator<Item = ReplicaId>) -> Self {
+        let voter = |replica| Member {
+            replica,
+            role: MemberRole::Voter,
+        };
+        Membership::new(replicas.into_iter().map(voter))
+    }
+
+    pub(super) fn from_parts(members: Vec<Member>, retired: Vec<ReplicaId>) -> Self {
+        let mut membership = Membership::new(members);
+        membership.retired = retired;
+        membership
+    }
+
+    /// All members, in the order of their nodes.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Replicas that were removed or replaced, oldest first.
+    pub fn retired(&self) -> &[ReplicaId] {
+        &self.retired
+    }
+
+    /// The members that count for quorums.
+    pub fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        let voters = |member: &&Member| member.role == MemberRole::Voter;
+        self.members
+            .iter()
+            .filter(voters)
+            .map(|member| member.replica)
+    }
+
+    /// How many voters make a quorum.
+    pub fn quorum_size(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The member on this node.
+    pub fn member(&self, node: NodeId) -> Option<Member> {
+        let position = self.position(node).ok()?;
+        Some(self.members[position])
+    }
+
+    /// Whether exactly this replica is a member.
+    pub fn contains(&self, replica: ReplicaId) -> bool {
+        self.member(replica.node)
+            .is_some_and(|member| member.replica == replica)
+    }
+
+    /// Whether exactly this replica is a voter.
+    pub fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.member(replica.node)
+            .is_some_and(|member| member.replica == replica && member.role == MemberRole::Voter)
+    }
+
+    /// Whether this replica was removed or replaced.
+    pub fn is_retired(&self, replica: ReplicaId) -> bool {
+        self.retired.contains(&replica)
+    }
+
+    /// The membership after `change`.
+    pub(super) fn changed(&self, change: MembershipChange) -> Result<Membership, MembershipError> {
+        match change {
+            MembershipChange::AddLearner(replica) => self.added(replica, MemberRole::Learner),
+            MembershipChange::AddVoter(replica) => self.added(replica, MemberRole::JoiningVoter),
+            MembershipChange::Promote(node) => self.promoted(node),
+            MembershipChange::Remove(node) => self.removed(node),
+        }
+    }
+
+    /// The membership in which `successor` stands in for the replica of the
+    /// same node. A voter's successor is a learner until it has caught up.
+    pub(super) fn replaced(&self, successor: ReplicaId) -> Result<Membership, MembershipError> {
+        let node = successor.node;
+        let former = self.member(node);
+        let former = former.ok_or(MembershipError::UnknownMember { node })?;
+        let mut next = self.clone();
+        next.retire(former.replica);
+        let role = match former.role {
+            MemberRole::Learner => MemberRole::Learner,
+            MemberRole::Voter | MemberRole::JoiningVoter => MemberRole::JoiningVoter,
+        };
+        next.insert(Member {
+            replica: successor,
+            role,
+        });
+        Ok(next)
+    }
+
+    fn added(&self, replica: ReplicaId, role: MemberRole) -> Result<Membership, MembershipError> {
+        let node = replica.node;
+        if self.member(node).is_some() {
+            return Err(MembershipError::AlreadyMember { node });
+        }
+        if self.members.len() >= MAX_MEMBERS {
+            return Err(MembershipError::GroupFull);
+        }
+        let mut next = self.clone();
+        next.retired.retain(|retired| *retired != replica);
+        next.insert(Member { replica, role });
+        Ok(next)
+    }
+
+    fn promoted(&self, node: NodeId) -> Result<Membership, MembershipError> {
+        let member = self.member(node);
+        let mut member = member.ok_or(MembershipError::UnknownMember { node })?;
+        if member.role == MemberRole::Voter {
+            return Err(MembershipError::AlreadyMember { node });
+        }
+        member.role = MemberRole::Voter;
+        let mut next = self.clone();
+        next.insert(member);
+        Ok(next)
+    }
+
+    fn removed(&self, node: NodeId) -> Result<Membership, MembershipError> {
+        let member = self.member(node);
+        let member = member.ok_or(MembershipError::UnknownMember { node })?;
+        let mut next = self.clone();
+        next.members.retain(|other| other.replica.node != node);
+        next.retire(member.replica);
+        if next.voters().next().is_none() {
+            return Err(MembershipError::LastVoter);
+        }
+        Ok(next)
+    }
+
+    fn insert(&mut self, member: Member) {
+        match self.position(member.replica.node) {
+            Ok(position) => self.members[position] = member,
+            Err(position) => self.members.insert(position, member),
+        }
+    }
+
+    fn retire(&mut self, replica: ReplicaId) {
+        self.retired.push(replica);
+        if self.retired.len() > MAX_RETIRED_REPLICAS {
+            self.retired.remove(0);
+        }
+    }
+
+    fn position(&self, node: NodeId) -> Result<usize, usize> {
+        self.members
+            .binary_search_by_key(&node, |member| member.replica.node)
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/membership_change.rs
@@ -0,0 +1,139 @@
+//! Membership changes, and the return of a node that lost its disk.
+
+use petrellatch_proto::consensus::{ConsensusBody, JoinRequest};
+
+use crate::Timestamp;
+use crate::identity::{Incarnation, NodeId};
+
+use super::entry::{EntryPayload, LogPosition};
+use super::membership::{MemberRole, Membership, MembershipChange, MembershipError, ReplicaId};
+use super::replica::{Part, Replica};
+
+impl Replica {
+    /// Proposes a membership change. One change is made at a time; it is in
+    /// effect at once here, and for good once it is committed.
+    pub fn propose_membership(
+        &mut self,
+        now: Timestamp,
+        change: MembershipChange,
+    ) -> Result<LogPosition, MembershipError> {
+        self.observe_clock(now);
+        if !matches!(self.part, Part::Leader(_)) {
+            return Err(self.not_leader().into());
+        }
+        if self.change_in_progress() {
+            return Err(MembershipError::ChangeInProgress);
+        }
+        let membership = self.membership().changed(change)?;
+        if let MembershipChange::Promote(node) = change
+            && !self.has_caught_up(node)
+        {
+            return Err(MembershipError::NotCaughtUp { node });
+        }
+        Ok(self.append_membership(membership))
+    }
+
+    pub(super) fn join_is_due(&self) -> bool {
+        let leads = matches!(self.part, Part::Leader(_));
+        !leads && !self.may_campaign() && self.now >= self.join_deadline
+    }
+
+    pub(super) fn reset_join_timer(&mut self) {
+        self.join_deadline = self.random_deadline();
+    }
+
+    /// Tells all known nodes that this replica isn't a voter and hears from
+    /// no leader.
+    pub(super) fn announce_join(&mut self) {
+        const ANY: Incarnation = Incarnation(0);
+        self.reset_join_timer();
+        let mut nodes = self.configured_peers.clone();
+        let members = self.membership().members();
+        nodes.extend(members.iter().map(|member| member.replica.node));
+        nodes.remove(&self.id.node);
+        for node in nodes {
+            let receiver = ReplicaId {
+                node,
+                incarnation: ANY,
+            };
+            self.send(receiver, ConsensusBody::JoinRequest(JoinRequest {}));
+        }
+    }
+
+    /// Handles the announcement of a replica. If a member's node came back
+    /// with another incarnation, its disk is lost: the old replica is removed
+    /// and the new one becomes a learner, in one committed change.
+    pub(super) fn handle_join_request(&mut self, sender: ReplicaId) {
+        let membership = self.membership();
+        let is_member = membership.contains(sender);
+        let is_retired = membership.is_retired(sender);
+        let former = membership.member(sender.node);
+        let Part::Leader(leadership) = &mut self.part else {
+            return;
+        };
+        if is_member || is_retired {
+            return;
+        }
+        let Some(former) = former else {
+            leadership.note_waiting(sender);
+            return;
+        };
+        if self.change_in_progress() || self.was_heard_lately(former.replica) {
+            return;
+        }
+        if let Ok(membership) = self.membership().replaced(sender) {
+            self.append_membership(membership);
+        }
+    }
+
+    /// Makes a learner that waits for it a voter, once everything committed
+    /// by now is durable there.
+    pub(super) fn promote_if_caught_up(&mut self, replica: ReplicaId) {
+        let joins = |member: super::Member| member.role == MemberRole::JoiningVoter;
+        let joining = self.membership().member(replica.node).is_some_and(joins);
+        if !joining || !matches!(self.part, Part::Leader(_)) {
+            return;
+        }
+        if self.change_in_progress() || !self.has_caught_up(replica.node) {
+            return;
+        }
+        let change = MembershipChange::Promote(replica.node);
+        if let Ok(membership) = self.membership().changed(change) {
+            self.append_membership(membership);
+        }
+    }
+
+    fn append_membership(&mut self, membership: Membership) -> LogPosition {
+        self.append_entry(EntryPayload::Membership(membership))
+    }
+
+    /// Whether another change must wait: for the one before, and for the
+    /// first entry of the term, without which an earlier leader's change
+    /// might still be open.
+    fn change_in_progress(&self) -> bool {
+        let Part::Leader(leadership) = &self.part else {
+            return true;
+        };
+        let pending = self.memberships.current_index() > self.commit_index;
+        pending || self.commit_index < leadership.first_index
+    }
+
+    fn has_caught_up(&self, node: NodeId) -> bool {
+        let Part::Leader(leadership) = &self.part else {
+            return false;
+        };
+        let progress = leadership.peers.get(&node);
+        progress.is_some_and(|progress| progress.match_index >= self.commit_index)
+    }
+
+    /// Whether the replica answered within the election timeout. Then its
+    /// disk isn't lost, and another process uses its node's name.
+    fn was_heard_lately(&self, replica: ReplicaId) -> bool {
+        let Part::Leader(leadership) = &self.part else {
+            return false;
+        };
+        let progress = leadership.peers.get(&replica.node);
+        let contact = progress.and_then(|progress| progress.last_contact);
+        contact.is_some_and(|at| self.now < at + self.settings.election_timeout)
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/progress.rs
@@ -0,0 +1,159 @@
+//! What the leader knows of one other member, and what it may send to it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::Timestamp;
+
+use super::entry::LogIndex;
+use super::membership::ReplicaId;
+use super::persistence::Snapshot;
+
+/// How many unanswered append messages may be on their way to one member.
+const MAX_IN_FLIGHT_APPENDS: usize = 16;
+
+/// How entries are sent to a member.
+#[derive(Debug)]
+pub(super) enum ReplicationState {
+    /// Where the logs agree is being found out, one message at a time.
+    Probe {
+        /// Whether a message waits for its answer.
+        sent: bool,
+    },
+    /// Entries are sent ahead of the answers.
+    Replicate {
+        /// Last index of each unanswered message.
+        in_flight: VecDeque<LogIndex>,
+    },
+    /// The member needs entries that are compacted already.
+    Snapshot(SnapshotTransfer),
+}
+
+/// A snapshot on its way to a member.
+#[derive(Debug)]
+pub(super) struct SnapshotTransfer {
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) digest: u64,
+    /// What the member needs next, in bytes.
+    pub(super) offset: u64,
+    /// Whether the chunk at `offset` waits for its answer.
+    pub(super) sent: bool,
+}
+
+/// The leader's record of one other member.
+#[derive(Debug)]
+pub(super) struct Progress {
+    pub(super) replica: ReplicaId,
+    /// Highest entry known to be durable at the member.
+    pub(super) match_index: LogIndex,
+    /// The next entry to send.
+    pub(super) next_index: LogIndex,
+    pub(super) state: ReplicationState,
+    /// When the last message that was answered had been sent.
+    pub(super) last_contact: Option<Timestamp>,
+    /// Highest leadership confirmation round that was answered.
+    pub(super) acknowledged_round: u64,
+}
+
+impl Progress {
+    pub(super) fn new(replica: ReplicaId, last_index: LogIndex) -> Self {
+        Progress {
+            replica,
+            match_index: 0,
+            next_index: last_index + 1,
+            state: ReplicationState::Probe { sent: false },
+            last_contact: None,
+            acknowledged_round: 0,
+        }
+    }
+
+    /// Notes an answer to a message sent at `sent_at` in `round`.
+    pub(super) fn record_contact(&mut self, sent_at: Timestamp, round: u64) {
+        self.last_contact = self.last_contact.max(Some(sent_at));
+        self.acknowledged_round = self.acknowledged_round.max(round);
+    }
+
+    /// Notes that the member's log agrees with the leader's up to `index` and
+    /// is durable there.
+    pub(super) fn record_match(&mut self, index: LogIndex) {
+        self.match_index = self.match_index.max(index);
+        self.next_index = self.next_index.max(self.match_index + 1);
+        let matched = self.match_index;
+        match &mut self.state {
+            ReplicationState::Probe { .. } if index + 1 >= self.next_index => {
+                self.start_replicating();
+            }
+            ReplicationState::Probe { .. } => {}
+            ReplicationState::Replicate { in_flight } => {
+                in_flight.retain(|last| *last > matched);
+            }
+            ReplicationState::Snapshot(transfer) => {
+                if matched >= transfer.snapshot.position.index {
+                    self.start_replicating();
+                }
+            }
+        }
+    }
+
+    /// Notes that the member lacks the entry at `refused`, and may agree up to
+    /// `possible_match`.
+    pub(super) fn record_refusal(&mut self, refused: LogIndex, possible_match: LogIndex) {
+        let stale = match self.state {
+            ReplicationState::Probe { .. } => refused + 1 != self.next_index,
+            ReplicationState::Replicate { .. } => refused <= self.match_index,
+            ReplicationState::Snapshot(_) => true,
+        };
+        if stale {
+            return;
+        }
+        let next = refused.min(possible_match + 1);
+        self.next_index = next.max(self.match_index + 1);
+        self.state = ReplicationState::Probe { sent: false };
+    }
+
+    pub(super) fn start_snapshot(&mut self, snapshot: Arc<Snapshot>, digest: u64) {
+        self.state = ReplicationState::Snapshot(SnapshotTransfer {
+            snapshot,
+            digest,
+            offset: 0,
+            sent: false,
+        });
+    }
+
+    /// Whether another append with entries may be sent now.
+    pub(super) fn may_send_entries(&self) -> bool {
+        match &self.state {
+            ReplicationState::Probe { sent } => !sent,
+            ReplicationState::Replicate { in_flight } => in_flight.len() < MAX_IN_FLIGHT_APPENDS,
+            ReplicationState::Snapshot(_) => false,
+        }
+    }
+
+    /// Notes that entries up to `last` were sent, or nothing but a probe.
+    pub(super) fn record_sent(&mut self, last: LogIndex) {
+        match &mut self.state {
+            ReplicationState::Probe { sent } => *sent = true,
+            ReplicationState::Replicate { in_flight } if last >= self.next_index => {
+                in_flight.push_back(last);
+                self.next_index = last + 1;
+            }
+            ReplicationState::Replicate { .. } | ReplicationState::Snapshot(_) => {}
+        }
+    }
+
+    /// Lets an unanswered probe or chunk be sent again.
+    pub(super) fn allow_retry(&mut self) {
+        match &mut self.state {
+            ReplicationState::Probe { sent } => *sent = false,
+            ReplicationState::Replicate { .. } => {}
+            ReplicationState::Snapshot(transfer) => transfer.sent = false,
+        }
+    }
+
+    fn start_replicating(&mut self) {
+        self.next_index = self.match_index + 1;
+        self.state = ReplicationState::Replicate {
+            in_flight: VecDeque::new(),
+        };
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/reads.rs
@@ -0,0 +1,89 @@
+//! Reads that are served only by a replica that proved to lead.
+
+use crate::Timestamp;
+
+use super::leadership::{Leadership, PendingRead};
+use super::output::{NotLeader, ReplicaOutput};
+use super::replica::{Part, Replica};
+
+impl Replica {
+    /// Asks for a read that sees everything accepted before. It is answered
+    /// by [`ReplicaOutput::ReadReady`] after a quorum confirmed that this
+    /// replica still leads, or by [`ReplicaOutput::ReadLost`].
+    pub fn request_read(&mut self, now: Timestamp, token: u64) -> Result<(), NotLeader> {
+        self.observe_clock(now);
+        let refusal = self.not_leader();
+        let Part::Leader(leadership) = &mut self.part else {
+            return Err(refusal);
+        };
+        // What earlier leaders committed is known only once the first entry
+        // of this term is committed.
+        let index = self.commit_index.max(leadership.first_index);
+        leadership.round_wanted = true;
+        leadership.reads.push_back(PendingRead {
+            token,
+            index,
+            round: leadership.round + 1,
+        });
+        self.answer_reads();
+        Ok(())
+    }
+
+    /// Starts a confirmation round if reads wait for one.
+    pub(super) fn start_wanted_round(&mut self) {
+        let Part::Leader(leadership) = &mut self.part else {
+            return;
+        };
+        if !leadership.round_wanted {
+            return;
+        }
+        leadership.round_wanted = false;
+        leadership.round += 1;
+        self.send_heartbeats();
+    }
+
+    /// Answers the reads whose round is confirmed and whose index is applied.
+    pub(super) fn answer_reads(&mut self) {
+        let Part::Leader(leadership) = &self.part else {
+            return;
+        };
+        let confirmed_round = self.confirmed_round(leadership);
+        while let Some(read) = self.next_answerable_read(confirmed_round) {
+            self.emit(ReplicaOutput::ReadReady {
+                token: read.token,
+                index: read.index,
+            });
+        }
+    }
+
+    fn next_answerable_read(&mut self, confirmed_round: u64) -> Option<PendingRead> {
+        let applied_index = self.applied_index;
+        let Part::Leader(leadership) = &mut self.part else {
+            return None;
+        };
+        let read = leadership.reads.front()?;
+        let answerable = read.round <= confirmed_round && read.index <= applied_index;
+        if !answerable {
+            return None;
+        }
+        leadership.reads.pop_front()
+    }
+
+    /// The last round that a quorum answered.
+    fn confirmed_round(&self, leadership: &Leadership) -> u64 {
+        const ALWAYS: u64 = u64::MAX;
+        if self.settings.mutations.skip_quorum_check {
+            return ALWAYS;
+        }
+        let membership = self.memberships.current();
+        let round_of = |voter: super::ReplicaId| match leadership.peers.get(&voter.node) {
+            Some(progress) => progress.acknowledged_round,
+            None if voter == self.id => ALWAYS,
+            None => 0,
+        };
+        let mut rounds: Vec<u64> = membership.voters().map(round_of).collect();
+        rounds.sort_unstable_by(|left, right| right.cmp(left));
+        let round = rounds.get(membership.quorum_size() - 1);
+        round.copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -0,0 +1,428 @@
+//! The replica: its state, its inputs and its outputs.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::Timestamp;
+use crate::identity::NodeId;
+
+use super::entry::{LogIndex, LogPosition, Term};
+use super::leadership::Leadership;
+use super::log::Log;
+use super::membership::{Membership, ReplicaId};
+use super::membership_history::MembershipHistory;
+use super::output::{NotLeader, PeerProgress, ReplicaOutput, Role};
+use super::persistence::{HardState, PersistRequest, PersistTicket, Snapshot};
+use super::settings::{ReplicaSettings, ReplicaStart};
+use super::snapshot_assembly::SnapshotAssembly;
+use super::write_queue::WriteQueue;
+
+/// One replica of the log. See the [module page](super) for its guarantees
+/// and an example.
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) settings: ReplicaSettings,
+    pub(super) id: ReplicaId,
+    pub(super) random: ChaCha8Rng,
+    /// Time of the latest input.
+    pub(super) now: Timestamp,
+    pub(super) hard_state: HardState,
+    pub(super) log: Log,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    pub(super) memberships: MembershipHistory,
+    pub(super) commit_index: LogIndex,
+    pub(super) applied_index: LogIndex,
+    pub(super) part: Part,
+    pub(super) leader: Option<NodeId>,
+    /// When a leader was last heard from; the start counts as such, because
+    /// what was promised before it is not known any more.
+    pub(super) last_leader_contact: Timestamp,
+    pub(super) election_deadline: Timestamp,
+    pub(super) join_deadline: Timestamp,
+    /// Nodes of the group, as far as the settings name them.
+    pub(super) configured_peers: BTreeSet<NodeId>,
+    pub(super) assembly: Option<SnapshotAssembly>,
+    /// The write that makes an installed snapshot durable, after which the
+    /// application gets it.
+    pub(super) pending_restore: Option<PersistTicket>,
+    pub(super) writes: WriteQueue,
+    pub(super) own_proposals: BTreeMap<LogIndex, Term>,
+    /// Applied index at which a snapshot was last asked for.
+    pub(super) snapshot_wanted_at: LogIndex,
+    outputs: VecDeque<ReplicaOutput>,
+    announced_role: (Role, Term),
+}
+
+/// State of the part that the replica plays.
+#[derive(Debug)]
+pub(super) enum Part {
+    Follower,
+    PreCandidate {
+        /// Voters that would grant their vote.
+        granted: BTreeSet<NodeId>,
+    },
+    Candidate {
+        /// Voters that granted their vote.
+        granted: BTreeSet<NodeId>,
+    },
+    Leader(Leadership),
+}
+
+impl Replica {
+    /// Starts a replica from what was read back from disk.
+    pub fn new(now: Timestamp, settings: ReplicaSettings, start: ReplicaStart) -> Replica {
+        let id = ReplicaId {
+            node: start.id,
+            incarnation: start.incarnation,
+        };
+        let first_start = start.persisted.is_empty();
+        let configured_peers = configured_peers(id, start.bootstrap.as_ref());
+        let bootstrap = start.bootstrap.filter(|membership| membership.contains(id));
+        let bootstrap_snapshot = bootstrap.filter(|_| first_start).map(initial_snapshot);
+        let persisted = start.persisted;
+        let restored = persisted.snapshot;
+        let snapshot = restored.or_else(|| bootstrap_snapshot.clone());
+        let base = snapshot.as_ref().map(|snapshot| snapshot.position);
+        let base = base.unwrap_or_default();
+        let base_membership = snapshot
+            .as_ref()
+            .map(|snapshot| snapshot.membership.clone());
+        let base_membership = base_membership.unwrap_or_default();
+        let mut memberships = MembershipHistory::new(base.index, base_membership);
+        for entry in &persisted.entries {
+            memberships.record(entry);
+        }
+        let mut hard_state = persisted.hard_state;
+        if settings.mutations.forget_vote_on_restart {
+            hard_state.voted_for = None;
+        }
+        let log = Log::new(base, persisted.entries);
+        let mut writes = WriteQueue::new(log.last_index());
+        if let Some(snapshot) = bootstrap_snapshot {
+            writes.note_snapshot(snapshot);
+        }
+        let mut replica = Replica {
+            settings,
+            id,
+            random: ChaCha8Rng::seed_from_u64(start.seed),
+            now,
+            announced_role: (Role::Follower, hard_state.term),
+            hard_state,
+            log,
+            snapshot,
+            memberships,
+            commit_index: base.index,
+            applied_index: base.index,
+            part: Part::Follower,
+            leader: None,
+            last_leader_contact: now,
+            election_deadline: now,
+            join_deadline: now,
+            configured_peers,
+            assembly: None,
+            pending_restore: None,
+            writes,
+            own_proposals: BTreeMap::new(),
+            snapshot_wanted_at: base.index,
+            outputs: VecDeque::new(),
+        };
+        replica.emit_initial_state();
+        replica.reset_election_timer();
+        replica.reset_join_timer();
+        replica
+    }
+
+    /// Handles a message from the replica on `from`.
+    pub fn handle_message(&mut self, now: Timestamp, from: NodeId, message: ConsensusMessage) {
+        self.observe_clock(now);
+        let for_this_replica = [0, self.id.incarnation.0].contains(&message.to_incarnation);
+        if from == self.id.node || !for_this_replica {
+            return;
+        }
+        let sender = ReplicaId {
+            node: from,
+            incarnation: crate::identity::Incarnation(message.from_incarnation),
+        };
+        let term = message.term;
+        match message.body {
+            Some(ConsensusBody::PreVoteRequest(request)) => {
+                self.handle_pre_vote_request(sender, term, &request);
+            }
+            Some(ConsensusBody::PreVoteResponse(response)) => {
+                self.handle_pre_vote_response(sender, term, &response);
+            }
+            Some(ConsensusBody::VoteRequest(request)) => {
+                self.handle_vote_request(sender, term, &request);
+            }
+            Some(ConsensusBody::VoteResponse(response)) => {
+                self.handle_vote_response(sender, term, &response);
+            }
+            Some(ConsensusBody::AppendRequest(request)) => {
+                self.handle_append_request(sender, term, request);
+            }
+            Some(ConsensusBody::AppendResponse(response)) => {
+                self.handle_append_response(sender, term, &response);
+            }
+            Some(ConsensusBody::SnapshotChunk(chunk)) => {
+                self.handle_snapshot_chunk(sender, term, chunk);
+            }
+            Some(ConsensusBody::SnapshotChunkResponse(response)) => {
+                self.handle_snapshot_chunk_response(sender, term, &response);
+            }
+            Some(ConsensusBody::JoinRequest(_)) => self.handle_join_request(sender),
+            None => {}
+        }
+    }
+
+    /// Does what has become due. Call it when [`Replica::poll_timeout`] is
+    /// reached; earlier calls do no harm.
+    pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.observe_clock(now);
+        if self.heartbeat_is_due() {
+            self.send_heartbeats();
+        }
+        if self.election_is_due() {
+            self.start_pre_vote();
+        }
+        if self.join_is_due() {
+            self.announce_join();
+        }
+    }
+
+    /// Notes that everything asked for by [`ReplicaOutput::Persist`] up to
+    /// this ticket is synced to disk.
+    pub fn handle_persisted(&mut self, now: Timestamp, ticket: PersistTicket) {
+        self.observe_clock(now);
+        let released = self.writes.complete(ticket);
+        self.outputs.extend(released);
+        self.finish_restore(ticket);
+        self.count_own_vote();
+        self.advance_commit();
+        self.apply_committed();
+    }
+
+    /// Returns the next thing to do. Messages with entries and disk writes are
+    /// made here, so that inputs handled together share them.
+    pub fn poll_output(&mut self) -> Option<ReplicaOutput> {
+        self.announce_role();
+        if self.outputs.is_empty() {
+            self.replicate();
+            self.request_write();
+        }
+        self.outputs.pop_front()
+    }
+
+    /// Returns when [`Replica::handle_timeout`] is wanted.
+    pub fn poll_timeout(&self) -> Option<Timestamp> {
+        if let Part::Leader(leadership) = &self.part {
+            if self.settings.mutations.skip_quorum_check {
+                return Some(leadership.next_heartbeat);
+            }
+            let step_down = self.step_down_deadline(leadership);
+            return Some(leadership.next_heartbeat.min(step_down));
+        }
+        if self.may_campaign() {
+            return Some(self.election_deadline);
+        }
+        Some(self.join_deadline)
+    }
+
+    /// The replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The part that the replica plays.
+    pub fn role(&self) -> Role {
+        match self.part {
+            Part::Follower => Role::Follower,
+            Part::PreCandidate { .. } => Role::PreCandidate,
+            Part::Candidate { .. } => Role::Candidate,
+            Part::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The leader of the current term, if it is known. It may have been
+    /// replaced already.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// The last entry known to be committed.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit_index
+    }
+
+    /// The last entry that was handed out for application.
+    pub fn applied_index(&self) -> LogIndex {
+        self.applied_index
+    }
+
+    /// The last entry of the log, committed or not.
+    pub fn last_position(&self) -> LogPosition {
+        self.log.last_position()
+    }
+
+    /// The membership in effect, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.memberships.current()
+    }
+
+    /// What this leader knows of the other members; empty if it doesn't lead.
+    pub fn peer_progress(&self) -> Vec<PeerProgress> {
+        match &self.part {
+            Part::Leader(leadership) => leadership.peer_progress(),
+            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
+        }
+    }
+
+    /// Replicas of nodes that are no members and announced themselves to this
+    /// leader. An operator may add them.
+    pub fn waiting_replicas(&self) -> Vec<ReplicaId> {
+        match &self.part {
+            Part::Leader(leadership) => leadership.waiting_replicas(),
+            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
+        }
+    }
+
+    /// Takes the time of an input. A leader first finds out whether its
+    /// quorum has been silent for too long by its own clock, for example
+    /// because the process was frozen, before it does anything else.
+    pub(super) fn observe_clock(&mut self, now: Timestamp) {
+        self.now = self.now.max(now);
+        let Part::Leader(leadership) = &self.part else {
+            return;
+        };
+        let lost_quorum = self.now >= self.step_down_deadline(leadership);
+        if lost_quorum && !self.settings.mutations.skip_quorum_check {
+            self.become_follower();
+            self.leader = None;
+        }
+    }
+
+    /// Enters a higher term, as a follower.
+    pub(super) fn observe_term(&mut self, term: Term) {
+        if term <= self.hard_state.term {
+            return;
+        }
+        self.hard_state = HardState {
+            term,
+            voted_for: None,
+        };
+        self.writes.note_hard_state();
+        self.become_follower();
+        self.leader = None;
+    }
+
+    pub(super) fn become_follower(&mut self) {
+        let former = std::mem::replace(&mut self.part, Part::Follower);
+        if let Part::Leader(leadership) = former {
+            for read in leadership.reads {
+                self.emit(ReplicaOutput::ReadLost { token: read.token });
+            }
+        }
+        self.reset_election_timer();
+    }
+
+    pub(super) fn not_leader(&self) -> NotLeader {
+        let others = |leader: &NodeId| *leader != self.id.node;
+        NotLeader {
+            hint: self.leader.filter(others),
+        }
+    }
+
+    pub(super) fn emit(&mut self, output: ReplicaOutput) {
+        self.outputs.push_back(output);
+    }
+
+    /// Sends a message that depends on nothing that isn't durable.
+    pub(super) fn send(&mut self, to: ReplicaId, body: ConsensusBody) {
+        let output = self.message_to(to, body);
+        self.outputs.push_back(output);
+    }
+
+    /// Sends a message once everything that was changed so far is durable.
+    pub(super) fn send_durably(&mut self, to: ReplicaId, body: ConsensusBody) {
+        let output = self.message_to(to, body);
+        let barrier = self.writes.barrier(&self.log);
+        match barrier {
+            Some(ticket) if !self.settings.mutations.acknowledge_before_sync => {
+                self.writes.hold(ticket, output);
+            }
+            _ => self.outputs.push_back(output),
+        }
+    }
+
+    fn message_to(&self, to: ReplicaId, body: ConsensusBody) -> ReplicaOutput {
+        let message = ConsensusMessage {
+            from_incarnation: self.id.incarnation.0,
+            to_incarnation: to.incarnation.0,
+            term: self.hard_state.term,
+            body: Some(body),
+        };
+        ReplicaOutput::Send {
+            to: to.node,
+            message,
+        }
+    }
+
+    /// A random duration of one to two election timeouts, after `now`.
+    pub(super) fn random_deadline(&mut self) -> Timestamp {
+        const ONE: f64 = 1.0;
+        let factor = ONE + self.random.random_range(0.0..ONE);
+        self.now + self.settings.election_timeout.mul_f64(factor)
+    }
+
+    fn request_write(&mut self) {
+        let request = self.writes.next_request(self.hard_state, &self.log);
+        let Some(request) = request else {
+            return;
+        };
+        self.emit_write(request);
+    }
+
+    fn emit_write(&mut self, request: PersistRequest) {
+        self.emit(ReplicaOutput::Persist(request));
+    }
+
+    fn announce_role(&mut self) {
+        let current = (self.role(), self.hard_state.term);
+        if current == self.announced_role {
+            return;
+        }
+        self.announced_role = current;
+        let (role, term) = current;
+        self.emit(ReplicaOutput::RoleChanged { role, term });
+    }
+
+    fn emit_initial_state(&mut self) {
+        if let Some(snapshot) = self.snapshot.clone() {
+            self.emit_restore(&snapshot);
+        }
+        let membership = self.membership().clone();
+        self.emit(ReplicaOutput::MembershipChanged(membership));
+    }
+}
+
+fn configured_peers(id: ReplicaId, bootstrap: Option<&Membership>) -> BTreeSet<NodeId> {
+    let members = bootstrap.map(Membership::members).unwrap_or_default();
+    let nodes = members.iter().map(|member| member.replica.node);
+    nodes.filter(|node| *node != id.node).collect()
+}
+
+fn initial_snapshot(membership: Membership) -> Arc<Snapshot> {
+    Arc::new(Snapshot {
+        position: LogPosition::default(),
+        membership,
+        data: Vec::new(),
+    })
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/write_queue.rs
@@ -0,0 +1,148 @@
+//! What waits to be written to disk, and what waits for it to be durable.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::entry::LogIndex;
+use super::log::Log;
+use super::output::ReplicaOutput;
+use super::persistence::{HardState, PersistRequest, PersistTicket, Snapshot};
+
+/// Collects changes until the next write. One write is outstanding at a time;
+/// what changes meanwhile goes into the next one, so that a slow disk gets
+/// fewer, larger writes.
+#[derive(Debug)]
+pub(super) struct WriteQueue {
+    next_ticket: PersistTicket,
+    outstanding: Option<OutstandingWrite>,
+    hard_state_changed: bool,
+    snapshot: Option<Arc<Snapshot>>,
+    truncate_from: Option<LogIndex>,
+    /// First entry that no write contains yet.
+    unwritten_from: LogIndex,
+    /// Last entry that is durable.
+    durable_index: LogIndex,
+    held: VecDeque<HeldOutput>,
+}
+
+#[derive(Debug)]
+struct OutstandingWrite {
+    ticket: PersistTicket,
+    last_index: LogIndex,
+}
+
+#[derive(Debug)]
+struct HeldOutput {
+    needs: PersistTicket,
+    output: ReplicaOutput,
+}
+
+impl WriteQueue {
+    /// Starts with a log that is durable up to `last_index`.
+    pub(super) fn new(last_index: LogIndex) -> Self {
+        WriteQueue {
+            next_ticket: PersistTicket(1),
+            outstanding: None,
+            hard_state_changed: false,
+            snapshot: None,
+            truncate_from: None,
+            unwritten_from: last_index + 1,
+            durable_index: last_index,
+            held: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn durable_index(&self) -> LogIndex {
+        self.durable_index
+    }
+
+    pub(super) fn note_hard_state(&mut self) {
+        self.hard_state_changed = true;
+    }
+
+    pub(super) fn note_snapshot(&mut self, snapshot: Arc<Snapshot>) {
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Notes that the log lost its entries from `index` on.
+    pub(super) fn note_truncation(&mut self, index: LogIndex) {
+        let last_kept = index.saturating_sub(1);
+        self.durable_index = self.durable_index.min(last_kept);
+        if let Some(outstanding) = &mut self.outstanding {
+            outstanding.last_index = outstanding.last_index.min(last_kept);
+        }
+        if index < self.unwritten_from {
+            self.unwritten_from = index;
+            let earlier = self.truncate_from.unwrap_or(index);
+            self.truncate_from = Some(earlier.min(index));
+        }
+    }
+
+    /// Notes that the whole log was replaced by a snapshot up to `index`.
+    pub(super) fn note_replaced_log(&mut self, index: LogIndex) {
+        self.durable_index = 0;
+        if let Some(outstanding) = &mut self.outstanding {
+            outstanding.last_index = 0;
+        }
+        self.unwritten_from = index + 1;
+        self.truncate_from = Some(index + 1);
+    }
+
+    /// The write after which everything noted so far is durable.
+    pub(super) fn barrier(&self, log: &Log) -> Option<PersistTicket> {
+        if self.has_changes(log) {
+            return Some(self.next_ticket);
+        }
+        self.outstanding.as_ref().map(|write| write.ticket)
+    }
+
+    pub(super) fn hold(&mut self, needs: PersistTicket, output: ReplicaOutput) {
+        self.held.push_back(HeldOutput { needs, output });
+    }
+
+    /// Makes the next write, unless one is outstanding or nothing changed.
+    pub(super) fn next_request(
+        &mut self,
+        hard_state: HardState,
+        log: &Log,
+    ) -> Option<PersistRequest> {
+        if self.outstanding.is_some() || !self.has_changes(log) {
+            return None;
+        }
+        let request = PersistRequest {
+            ticket: self.next_ticket,
+            hard_state: self.hard_state_changed.then_some(hard_state),
+            truncate_from: self.truncate_from.take(),
+            snapshot: self.snapshot.take(),
+            entries: log.entries_from(self.unwritten_from),
+        };
+        self.outstanding = Some(OutstandingWrite {
+            ticket: self.next_ticket,
+            last_index: log.last_index(),
+        });
+        self.next_ticket = PersistTicket(self.next_ticket.0 + 1);
+        self.hard_state_changed = false;
+        self.unwritten_from = log.last_index() + 1;
+        Some(request)
+    }
+
+    /// Notes that everything up to `ticket` is durable and returns the outputs
+    /// that waited for it.
+    pub(super) fn complete(&mut self, ticket: PersistTicket) -> Vec<ReplicaOutput> {
+        let completed = self.outstanding.take_if(|write| write.ticket <= ticket);
+        let Some(write) = completed else {
+            return Vec::new();
+        };
+        self.durable_index = self.durable_index.max(write.last_index);
+        let released = self.held.partition_point(|held| held.needs <= write.ticket);
+        let released = self.held.drain(..released);
+        released.map(|held| held.output).collect()
+    }
+
+    fn has_changes(&self, log: &Log) -> bool {
+        self.hard_state_changed
+            || self.snapshot.is_some()
+            || self.truncate_from.is_some()
+            || self.unwritten_from <= log.last_index()
+    }
+}
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! and the simulator therefore run exactly the same code.
 
 pub mod cluster;
+pub mod consensus;
 pub mod error_kind;
 pub mod event;
 pub mod identity;
--- a/crates/petrellatch-proto/src/lib.rs
+++ b/crates/petrellatch-proto/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod command;
+pub mod consensus;
 pub mod data;
 pub mod dissemination;
 pub mod endpoint;
