Test the replicated log under faults on a virtual clock

Ruled out: threads and real timers, which would neither repeat nor finish quickly.

Change: a group of replicas with a faulty network, disks that lose unsynced writes, drifting clocks, freezes and lost disks; a checker of the guarantees; random faults, one scenario for each failure, and one for each deliberate fault of ConsensusMutations. Under `ignore_incarnation` a replica now also takes messages that are meant for its predecessor, since otherwise that fault could not show.

Conclusion: each deliberate fault is found and the same runs without it are clean.

--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -139,8 +139,7 @@
     /// Handles a message from the replica on `from`.
     pub fn handle_message(&mut self, now: Timestamp, from: NodeId, message: ConsensusMessage) {
         self.observe_clock(now);
-        let for_this_replica = [0, self.id.incarnation.0].contains(&message.to_incarnation);
-        if from == self.id.node || !for_this_replica {
+        if from == self.id.node || !self.is_addressed(&message) {
             return;
         }
         let sender = ReplicaId {
@@ -362,6 +361,15 @@
         }
     }
 
+    /// Whether the message is meant for this incarnation of the node.
+    fn is_addressed(&self, message: &ConsensusMessage) -> bool {
+        const ANY: u64 = 0;
+        let receiver = message.to_incarnation;
+        receiver == ANY
+            || receiver == self.id.incarnation.0
+            || self.settings.mutations.ignore_incarnation
+    }
+
     fn message_to(&self, to: ReplicaId, body: ConsensusBody) -> ReplicaOutput {
         let message = ConsensusMessage {
             from_incarnation: self.id.incarnation.0,
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/checker.rs
@@ -0,0 +1,103 @@
+//! Checks of the log's guarantees, fed with what every replica does.
+
+use std::collections::BTreeMap;
+
+use petrellatch_core::consensus::{LogIndex, ReplicaId, Term};
+use petrellatch_core::identity::NodeId;
+
+/// One applied command: its index and its value.
+pub type Applied = (LogIndex, u64);
+
+/// A broken guarantee.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    /// Two replicas led in one term.
+    TwoLeaders(Term),
+    /// Two replicas were sure of their quorum at one moment.
+    TwoQuorumLeaders,
+    /// A replica voted for two candidates in one term.
+    DoubleVote(Term),
+    /// Two replicas applied different commands at one index.
+    CommittedChanged(LogIndex),
+    /// A replica left out or repeated a committed command.
+    OutOfOrder(NodeId, LogIndex),
+    /// A read didn't see what was applied before it was requested.
+    StaleRead(u64),
+}
+
+#[derive(Debug, Default)]
+pub struct Checker {
+    leaders: BTreeMap<Term, ReplicaId>,
+    votes: BTreeMap<(ReplicaId, Term), NodeId>,
+    committed: BTreeMap<LogIndex, u64>,
+    read_floors: BTreeMap<u64, LogIndex>,
+    pub reads_answered: u64,
+    pub snapshots_restored: u64,
+    pub violations: Vec<Violation>,
+}
+
+impl Checker {
+    pub fn committed_count(&self) -> usize {
+        self.committed.len()
+    }
+
+    pub fn is_committed(&self, value: u64) -> bool {
+        self.committed.values().any(|committed| *committed == value)
+    }
+
+    pub fn leader_elected(&mut self, term: Term, replica: ReplicaId) {
+        if *self.leaders.entry(term).or_insert(replica) != replica {
+            self.violations.push(Violation::TwoLeaders(term));
+        }
+    }
+
+    pub fn vote_granted(&mut self, voter: ReplicaId, term: Term, candidate: NodeId) {
+        let vote = self.votes.entry((voter, term)).or_insert(candidate);
+        if *vote != candidate {
+            self.violations.push(Violation::DoubleVote(term));
+        }
+    }
+
+    pub fn quorum_leaders(&mut self, count: usize) {
+        if count > 1 {
+            self.violations.push(Violation::TwoQuorumLeaders);
+        }
+    }
+
+    pub fn applied(&mut self, node: NodeId, state: &[Applied]) {
+        let Some(&(index, value)) = state.last() else {
+            return;
+        };
+        if *self.committed.entry(index).or_insert(value) != value {
+            self.violations.push(Violation::CommittedChanged(index));
+        }
+        let before = self.committed.range(..index).next_back();
+        let own_before = state.iter().rev().nth(1).map(|applied| applied.0);
+        if before.map(|(index, _)| *index) != own_before {
+            self.violations.push(Violation::OutOfOrder(node, index));
+        }
+    }
+
+    pub fn restored(&mut self, node: NodeId, index: LogIndex, state: &[Applied]) {
+        self.snapshots_restored += 1;
+        let expected = self.committed.range(..=index);
+        let expected: Vec<Applied> = expected.map(|(index, value)| (*index, *value)).collect();
+        if expected != state {
+            self.violations.push(Violation::OutOfOrder(node, index));
+        }
+    }
+
+    pub fn read_requested(&mut self, token: u64) {
+        let newest = self.committed.last_key_value();
+        let floor = newest.map_or(0, |(index, _)| *index);
+        self.read_floors.insert(token, floor);
+    }
+
+    pub fn read_answered(&mut self, token: u64, state: &[Applied]) {
+        self.reads_answered += 1;
+        let seen = state.last().map_or(0, |applied| applied.0);
+        if seen < self.read_floors[&token] {
+            self.violations.push(Violation::StaleRead(token));
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/cluster.rs
@@ -0,0 +1,390 @@
+//! A group of replicas on a virtual clock, with a faulty network and disks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{
+    Membership, PersistRequest, PersistentState, Replica, ReplicaId, ReplicaOutput,
+    ReplicaSettings, Role,
+};
+use petrellatch_core::identity::{Incarnation, NodeId};
+use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage, MAX_CONSENSUS_MESSAGE_BYTES};
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::checker::Checker;
+use crate::node::{Input, Node};
+
+#[derive(Clone, Debug)]
+struct Event {
+    node: NodeId,
+    /// Life of the node that the event is meant for; `None` for any.
+    life: Option<u64>,
+    input: Input,
+}
+
+pub struct Network {
+    pub loss_percent: u32,
+    pub duplicate_percent: u32,
+    pub max_delay_micros: u64,
+    /// Directions in which nothing gets through.
+    pub cut: BTreeSet<(NodeId, NodeId)>,
+}
+
+pub struct Cluster {
+    pub now: Timestamp,
+    pub nodes: BTreeMap<NodeId, Node>,
+    pub network: Network,
+    pub sync_micros: u64,
+    pub checker: Checker,
+    pub random: ChaCha8Rng,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    next_event: u64,
+    next_value: u64,
+    next_incarnation: u64,
+}
+
+pub fn test_settings() -> ReplicaSettings {
+    ReplicaSettings {
+        election_timeout: Duration::from_millis(200),
+        heartbeat_interval: Duration::from_millis(40),
+        compaction_threshold: 20,
+        snapshot_chunk_bytes: 100,
+        max_batch_bytes: 256,
+        ..ReplicaSettings::default()
+    }
+}
+
+pub fn replica_id(node: u64) -> ReplicaId {
+    ReplicaId {
+        node: NodeId(node),
+        incarnation: Incarnation(node * 100),
+    }
+}
+
+impl Cluster {
+    /// Starts a group of `voters` voters and `learners` nodes outside it.
+    pub fn start(seed: u64, voters: u64, learners: u64, settings: &ReplicaSettings) -> Cluster {
+        let bootstrap = Membership::of_voters((1..=voters).map(replica_id));
+        let mut cluster = Cluster {
+            now: Timestamp::ZERO,
+            nodes: BTreeMap::new(),
+            network: Network {
+                loss_percent: 0,
+                duplicate_percent: 0,
+                max_delay_micros: 2_000,
+                cut: BTreeSet::new(),
+            },
+            sync_micros: 1_000,
+            checker: Checker::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_value: 1,
+            next_incarnation: 1_000_000,
+        };
+        for node in 1..=voters + learners {
+            cluster.add_node(replica_id(node), settings, &bootstrap);
+        }
+        cluster
+    }
+
+    fn add_node(&mut self, id: ReplicaId, settings: &ReplicaSettings, bootstrap: &Membership) {
+        let node = Node {
+            id,
+            settings: settings.clone(),
+            bootstrap: Some(bootstrap.clone()),
+            replica: None,
+            disk: PersistentState::default(),
+            unsynced: None,
+            life: 0,
+            frozen: false,
+            waiting: Vec::new(),
+            state: Vec::new(),
+            clock_per_mille: self.random.random_range(980..=1020),
+        };
+        self.nodes.insert(id.node, node);
+        self.restart(id.node);
+    }
+
+    pub fn node(&mut self, node: NodeId) -> &mut Node {
+        self.nodes.get_mut(&node).expect("the node exists")
+    }
+
+    pub fn replica(&self, node: NodeId) -> &Replica {
+        let replica = self.nodes[&node].replica.as_ref();
+        replica.expect("the process runs")
+    }
+
+    /// Live nodes that think that they lead, the newest term last.
+    pub fn leaders(&self) -> Vec<NodeId> {
+        let mut leaders = Vec::new();
+        for (node, state) in &self.nodes {
+            match &state.replica {
+                Some(replica) if replica.role() == Role::Leader && !state.frozen => {
+                    leaders.push((replica.term(), *node));
+                }
+                _ => {}
+            }
+        }
+        leaders.sort_unstable();
+        leaders.into_iter().map(|(_, node)| node).collect()
+    }
+
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leaders().pop()
+    }
+
+    pub fn restart(&mut self, node: NodeId) {
+        let seed = self.random.random();
+        let now = self.now;
+        self.node(node).start(now, seed);
+        self.drain(node);
+    }
+
+    pub fn crash(&mut self, node: NodeId) {
+        self.node(node).crash();
+    }
+
+    /// Ends the process, takes its disk away and starts it on an empty one.
+    pub fn lose_disk(&mut self, node: NodeId) {
+        self.crash(node);
+        self.next_incarnation += 1;
+        let incarnation = Incarnation(self.next_incarnation);
+        let state = self.node(node);
+        state.disk = PersistentState::default();
+        state.id.incarnation = incarnation;
+        self.restart(node);
+    }
+
+    pub fn freeze(&mut self, node: NodeId) {
+        self.node(node).frozen = true;
+    }
+
+    pub fn thaw(&mut self, node: NodeId) {
+        let now = self.now;
+        let state = self.node(node);
+        state.frozen = false;
+        for input in std::mem::take(&mut state.waiting) {
+            self.node(node).handle(now, input);
+            self.drain(node);
+        }
+    }
+
+    /// Cuts these nodes off from all others, in both directions.
+    pub fn isolate(&mut self, nodes: &[NodeId]) {
+        let all: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for inside in nodes {
+            for outside in all.iter().filter(|node| !nodes.contains(node)) {
+                self.network.cut.insert((*inside, *outside));
+                self.network.cut.insert((*outside, *inside));
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.network.cut.clear();
+    }
+
+    /// Proposes a fresh value at `node` and returns it if that leads.
+    pub fn propose(&mut self, node: NodeId) -> Option<u64> {
+        let value = self.next_value;
+        let now = self.now;
+        let state = self.node(node);
+        let local = state.local(now);
+        let replica = state.replica.as_mut()?;
+        replica.propose(local, value.to_le_bytes().to_vec()).ok()?;
+        self.next_value += 1;
+        self.drain(node);
+        Some(value)
+    }
+
+    pub fn request_read(&mut self, node: NodeId) {
+        let token = self.next_value;
+        self.next_value += 1;
+        self.checker.read_requested(token);
+        let now = self.now;
+        let state = self.node(node);
+        let local = state.local(now);
+        if let Some(replica) = state.replica.as_mut() {
+            // A refusal is as good as no answer here.
+            let _refused = replica.request_read(local, token);
+        }
+        self.drain(node);
+    }
+
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Runs until `condition` holds. Panics if it doesn't within 20 seconds.
+    pub fn run_until(&mut self, what: &str, condition: impl Fn(&Cluster) -> bool) {
+        let end = self.now + Duration::from_secs(20);
+        while !condition(self) {
+            assert!(self.step(end), "not reached: {what}");
+        }
+    }
+
+    pub fn inject(&mut self, from: NodeId, to: NodeId, message: ConsensusMessage) {
+        let now = self.now;
+        self.node(to).handle(now, Input::Message(from, message));
+        self.drain(to);
+    }
+
+    /// Handles the next event or timeout up to `end`.
+    fn step(&mut self, end: Timestamp) -> bool {
+        let event = self.events.first_key_value().map(|(key, _)| key.0);
+        let timeouts = self.nodes.iter();
+        let timeouts = timeouts.filter_map(|(node, state)| Some((state.next_timeout()?, *node)));
+        let timeout = timeouts.min();
+        let due = event.into_iter().chain(timeout.map(|(at, _)| at)).min();
+        let Some(due) = due.filter(|due| *due <= end) else {
+            return false;
+        };
+        self.now = self.now.max(due);
+        let node = match timeout {
+            Some((at, node)) if event.is_none_or(|event| at < event) => {
+                self.handle_timeout(node);
+                node
+            }
+            _ => self.handle_event(),
+        };
+        self.drain(node);
+        self.check_quorum_leaders();
+        true
+    }
+
+    fn handle_timeout(&mut self, node: NodeId) {
+        let now = self.now;
+        let state = self.node(node);
+        let local = state.local(now);
+        if let Some(replica) = &mut state.replica {
+            replica.handle_timeout(local);
+        }
+    }
+
+    fn handle_event(&mut self) -> NodeId {
+        let (_, event) = self.events.pop_first().expect("an event is due");
+        let now = self.now;
+        let state = self.node(event.node);
+        if event.life.is_some_and(|life| life != state.life) {
+            return event.node;
+        }
+        if let Input::Persisted(_) = event.input
+            && let Some(request) = state.unsynced.take()
+        {
+            state.disk.apply(&request);
+        }
+        state.handle(now, event.input);
+        event.node
+    }
+
+    fn check_quorum_leaders(&mut self) {
+        let sure = |node: &&Node| match &node.replica {
+            Some(replica) => replica.is_leader_with_quorum(node.local(self.now)),
+            None => false,
+        };
+        let count = self.nodes.values().filter(sure).count();
+        self.checker.quorum_leaders(count);
+    }
+
+    fn drain(&mut self, node: NodeId) {
+        loop {
+            let state = self.node(node);
+            let Some(replica) = state.replica.as_mut().filter(|_| !state.frozen) else {
+                return;
+            };
+            let Some(output) = replica.poll_output() else {
+                return;
+            };
+            self.carry_out(node, output);
+        }
+    }
+
+    fn carry_out(&mut self, node: NodeId, output: ReplicaOutput) {
+        let now = self.now;
+        let id = self.nodes[&node].id;
+        match output {
+            ReplicaOutput::Send { to, message } => self.send(id, to, message),
+            ReplicaOutput::Persist(request) => self.write(node, request),
+            ReplicaOutput::Apply { index, command, .. } => {
+                let value = u64::from_le_bytes(command.try_into().expect("eight bytes"));
+                self.node(node).state.push((index, value));
+                self.checker.applied(node, &self.nodes[&node].state);
+            }
+            ReplicaOutput::RestoreSnapshot { index, bytes } => {
+                self.node(node).restore_state(&bytes);
+                self.checker.restored(node, index, &self.nodes[&node].state);
+            }
+            ReplicaOutput::SnapshotWanted { index } => {
+                let state = self.node(node);
+                let bytes = state.encoded_state();
+                let local = state.local(now);
+                if let Some(replica) = &mut state.replica {
+                    replica.install_application_snapshot(local, index, bytes);
+                }
+            }
+            ReplicaOutput::ReadReady { token, .. } => {
+                self.checker.read_answered(token, &self.nodes[&node].state);
+            }
+            ReplicaOutput::RoleChanged {
+                role: Role::Leader,
+                term,
+            } => self.checker.leader_elected(term, id),
+            ReplicaOutput::RoleChanged { .. }
+            | ReplicaOutput::ReadLost { .. }
+            | ReplicaOutput::ProposalLost { .. }
+            | ReplicaOutput::MembershipChanged(_) => {}
+        }
+    }
+
+    fn write(&mut self, node: NodeId, request: PersistRequest) {
+        let delay = self
+            .random
+            .random_range(self.sync_micros / 2..=self.sync_micros);
+        let ticket = request.ticket;
+        let state = self.node(node);
+        assert!(state.unsynced.is_none(), "one write at a time");
+        state.unsynced = Some(request);
+        let life = Some(state.life);
+        self.schedule(node, life, delay, Input::Persisted(ticket));
+    }
+
+    fn send(&mut self, from: ReplicaId, to: NodeId, message: ConsensusMessage) {
+        assert!(message.encoded_len() < MAX_CONSENSUS_MESSAGE_BYTES);
+        if let Some(ConsensusBody::VoteResponse(response)) = &message.body
+            && response.granted
+        {
+            self.checker.vote_granted(from, message.term, to);
+        }
+        let cut = self.network.cut.contains(&(from.node, to));
+        if cut || !self.nodes.contains_key(&to) {
+            return;
+        }
+        let mut copies = 1;
+        if self.random.random_range(0..100) < self.network.loss_percent {
+            copies -= 1;
+        }
+        if self.random.random_range(0..100) < self.network.duplicate_percent {
+            copies += 1;
+        }
+        for _ in 0..copies {
+            let delay = self
+                .random
+                .random_range(100..=self.network.max_delay_micros);
+            let input = Input::Message(from.node, message.clone());
+            self.schedule(to, None, delay, input);
+        }
+    }
+
+    fn schedule(&mut self, node: NodeId, life: Option<u64>, delay_micros: u64, input: Input) {
+        let at = self.now + Duration::from_micros(delay_micros);
+        self.next_event += 1;
+        let event = Event { node, life, input };
+        self.events.insert((at, self.next_event), event);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the replicated log on a virtual clock.
+
+mod checker;
+mod cluster;
+mod mutations;
+mod node;
+mod random_faults;
+mod scenarios;
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/mutations.rs
@@ -0,0 +1,176 @@
+//! Every deliberate fault breaks a guarantee, and the checker finds it. The
+//! same runs without the fault are clean.
+
+use std::time::Duration;
+
+use petrellatch_core::consensus::{ConsensusMutations, MembershipChange, ReplicaSettings};
+use petrellatch_core::identity::NodeId;
+use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage, VoteRequest};
+
+use crate::checker::Violation;
+use crate::cluster::{Cluster, replica_id, test_settings};
+use crate::scenarios::{commit, others, ready_cluster};
+
+fn settings(mutations: ConsensusMutations) -> ReplicaSettings {
+    ReplicaSettings {
+        mutations,
+        ..test_settings()
+    }
+}
+
+/// Runs a scenario without and with a fault.
+fn assert_breaks(
+    scenario: impl Fn(&ReplicaSettings) -> Vec<Violation>,
+    mutations: ConsensusMutations,
+    expected: impl Fn(&Violation) -> bool,
+) {
+    assert_eq!(scenario(&test_settings()), [], "without the fault");
+    let violations = scenario(&settings(mutations));
+    assert!(violations.iter().any(expected), "found: {violations:?}");
+}
+
+/// A command that was applied is replaced, or missing from the log of a later
+/// leader, which has put another entry in its place.
+fn loses_accepted(violation: &Violation) -> bool {
+    matches!(
+        violation,
+        Violation::CommittedChanged(_) | Violation::OutOfOrder(..)
+    )
+}
+
+/// Lets the group elect a leader and commit, if it can.
+fn try_to_commit(cluster: &mut Cluster) {
+    cluster.run_for(Duration::from_secs(3));
+    for leader in cluster.leaders() {
+        cluster.propose(leader);
+    }
+    cluster.run_for(Duration::from_secs(1));
+}
+
+fn leader_cut_off_with_a_learner(settings: &ReplicaSettings) -> Vec<Violation> {
+    let (mut cluster, leader) = ready_cluster(3, 1, settings);
+    let now = cluster.nodes[&leader].local(cluster.now);
+    let replica = cluster.node(leader).replica.as_mut().expect("it runs");
+    let change = MembershipChange::AddLearner(replica_id(4));
+    replica.propose_membership(now, change).expect("accepted");
+    cluster.run_for(Duration::from_secs(1));
+    cluster.isolate(&[leader, NodeId(4)]);
+    cluster.propose(leader);
+    try_to_commit(&mut cluster);
+    cluster.checker.violations
+}
+
+#[test]
+fn counting_learners_is_found() {
+    let mutations = ConsensusMutations {
+        learner_counts_as_voter: true,
+        ..ConsensusMutations::default()
+    };
+    assert_breaks(leader_cut_off_with_a_learner, mutations, loses_accepted);
+}
+
+fn crash_of_all_before_the_sync(settings: &ReplicaSettings) -> Vec<Violation> {
+    let (mut cluster, leader) = ready_cluster(3, 0, settings);
+    cluster.run_for(Duration::from_secs(1));
+    cluster.sync_micros = 100_000;
+    cluster.propose(leader);
+    cluster.run_for(Duration::from_millis(20));
+    let nodes: Vec<NodeId> = cluster.nodes.keys().copied().collect();
+    nodes.iter().for_each(|node| cluster.crash(*node));
+    cluster.sync_micros = 1_000;
+    nodes.iter().for_each(|node| cluster.restart(*node));
+    try_to_commit(&mut cluster);
+    cluster.checker.violations
+}
+
+#[test]
+fn acknowledging_before_the_sync_is_found() {
+    let mutations = ConsensusMutations {
+        acknowledge_before_sync: true,
+        ..ConsensusMutations::default()
+    };
+    assert_breaks(crash_of_all_before_the_sync, mutations, loses_accepted);
+}
+
+fn read_at_a_cut_off_leader(settings: &ReplicaSettings) -> Vec<Violation> {
+    let (mut cluster, old) = ready_cluster(3, 0, settings);
+    cluster.isolate(&[old]);
+    let new_leader = |cluster: &Cluster| cluster.leaders().iter().any(|node| *node != old);
+    cluster.run_until("another leader", new_leader);
+    let new = cluster.leader().expect("a leader");
+    commit(&mut cluster, new);
+    cluster.request_read(old);
+    cluster.checker.violations
+}
+
+#[test]
+fn skipping_the_quorum_check_is_found() {
+    let mutations = ConsensusMutations {
+        skip_quorum_check: true,
+        ..ConsensusMutations::default()
+    };
+    let stale = |violation: &Violation| matches!(violation, Violation::StaleRead(_));
+    assert_breaks(read_at_a_cut_off_leader, mutations, stale);
+    let two_sure = |violation: &Violation| *violation == Violation::TwoQuorumLeaders;
+    assert_breaks(read_at_a_cut_off_leader, mutations, two_sure);
+}
+
+fn voter_restarted_between_two_candidates(settings: &ReplicaSettings) -> Vec<Violation> {
+    const TERM: u64 = 5;
+    let mut cluster = Cluster::start(3, 3, 0, settings);
+    let voter = NodeId(1);
+    cluster.isolate(&[voter]);
+    for candidate in [2, 3] {
+        cluster.run_for(settings.election_timeout * 3);
+        let request = ConsensusMessage {
+            from_incarnation: replica_id(candidate).incarnation.0,
+            to_incarnation: 0,
+            term: TERM,
+            body: Some(ConsensusBody::VoteRequest(VoteRequest {
+                last_index: 100,
+                last_term: TERM - 1,
+            })),
+        };
+        cluster.inject(NodeId(candidate), voter, request);
+        cluster.run_for(Duration::from_millis(50));
+        cluster.crash(voter);
+        cluster.restart(voter);
+    }
+    cluster.checker.violations
+}
+
+#[test]
+fn forgetting_a_vote_is_found() {
+    let mutations = ConsensusMutations {
+        forget_vote_on_restart: true,
+        ..ConsensusMutations::default()
+    };
+    let double = |violation: &Violation| matches!(violation, Violation::DoubleVote(_));
+    assert_breaks(voter_restarted_between_two_candidates, mutations, double);
+}
+
+fn lost_disk_votes_for_a_replica_that_lags(settings: &ReplicaSettings) -> Vec<Violation> {
+    let (mut cluster, leader) = ready_cluster(3, 0, settings);
+    let nodes = others(&cluster, leader);
+    let (lost, lagging) = (nodes[0], nodes[1]);
+    cluster.isolate(&[lagging]);
+    commit(&mut cluster, leader);
+    cluster.heal();
+    cluster.isolate(&[leader]);
+    cluster.lose_disk(lost);
+    try_to_commit(&mut cluster);
+    cluster.checker.violations
+}
+
+#[test]
+fn ignoring_incarnations_is_found() {
+    let mutations = ConsensusMutations {
+        ignore_incarnation: true,
+        ..ConsensusMutations::default()
+    };
+    assert_breaks(
+        lost_disk_votes_for_a_replica_that_lags,
+        mutations,
+        loses_accepted,
+    );
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/node.rs
@@ -0,0 +1,109 @@
+//! One replica with its simulated disk, clock and application.
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{
+    Membership, PersistRequest, PersistTicket, PersistentState, Replica, ReplicaId,
+    ReplicaSettings, ReplicaStart,
+};
+use petrellatch_core::identity::NodeId;
+use petrellatch_proto::consensus::ConsensusMessage;
+
+use crate::checker::Applied;
+
+/// An input that a frozen process gets when it goes on.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Message(NodeId, ConsensusMessage),
+    Persisted(PersistTicket),
+}
+
+pub struct Node {
+    pub id: ReplicaId,
+    pub settings: ReplicaSettings,
+    pub bootstrap: Option<Membership>,
+    /// `None` while the process is down.
+    pub replica: Option<Replica>,
+    pub disk: PersistentState,
+    /// Handed to the disk but not synced.
+    pub unsynced: Option<PersistRequest>,
+    /// Number of starts; events of an earlier life are void.
+    pub life: u64,
+    pub frozen: bool,
+    pub waiting: Vec<Input>,
+    pub state: Vec<Applied>,
+    /// Rate of this node's clock in thousandths of the true rate.
+    pub clock_per_mille: u64,
+}
+
+impl Node {
+    /// The node's clock at the true time `now`.
+    pub fn local(&self, now: Timestamp) -> Timestamp {
+        Timestamp::from_micros(now.as_micros() * self.clock_per_mille / 1000)
+    }
+
+    /// The true time at which the node's clock shows at least `local`.
+    pub fn global(&self, local: Timestamp) -> Timestamp {
+        let micros = (local.as_micros() * 1000).div_ceil(self.clock_per_mille);
+        Timestamp::from_micros(micros)
+    }
+
+    pub fn start(&mut self, now: Timestamp, seed: u64) {
+        self.life += 1;
+        self.state.clear();
+        self.frozen = false;
+        let start = ReplicaStart {
+            id: self.id.node,
+            incarnation: self.id.incarnation,
+            seed,
+            persisted: self.disk.clone(),
+            bootstrap: self.bootstrap.clone(),
+        };
+        let now = self.local(now);
+        self.replica = Some(Replica::new(now, self.settings.clone(), start));
+    }
+
+    /// Ends the process. What isn't synced is lost.
+    pub fn crash(&mut self) {
+        self.replica = None;
+        self.unsynced = None;
+        self.waiting.clear();
+        self.life += 1;
+    }
+
+    pub fn handle(&mut self, now: Timestamp, input: Input) {
+        let local = self.local(now);
+        let Some(replica) = &mut self.replica else {
+            return;
+        };
+        if self.frozen {
+            self.waiting.push(input);
+            return;
+        }
+        match input {
+            Input::Message(from, message) => replica.handle_message(local, from, message),
+            Input::Persisted(ticket) => replica.handle_persisted(local, ticket),
+        }
+    }
+
+    /// When the replica wants to be called, in true time.
+    pub fn next_timeout(&self) -> Option<Timestamp> {
+        let replica = self.replica.as_ref().filter(|_| !self.frozen)?;
+        Some(self.global(replica.poll_timeout()?))
+    }
+
+    pub fn encoded_state(&self) -> Vec<u8> {
+        let numbers = self
+            .state
+            .iter()
+            .flat_map(|(index, value)| [*index, *value]);
+        numbers.flat_map(u64::to_le_bytes).collect()
+    }
+
+    pub fn restore_state(&mut self, bytes: &[u8]) {
+        let number = |bytes: &[u8]| u64::from_le_bytes(bytes.try_into().expect("eight bytes"));
+        let entries = bytes.chunks(16);
+        self.state = entries
+            .map(|entry| (number(&entry[..8]), number(&entry[8..])))
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/scenarios.rs
@@ -0,0 +1,222 @@
+//! Each failure on its own.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use petrellatch_core::consensus::{
+    MAX_COMMAND_BYTES, MembershipChange, MembershipError, ProposeError, ReplicaSettings, Role,
+};
+use petrellatch_core::identity::NodeId;
+
+use crate::checker::Violation;
+use crate::cluster::{Cluster, replica_id, test_settings};
+
+const STOPPED_A_MINUTE: Duration = Duration::from_secs(60);
+
+/// Starts a group and waits until a leader has committed a value.
+pub fn ready_cluster(voters: u64, learners: u64, settings: &ReplicaSettings) -> (Cluster, NodeId) {
+    let mut cluster = Cluster::start(7, voters, learners, settings);
+    cluster.run_until("a leader", |cluster| cluster.leader().is_some());
+    let leader = cluster.leader().expect("a leader");
+    commit(&mut cluster, leader);
+    (cluster, leader)
+}
+
+pub fn commit(cluster: &mut Cluster, leader: NodeId) -> u64 {
+    let value = cluster.propose(leader).expect("the leader takes proposals");
+    cluster.run_until("commit", |cluster| cluster.checker.is_committed(value));
+    value
+}
+
+pub fn others(cluster: &Cluster, than: NodeId) -> Vec<NodeId> {
+    let nodes = cluster.nodes.keys().copied();
+    nodes.filter(|node| *node != than).collect()
+}
+
+fn is_voter(cluster: &Cluster, node: NodeId) -> bool {
+    let id = cluster.nodes[&node].id;
+    let Some(leader) = cluster.leader() else {
+        return false;
+    };
+    let replica = cluster.replica(leader);
+    let settled = replica.commit_index() == replica.last_position().index;
+    settled && replica.membership().is_voter(id)
+}
+
+fn assert_clean(cluster: &Cluster) {
+    assert_eq!(cluster.checker.violations, []);
+}
+
+#[test]
+fn cut_off_leader_stops_leading_before_another_is_elected() {
+    let (mut cluster, old) = ready_cluster(3, 0, &test_settings());
+    cluster.isolate(&[old]);
+    let doomed = cluster.propose(old).expect("it can't know yet");
+    let new_leader = |cluster: &Cluster| cluster.leaders().iter().any(|node| *node != old);
+    cluster.run_until("another leader", new_leader);
+    assert_eq!(cluster.replica(old).role(), Role::Follower);
+    assert_eq!(cluster.propose(old), None);
+    let reads = cluster.checker.reads_answered;
+    cluster.request_read(old);
+    let new = cluster.leader().expect("a leader");
+    commit(&mut cluster, new);
+    cluster.heal();
+    cluster.run_for(Duration::from_secs(1));
+    assert_eq!(cluster.checker.reads_answered, reads);
+    assert!(!cluster.checker.is_committed(doomed));
+    assert_clean(&cluster);
+}
+
+#[test]
+fn leader_frozen_for_a_minute_serves_nothing_when_it_goes_on() {
+    let (mut cluster, old) = ready_cluster(3, 0, &test_settings());
+    cluster.request_read(old);
+    cluster.freeze(old);
+    cluster.run_for(STOPPED_A_MINUTE);
+    let new = cluster.leader().expect("another leader");
+    commit(&mut cluster, new);
+    cluster.node(old).frozen = false;
+    cluster.request_read(old);
+    assert_eq!(cluster.propose(old), None);
+    cluster.thaw(old);
+    cluster.run_for(Duration::from_secs(1));
+    assert_eq!(cluster.leader(), Some(new));
+    assert_clean(&cluster);
+}
+
+#[test]
+fn returning_replica_does_not_disturb_the_leader() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let term = cluster.replica(leader).term();
+    let apart = others(&cluster, leader)[0];
+    cluster.isolate(&[apart]);
+    cluster.run_for(STOPPED_A_MINUTE);
+    cluster.heal();
+    cluster.run_for(Duration::from_secs(5));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replica(leader).term(), term);
+}
+
+#[test]
+fn crash_of_all_replicas_loses_nothing_accepted() {
+    let (mut cluster, leader) = ready_cluster(5, 0, &test_settings());
+    let value = commit(&mut cluster, leader);
+    let nodes: Vec<NodeId> = cluster.nodes.keys().copied().collect();
+    nodes.iter().for_each(|node| cluster.crash(*node));
+    nodes.iter().for_each(|node| cluster.restart(*node));
+    let applied_again = |cluster: &Cluster| {
+        let mut nodes = cluster.nodes.values();
+        nodes.all(|node| node.state.iter().any(|applied| applied.1 == value))
+    };
+    cluster.run_until("value applied again", applied_again);
+    assert_clean(&cluster);
+}
+
+#[test]
+fn second_disk_lost_right_after_the_first_repair_loses_nothing() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let nodes = others(&cluster, leader);
+    let value = commit(&mut cluster, leader);
+    cluster.lose_disk(nodes[0]);
+    cluster.run_until("first repair", |cluster| is_voter(cluster, nodes[0]));
+    cluster.lose_disk(leader);
+    cluster.run_until("second repair", |cluster| is_voter(cluster, leader));
+    cluster.lose_disk(nodes[1]);
+    cluster.run_until("third repair", |cluster| is_voter(cluster, nodes[1]));
+    let new = cluster.leader().expect("a leader");
+    commit(&mut cluster, new);
+    let states = cluster.nodes.values().map(|node| &node.state);
+    let holding = states.filter(|state| state.iter().any(|applied| applied.1 == value));
+    assert_eq!(holding.count(), 3);
+    assert_clean(&cluster);
+}
+
+#[test]
+fn lost_disks_of_a_quorum_stop_the_group_instead_of_losing_entries() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let nodes = others(&cluster, leader);
+    cluster.isolate(&nodes);
+    nodes.iter().for_each(|node| cluster.lose_disk(*node));
+    cluster.run_for(STOPPED_A_MINUTE);
+    cluster.heal();
+    cluster.run_for(STOPPED_A_MINUTE);
+    assert_eq!(cluster.leader(), None);
+    assert_clean(&cluster);
+}
+
+#[test]
+fn retired_replica_is_not_taken_back() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let node = others(&cluster, leader)[0];
+    let old_disk = cluster.nodes[&node].disk.clone();
+    let old_id = cluster.nodes[&node].id;
+    cluster.lose_disk(node);
+    cluster.run_until("repair", |cluster| is_voter(cluster, node));
+    cluster.crash(node);
+    cluster.node(node).disk = old_disk;
+    cluster.node(node).id = old_id;
+    cluster.restart(node);
+    cluster.run_for(STOPPED_A_MINUTE);
+    let leader = cluster.leader().expect("the other two go on");
+    assert!(!cluster.replica(leader).membership().contains(old_id));
+    assert_clean(&cluster);
+}
+
+#[test]
+fn operator_adds_and_removes_members_one_at_a_time() {
+    let (mut cluster, leader) = ready_cluster(3, 1, &test_settings());
+    let added = NodeId(4);
+    let waits = |cluster: &Cluster| cluster.replica(leader).waiting_replicas() == [replica_id(4)];
+    cluster.run_until("announcement", waits);
+    let now = cluster.nodes[&leader].local(cluster.now);
+    let replica = cluster.node(leader).replica.as_mut().expect("it runs");
+    let change = MembershipChange::AddVoter(replica_id(4));
+    replica.propose_membership(now, change).expect("accepted");
+    let second = replica.propose_membership(now, MembershipChange::Remove(leader));
+    assert_matches!(second, Err(MembershipError::ChangeInProgress));
+    cluster.run_until("promotion", |cluster| is_voter(cluster, added));
+    let now = cluster.nodes[&leader].local(cluster.now);
+    let replica = cluster.node(leader).replica.as_mut().expect("it runs");
+    let change = MembershipChange::Remove(leader);
+    replica.propose_membership(now, change).expect("accepted");
+    cluster.run_until("another leader", |cluster| {
+        cluster.leader().is_some_and(|node| node != leader)
+    });
+    let new = cluster.leader().expect("a leader");
+    commit(&mut cluster, new);
+    assert_eq!(cluster.replica(new).membership().voters().count(), 3);
+    assert_clean(&cluster);
+}
+
+#[test]
+fn oversized_and_misdirected_proposals_are_refused() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &ReplicaSettings::default());
+    let follower = others(&cluster, leader)[0];
+    let now = cluster.now;
+    let replica = cluster.node(leader).replica.as_mut().expect("it runs");
+    let refused = replica.propose(now, vec![0; MAX_COMMAND_BYTES + 1]);
+    assert_matches!(refused, Err(ProposeError::CommandTooLarge { .. }));
+    let replica = cluster.node(follower).replica.as_mut().expect("it runs");
+    let refused = replica.propose(now, vec![0]);
+    assert_matches!(
+        refused,
+        Err(ProposeError::ProposalNotLeader { source }) if source.hint == Some(leader)
+    );
+}
+
+#[test]
+fn flood_of_proposals_is_shed_while_nothing_commits() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &ReplicaSettings::default());
+    let now = cluster.nodes[&leader].local(cluster.now);
+    let replica = cluster.node(leader).replica.as_mut().expect("it runs");
+    let shed = (0..1_000).find_map(|_| replica.propose(now, vec![0; MAX_COMMAND_BYTES]).err());
+    assert_matches!(shed, Some(ProposeError::Overloaded { .. }));
+}
+
+#[test]
+fn checker_notices_a_changed_entry() {
+    let mut checker = crate::checker::Checker::default();
+    checker.applied(NodeId(1), &[(1, 10)]);
+    checker.applied(NodeId(2), &[(1, 11)]);
+    assert_eq!(checker.violations, [Violation::CommittedChanged(1)]);
+}
