Keep the replicated log in a checksummed data folder

Ruled out: taking a bad checksum at the end of the log for a torn tail, because a damaged record that was acknowledged would then vanish silently; only a file that ends too early, or in zeros alone, is cut.

In the replica, an answer to a heartbeat no longer waits for entries that the disk is still writing, so a slow disk doesn't cost a leader its quorum, and a learner under steady load is promoted after a short catch-up round instead of an exact match.

--- a/crates/petrellatch-core/src/consensus/apply.rs
+++ b/crates/petrellatch-core/src/consensus/apply.rs
@@ -183,7 +183,7 @@
         let membership = self.memberships.current().clone();
         let last_index = self.log.last_index();
         if let Part::Leader(leadership) = &mut self.part {
-            leadership.follow_membership(self.id, &membership, last_index);
+            leadership.follow_membership(self.id, &membership, last_index, self.now);
         }
         self.emit(ReplicaOutput::MembershipChanged(membership));
     }
--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -217,7 +217,7 @@
         let first_index = self.log.last_index() + 1;
         let mut leadership = Leadership::new(self.now, first_index);
         let membership = self.memberships.current();
-        leadership.follow_membership(self.id, membership, self.log.last_index());
+        leadership.follow_membership(self.id, membership, self.log.last_index(), self.now);
         self.part = Part::Leader(leadership);
         self.leader = Some(self.id.node);
         self.append_entry(EntryPayload::NoOperation);
--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -41,12 +41,21 @@
         let Some(entries) = decode_entries(previous.index, request) else {
             return;
         };
+        let is_heartbeat = entries.is_empty();
         let last_new = previous.index + entries.len() as u64;
         self.merge_entries(entries);
         let match_index = last_new.max(self.commit_index);
         self.commit_index = self.commit_index.max(leader_commit.min(match_index));
         self.apply_committed();
-        self.acknowledge(sender, match_index, echo);
+        if is_heartbeat && self.writes.hard_state_is_durable() {
+            // The leader learns at once that this replica lives, however long
+            // the disk takes for entries received before.
+            let durable_match = match_index.min(self.own_durable_index());
+            let response = acknowledgement(durable_match, echo);
+            self.send(sender, response);
+        } else {
+            self.acknowledge(sender, match_index, echo);
+        }
     }
 
     /// Recognises the sender as the leader of `term`. Returns whether its
@@ -69,14 +78,7 @@
     /// Acknowledges that the log agrees with the leader's up to
     /// `match_index`, once it is durable.
     pub(super) fn acknowledge(&mut self, leader: ReplicaId, match_index: LogIndex, echo: Echo) {
-        let response = AppendResponse {
-            accepted: true,
-            match_index,
-            round: echo.round,
-            sent_at_micros: echo.sent_at_micros,
-            ..AppendResponse::default()
-        };
-        self.send_durably(leader, ConsensusBody::AppendResponse(response));
+        self.send_durably(leader, acknowledgement(match_index, echo));
     }
 
     fn refuse_append(&mut self, leader: ReplicaId, refused_index: LogIndex, echo: Echo) {
@@ -128,6 +130,16 @@
     }
 }
 
+fn acknowledgement(match_index: LogIndex, echo: Echo) -> ConsensusBody {
+    ConsensusBody::AppendResponse(AppendResponse {
+        accepted: true,
+        match_index,
+        round: echo.round,
+        sent_at_micros: echo.sent_at_micros,
+        ..AppendResponse::default()
+    })
+}
+
 /// Decodes the entries, which must follow each other.
 fn decode_entries(previous: LogIndex, request: AppendRequest) -> Option<Vec<LogEntry>> {
     let mut entries = Vec::with_capacity(request.entries.len());
--- a/crates/petrellatch-core/src/consensus/leadership.rs
+++ b/crates/petrellatch-core/src/consensus/leadership.rs
@@ -61,6 +61,7 @@
         own: ReplicaId,
         membership: &Membership,
         last_index: LogIndex,
+        now: Timestamp,
     ) {
         self.peers
             .retain(|_, progress| membership.contains(progress.replica));
@@ -70,7 +71,7 @@
                 continue;
             }
             let peer = self.peers.entry(replica.node);
-            peer.or_insert_with(|| Progress::new(replica, last_index));
+            peer.or_insert_with(|| Progress::new(replica, last_index, now));
             self.waiting.remove(&replica.node);
         }
     }
--- a/crates/petrellatch-core/src/consensus/membership_change.rs
+++ b/crates/petrellatch-core/src/consensus/membership_change.rs
@@ -86,8 +86,8 @@
         }
     }
 
-    /// Makes a learner that waits for it a voter, once everything committed
-    /// by now is durable there.
+    /// Makes a learner that waits for it a voter, once it has durably caught
+    /// up.
     pub(super) fn promote_if_caught_up(&mut self, replica: ReplicaId) {
         let joins = |member: super::Member| member.role == MemberRole::JoiningVoter;
         let joining = self.membership().member(replica.node).is_some_and(joins);
@@ -118,12 +118,12 @@
         pending || self.commit_index < leadership.first_index
     }
 
-    fn has_caught_up(&self, node: NodeId) -> bool {
-        let Part::Leader(leadership) = &self.part else {
-            return false;
-        };
-        let progress = leadership.peers.get(&node);
-        progress.is_some_and(|progress| progress.match_index >= self.commit_index)
+    fn has_caught_up(&mut self, node: NodeId) -> bool {
+        let now = self.now;
+        let commit_index = self.commit_index;
+        let limit = self.settings.election_timeout;
+        let progress = self.progress_on(node);
+        progress.is_some_and(|progress| progress.has_caught_up(now, commit_index, limit))
     }
 
     /// Whether the replica answered within the election timeout. Then its
--- a/crates/petrellatch-core/src/consensus/progress.rs
+++ b/crates/petrellatch-core/src/consensus/progress.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::Timestamp;
 
@@ -53,10 +54,13 @@
     pub(super) last_contact: Option<Timestamp>,
     /// Highest leadership confirmation round that was answered.
     pub(super) acknowledged_round: u64,
+    /// What the member must reach in the current catch-up round.
+    catch_up_target: LogIndex,
+    catch_up_since: Timestamp,
 }
 
 impl Progress {
-    pub(super) fn new(replica: ReplicaId, last_index: LogIndex) -> Self {
+    pub(super) fn new(replica: ReplicaId, last_index: LogIndex, now: Timestamp) -> Self {
         Progress {
             replica,
             match_index: 0,
@@ -64,9 +68,33 @@
             state: ReplicationState::Probe { sent: false },
             last_contact: None,
             acknowledged_round: 0,
+            catch_up_target: last_index,
+            catch_up_since: now,
         }
     }
 
+    /// Whether the member has durably caught up: with everything committed,
+    /// or, since entries may come without pause, within `limit` with what was
+    /// committed when the current round began. Begins the next round if need
+    /// be.
+    pub(super) fn has_caught_up(
+        &mut self,
+        now: Timestamp,
+        commit_index: LogIndex,
+        limit: Duration,
+    ) -> bool {
+        if self.match_index >= commit_index {
+            return true;
+        }
+        if self.match_index < self.catch_up_target {
+            return false;
+        }
+        let round_time = now.saturating_since(self.catch_up_since);
+        self.catch_up_target = commit_index;
+        self.catch_up_since = now;
+        round_time <= limit
+    }
+
     /// Notes an answer to a message sent at `sent_at` in `round`.
     pub(super) fn record_contact(&mut self, sent_at: Timestamp, round: u64) {
         self.last_contact = self.last_contact.max(Some(sent_at));
--- a/crates/petrellatch-core/src/consensus/write_queue.rs
+++ b/crates/petrellatch-core/src/consensus/write_queue.rs
@@ -29,6 +29,7 @@
 struct OutstandingWrite {
     ticket: PersistTicket,
     last_index: LogIndex,
+    has_hard_state: bool,
 }
 
 #[derive(Debug)]
@@ -56,6 +57,13 @@
         self.durable_index
     }
 
+    /// Whether term and vote are durable.
+    pub(super) fn hard_state_is_durable(&self) -> bool {
+        let outstanding = self.outstanding.as_ref();
+        let in_write = outstanding.is_some_and(|write| write.has_hard_state);
+        !self.hard_state_changed && !in_write
+    }
+
     pub(super) fn note_hard_state(&mut self) {
         self.hard_state_changed = true;
     }
@@ -119,6 +127,7 @@
         self.outstanding = Some(OutstandingWrite {
             ticket: self.next_ticket,
             last_index: log.last_index(),
+            has_hard_state: self.hard_state_changed,
         });
         self.next_ticket = PersistTicket(self.next_ticket.0 + 1);
         self.hard_state_changed = false;
--- /dev/null
+++ b/crates/petrellatch-storage/src/record_log/tests.rs
@@ -0,0 +1,62 @@
+//! Tests with a disk that fails.
+
+use assert_matches::assert_matches;
+
+use super::*;
+
+/// A disk that takes a number of bytes and then is full, or can't sync.
+#[derive(Debug)]
+struct FailingFile {
+    free_bytes: usize,
+    can_sync: bool,
+}
+
+impl AppendFile for FailingFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let free = self.free_bytes.checked_sub(bytes.len());
+        self.free_bytes = free.ok_or(io::ErrorKind::StorageFull)?;
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.can_sync {
+            Ok(())
+        } else {
+            Err(io::Error::other("medium error"))
+        }
+    }
+
+    fn is_linked(&self) -> io::Result<bool> {
+        Ok(true)
+    }
+}
+
+fn log_on(free_bytes: usize, can_sync: bool) -> RecordLog {
+    let file = FailingFile {
+        free_bytes,
+        can_sync,
+    };
+    RecordLog::on(Path::new("log"), Box::new(file))
+}
+
+#[test]
+fn full_disk_is_reported_as_such() {
+    let mut log = log_on(40, true);
+    log.add(b"first");
+    assert_matches!(log.commit(), Ok(()));
+    log.add(&[0; 100]);
+    assert_matches!(log.commit(), Err(StorageError::DiskFull { .. }));
+}
+
+#[test]
+fn failed_sync_is_reported() {
+    let mut log = log_on(1_000, false);
+    log.add(b"first");
+    assert_matches!(
+        log.commit(),
+        Err(StorageError::Io {
+            operation: "sync",
+            ..
+        })
+    );
+}
--- /dev/null
+++ b/crates/petrellatch-storage/src/snapshot_file.rs
@@ -0,0 +1,94 @@
+//! A file that is replaced as a whole.
+
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::error::{StorageError, io_error};
+use crate::frame::{Frame, read_frame, write_frame};
+
+/// First bytes of every such file, with the version of the layout.
+const MAGIC: &[u8; 8] = b"PLSNAP01";
+
+/// One value in a file with a checksum. It is replaced atomically: after a
+/// crash the file holds the old or the new value. Useful for any state that a
+/// process stores as a whole, such as a daemon's copy of the configuration.
+#[derive(Clone, Debug)]
+pub struct SnapshotFile {
+    path: PathBuf,
+}
+
+impl SnapshotFile {
+    /// Names a file. It needn't exist yet; its folder must.
+    pub fn new(path: impl Into<PathBuf>) -> Self {
+        SnapshotFile { path: path.into() }
+    }
+
+    /// The file's path.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Reads the value, or `None` if there is no file.
+    pub fn read(&self) -> Result<Option<Vec<u8>>, StorageError> {
+        let bytes = match fs::read(&self.path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(io_error("read", &self.path)(error)),
+        };
+        let framed = bytes.strip_prefix(MAGIC);
+        let framed = framed.ok_or_else(|| self.damaged("the file header is wrong"))?;
+        match read_frame(framed) {
+            Frame::Intact(payload) => Ok(Some(payload.to_vec())),
+            Frame::CutShort | Frame::Unwritten => Err(self.damaged("the file is cut short")),
+            Frame::DamagedLength => Err(self.damaged("the checksum of the length is wrong")),
+            Frame::DamagedPayload => Err(self.damaged("the checksum is wrong")),
+        }
+    }
+
+    /// Replaces the value; returns when it is synced. After an error the old
+    /// value still stands, unless the error came after the replacement, in
+    /// which case either value may be found later.
+    pub fn replace(&self, payload: &[u8]) -> Result<(), StorageError> {
+        let mut bytes = Vec::with_capacity(MAGIC.len() + payload.len());
+        bytes.extend_from_slice(MAGIC);
+        write_frame(&mut bytes, payload);
+        replace_file(&self.path, &bytes)
+    }
+
+    pub(crate) fn damaged(&self, reason: &'static str) -> StorageError {
+        StorageError::Damaged {
+            path: self.path.clone(),
+            offset: 0,
+            reason,
+        }
+    }
+}
+
+/// Replaces a file by writing another one, syncing it and renaming it.
+pub(crate) fn replace_file(path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+    let temporary = temporary_path(path);
+    let mut file = File::create(&temporary).map_err(io_error("create", &temporary))?;
+    file.write_all(bytes)
+        .map_err(io_error("write", &temporary))?;
+    file.sync_all().map_err(io_error("sync", &temporary))?;
+    drop(file);
+    fs::rename(&temporary, path).map_err(io_error("replace", path))?;
+    sync_folder_of(path)
+}
+
+/// Makes changes of the folder that holds `path` durable.
+pub(crate) fn sync_folder_of(path: &Path) -> Result<(), StorageError> {
+    let parent = path
+        .parent()
+        .filter(|parent| !parent.as_os_str().is_empty());
+    let folder = parent.unwrap_or(Path::new("."));
+    let handle = File::open(folder).map_err(io_error("open", folder))?;
+    handle.sync_all().map_err(io_error("sync", folder))
+}
+
+fn temporary_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".tmp");
+    PathBuf::from(name)
+}
