--- a/crates/petrellatch-core/examples/policy_figures.rs
+++ b/crates/petrellatch-core/examples/policy_figures.rs
@@ -6,7 +6,8 @@
 
 use petrellatch_core::identity::{BackendId, ServiceId};
 use petrellatch_core::policy::{
-    BackendView, HEALTH_SCALE, MAXIMUM_SOURCE_BYTES, Policy, PolicySource, ServiceView, shares,
+    BackendView, HEALTH_SCALE, MAXIMUM_LABELS, MAXIMUM_SOURCE_BYTES, Policy, PolicySource,
+    ServiceView, shares,
 };
 
 /// How often each evaluation is repeated.
@@ -50,9 +51,24 @@
                  * math.least(1.0, math.greatest(0.1, backend.age_seconds / 60.0))",
             ),
         },
+        Sample {
+            name: "as large as allowed",
+            source: source(&largest("a"), &format!("{} ? 1.0 : 2.0", largest("b"))),
+        },
     ]
 }
 
+/// Returns an expression near the limits that never stops early.
+fn largest(prefix: &str) -> String {
+    let conditions: Vec<String> = (0..30)
+        .map(|number| {
+            let label = number % MAXIMUM_LABELS;
+            format!("!('{prefix}{label}' in backend.labels && false)")
+        })
+        .collect();
+    conditions.join(" && ")
+}
+
 fn source(eligible: &str, weight: &str) -> PolicySource {
     PolicySource {
         eligible: eligible.to_owned(),
--- a/crates/petrellatch-core/src/policy/checker.rs
+++ b/crates/petrellatch-core/src/policy/checker.rs
@@ -24,6 +24,10 @@
 /// function call [`CALL_COST`] more. There are no loops, so this is a bound.
 pub const MAXIMUM_COST: u32 = 512;
 
+/// The largest number of different labels that an expression names. It bounds
+/// the number of edge cases for which a policy is checked.
+pub const MAXIMUM_LABELS: usize = 4;
+
 /// The steps that a function call takes beside those of its arguments.
 const CALL_COST: u32 = 16;
 
@@ -71,6 +75,10 @@
     let result = checker.visit(root)?;
     checker.label_keys.sort_unstable();
     checker.label_keys.dedup();
+    if checker.label_keys.len() > MAXIMUM_LABELS {
+        let maximum = MAXIMUM_LABELS;
+        return Err(checker.refuse(root, PolicyErrorReason::TooManyLabels { maximum }));
+    }
     Ok(Checked {
         result,
         label_keys: checker.label_keys,
--- a/crates/petrellatch-core/src/policy/edge_cases.rs
+++ b/crates/petrellatch-core/src/policy/edge_cases.rs
@@ -43,24 +43,33 @@
     [without_zone, with_zone]
 }
 
-/// Returns all combinations of the edge cases of the single fields. Labels are
-/// missing altogether, or only one of `label_keys` is present.
+/// Returns all combinations of load without labels for several zones, and for
+/// one zone with each of `label_keys` as the only label. Leaving out the
+/// combinations of zones and labels bounds the time of a check.
 pub(super) fn backends(current: &[BackendView], label_keys: &[String]) -> Vec<BackendView> {
-    let zones = zones(current);
     let loads = loads();
     let mut backends = Vec::new();
+    for zone in zones(current) {
+        backends.extend(place(&loads, &zone, &Labels::new()));
+    }
+    let zone = current
+        .first()
+        .map_or(UNKNOWN_ZONE, |backend| &backend.zone);
     for labels in label_sets(current, label_keys) {
-        for zone in &zones {
-            backends.extend(loads.iter().map(|load| BackendView {
-                zone: zone.clone(),
-                labels: labels.clone(),
-                ..load.clone()
-            }));
-        }
+        backends.extend(place(&loads, zone, &labels));
     }
     backends
 }
 
+/// Returns the back ends with this zone and these labels.
+fn place(loads: &[BackendView], zone: &str, labels: &Labels) -> impl Iterator<Item = BackendView> {
+    loads.iter().map(|load| BackendView {
+        zone: zone.to_owned(),
+        labels: labels.clone(),
+        ..load.clone()
+    })
+}
+
 /// Returns back ends without zone and labels, with all combinations of load.
 fn loads() -> Vec<BackendView> {
     let mut loads = vec![BackendView {
@@ -111,14 +120,15 @@
     zones
 }
 
-/// Returns no labels, and for each key a set with that key alone. The value is
-/// one that a real back end has, since a label's values are the operator's.
+/// Returns for each key a set with that key alone. The value is one that a real
+/// back end has, since a label's values are the operator's.
 fn label_sets(current: &[BackendView], label_keys: &[String]) -> Vec<Labels> {
-    let mut sets = vec![Labels::new()];
-    for key in label_keys {
+    let value_of = |key: &String| {
         let real = current.iter().find_map(|backend| backend.labels.get(key));
-        let value = real.cloned().unwrap_or_default();
-        sets.push(Labels::from([(key.clone(), value)]));
-    }
-    sets
+        real.cloned().unwrap_or_default()
+    };
+    label_keys
+        .iter()
+        .map(|key| Labels::from([(key.clone(), value_of(key))]))
+        .collect()
 }
--- a/crates/petrellatch-core/src/policy/error.rs
+++ b/crates/petrellatch-core/src/policy/error.rs
@@ -59,6 +59,12 @@
         /// The limit.
         maximum: u32,
     },
+    /// The expression names too many labels.
+    #[snafu(display("the expression names more than {maximum} labels"))]
+    TooManyLabels {
+        /// The limit.
+        maximum: usize,
+    },
     /// There is no such variable.
     #[snafu(display("there is no variable '{name}', only 'backend' and 'service'"))]
     UnknownVariable {
--- a/crates/petrellatch-core/src/policy/mod.rs
+++ b/crates/petrellatch-core/src/policy/mod.rs
@@ -26,7 +26,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use checker::{MAXIMUM_COST, MAXIMUM_DEPTH, MAXIMUM_NODES};
+pub use checker::{MAXIMUM_COST, MAXIMUM_DEPTH, MAXIMUM_LABELS, MAXIMUM_NODES};
 pub use error::{PolicyError, PolicyErrorReason};
 pub use explanation::{BackendExplanation, Explanation};
 pub use expression::MAXIMUM_SOURCE_BYTES;
--- a/crates/petrellatch-core/src/policy/tests/refusals.rs
+++ b/crates/petrellatch-core/src/policy/tests/refusals.rs
@@ -87,6 +87,19 @@
     assert_matches!(error.reason, PolicyErrorReason::TooCostly { .. });
 }
 
+#[test]
+fn many_labels_are_refused() {
+    let labels = |count: usize| {
+        let guards: Vec<String> = (0..count)
+            .map(|label| format!("has(backend.labels.l{label}) || 'l{label}' in backend.labels"))
+            .collect();
+        guards.join(" || ")
+    };
+    assert!(Policy::compile(&source(&labels(MAXIMUM_LABELS), "1.0")).is_ok());
+    let error = refuse_eligible(&labels(MAXIMUM_LABELS + 1));
+    assert_matches!(error.reason, PolicyErrorReason::TooManyLabels { .. });
+}
+
 #[test]
 fn loops_are_refused() {
     for eligible in [
