--- a/crates/petrellatch-core/src/consensus/mod.rs
+++ b/crates/petrellatch-core/src/consensus/mod.rs
@@ -109,9 +109,11 @@
 mod progress;
 mod reads;
 mod replica;
+mod sending;
 mod settings;
 mod snapshot_assembly;
 mod snapshot_transfer;
+mod status;
 mod wire;
 mod write_queue;
 
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -15,7 +15,7 @@
 use super::log::Log;
 use super::membership::{Membership, ReplicaId};
 use super::membership_history::MembershipHistory;
-use super::output::{NotLeader, PeerProgress, ReplicaOutput, Role};
+use super::output::{ReplicaOutput, Role};
 use super::persistence::{HardState, PersistRequest, PersistTicket, Snapshot};
 use super::settings::{ReplicaSettings, ReplicaStart};
 use super::snapshot_assembly::SnapshotAssembly;
@@ -53,7 +53,7 @@
     pub(super) own_proposals: BTreeMap<LogIndex, Term>,
     /// Applied index at which a snapshot was last asked for.
     pub(super) snapshot_wanted_at: LogIndex,
-    outputs: VecDeque<ReplicaOutput>,
+    pub(super) outputs: VecDeque<ReplicaOutput>,
     announced_role: (Role, Term),
 }
 
@@ -230,69 +230,6 @@
         Some(self.join_deadline)
     }
 
-    /// The replica's identity.
-    pub fn id(&self) -> ReplicaId {
-        self.id
-    }
-
-    /// The part that the replica plays.
-    pub fn role(&self) -> Role {
-        match self.part {
-            Part::Follower => Role::Follower,
-            Part::PreCandidate { .. } => Role::PreCandidate,
-            Part::Candidate { .. } => Role::Candidate,
-            Part::Leader(_) => Role::Leader,
-        }
-    }
-
-    /// The current term.
-    pub fn term(&self) -> Term {
-        self.hard_state.term
-    }
-
-    /// The leader of the current term, if it is known. It may have been
-    /// replaced already.
-    pub fn leader(&self) -> Option<NodeId> {
-        self.leader
-    }
-
-    /// The last entry known to be committed.
-    pub fn commit_index(&self) -> LogIndex {
-        self.commit_index
-    }
-
-    /// The last entry that was handed out for application.
-    pub fn applied_index(&self) -> LogIndex {
-        self.applied_index
-    }
-
-    /// The last entry of the log, committed or not.
-    pub fn last_position(&self) -> LogPosition {
-        self.log.last_position()
-    }
-
-    /// The membership in effect, committed or not.
-    pub fn membership(&self) -> &Membership {
-        self.memberships.current()
-    }
-
-    /// What this leader knows of the other members; empty if it doesn't lead.
-    pub fn peer_progress(&self) -> Vec<PeerProgress> {
-        match &self.part {
-            Part::Leader(leadership) => leadership.peer_progress(),
-            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
-        }
-    }
-
-    /// Replicas of nodes that are no members and announced themselves to this
-    /// leader. An operator may add them.
-    pub fn waiting_replicas(&self) -> Vec<ReplicaId> {
-        match &self.part {
-            Part::Leader(leadership) => leadership.waiting_replicas(),
-            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
-        }
-    }
-
     /// Takes the time of an input. A leader first finds out whether its
     /// quorum has been silent for too long by its own clock, for example
     /// because the process was frozen, before it does anything else.
@@ -332,57 +269,10 @@
         self.reset_election_timer();
     }
 
-    pub(super) fn not_leader(&self) -> NotLeader {
-        let others = |leader: &NodeId| *leader != self.id.node;
-        NotLeader {
-            hint: self.leader.filter(others),
-        }
-    }
-
     pub(super) fn emit(&mut self, output: ReplicaOutput) {
         self.outputs.push_back(output);
     }
 
-    /// Sends a message that depends on nothing that isn't durable.
-    pub(super) fn send(&mut self, to: ReplicaId, body: ConsensusBody) {
-        let output = self.message_to(to, body);
-        self.outputs.push_back(output);
-    }
-
-    /// Sends a message once everything that was changed so far is durable.
-    pub(super) fn send_durably(&mut self, to: ReplicaId, body: ConsensusBody) {
-        let output = self.message_to(to, body);
-        let barrier = self.writes.barrier(&self.log);
-        match barrier {
-            Some(ticket) if !self.settings.mutations.acknowledge_before_sync => {
-                self.writes.hold(ticket, output);
-            }
-            _ => self.outputs.push_back(output),
-        }
-    }
-
-    /// Whether the message is meant for this incarnation of the node.
-    fn is_addressed(&self, message: &ConsensusMessage) -> bool {
-        const ANY: u64 = 0;
-        let receiver = message.to_incarnation;
-        receiver == ANY
-            || receiver == self.id.incarnation.0
-            || self.settings.mutations.ignore_incarnation
-    }
-
-    fn message_to(&self, to: ReplicaId, body: ConsensusBody) -> ReplicaOutput {
-        let message = ConsensusMessage {
-            from_incarnation: self.id.incarnation.0,
-            to_incarnation: to.incarnation.0,
-            term: self.hard_state.term,
-            body: Some(body),
-        };
-        ReplicaOutput::Send {
-            to: to.node,
-            message,
-        }
-    }
-
     /// A random duration of one to two election timeouts, after `now`.
     pub(super) fn random_deadline(&mut self) -> Timestamp {
         const ONE: f64 = 1.0;
--- /dev/null
+++ b/crates/petrellatch-core/src/consensus/status.rs
@@ -0,0 +1,80 @@
+//! What a replica tells about itself.
+
+use crate::identity::NodeId;
+
+use super::entry::{LogIndex, LogPosition, Term};
+use super::membership::{Membership, ReplicaId};
+use super::output::{NotLeader, PeerProgress, Role};
+use super::replica::{Part, Replica};
+
+impl Replica {
+    /// The replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The part that the replica plays.
+    pub fn role(&self) -> Role {
+        match self.part {
+            Part::Follower => Role::Follower,
+            Part::PreCandidate { .. } => Role::PreCandidate,
+            Part::Candidate { .. } => Role::Candidate,
+            Part::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The leader of the current term, if it is known. It may have been
+    /// replaced already.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// The last entry known to be committed.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit_index
+    }
+
+    /// The last entry that was handed out for application.
+    pub fn applied_index(&self) -> LogIndex {
+        self.applied_index
+    }
+
+    /// The last entry of the log, committed or not.
+    pub fn last_position(&self) -> LogPosition {
+        self.log.last_position()
+    }
+
+    /// The membership in effect, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.memberships.current()
+    }
+
+    /// What this leader knows of the other members; empty if it doesn't lead.
+    pub fn peer_progress(&self) -> Vec<PeerProgress> {
+        match &self.part {
+            Part::Leader(leadership) => leadership.peer_progress(),
+            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
+        }
+    }
+
+    /// Replicas of nodes that are no members and announced themselves to this
+    /// leader. An operator may add them.
+    pub fn waiting_replicas(&self) -> Vec<ReplicaId> {
+        match &self.part {
+            Part::Leader(leadership) => leadership.waiting_replicas(),
+            Part::Follower | Part::PreCandidate { .. } | Part::Candidate { .. } => Vec::new(),
+        }
+    }
+
+    pub(super) fn not_leader(&self) -> NotLeader {
+        let others = |leader: &NodeId| *leader != self.id.node;
+        NotLeader {
+            hint: self.leader.filter(others),
+        }
+    }
+}
--- a/crates/petrellatch-core/tests/consensus/main.rs
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -5,4 +5,5 @@
 mod mutations;
 mod node;
 mod random_faults;
+mod recovery_time;
 mod scenarios;
