Add the dissemination tree: daemon link and relay

Cause: daemons need the replicated state within seconds, after any outage, without a burst when many restart at once, and never an older version. Ruled out: acknowledging every update (the heartbeat's version does it at no extra cost); one datagram for the whole state (too large, and one loss would cost all of it).

--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -8,9 +8,11 @@
 //! and the simulator therefore run exactly the same code.
 
 pub mod cluster;
+pub mod dissemination;
 pub mod error_kind;
 pub mod event;
 pub mod identity;
+pub mod node;
 pub mod time;
 
 pub use error_kind::ErrorKind;
