--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod event;
 pub mod identity;
 pub mod node;
+pub mod placement;
+pub mod policy;
 pub mod time;
 
 pub use error_kind::ErrorKind;
