Add the replicated control state

Cause: accepted changes must be the same at all replicas, decided once by compare-and-set, and a resend must get the first answer. Ruled out: checking policies while a command is applied (two program versions could decide differently during an upgrade); the leader checks them and logs the refusal instead.

--- /dev/null
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -0,0 +1,383 @@
+//! The replicated state: what the commands of the log lead to.
+
+use std::collections::BTreeMap;
+
+use petrellatch_proto::command::{
+    Command, CommandKind, FenceMember, OperatorChange, RefuseChange, SetMemberState, SetPlacement,
+    SettlePlacement,
+};
+use petrellatch_proto::dissemination::Delta;
+use petrellatch_proto::record::{
+    GenerationRecord, MemberRecord, MemberState, NodeRole, PlacementRecord, Record, RecordChange,
+    RecordKey,
+};
+use prost::Message;
+
+use crate::cluster::ClusterView;
+use crate::error_kind::ErrorKind;
+use crate::identity::{Incarnation, NodeId, ServiceId};
+
+use super::change_draft::{Assignments, ChangeDraft, FinishedDraft};
+use super::fenced_lives::{FencedLives, Life};
+use super::limits::{
+    MAX_BACKENDS_OF_SERVICE, MAX_CHANGE_BYTES, MAX_DELTA_BYTES, MAX_EDITS, MAX_GENERATIONS,
+    MAX_MEMBERS, MAX_REQUEST_ID_BYTES,
+};
+use super::mutations::ControlMutations;
+use super::outcome::{AcceptedChange, Applied, ChangeAnswer, ChangeRefusal, CommandOutcome};
+use super::request_window::{DecidedRequest, RequestWindow, content_hash};
+use super::validation::{EditError, check_name, require};
+
+/// The state that all control replicas derive from the same log. Applying a
+/// command is deterministic: it depends on the state and the command alone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    pub(super) view: ClusterView,
+    pub(super) config_version: u64,
+    pub(super) assignments: Assignments,
+    /// The version at which each member's present life was registered.
+    pub(super) registrations: BTreeMap<NodeId, u64>,
+    pub(super) fenced: FencedLives,
+    pub(super) requests: RequestWindow,
+    pub(super) mutations: ControlMutations,
+}
+
+impl ControlState {
+    /// Makes the state before the first command.
+    pub fn new(mutations: ControlMutations) -> Self {
+        ControlState {
+            mutations,
+            ..ControlState::default()
+        }
+    }
+
+    /// The records at the newest version.
+    pub fn view(&self) -> &ClusterView {
+        &self.view
+    }
+
+    /// The version of the last accepted operator change, on which the next
+    /// one must be based.
+    pub fn config_version(&self) -> u64 {
+        self.config_version
+    }
+
+    /// The version at which the present life of a member was registered.
+    pub fn registered_at(&self, node: NodeId) -> Option<u64> {
+        self.registrations.get(&node).copied()
+    }
+
+    /// Whether this life was fenced, as far as is remembered.
+    pub fn is_fenced(&self, life: Life) -> bool {
+        self.fenced.contains(life)
+    }
+
+    /// Returns the answer to a change that was decided earlier.
+    pub fn earlier_answer(&self, change: &OperatorChange) -> Option<ChangeAnswer> {
+        if self.mutations.no_request_dedupe {
+            return None;
+        }
+        let decided = self.requests.find(&change.request_id)?;
+        if decided.content == content_hash(change) {
+            return Some(decided.answer.clone());
+        }
+        let message = "the request id was used for another change";
+        Some(Err(self.refusal(ErrorKind::Invalid, message)))
+    }
+
+    /// Checks whether a change would be accepted now, without effect.
+    pub fn check_change(&self, change: &OperatorChange) -> Result<(), ChangeRefusal> {
+        self.try_change(change).map(|_| ())
+    }
+
+    /// Returns the view as it would be after a change, to check policies
+    /// against it.
+    pub fn view_after(&self, change: &OperatorChange) -> Result<ClusterView, ChangeRefusal> {
+        let finished = self.try_change(change)?;
+        let mut view = self.view.clone();
+        let delta = self.next_delta(finished.changes);
+        view.apply(&delta).expect("the delta follows the version");
+        Ok(view)
+    }
+
+    /// Applies the next command of the log. A command of an unknown kind
+    /// changes nothing.
+    pub fn apply(&mut self, command: &Command) -> Applied {
+        match &command.kind {
+            Some(CommandKind::Change(change)) => self.apply_change(change),
+            Some(CommandKind::RefuseChange(refuse)) => self.apply_refusal(refuse),
+            Some(CommandKind::RegisterMember(member)) => self.register_member(member),
+            Some(CommandKind::FenceMember(fence)) => self.fence_member(*fence),
+            Some(CommandKind::SetMemberState(set)) => self.set_member_state(*set),
+            Some(CommandKind::SetPlacement(set)) => self.set_placement(set),
+            Some(CommandKind::SettlePlacement(settle)) => self.settle_placement(*settle),
+            None => ignored(),
+        }
+    }
+
+    fn apply_change(&mut self, change: &OperatorChange) -> Applied {
+        if let Some(answer) = self.earlier_answer(change) {
+            return decided(answer, None);
+        }
+        let (answer, delta) = match self.try_change(change) {
+            Ok(finished) => {
+                self.assignments = finished.assignments;
+                let delta = self.commit(finished.changes);
+                self.config_version = delta.version;
+                let accepted = AcceptedChange {
+                    version: delta.version,
+                };
+                (Ok(accepted), Some(delta))
+            }
+            Err(refusal) => (Err(refusal), None),
+        };
+        self.remember(change, &answer);
+        decided(answer, delta)
+    }
+
+    fn apply_refusal(&mut self, refuse: &RefuseChange) -> Applied {
+        if let Some(answer) = self.earlier_answer(&refuse.change) {
+            return decided(answer, None);
+        }
+        let refusal = self.refusal(ErrorKind::InvalidPolicy, refuse.message.clone());
+        let answer = Err(refusal);
+        self.remember(&refuse.change, &answer);
+        decided(answer, None)
+    }
+
+    fn remember(&mut self, change: &OperatorChange, answer: &ChangeAnswer) {
+        if change.request_id.len() > MAX_REQUEST_ID_BYTES {
+            return;
+        }
+        self.requests.insert(DecidedRequest {
+            request_id: change.request_id.clone(),
+            content: content_hash(change),
+            answer: answer.clone(),
+        });
+    }
+
+    fn try_change(&self, change: &OperatorChange) -> Result<FinishedDraft, ChangeRefusal> {
+        self.draft_change(change)
+            .map_err(|error| self.refusal(error.kind, error.message))
+    }
+
+    fn draft_change(&self, change: &OperatorChange) -> Result<FinishedDraft, EditError> {
+        check_frame(change)?;
+        let based_on_current = change.based_on == self.config_version;
+        if !based_on_current && !self.mutations.ignore_based_on {
+            return Err(EditError {
+                kind: ErrorKind::Conflict,
+                message: format!(
+                    "the change is based on version {}, the configuration is at {}",
+                    change.based_on, self.config_version
+                ),
+            });
+        }
+        let mut draft = ChangeDraft::new(&self.view, &self.assignments);
+        for edit in &change.edits {
+            draft.apply(edit)?;
+        }
+        let finished = draft.finish();
+        let bytes: usize = finished.changes.iter().map(Message::encoded_len).sum();
+        if bytes > MAX_DELTA_BYTES {
+            let message =
+                format!("the change touches more than {MAX_DELTA_BYTES} bytes of records");
+            return Err(EditError::too_large(message));
+        }
+        Ok(finished)
+    }
+
+    fn refusal(&self, kind: ErrorKind, message: impl Into<String>) -> ChangeRefusal {
+        ChangeRefusal {
+            kind,
+            message: message.into(),
+            config_version: self.config_version,
+        }
+    }
+
+    fn register_member(&mut self, member: &MemberRecord) -> Applied {
+        let life = Life {
+            node: NodeId(member.node),
+            incarnation: Incarnation(member.incarnation),
+        };
+        let known = self.view.member(life.node).is_some();
+        let is_full = self.view.members().count() >= MAX_MEMBERS;
+        let is_daemon = matches!(
+            NodeRole::try_from(member.role),
+            Ok(NodeRole::Balancer | NodeRole::Agent)
+        );
+        let named = check_name("node", &member.name).is_ok();
+        if known || is_full || !is_daemon || !named || self.is_fenced(life) {
+            return ignored();
+        }
+        let drained = self.assignments.drained_nodes.contains(&member.name);
+        let state = if drained {
+            MemberState::Leaving
+        } else {
+            MemberState::Live
+        };
+        let record = MemberRecord {
+            state: state as i32,
+            ..member.clone()
+        };
+        let applied = self.commit_records(vec![put(Record::Member(record))]);
+        self.registrations.insert(life.node, self.view.version());
+        applied
+    }
+
+    fn fence_member(&mut self, fence: FenceMember) -> Applied {
+        let life = Life {
+            node: NodeId(fence.node),
+            incarnation: Incarnation(fence.incarnation),
+        };
+        if !self.view.is_member(life.node, life.incarnation) {
+            return ignored();
+        }
+        self.fenced.insert(life);
+        self.registrations.remove(&life.node);
+        self.commit_records(vec![removal(RecordKey::Member(fence.node))])
+    }
+
+    fn set_member_state(&mut self, set: SetMemberState) -> Applied {
+        let life = (NodeId(set.node), Incarnation(set.incarnation));
+        let is_member = self.view.is_member(life.0, life.1);
+        let member = self.view.member(life.0).filter(|_| is_member);
+        let Some(member) = member.filter(|member| member.state != set.state) else {
+            return ignored();
+        };
+        let drained = self.assignments.drained_nodes.contains(&member.name);
+        let is_leaving = set.state == MemberState::Leaving as i32;
+        if drained && !is_leaving || MemberState::try_from(set.state).is_err() {
+            return ignored();
+        }
+        let record = MemberRecord {
+            state: set.state,
+            ..member.clone()
+        };
+        self.commit_records(vec![put(Record::Member(record))])
+    }
+
+    fn set_placement(&mut self, set: &SetPlacement) -> Applied {
+        let service = ServiceId(set.service);
+        let mut generations = match self.view.placement(service) {
+            Some(placement) => placement.generations.clone(),
+            None => Vec::new(),
+        };
+        let newest = generations.last().map_or(0, |newest| newest.number);
+        let fits = self.view.service(service).is_some()
+            && set.generation.number == newest + 1
+            && generations.len() < MAX_GENERATIONS
+            && self.are_sound_shares(&set.generation);
+        if !fits {
+            return ignored();
+        }
+        generations.push(set.generation.clone());
+        self.put_placement(set.service, generations)
+    }
+
+    fn settle_placement(&mut self, settle: SettlePlacement) -> Applied {
+        let Some(placement) = self.view.placement(ServiceId(settle.service)) else {
+            return ignored();
+        };
+        let numbers = placement.generations.iter().map(|it| it.number);
+        let Some(position) = numbers.clone().position(|it| it == settle.generation) else {
+            return ignored();
+        };
+        if position == 0 {
+            return ignored();
+        }
+        let kept = placement.generations[position..].to_vec();
+        self.put_placement(settle.service, kept)
+    }
+
+    /// Shares must be in order, not too many, and only to members.
+    fn are_sound_shares(&self, generation: &GenerationRecord) -> bool {
+        let shares = &generation.shares;
+        let in_order = shares.is_sorted_by(|left, right| left.backend < right.backend);
+        let is_member =
+            |node, incarnation| self.view.is_member(NodeId(node), Incarnation(incarnation));
+        let to_members = shares
+            .iter()
+            .all(|share| !share.receives() || is_member(share.node, share.incarnation));
+        in_order && to_members && shares.len() <= MAX_BACKENDS_OF_SERVICE
+    }
+
+    fn put_placement(&mut self, service: u32, generations: Vec<GenerationRecord>) -> Applied {
+        let record = PlacementRecord {
+            service,
+            generations,
+        };
+        self.commit_records(vec![put(Record::Placement(record))])
+    }
+
+    fn commit_records(&mut self, changes: Vec<RecordChange>) -> Applied {
+        Applied {
+            outcome: CommandOutcome::Done,
+            delta: Some(self.commit(changes)),
+        }
+    }
+
+    fn commit(&mut self, changes: Vec<RecordChange>) -> Delta {
+        let delta = self.next_delta(changes);
+        self.view
+            .apply(&delta)
+            .expect("the delta follows the version");
+        delta
+    }
+
+    fn next_delta(&self, changes: Vec<RecordChange>) -> Delta {
+        Delta {
+            version: self.view.version() + 1,
+            changes,
+        }
+    }
+}
+
+fn check_frame(change: &OperatorChange) -> Result<(), EditError> {
+    let id = &change.request_id;
+    let printable = id.bytes().all(|byte| byte.is_ascii_graphic());
+    let sound = !id.is_empty() && id.len() <= MAX_REQUEST_ID_BYTES && printable;
+    require(sound, || {
+        format!("the request id must be 1 to {MAX_REQUEST_ID_BYTES} printable characters")
+    })?;
+    require(!change.edits.is_empty(), || {
+        "the change is empty".to_owned()
+    })?;
+    if change.edits.len() > MAX_EDITS {
+        let message = format!("the change has more than {MAX_EDITS} edits");
+        return Err(EditError::too_large(message));
+    }
+    if change.encoded_len() > MAX_CHANGE_BYTES {
+        let message = format!("the change has more than {MAX_CHANGE_BYTES} bytes");
+        return Err(EditError::too_large(message));
+    }
+    Ok(())
+}
+
+fn ignored() -> Applied {
+    Applied {
+        outcome: CommandOutcome::Ignored,
+        delta: None,
+    }
+}
+
+fn decided(answer: ChangeAnswer, delta: Option<Delta>) -> Applied {
+    Applied {
+        outcome: CommandOutcome::Change(answer),
+        delta,
+    }
+}
+
+fn put(record: Record) -> RecordChange {
+    RecordChange {
+        put: Some(record),
+        remove: None,
+    }
+}
+
+fn removal(key: RecordKey) -> RecordChange {
+    RecordChange {
+        put: None,
+        remove: Some(key),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/control/mutations.rs
@@ -0,0 +1,13 @@
+//! Deliberate faults for the lab.
+
+/// Each of them breaks a guarantee, so that tests can show that the checkers
+/// notice. All are off by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ControlMutations {
+    /// A resent change is applied again.
+    pub no_request_dedupe: bool,
+    /// A change is accepted whatever version it is based on.
+    pub ignore_based_on: bool,
+    /// A silent agent is fenced before its lease can have run out.
+    pub fence_without_waiting: bool,
+}
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cluster;
 pub mod consensus;
+pub mod control;
 pub mod dissemination;
 pub mod error_kind;
 pub mod event;
--- a/crates/petrellatch-proto/src/command.rs
+++ b/crates/petrellatch-proto/src/command.rs
@@ -137,6 +137,29 @@
     pub generation: u64,
 }
 
+/// Why an operator's change was refused before it could be applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum RefusalReason {
+    /// A policy does not compile or yields impossible weights.
+    InvalidPolicy = 0,
+}
+
+/// A change that the leader refused by a check that need not give the same
+/// result at every replica. It is logged so that a resend gets the same answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RefuseChange {
+    /// The change.
+    #[prost(message, required, tag = "1")]
+    pub change: OperatorChange,
+    /// Why it was refused.
+    #[prost(enumeration = "RefusalReason", tag = "2")]
+    pub reason: i32,
+    /// The explanation for the operator.
+    #[prost(string, tag = "3")]
+    pub message: String,
+}
+
 /// A command of the replicated log.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum CommandKind {
@@ -158,13 +181,16 @@
     /// A service's placement settled.
     #[prost(message, tag = "6")]
     SettlePlacement(SettlePlacement),
+    /// An operator's change was refused.
+    #[prost(message, tag = "7")]
+    RefuseChange(RefuseChange),
 }
 
 /// A [`CommandKind`] as a message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
     /// The command.
-    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<CommandKind>,
 }
 
