Add member tracking and placement planning

Cause: the leader has to know who is alive, grant admission leases, fence silent members and turn policies and loads into placements. Ruled out: fencing by the platform's list (it lags); following every load report (weights would flap). Change: MemberTracker, relay choice, registration queue; PlacementPlanner with coarse load levels, a bound on what reports may take out, and settling.

--- a/crates/petrellatch-core/src/dissemination/mod.rs
+++ b/crates/petrellatch-core/src/dissemination/mod.rs
@@ -77,6 +77,7 @@
 pub use link_settings::{
     DisseminationMutations, HEARTBEAT_COMBINE_INTERVAL, HEARTBEAT_INTERVAL, LinkSettings,
 };
+pub(crate) use pacer::Pacer;
 pub use relay::{Relay, RelayOutput};
 pub use relay_settings::RelaySettings;
 pub use stored_view::{StoredView, StoredViewError};
--- a/crates/petrellatch-core/src/dissemination/relay.rs
+++ b/crates/petrellatch-core/src/dissemination/relay.rs
@@ -166,9 +166,9 @@
         let own = |entry: &&HeartbeatEntry| entry.node == sender.0;
         if let Some(entry) = heartbeat.entries.iter().find(own) {
             self.acknowledge(now, from, sender, entry.version, view);
-        }
-        if !self.children.contains_key(&sender) {
-            return Vec::new();
+            if !self.children.contains_key(&sender) {
+                return Vec::new();
+            }
         }
         let neighbour = Neighbour {
             node: sender,
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod error_kind;
 pub mod event;
 pub mod identity;
+pub mod membership;
 pub mod node;
 pub mod placement;
 pub mod policy;
