--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -9,9 +9,13 @@
 
 pub mod cluster;
 pub mod consensus;
+pub mod control;
+pub mod dissemination;
 pub mod error_kind;
 pub mod event;
 pub mod identity;
+pub mod membership;
+pub mod node;
 pub mod placement;
 pub mod policy;
 pub mod time;
