Add flow termination, routing and the parts of admission

Cause: an agent has to end the callers' TCP connections and to decide about new flows; a balancer has to find the agent for a packet. Ruled out: one large socket set for all flows, since polling it is linear in the number of flows. Change: flow terminator, packet view and reset; the balancer's router with tables kept for each generation; bucket ownership, flow reports, redirects, limits, loads and refusals of the admission core.

--- /dev/null
+++ b/crates/petrellatch-core/src/admission/load_table.rs
@@ -0,0 +1,155 @@
+//! What other agents say about the load of their back ends.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use petrellatch_proto::admission::LoadReport;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Timestamp;
+use crate::identity::BackendId;
+use crate::routing::AgentLife;
+
+use super::BackendUse;
+
+/// How long a back end that refused a flow is left alone, unless it reports.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Thousandths of a request.
+const REQUEST: u64 = 1_000;
+
+/// A back end that may receive a flow in place of the owner's one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerCandidate {
+    /// The back end.
+    pub backend: BackendId,
+    /// The agent beside it.
+    pub agent: AgentLife,
+    /// Its placement weight, positive.
+    pub weight: u32,
+    /// Its slots; zero stands for no limit.
+    pub slots: u32,
+}
+
+/// The newest load report of each back end, with what was passed to it since.
+#[derive(Clone, Debug, Default)]
+pub struct LoadTable {
+    loads: BTreeMap<BackendId, PeerLoad>,
+}
+
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    reporter: AgentLife,
+    sequence: u64,
+    present: BackendUse,
+    closed: bool,
+    /// Flows that this agent passed to it since the report.
+    passed: u32,
+    paused_until: Timestamp,
+}
+
+impl LoadTable {
+    /// Makes an empty table.
+    pub fn new() -> Self {
+        LoadTable::default()
+    }
+
+    /// Takes a report. One that is older than the newest of the same life is
+    /// ignored.
+    pub fn handle_report(&mut self, reporter: AgentLife, report: &LoadReport) {
+        let backend = BackendId(report.backend);
+        let known = self.loads.get(&backend);
+        if known.is_some_and(|it| it.reporter == reporter && it.sequence >= report.sequence) {
+            return;
+        }
+        let load = PeerLoad {
+            reporter,
+            sequence: report.sequence,
+            present: BackendUse {
+                busy: report.busy,
+                connections: report.connections,
+            },
+            closed: report.closed,
+            passed: 0,
+            paused_until: Timestamp::ZERO,
+        };
+        self.loads.insert(backend, load);
+    }
+
+    /// Notes that a flow is passed to the back end.
+    pub fn note_passed(&mut self, backend: BackendId) {
+        if let Some(load) = self.loads.get_mut(&backend) {
+            load.passed += 1;
+        }
+    }
+
+    /// Notes that the back end's agent refused a flow.
+    pub fn note_refused(&mut self, now: Timestamp, backend: BackendId) {
+        if let Some(load) = self.loads.get_mut(&backend) {
+            load.paused_until = now + REFUSAL_PAUSE;
+        }
+    }
+
+    /// Forgets the reports of lives for which `keep` is false.
+    pub fn retain(&mut self, keep: impl Fn(AgentLife) -> bool) {
+        self.loads.retain(|_, load| keep(load.reporter));
+    }
+
+    /// Returns the candidate with the least load for its weight that has
+    /// room, one of them at random if there are several.
+    pub fn least_loaded(
+        &self,
+        now: Timestamp,
+        candidates: &[PeerCandidate],
+        random: &mut ChaCha8Rng,
+    ) -> Option<PeerCandidate> {
+        let with_room = candidates.iter().filter(|it| self.has_room(now, it));
+        let scored: Vec<(u64, PeerCandidate)> = with_room
+            .map(|it| (relative_load(self.busy(it.backend), it.weight), *it))
+            .collect();
+        let least = scored.iter().map(|(score, _)| *score).min()?;
+        let best: Vec<PeerCandidate> = scored
+            .into_iter()
+            .filter(|(score, _)| *score == least)
+            .map(|(_, candidate)| candidate)
+            .collect();
+        Some(best[random.random_range(0..best.len())])
+    }
+
+    /// Returns whether the load of `candidate` is lower than that of a back
+    /// end with `busy` requests and `weight`, by at least `margin` thousandths
+    /// of one request at that back end.
+    pub fn is_clearly_less(
+        &self,
+        candidate: &PeerCandidate,
+        busy: u32,
+        weight: u32,
+        margin: u64,
+    ) -> bool {
+        let known = self.loads.contains_key(&candidate.backend);
+        let theirs = u64::from(self.busy(candidate.backend)) + 1;
+        let scaled = theirs * u64::from(weight) * REQUEST / u64::from(candidate.weight.max(1));
+        let ours = (u64::from(busy) + 1) * REQUEST;
+        known && ours >= scaled + margin
+    }
+
+    fn has_room(&self, now: Timestamp, candidate: &PeerCandidate) -> bool {
+        let Some(load) = self.loads.get(&candidate.backend) else {
+            return true;
+        };
+        let full = candidate.slots > 0 && self.busy(candidate.backend) >= candidate.slots;
+        !load.closed && !full && load.paused_until <= now
+    }
+
+    fn busy(&self, backend: BackendId) -> u32 {
+        let load = self.loads.get(&backend);
+        load.map_or(0, |it| it.present.busy.saturating_add(it.passed))
+    }
+}
+
+/// Returns the load that one more request would make, relative to the weight.
+fn relative_load(busy: u32, weight: u32) -> u64 {
+    const SCALE: u64 = 1_000_000;
+    (u64::from(busy) + 1) * SCALE / u64::from(weight.max(1))
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/admission/service_admission.rs
@@ -0,0 +1,442 @@
+//! One agent's part in the admission of one service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::admission::{FlowEntry, FlowReport, FlowReportAck};
+use petrellatch_proto::record::{NodeRole, PlacementRecord, ServiceRecord};
+
+use crate::Timestamp;
+use crate::cluster::ClusterView;
+use crate::identity::{BucketIndex, Incarnation, NodeId, ServiceId};
+use crate::placement::FlowKey;
+use crate::routing::{AgentLife, BucketOwner, PlacedGeneration};
+
+use super::redirect_table::ORPHAN_GRACE;
+use super::{AdmissionMutations, OutgoingReport, RedirectTable, ReportInbox, ReportOutbox};
+
+/// After a generation took effect, packets of unknown flows are dropped and
+/// not reset for at least this time, since packets routed by older views and
+/// claims of agents that are not expected may still be on their way.
+const RESET_GRACE: Duration = Duration::from_secs(2);
+
+/// How many generations that are not listed any more are remembered, to reach
+/// earlier owners that are cut off from the control group.
+const RETIRED_GENERATIONS: usize = 4;
+
+/// Where this agent stands towards the new flows of a bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It owns the bucket and no earlier owner can admit any more.
+    Owner(BucketOwner),
+    /// It owns the bucket, but an earlier owner may still admit.
+    Unsettled {
+        /// This agent's ownership.
+        own: BucketOwner,
+        /// The newest earlier owner that has not released the bucket.
+        previous: BucketOwner,
+    },
+    /// Another agent owns the bucket.
+    Elsewhere(BucketOwner),
+    /// No back end owns the bucket.
+    NoOwner,
+}
+
+/// Ownership of the buckets of one service, reports about them, and the flows
+/// that other agents have.
+#[derive(Clone, Debug)]
+pub struct ServiceAdmission {
+    service: ServiceId,
+    address: SocketAddrV4,
+    own: AgentLife,
+    mutations: AdmissionMutations,
+    /// Listed generations, the newest last.
+    generations: Vec<PlacedGeneration>,
+    /// Generations not listed any more, the newest last.
+    retired: Vec<PlacedGeneration>,
+    applied_at: Timestamp,
+    /// What was reported last: the generation and the life that reported it.
+    reported: Option<(u64, AgentLife)>,
+    /// Earlier owners that may still admit.
+    unreleased: BTreeSet<AgentLife>,
+    /// Members that report for the newest generation.
+    reporters: BTreeSet<AgentLife>,
+    /// Owners whose life ended, with the time until which they are taken to
+    /// have flows still.
+    lost: BTreeMap<AgentLife, Timestamp>,
+    inbox: ReportInbox,
+    outbox: ReportOutbox,
+    /// The flows that other agents have.
+    pub redirects: RedirectTable,
+}
+
+impl ServiceAdmission {
+    /// Starts without any generation.
+    pub fn new(service: &ServiceRecord, own: AgentLife, mutations: AdmissionMutations) -> Self {
+        ServiceAdmission {
+            service: ServiceId(service.id),
+            address: service.address.into(),
+            own,
+            mutations,
+            generations: Vec::new(),
+            retired: Vec::new(),
+            applied_at: Timestamp::ZERO,
+            reported: None,
+            unreleased: BTreeSet::new(),
+            reporters: BTreeSet::new(),
+            lost: BTreeMap::new(),
+            inbox: ReportInbox::new(),
+            outbox: ReportOutbox::new(),
+            redirects: RedirectTable::new(),
+        }
+    }
+
+    /// Takes over a newer view. `flows` are the flows of the service that this
+    /// agent has. From here on it admits nothing in buckets that the newest
+    /// generation gives to others, and says so to them.
+    pub fn apply(
+        &mut self,
+        now: Timestamp,
+        view: &ClusterView,
+        service: &ServiceRecord,
+        own: AgentLife,
+        flows: &[FlowKey],
+    ) {
+        self.own = own;
+        self.address = service.address.into();
+        if let Some(placement) = view.placement(self.service) {
+            self.take_generations(now, service, placement);
+        }
+        self.find_lost_lives(now, view);
+        self.find_reporters(view);
+        let is_member = |life: AgentLife| view.is_member(life.node, life.incarnation);
+        self.redirects.mark_orphans(now, is_member);
+        self.outbox.retain(is_member);
+        self.inbox.retain(is_member);
+        self.install_reports(now);
+        self.report_flows(now, view, flows);
+        self.find_unreleased(view);
+    }
+
+    /// Returns the number of the newest generation, zero before the first.
+    pub fn generation(&self) -> u64 {
+        self.generations.last().map_or(0, PlacedGeneration::number)
+    }
+
+    /// Returns the newest generation.
+    pub fn newest(&self) -> Option<&PlacedGeneration> {
+        self.generations.last()
+    }
+
+    /// Returns the bucket of a flow.
+    pub fn bucket(&self, key: &FlowKey) -> BucketIndex {
+        let count = self.newest().map_or(1, PlacedGeneration::bucket_count);
+        key.bucket(count)
+    }
+
+    /// Returns where this agent stands towards new flows of `bucket`.
+    pub fn standing(&self, bucket: BucketIndex) -> Standing {
+        let Some(owner) = self.newest().and_then(|newest| newest.owner(bucket)) else {
+            return Standing::NoOwner;
+        };
+        if owner.agent != self.own {
+            return Standing::Elsewhere(owner);
+        }
+        match self.unreleased_owner(bucket) {
+            Some(previous) if !self.mutations.admit_before_release => Standing::Unsettled {
+                own: owner,
+                previous,
+            },
+            _ => Standing::Owner(owner),
+        }
+    }
+
+    /// Returns whether all buckets that this agent owns are settled.
+    pub fn is_settled(&self) -> bool {
+        if self.unreleased.is_empty() {
+            return true;
+        }
+        let Some(newest) = self.newest() else {
+            return true;
+        };
+        newest
+            .buckets()
+            .all(|bucket| !matches!(self.standing(bucket), Standing::Unsettled { .. }))
+    }
+
+    /// Returns whether every agent that may hold flows of the service has
+    /// reported, so that a flow that is unknown here is unknown everywhere.
+    pub fn knows_all_flows(&self, now: Timestamp) -> bool {
+        let generation = self.generation();
+        let quiet = now.saturating_since(self.applied_at) >= RESET_GRACE;
+        let complete = |life: &AgentLife| self.inbox.is_complete(*life, generation);
+        quiet && self.unreleased.is_empty() && self.reporters.iter().all(complete)
+    }
+
+    /// Returns an earlier owner of `bucket` that may have a flow which is
+    /// unknown here: one that has not reported, or one whose life was lost.
+    pub fn possible_holder(&self, now: Timestamp, bucket: BucketIndex) -> Option<BucketOwner> {
+        let earlier = self.earlier_owners(bucket, self.generation());
+        let retired = self.retired.iter().rev();
+        let mut all = earlier.chain(retired.filter_map(move |it| it.owner(bucket)));
+        all.find(|owner| {
+            let is_lost = self
+                .lost
+                .get(&owner.agent)
+                .is_some_and(|until| *until > now);
+            let may_have_it = is_lost || self.unreleased.contains(&owner.agent);
+            may_have_it && owner.agent.node != self.own.node
+        })
+    }
+
+    /// Returns the newest owner of `bucket` before `generation` that is
+    /// neither this agent nor the owner by `generation`.
+    pub fn owner_before(&self, bucket: BucketIndex, generation: u64) -> Option<BucketOwner> {
+        self.earlier_owners(bucket, generation)
+            .find(|owner| owner.agent.node != self.own.node)
+    }
+
+    /// Takes one part of another agent's report. Returns the confirmation, or
+    /// none if the report is meant for another life.
+    pub fn handle_report(
+        &mut self,
+        now: Timestamp,
+        view: &ClusterView,
+        sender: AgentLife,
+        report: &FlowReport,
+    ) -> Option<FlowReportAck> {
+        let for_this_life = report.recipient_incarnation == self.own.incarnation.0;
+        if !for_this_life && !self.mutations.ignore_incarnation {
+            return None;
+        }
+        if !view.is_member(sender.node, sender.incarnation) {
+            // The sender was fenced, or this view is too old to know it. It
+            // repeats the report as long as it is not confirmed.
+            return None;
+        }
+        self.inbox.handle_part(sender, report);
+        self.install_reports(now);
+        self.find_unreleased(view);
+        Some(FlowReportAck {
+            service: report.service,
+            generation: report.generation,
+            part: report.part,
+        })
+    }
+
+    /// Takes the confirmation of one part of this agent's report.
+    pub fn handle_ack(&mut self, sender: AgentLife, ack: &FlowReportAck) {
+        self.outbox.handle_ack(sender, ack);
+    }
+
+    /// Returns the next part of a report to send.
+    pub fn poll_report(&mut self, now: Timestamp) -> Option<OutgoingReport> {
+        self.outbox.poll(now)
+    }
+
+    /// Returns when [`ServiceAdmission::poll_report`] has something to send.
+    pub fn poll_timeout(&self) -> Option<Timestamp> {
+        self.outbox.poll_timeout()
+    }
+
+    /// Returns whether all reports were confirmed.
+    pub fn is_reported(&self) -> bool {
+        self.outbox.is_empty()
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Timestamp, idle: Duration) {
+        self.redirects.expire(now, idle);
+        if self.lost.values().all(|until| *until <= now) {
+            self.retired.clear();
+        }
+    }
+
+    fn take_generations(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceRecord,
+        placement: &PlacementRecord,
+    ) {
+        let before = self.generation();
+        let mut former = std::mem::take(&mut self.generations);
+        for record in &placement.generations {
+            let kept = former
+                .iter()
+                .position(|it| it.is_computed_from(service, record))
+                .map(|position| former.remove(position));
+            let generation = kept.unwrap_or_else(|| PlacedGeneration::compute(service, record));
+            self.generations.push(generation);
+        }
+        self.retired.append(&mut former);
+        let excess = self.retired.len().saturating_sub(RETIRED_GENERATIONS);
+        self.retired.drain(..excess);
+        if self.generation() != before {
+            self.applied_at = now;
+        }
+    }
+
+    /// Notes owners whose life ended.
+    fn find_lost_lives(&mut self, now: Timestamp, view: &ClusterView) {
+        let known = self.generations.iter().chain(&self.retired);
+        let ended: BTreeSet<AgentLife> = known
+            .flat_map(PlacedGeneration::lives)
+            .filter(|life| !view.is_member(life.node, life.incarnation))
+            .collect();
+        self.lost.retain(|life, _| ended.contains(life));
+        for life in ended {
+            self.lost.entry(life).or_insert(now + ORPHAN_GRACE);
+        }
+    }
+
+    /// Finds the members that have a share in a listed generation or a back
+    /// end of the service; all of them report.
+    fn find_reporters(&mut self, view: &ClusterView) {
+        let shares = self.generations.iter().flat_map(PlacedGeneration::lives);
+        let with_share: BTreeSet<AgentLife> = shares
+            .filter(|life| view.is_member(life.node, life.incarnation))
+            .collect();
+        let beside = view
+            .backends_of(self.service)
+            .filter_map(|backend| view.member(NodeId::from_name(&backend.agent)))
+            .filter(|member| member.role() == NodeRole::Agent)
+            .map(|member| AgentLife {
+                node: NodeId(member.node),
+                incarnation: Incarnation(member.incarnation),
+            });
+        self.reporters = with_share.into_iter().chain(beside).collect();
+        self.reporters.remove(&self.own);
+    }
+
+    fn find_unreleased(&mut self, view: &ClusterView) {
+        let generation = self.generation();
+        let older = self.generations.iter().rev().skip(1);
+        self.unreleased = older
+            .flat_map(PlacedGeneration::receiving_lives)
+            .filter(|life| *life != self.own)
+            .filter(|life| view.is_member(life.node, life.incarnation))
+            .filter(|life| !self.inbox.is_complete(*life, generation))
+            .collect();
+    }
+
+    /// Starts to report once for each generation and each life of this agent.
+    fn report_flows(&mut self, now: Timestamp, view: &ClusterView, flows: &[FlowKey]) {
+        let present = (self.generation(), self.own);
+        if self.reported == Some(present) || !self.takes_part(view, flows) {
+            return;
+        }
+        let Some(newest) = self.generations.last() else {
+            return;
+        };
+        let recipients: BTreeSet<AgentLife> = newest
+            .receiving_lives()
+            .filter(|life| *life != self.own)
+            .filter(|life| view.is_member(life.node, life.incarnation))
+            .collect();
+        let mut entries = self.entries_by_owner(newest, flows);
+        for recipient in recipients {
+            let flows = entries.remove(&recipient).unwrap_or_default();
+            self.outbox
+                .put(now, recipient, self.service, present.0, &flows);
+        }
+        self.reported = Some(present);
+    }
+
+    /// Returns whether this agent has, or had, anything to do with the
+    /// service.
+    fn takes_part(&self, view: &ClusterView, flows: &[FlowKey]) -> bool {
+        let mut lives = self.generations.iter().flat_map(PlacedGeneration::lives);
+        let has_share = lives.any(|life| life == self.own);
+        let mut backends = view.backends_of(self.service);
+        let beside = backends.any(|it| NodeId::from_name(&it.agent) == self.own.node);
+        has_share || beside || !flows.is_empty() || !self.redirects.is_empty()
+    }
+
+    fn entries_by_owner(
+        &self,
+        newest: &PlacedGeneration,
+        flows: &[FlowKey],
+    ) -> BTreeMap<AgentLife, Vec<FlowEntry>> {
+        let mut entries: BTreeMap<AgentLife, Vec<FlowEntry>> = BTreeMap::new();
+        if self.mutations.forget_redirects {
+            return entries;
+        }
+        let here = flows.iter().map(|key| (key, AgentLife::default()));
+        let elsewhere = self.redirects.iter().map(|(key, it)| (key, it.holder));
+        for (key, holder) in here.chain(elsewhere) {
+            let bucket = key.bucket(newest.bucket_count());
+            if let Some(owner) = newest.owner(bucket) {
+                entries.entry(owner.agent).or_default().push(FlowEntry {
+                    source: key.source.into(),
+                    holder: holder.node.0,
+                    holder_incarnation: holder.incarnation.0,
+                });
+            }
+        }
+        entries
+    }
+
+    /// Takes over the flows of reports that are complete for the newest
+    /// generation.
+    fn install_reports(&mut self, now: Timestamp) {
+        for (sender, flows) in self.inbox.take_complete(self.generation()) {
+            self.redirects.replace_former_lives(sender);
+            self.resolve_lost_lives(now, sender);
+            for entry in flows {
+                self.install_entry(now, sender, &entry);
+            }
+        }
+    }
+
+    /// A new life of the node has reported which flows it took over, so the
+    /// former lives have none.
+    fn resolve_lost_lives(&mut self, now: Timestamp, life: AgentLife) {
+        let former = self.lost.iter_mut().filter(|(it, _)| it.node == life.node);
+        for (_, until) in former {
+            *until = now;
+        }
+    }
+
+    fn install_entry(&mut self, now: Timestamp, sender: AgentLife, entry: &FlowEntry) {
+        let key = FlowKey {
+            source: entry.source.into(),
+            destination: self.address,
+        };
+        if entry.holder == 0 {
+            self.redirects.insert(now, key, sender);
+            return;
+        }
+        let holder = AgentLife {
+            node: NodeId(entry.holder),
+            incarnation: Incarnation(entry.holder_incarnation),
+        };
+        // What a third agent says about a flow is older than what is known
+        // here, and this agent knows its own flows.
+        if holder.node != self.own.node && self.redirects.get(&key).is_none() {
+            self.redirects.insert(now, key, holder);
+        }
+    }
+
+    fn unreleased_owner(&self, bucket: BucketIndex) -> Option<BucketOwner> {
+        if self.unreleased.is_empty() {
+            return None;
+        }
+        self.earlier_owners(bucket, self.generation())
+            .find(|owner| self.unreleased.contains(&owner.agent))
+    }
+
+    /// Returns the owners by listed generations before `generation`, the
+    /// newest first.
+    fn earlier_owners(
+        &self,
+        bucket: BucketIndex,
+        generation: u64,
+    ) -> impl Iterator<Item = BucketOwner> {
+        self.generations
+            .iter()
+            .rev()
+            .filter(move |it| it.number() < generation)
+            .filter_map(move |it| it.owner(bucket))
+    }
+}
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -7,11 +7,14 @@
 //! clock and draws randomness only from a seed that it was given. The daemons
 //! and the simulator therefore run exactly the same code.
 
+pub mod admission;
 pub mod cluster;
 pub mod error_kind;
 pub mod event;
+pub mod flow;
 pub mod identity;
 pub mod placement;
+pub mod routing;
 pub mod time;
 
 pub use error_kind::ErrorKind;
--- /dev/null
+++ b/crates/petrellatch-core/src/routing/mod.rs
@@ -0,0 +1,33 @@
+//! Routing: from a caller packet to the agent that admits or has its flow.
+//!
+//! A balancer looks up the service by the packet's destination, the bucket by
+//! its flow key, and the bucket's owner in the newest placement generation.
+//! It keeps no state per flow, so any balancer may see any packet of a flow.
+//!
+//! Guarantees: a packet is sent only to an agent that owns a bucket of the
+//! service whose address the packet carries, by the newest view of this
+//! balancer; what can't be routed is dropped with a [`DropReason`]. Tables are
+//! computed once for each generation and kept when other records change.
+//!
+//! ```
+//! use petrellatch_core::cluster::ClusterView;
+//! use petrellatch_core::identity::NodeId;
+//! use petrellatch_core::flow::PacketError;
+//! use petrellatch_core::routing::{DropReason, Router};
+//!
+//! let mut router = Router::new(NodeId::from_name("balancer-1"));
+//! router.refresh(&ClusterView::new());
+//! let dropped = router.route(b"no packet").err();
+//! assert_eq!(dropped, Some(DropReason::Malformed(PacketError::Truncated)));
+//! ```
+
+mod drop_reason;
+mod placed_generation;
+mod router;
+
+#[cfg(test)]
+mod tests;
+
+pub use drop_reason::DropReason;
+pub use placed_generation::{AgentLife, BucketOwner, PlacedGeneration};
+pub use router::Router;
--- /dev/null
+++ b/crates/petrellatch-core/src/routing/placed_generation.rs
@@ -0,0 +1,122 @@
+//! One placement generation, ready for lookups.
+
+use std::collections::BTreeMap;
+
+use petrellatch_proto::record::{GenerationRecord, ServiceRecord, ShareRecord};
+
+use crate::identity::{BackendId, BucketIndex, Incarnation, NodeId, ServiceId};
+use crate::placement::{BucketTable, Share};
+
+/// One life of an agent node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AgentLife {
+    /// The node.
+    pub node: NodeId,
+    /// The life.
+    pub incarnation: Incarnation,
+}
+
+/// Who admits the new flows of a bucket by one generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BucketOwner {
+    /// The back end.
+    pub backend: BackendId,
+    /// The agent beside it.
+    pub agent: AgentLife,
+    /// The generation that says so.
+    pub generation: u64,
+}
+
+/// The owners of all buckets of a service in one generation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedGeneration {
+    number: u64,
+    shares: Vec<ShareRecord>,
+    table: BucketTable,
+    lives: BTreeMap<BackendId, AgentLife>,
+}
+
+impl PlacedGeneration {
+    /// Computes the table.
+    pub fn compute(service: &ServiceRecord, generation: &GenerationRecord) -> Self {
+        let shares: Vec<Share> = generation.shares.iter().map(share_of).collect();
+        let table = BucketTable::compute(ServiceId(service.id), service.buckets, &shares);
+        let lives = generation
+            .shares
+            .iter()
+            .map(|share| (BackendId(share.backend), life_of(share)))
+            .collect();
+        PlacedGeneration {
+            number: generation.number,
+            shares: generation.shares.clone(),
+            table,
+            lives,
+        }
+    }
+
+    /// Returns whether this was computed from `generation`.
+    pub fn is_computed_from(&self, service: &ServiceRecord, generation: &GenerationRecord) -> bool {
+        self.table.service() == ServiceId(service.id)
+            && self.number == generation.number
+            && self.shares == generation.shares
+            && self.table.bucket_count() == service.buckets
+    }
+
+    /// Returns the number of the generation.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the shares of the generation, those without weight included.
+    pub fn shares(&self) -> &[ShareRecord] {
+        &self.shares
+    }
+
+    /// Returns the number of buckets.
+    pub fn bucket_count(&self) -> u32 {
+        self.table.bucket_count()
+    }
+
+    /// Returns who admits the new flows of `bucket`.
+    pub fn owner(&self, bucket: BucketIndex) -> Option<BucketOwner> {
+        let backend = self.table.primary(bucket)?;
+        let agent = *self.lives.get(&backend)?;
+        Some(BucketOwner {
+            backend,
+            agent,
+            generation: self.number,
+        })
+    }
+
+    /// Returns all buckets.
+    pub fn buckets(&self) -> impl Iterator<Item = BucketIndex> + use<> {
+        self.table.buckets()
+    }
+
+    /// Returns the lives of the agents that receive new flows.
+    pub fn receiving_lives(&self) -> impl Iterator<Item = AgentLife> {
+        self.shares
+            .iter()
+            .filter(|share| share.receives())
+            .map(life_of)
+    }
+
+    /// Returns the lives of all agents with a share, also without weight.
+    pub fn lives(&self) -> impl Iterator<Item = AgentLife> {
+        self.shares.iter().map(life_of)
+    }
+}
+
+fn share_of(share: &ShareRecord) -> Share {
+    Share {
+        backend: BackendId(share.backend),
+        weight: share.weight,
+    }
+}
+
+fn life_of(share: &ShareRecord) -> AgentLife {
+    AgentLife {
+        node: NodeId(share.node),
+        incarnation: Incarnation(share.incarnation),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/routing/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of this module.
