--- a/crates/petrellatch-core/src/admission/service_admission.rs
+++ b/crates/petrellatch-core/src/admission/service_admission.rs
@@ -210,8 +210,9 @@
         if !for_this_life && !self.mutations.ignore_incarnation {
             return None;
         }
-        if !view.is_member(sender.node, sender.incarnation) {
-            // The sender was fenced, or this view is too old to know it. It
+        let is_member = view.is_member(sender.node, sender.incarnation);
+        if !is_member || report.generation > self.generation() {
+            // The sender was fenced, or this view is too old. The sender
             // repeats the report as long as it is not confirmed.
             return None;
         }
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -9,10 +9,13 @@
 
 pub mod admission;
 pub mod cluster;
+pub mod consensus;
+pub mod dissemination;
 pub mod error_kind;
 pub mod event;
 pub mod flow;
 pub mod identity;
+pub mod node;
 pub mod placement;
 pub mod routing;
 pub mod time;
