Add the agent and balancer nodes

Cause: the daemons and the simulator need one state machine for each. Ruled out: accepting the caller before the connection to the back end came about, since a flow could then not be passed to another agent.

--- a/crates/petrellatch-core/src/admission/backend_limits.rs
+++ b/crates/petrellatch-core/src/admission/backend_limits.rs
@@ -34,6 +34,15 @@
     pub connections: u32,
 }
 
+impl BackendUse {
+    /// Replaces what one flow was counted for by what it uses now.
+    pub fn adjust(&mut self, before: BackendUse, after: BackendUse) {
+        self.busy = (self.busy + after.busy).saturating_sub(before.busy);
+        self.connections =
+            (self.connections + after.connections).saturating_sub(before.connections);
+    }
+}
+
 /// The limits of one back end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendLimits {
--- a/crates/petrellatch-core/src/admission/redirect_table.rs
+++ b/crates/petrellatch-core/src/admission/redirect_table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::identity::BackendId;
+use crate::identity::{BackendId, NodeId};
 use crate::placement::FlowKey;
 use crate::routing::AgentLife;
 
@@ -109,7 +109,7 @@
 
     /// Forgets a flow that ended at `holder`, unless the redirect is so new
     /// that the message may be about an earlier flow of the same caller port.
-    pub fn handle_ended(&mut self, now: Timestamp, key: &FlowKey, holder: AgentLife) {
+    pub fn handle_ended(&mut self, now: Timestamp, key: &FlowKey, holder: NodeId) {
         self.handle_not_here(now, key, holder);
     }
 
@@ -120,12 +120,12 @@
 
     /// Handles the word of a node that it does not have the flow. Returns
     /// whether the flow is unknown now.
-    pub fn handle_not_here(&mut self, now: Timestamp, key: &FlowKey, holder: AgentLife) -> bool {
+    pub fn handle_not_here(&mut self, now: Timestamp, key: &FlowKey, holder: NodeId) -> bool {
         let Some(redirect) = self.redirects.get(key) else {
             return true;
         };
         let settled = now.saturating_since(redirect.made_at) >= SETTLE_TIME;
-        if redirect.holder != holder || !settled {
+        if redirect.holder.node != holder || !settled {
             return false;
         }
         self.redirects.remove(key);
--- /dev/null
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -0,0 +1,373 @@
+//! Admission of a new flow: here, at another agent, or not at all.
+
+use petrellatch_proto::admission::HuntReply;
+use petrellatch_proto::data::ForwardKind;
+use petrellatch_proto::envelope::Body;
+use rand::RngExt;
+
+use crate::Timestamp;
+use crate::admission::{PeerCandidate, PendingHunt, Refusal, RefusalReason, Standing};
+use crate::flow::reset_for;
+use crate::identity::{BackendId, NodeId, ServiceId};
+use crate::routing::{BucketOwner, DropReason};
+
+use super::agent_output::{AgentOutput, FlowId};
+use super::node::{AgentNode, StopPhase};
+use super::open_flow::{FlowOrigin, FlowPhase, OpenFlow};
+use super::packets::CallerPacket;
+
+/// How many back ends are asked for one flow.
+const ASK_LIMIT: usize = 3;
+
+/// How many refused flows are answered at a time; others are reset.
+const REFUSING_LIMIT: usize = 1_024;
+
+/// What is to be done about a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Decision {
+    /// It is admitted at this back end of the agent.
+    Here(BackendId),
+    /// It is passed to another agent.
+    Pass(PeerCandidate),
+    /// It is refused.
+    Refuse(RefusalReason),
+}
+
+impl AgentNode {
+    /// Decides about a new flow in a settled bucket of this agent.
+    pub(super) fn open_flow(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+        owner: BucketOwner,
+    ) -> Result<(), DropReason> {
+        self.may_admit(now)?;
+        if !self.serves(owner.backend, &packet) {
+            return Err(DropReason::WrongBackend);
+        }
+        self.carry_out(now, packet, owner.backend, Vec::new())
+    }
+
+    /// Decides again about a new flow after the back ends in `asked` could not
+    /// take it. The flow has not reached any back end.
+    pub(super) fn reopen_flow(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+        backend: BackendId,
+        asked: Vec<BackendId>,
+    ) {
+        let owned = self.owns(&packet);
+        let outcome = match (owned, self.may_admit(now)) {
+            (false, _) => self.place(now, packet),
+            (true, Err(reason)) => Err(reason),
+            (true, Ok(())) => self.carry_out(now, packet, backend, asked),
+        };
+        if let Err(reason) = outcome {
+            self.counters.count_drop(reason);
+        }
+    }
+
+    /// Admits or refuses a flow that its owner passed here.
+    pub(super) fn take_hunted(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+    ) -> Result<(), DropReason> {
+        let backend = BackendId(packet.datagram.backend);
+        let owner = NodeId(packet.datagram.sender);
+        let room = self.check_room(now, backend);
+        let refused = self.may_admit(now).is_err() || room.is_err();
+        if refused || !self.serves(backend, &packet) {
+            self.answer_hunt(now, owner, &packet, backend, false);
+            return Ok(());
+        }
+        self.counters.hunted_in += 1;
+        self.admit(
+            now,
+            packet,
+            backend,
+            FlowOrigin::Hunted { owner },
+            Vec::new(),
+        );
+        Ok(())
+    }
+
+    /// Tells the owner that the flow it passed here was admitted.
+    pub(super) fn confirm_hunt(&mut self, now: Timestamp, owner: NodeId, id: FlowId) {
+        let Some(flow) = self.flows.get(id) else {
+            return;
+        };
+        let reply = HuntReply {
+            service: flow.service.0,
+            source: flow.key.source.into(),
+            admitted: true,
+            load: None,
+        };
+        self.send_hunt_reply(now, owner, flow.backend, reply);
+    }
+
+    /// Answers the owner of a flow that it passed here.
+    pub(super) fn answer_hunt(
+        &mut self,
+        now: Timestamp,
+        owner: NodeId,
+        packet: &CallerPacket,
+        backend: BackendId,
+        admitted: bool,
+    ) {
+        let reply = HuntReply {
+            service: packet.service.0,
+            source: packet.view.key.source.into(),
+            admitted,
+            load: None,
+        };
+        self.send_hunt_reply(now, owner, backend, reply);
+    }
+
+    /// Returns whether a back end can take one more flow.
+    pub(super) fn check_room(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+    ) -> Result<(), RefusalReason> {
+        if self.stop != StopPhase::Running {
+            return Err(RefusalReason::Leaving);
+        }
+        let local = self.backends.get(&backend);
+        local.ok_or(RefusalReason::Unreachable)?.check(now)
+    }
+
+    /// Refuses a new flow at once.
+    pub(super) fn refuse(&mut self, now: Timestamp, packet: CallerPacket, reason: RefusalReason) {
+        self.counters.count_refusal(reason);
+        let answer = self.refusal_answer(now, packet.service);
+        let Some(answer) = answer.filter(|_| self.refusing_flows() < REFUSING_LIMIT) else {
+            let reset = reset_for(&packet.datagram.packet);
+            self.outputs.extend(reset.map(AgentOutput::Packet));
+            return;
+        };
+        let mut flow = OpenFlow::refusing(now, packet.view.key, packet.service, answer);
+        let seed = self.random.random();
+        flow.accept(now, &packet.datagram.packet, self.settings.buffers, seed);
+        let id = self.flows.insert(flow);
+        self.settle_flow(now, id);
+    }
+
+    /// Returns what a refused caller of the service gets, none for a reset.
+    pub(super) fn refusal_answer(&self, now: Timestamp, service: ServiceId) -> Option<Vec<u8>> {
+        let state = self.services.get(&service)?;
+        let local = self.backends.values();
+        let waits = local
+            .filter(|it| it.record.service == service.0)
+            .map(|it| it.expected_wait(now));
+        let wait = waits.min().unwrap_or_default();
+        Refusal::of(&state.record, wait).answer()
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+        backend: BackendId,
+        asked: Vec<BackendId>,
+    ) -> Result<(), DropReason> {
+        let decision = self.decide(now, &packet, backend, &asked);
+        let refused = matches!(decision, Decision::Refuse(_));
+        if asked.is_empty()
+            && !refused
+            && let Some(state) = self.services.get_mut(&packet.service)
+        {
+            state.rate.take(now);
+        }
+        match decision {
+            Decision::Here(backend) => {
+                self.admit(now, packet, backend, FlowOrigin::Owner, asked);
+                Ok(())
+            }
+            Decision::Pass(candidate) => self.pass(now, packet, candidate, asked),
+            Decision::Refuse(reason) => {
+                self.refuse(now, packet, reason);
+                Ok(())
+            }
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Timestamp,
+        packet: &CallerPacket,
+        backend: BackendId,
+        asked: &[BackendId],
+    ) -> Decision {
+        let Some(state) = self.services.get_mut(&packet.service) else {
+            return Decision::Refuse(RefusalReason::Unreachable);
+        };
+        if asked.is_empty() && !state.rate.has_token(now) {
+            return Decision::Refuse(RefusalReason::RateLimit);
+        }
+        let tried = asked.contains(&backend);
+        let room = if tried {
+            Err(RefusalReason::Unreachable)
+        } else {
+            self.check_room(now, backend)
+        };
+        let other = self.best_other(now, packet, backend, asked);
+        match (room, other) {
+            (Ok(()), Some(other)) if self.is_clearly_better(packet, &other, backend) => {
+                self.pass_or_keep(other)
+            }
+            (Ok(()), _) => Decision::Here(backend),
+            (Err(_), Some(other)) => self.pass_or_keep(other),
+            (Err(reason), None) => Decision::Refuse(reason),
+        }
+    }
+
+    /// Another back end beside this same agent needs no passing on.
+    fn pass_or_keep(&self, other: PeerCandidate) -> Decision {
+        if other.agent == self.own_life() {
+            return Decision::Here(other.backend);
+        }
+        Decision::Pass(other)
+    }
+
+    /// Returns the least loaded other back end that was not asked yet.
+    fn best_other(
+        &mut self,
+        now: Timestamp,
+        packet: &CallerPacket,
+        backend: BackendId,
+        asked: &[BackendId],
+    ) -> Option<PeerCandidate> {
+        if self.settings.mutations.no_hunting || asked.len() >= ASK_LIMIT {
+            return None;
+        }
+        let own = self.own_life();
+        let candidates = self.services.get(&packet.service)?.candidates.clone();
+        let mut others = Vec::new();
+        for candidate in candidates {
+            let is_new = candidate.backend != backend && !asked.contains(&candidate.backend);
+            let has_room =
+                candidate.agent != own || self.check_room(now, candidate.backend).is_ok();
+            if is_new && has_room {
+                others.push(candidate);
+            }
+        }
+        let state = self.services.get(&packet.service)?;
+        state.loads.least_loaded(now, &others, &mut self.random)
+    }
+
+    fn is_clearly_better(
+        &self,
+        packet: &CallerPacket,
+        other: &PeerCandidate,
+        backend: BackendId,
+    ) -> bool {
+        let state = &self.services[&packet.service];
+        let busy = self.backends.get(&backend).map_or(0, |it| it.present.busy);
+        let weight = state.weight(backend);
+        let margin = self.settings.hunt_margin;
+        state.loads.is_clearly_less(other, busy, weight, margin)
+    }
+
+    /// Opens the connection to the back end; the caller's connection is
+    /// accepted once that came about.
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+        backend: BackendId,
+        origin: FlowOrigin,
+        asked: Vec<BackendId>,
+    ) {
+        let Some(local) = self.backends.get_mut(&backend) else {
+            return;
+        };
+        local.health.begin_probe(now);
+        let server = local.record.server.into();
+        let flow = OpenFlow::connecting(
+            now,
+            packet.view.key,
+            packet.service,
+            backend,
+            origin,
+            FlowPhase::Connecting {
+                opening: packet.datagram.packet,
+                asked,
+            },
+        );
+        let id = self.flows.insert(flow);
+        self.outputs
+            .push_back(AgentOutput::Connect { flow: id, server });
+        self.settle_flow(now, id);
+    }
+
+    /// Passes a new flow to another agent and remembers where it went.
+    fn pass(
+        &mut self,
+        now: Timestamp,
+        packet: CallerPacket,
+        candidate: PeerCandidate,
+        mut asked: Vec<BackendId>,
+    ) -> Result<(), DropReason> {
+        let Some(state) = self.services.get_mut(&packet.service) else {
+            return Err(DropReason::UnknownService);
+        };
+        asked.push(candidate.backend);
+        state.loads.note_passed(candidate.backend);
+        let pending = PendingHunt {
+            opening: packet.datagram.packet.clone(),
+            asked,
+        };
+        let redirects = &mut state.admission.redirects;
+        redirects.insert_pending(now, packet.view.key, candidate.agent, pending);
+        let generation = state.admission.generation();
+        self.counters.hunted += 1;
+        self.forward(
+            &packet,
+            candidate.agent,
+            ForwardKind::Hunted,
+            candidate.backend,
+            generation,
+        )
+    }
+
+    fn send_hunt_reply(
+        &mut self,
+        now: Timestamp,
+        owner: NodeId,
+        backend: BackendId,
+        mut reply: HuntReply,
+    ) {
+        let closed = self.check_room(now, backend).is_err();
+        if let Some(local) = self.backends.get_mut(&backend) {
+            reply.load = Some(local.load(closed));
+        }
+        if let Some(recipient) = self.directory.member(owner) {
+            self.send(recipient, Body::HuntReply(reply));
+        }
+    }
+
+    /// Returns whether the back end is beside this agent and of the packet's
+    /// service.
+    fn serves(&self, backend: BackendId, packet: &CallerPacket) -> bool {
+        let local = self.backends.get(&backend);
+        local.is_some_and(|it| it.record.service == packet.service.0)
+    }
+
+    /// Returns whether this agent decides about the packet's flow.
+    fn owns(&self, packet: &CallerPacket) -> bool {
+        let state = self.services.get(&packet.service);
+        state.is_some_and(|state| {
+            let standing = state.admission.standing(packet.bucket);
+            matches!(standing, Standing::Owner(_))
+        })
+    }
+
+    fn refusing_flows(&self) -> usize {
+        let flows = self.flows.iter();
+        flows
+            .filter(|(_, flow)| matches!(flow.phase, FlowPhase::Refusing { .. }))
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/agent_node/local_backend.rs
@@ -0,0 +1,132 @@
+//! A back end beside this agent.
+
+use std::time::Duration;
+
+use petrellatch_proto::admission::LoadReport;
+use petrellatch_proto::dissemination::BackendLoad;
+use petrellatch_proto::record::BackendRecord;
+
+use crate::Timestamp;
+use crate::admission::{BackendHealth, BackendLimits, BackendUse, RefusalReason, ServiceTime};
+
+/// The least time between two load reports of one back end.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A report that did not change is repeated once after this time, in case that
+/// the last one was lost.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a load report said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReportedLoad {
+    busy: u32,
+    closed: bool,
+    at: Timestamp,
+    repeated: bool,
+}
+
+/// A back end beside this agent: its limits and what it is doing.
+#[derive(Clone, Debug)]
+pub(super) struct LocalBackend {
+    /// Its record.
+    pub(super) record: BackendRecord,
+    /// What it is doing.
+    pub(super) present: BackendUse,
+    /// Whether it can be reached.
+    pub(super) health: BackendHealth,
+    /// How long it takes for a request.
+    pub(super) service_time: ServiceTime,
+    /// It said itself that it is draining.
+    pub(super) drains_itself: bool,
+    limits: BackendLimits,
+    sequence: u64,
+    reported: Option<ReportedLoad>,
+}
+
+impl LocalBackend {
+    /// Starts to serve a back end.
+    pub(super) fn new(now: Timestamp, record: &BackendRecord, wait_limit: Duration) -> Self {
+        LocalBackend {
+            record: record.clone(),
+            present: BackendUse::default(),
+            health: BackendHealth::new(),
+            service_time: ServiceTime::new(),
+            drains_itself: false,
+            limits: BackendLimits::new(now, record, wait_limit),
+            sequence: 0,
+            reported: None,
+        }
+    }
+
+    /// Takes over a changed record.
+    pub(super) fn update(&mut self, record: &BackendRecord) {
+        self.record = record.clone();
+        self.limits.update(record);
+    }
+
+    /// Returns whether one more flow may be admitted.
+    pub(super) fn check(&self, now: Timestamp) -> Result<(), RefusalReason> {
+        if self.drains_itself {
+            return Err(RefusalReason::Draining);
+        }
+        if self.health.is_closed(now) {
+            return Err(RefusalReason::Unreachable);
+        }
+        self.limits.check(now, self.present, &self.service_time)
+    }
+
+    /// Returns how long a refused caller should stay away.
+    pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
+        let slots = self.limits.slots(now);
+        self.service_time.expected_wait(self.present.busy, slots)
+    }
+
+    /// Returns the load as it is now, for messages that carry it anyway.
+    pub(super) fn load(&mut self, closed: bool) -> LoadReport {
+        self.sequence += 1;
+        LoadReport {
+            service: self.record.service,
+            backend: self.record.id,
+            busy: self.present.busy,
+            connections: self.present.connections,
+            closed,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Returns a report for the other agents if one is due.
+    pub(super) fn poll_report(&mut self, now: Timestamp, closed: bool) -> Option<LoadReport> {
+        let busy = self.present.busy;
+        let repeated = match self.reported {
+            None => false,
+            Some(last) => {
+                let elapsed = now.saturating_since(last.at);
+                let changed = last.busy != busy || last.closed != closed;
+                let due = changed && elapsed >= REPORT_INTERVAL;
+                let repeat = !changed && !last.repeated && elapsed >= REPEAT_INTERVAL;
+                if !due && !repeat {
+                    return None;
+                }
+                repeat
+            }
+        };
+        self.reported = Some(ReportedLoad {
+            busy,
+            closed,
+            at: now,
+            repeated,
+        });
+        Some(self.load(closed))
+    }
+
+    /// Returns the load for the leader.
+    pub(super) fn backend_load(&self) -> BackendLoad {
+        BackendLoad {
+            backend: self.record.id,
+            busy: self.present.busy,
+            connections: self.present.connections,
+            health: self.health.health(),
+            draining: self.drains_itself,
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -0,0 +1,302 @@
+//! The agent's state and its interface towards the driver.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
+
+use petrellatch_proto::data::DataDatagram;
+use petrellatch_proto::envelope::{Body, Envelope};
+use petrellatch_proto::record::RecordKey;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::Timestamp;
+use crate::dissemination::{DaemonLink, LinkOutput, StoredView};
+use crate::event::{Event, EventKind};
+use crate::identity::{BackendId, Incarnation, NodeId, ServiceId};
+use crate::node::NodeIdentity;
+use crate::routing::{AgentLife, DropReason};
+
+use super::agent_counters::AgentCounters;
+use super::agent_directory::AgentDirectory;
+use super::agent_output::AgentOutput;
+use super::agent_settings::AgentSettings;
+use super::flow_table::FlowTable;
+use super::local_backend::LocalBackend;
+use super::maintenance::Maintenance;
+use super::service_state::ServiceState;
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StopPhase {
+    /// Not asked to stop.
+    Running,
+    /// Nothing new is admitted; open flows are served.
+    Leaving,
+    /// Nothing is left to do and the lease was given up at this time.
+    GaveUp(Timestamp),
+    /// The process may end.
+    Stopped,
+}
+
+/// One agent. See the [module page](super) for the guarantees.
+pub struct AgentNode {
+    pub(super) settings: AgentSettings,
+    pub(super) identity: NodeIdentity,
+    pub(super) link: DaemonLink,
+    /// Earlier lives of this process, whose flows it still has.
+    pub(super) former_lives: BTreeSet<Incarnation>,
+    pub(super) services: BTreeMap<ServiceId, ServiceState>,
+    pub(super) service_of_address: BTreeMap<SocketAddrV4, ServiceId>,
+    pub(super) backends: BTreeMap<BackendId, LocalBackend>,
+    pub(super) directory: AgentDirectory,
+    pub(super) flows: FlowTable,
+    pub(super) maintenance: Maintenance,
+    pub(super) random: ChaCha8Rng,
+    pub(super) outputs: VecDeque<AgentOutput>,
+    pub(super) counters: AgentCounters,
+    pub(super) stop: StopPhase,
+}
+
+impl AgentNode {
+    /// Starts with a stored copy of the view, or with an empty view.
+    pub fn new(
+        now: Timestamp,
+        settings: AgentSettings,
+        identity: NodeIdentity,
+        seed: u64,
+        stored: Option<StoredView>,
+    ) -> Self {
+        let link_settings = settings.link.clone();
+        let link = DaemonLink::new(now, link_settings, identity.clone(), seed, stored);
+        let mut node = AgentNode {
+            settings,
+            identity,
+            link,
+            former_lives: BTreeSet::new(),
+            services: BTreeMap::new(),
+            service_of_address: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            directory: AgentDirectory::default(),
+            flows: FlowTable::default(),
+            maintenance: Maintenance::new(now),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            outputs: VecDeque::new(),
+            counters: AgentCounters::default(),
+            stop: StopPhase::Running,
+        };
+        node.refresh(now);
+        node
+    }
+
+    /// Takes a control message.
+    pub fn handle_control(&mut self, now: Timestamp, from: SocketAddrV4, envelope: Envelope) {
+        if !self.link.handle_control(now, from, &envelope) {
+            self.handle_agent_message(now, &envelope);
+        }
+        self.drain_link(now);
+    }
+
+    /// Takes a datagram with a caller packet.
+    pub fn handle_datagram(&mut self, now: Timestamp, datagram: DataDatagram) {
+        self.counters.packets += 1;
+        if let Err(reason) = self.take_packet(now, datagram) {
+            self.counters.count_drop(reason);
+        }
+    }
+
+    /// Does what is due by now.
+    pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.link.handle_timeout(now);
+        self.drain_link(now);
+        for flow in self.flows.due(now) {
+            self.handle_flow_timeout(now, flow);
+        }
+        self.send_flow_reports(now);
+        self.maintain(now);
+    }
+
+    /// Returns when [`AgentNode::handle_timeout`] wants to be called.
+    pub fn poll_timeout(&self) -> Option<Timestamp> {
+        let reports = self.services.values().map(|it| it.admission.poll_timeout());
+        let others = [
+            self.link.poll_timeout(),
+            self.flows.poll_timeout(),
+            Some(self.maintenance.due()),
+        ];
+        reports.chain(others).flatten().min()
+    }
+
+    /// Returns the next thing to do.
+    pub fn poll_output(&mut self) -> Option<AgentOutput> {
+        self.outputs.pop_front()
+    }
+
+    /// Starts a planned stop: nothing new is admitted, open flows are served
+    /// to their end, and then the lease is given up.
+    pub fn begin_stop(&mut self, now: Timestamp) {
+        if self.stop == StopPhase::Running {
+            self.stop = StopPhase::Leaving;
+            self.report_upward(now);
+            self.maintain(now);
+        }
+    }
+
+    /// Returns whether a planned stop is complete.
+    pub fn is_stopped(&self) -> bool {
+        self.stop == StopPhase::Stopped
+    }
+
+    /// Takes the word of a back end that it is draining, or that it is not.
+    pub fn set_backend_draining(&mut self, now: Timestamp, backend: BackendId, draining: bool) {
+        if let Some(local) = self.backends.get_mut(&backend) {
+            local.drains_itself = draining;
+            self.report_upward(now);
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &AgentCounters {
+        &self.counters
+    }
+
+    /// Returns how many flows are open, those that only wait for late packets
+    /// left out.
+    pub fn open_flows(&self) -> usize {
+        let flows = self.flows.iter();
+        flows.filter(|(_, flow)| !flow.is_lingering()).count()
+    }
+
+    /// Returns the link to the control group.
+    pub fn link(&self) -> &DaemonLink {
+        &self.link
+    }
+
+    /// Returns the present life of this agent.
+    pub(super) fn own_life(&self) -> AgentLife {
+        AgentLife {
+            node: self.identity.node,
+            incarnation: self.identity.incarnation,
+        }
+    }
+
+    /// Returns whether this life may admit flows now.
+    pub(super) fn may_admit(&self, now: Timestamp) -> Result<(), DropReason> {
+        if !self.link.is_current() {
+            return Err(DropReason::NotCurrent);
+        }
+        let own = self.own_life();
+        let is_member = self.link.view().is_member(own.node, own.incarnation);
+        let in_time = self.link.lease_until().is_some_and(|until| now < until);
+        let valid = is_member && in_time;
+        if !valid && !self.settings.mutations.ignore_lease {
+            return Err(DropReason::NoLease);
+        }
+        Ok(())
+    }
+
+    /// Sends a control message to another agent.
+    pub(super) fn send(&mut self, recipient: AgentLife, body: Body) {
+        if let Some(address) = self.directory.find(recipient) {
+            let envelope = self.identity.envelope(Some(recipient.node), body);
+            let to = address.control;
+            self.outputs.push_back(AgentOutput::Send { to, envelope });
+        }
+    }
+
+    /// Logs an event.
+    pub(super) fn emit(&mut self, kind: EventKind, subject: impl Into<String>) {
+        let event = Event::new(kind, subject);
+        self.outputs.push_back(AgentOutput::Event(event));
+    }
+
+    fn drain_link(&mut self, now: Timestamp) {
+        while let Some(output) = self.link.poll_output() {
+            match output {
+                LinkOutput::Send { to, envelope } => {
+                    self.outputs.push_back(AgentOutput::Send { to, envelope });
+                }
+                LinkOutput::Changed { keys } => self.handle_changed(now, &keys),
+                LinkOutput::Fenced => self.handle_fenced(now),
+                LinkOutput::Event(event) => self.outputs.push_back(AgentOutput::Event(event)),
+                LinkOutput::Lease(_) | LinkOutput::Current => {}
+            }
+        }
+    }
+
+    fn handle_changed(&mut self, now: Timestamp, keys: &[RecordKey]) {
+        self.maintenance.view_changed();
+        let matters = |key: &RecordKey| !matches!(key, RecordKey::Policy(_));
+        if keys.iter().any(matters) {
+            self.refresh(now);
+        }
+    }
+
+    /// Goes on under a new life, with the flows that are open, unless this
+    /// process stops.
+    fn handle_fenced(&mut self, now: Timestamp) {
+        if matches!(self.stop, StopPhase::GaveUp(_)) {
+            self.stop = StopPhase::Stopped;
+            return;
+        }
+        let incarnation = Incarnation(self.random.random());
+        self.former_lives.insert(self.identity.incarnation);
+        self.identity.incarnation = incarnation;
+        self.link.new_life(now, incarnation);
+        self.refresh(now);
+    }
+
+    /// Takes over the view.
+    fn refresh(&mut self, now: Timestamp) {
+        let own = self.own_life();
+        self.directory.refresh(self.link.view());
+        self.refresh_backends(now);
+        self.refresh_services(now, own);
+        self.retry_held_openings(now);
+        self.send_flow_reports(now);
+        self.report_upward(now);
+    }
+
+    fn refresh_backends(&mut self, now: Timestamp) {
+        let view = self.link.view();
+        let name = &self.identity.name;
+        let mut former = std::mem::take(&mut self.backends);
+        for record in view.backends().filter(|it| it.agent == *name) {
+            let id = BackendId(record.id);
+            let mut backend = former
+                .remove(&id)
+                .unwrap_or_else(|| LocalBackend::new(now, record, self.settings.wait_limit));
+            backend.update(record);
+            self.backends.insert(id, backend);
+        }
+    }
+
+    fn refresh_services(&mut self, now: Timestamp, own: AgentLife) {
+        let view = self.link.view();
+        self.service_of_address.clear();
+        let mut former = std::mem::take(&mut self.services);
+        for record in view.services() {
+            let id = ServiceId(record.id);
+            let known = former.remove(&id);
+            if known.is_none() && !takes_part(&self.link, id, own.node) {
+                continue;
+            }
+            let mutations = self.settings.mutations;
+            let mut state = known.unwrap_or_else(|| ServiceState::new(now, record, own, mutations));
+            let flows = self.flows.keys_of(id);
+            state.admission.apply(now, view, record, own, &flows);
+            state.refresh(view, record);
+            self.service_of_address.insert(record.address.into(), id);
+            self.services.insert(id, state);
+        }
+    }
+}
+
+/// Returns whether a node has a back end of a service or a share in it.
+fn takes_part(link: &DaemonLink, service: ServiceId, node: NodeId) -> bool {
+    let view = link.view();
+    let mut backends = view.backends_of(service);
+    let generations = view.placement(service).map(|it| &it.generations);
+    let mut shares = generations.into_iter().flatten().flat_map(|it| &it.shares);
+    backends.any(|it| NodeId::from_name(&it.agent) == node)
+        || shares.any(|share| share.node == node.0)
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/balancer_node/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the balancer.
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -8,6 +8,8 @@
 //! and the simulator therefore run exactly the same code.
 
 pub mod admission;
+pub mod agent_node;
+pub mod balancer_node;
 pub mod cluster;
 pub mod consensus;
 pub mod dissemination;
--- a/crates/petrellatch-proto/src/admission.rs
+++ b/crates/petrellatch-proto/src/admission.rs
@@ -67,6 +67,9 @@
     /// Whether the flow was admitted.
     #[prost(bool, tag = "3")]
     pub admitted: bool,
+    /// The load of the back end that was asked.
+    #[prost(message, optional, tag = "4")]
+    pub load: Option<LoadReport>,
 }
 
 /// Flows that ended at the sender, so that the admitting agent can forget the
