Test handover, failures and refusals; use free slots elsewhere first

Cause: a test showed that flows waited at their own back end while others had free slots. Ruled out: a shorter wait limit, which would only refuse them. Change: a flow without a free slot goes to a back end that has one and waits only if none has. Tests bring about planned and double moves with lost reports, differing views, crash and claim, a cut-off agent, lease expiry, reused ports, wrong lives and services, refusals; a random model checks that at most one agent admits in a bucket.

--- a/crates/petrellatch-core/src/admission/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of this module.
--- /dev/null
+++ b/crates/petrellatch-core/src/admission/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the parts of admission.
+
+mod exclusive;
+mod limits;
+mod reports;
--- /dev/null
+++ b/crates/petrellatch-core/src/admission/tests/reports.rs
@@ -0,0 +1,119 @@
+//! Flow reports and redirects.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::admission::{FlowEntry, FlowReportAck};
+
+use crate::Timestamp;
+use crate::admission::{RedirectTable, ReportInbox, ReportOutbox};
+use crate::identity::{Incarnation, NodeId, ServiceId};
+use crate::placement::FlowKey;
+use crate::routing::AgentLife;
+
+fn life(node: u64, incarnation: u64) -> AgentLife {
+    AgentLife {
+        node: NodeId(node),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn key(port: u16) -> FlowKey {
+    FlowKey {
+        source: SocketAddrV4::new([10, 8, 0, 1].into(), port),
+        destination: SocketAddrV4::new([10, 9, 0, 1].into(), 80),
+    }
+}
+
+fn entries(count: u16) -> Vec<FlowEntry> {
+    let entry = |port| FlowEntry {
+        source: key(port).source.into(),
+        holder: 0,
+        holder_incarnation: 0,
+    };
+    (1..=count).map(entry).collect()
+}
+
+#[test]
+fn parts_are_repeated_until_confirmed_and_complete_in_any_order() {
+    let mut outbox = ReportOutbox::new();
+    let mut inbox = ReportInbox::new();
+    let (sender, recipient) = (life(1, 1), life(2, 1));
+    let mut now = Timestamp::ZERO;
+    outbox.put(now, recipient, ServiceId(1), 7, &entries(1_000));
+    let mut parts = Vec::new();
+    while let Some(outgoing) = outbox.poll(now) {
+        parts.push(outgoing.report);
+    }
+    assert_eq!(parts.len(), 4);
+    // One part is lost, the others arrive twice and in reverse.
+    for part in parts.iter().skip(1).rev().chain(parts.iter().skip(1)) {
+        inbox.handle_part(sender, part);
+        let (generation, part) = (part.generation, part.part);
+        outbox.handle_ack(
+            recipient,
+            &FlowReportAck {
+                service: 1,
+                generation,
+                part,
+            },
+        );
+    }
+    assert!(!inbox.is_complete(sender, 7));
+    assert!(outbox.poll(now).is_none());
+    now = outbox.poll_timeout().unwrap();
+    let repeated = outbox.poll(now).unwrap().report;
+    assert_eq!(repeated.part, 0);
+    inbox.handle_part(sender, &repeated);
+    assert!(inbox.is_complete(sender, 7));
+    assert!(
+        !inbox.is_complete(sender, 6),
+        "it is about generation 7 only"
+    );
+    let taken = inbox.take_complete(7);
+    assert_eq!(taken[0].1.len(), 1_000);
+    assert!(inbox.take_complete(7).is_empty(), "flows are taken once");
+}
+
+#[test]
+fn a_late_report_does_not_replace_a_newer_one() {
+    let mut outbox = ReportOutbox::new();
+    let mut inbox = ReportInbox::new();
+    let now = Timestamp::ZERO;
+    outbox.put(now, life(2, 1), ServiceId(1), 7, &[]);
+    let older = outbox.poll(now).unwrap().report;
+    outbox.put(now, life(2, 1), ServiceId(1), 8, &[]);
+    let newer = outbox.poll(now).unwrap().report;
+    inbox.handle_part(life(1, 1), &newer);
+    inbox.handle_part(life(1, 1), &older);
+    assert!(inbox.is_complete(life(1, 1), 8));
+}
+
+#[test]
+fn a_fresh_redirect_outlives_an_older_word_of_the_holder() {
+    let mut redirects = RedirectTable::new();
+    redirects.insert(Timestamp::ZERO, key(1), life(2, 1));
+    let early = Timestamp::from_millis(50);
+    assert!(!redirects.handle_not_here(early, &key(1), NodeId(2)));
+    let late = Timestamp::from_millis(500);
+    assert!(!redirects.handle_not_here(late, &key(1), NodeId(3)));
+    assert!(redirects.handle_not_here(late, &key(1), NodeId(2)));
+    assert!(redirects.is_empty());
+}
+
+#[test]
+fn redirects_to_a_fenced_life_are_kept_for_a_while() {
+    let mut redirects = RedirectTable::new();
+    let idle = Duration::from_secs(600);
+    redirects.insert(Timestamp::ZERO, key(1), life(2, 1));
+    redirects.insert(Timestamp::ZERO, key(2), life(3, 1));
+    redirects.mark_orphans(Timestamp::ZERO, |it| it.node != NodeId(2));
+    redirects.expire(Timestamp::from_millis(59_000), idle);
+    assert!(redirects.get(&key(1)).unwrap().is_orphaned());
+    redirects.expire(Timestamp::from_millis(61_000), idle);
+    assert!(redirects.get(&key(1)).is_none());
+    assert!(redirects.get(&key(2)).is_some());
+    // A new life of the node has said which flows it has.
+    redirects.replace_former_lives(life(3, 2));
+    assert!(redirects.is_empty());
+}
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -76,8 +76,8 @@
     ) -> Result<(), DropReason> {
         let backend = BackendId(packet.datagram.backend);
         let owner = NodeId(packet.datagram.sender);
-        let room = self.check_room(now, backend);
-        let refused = self.may_admit(now).is_err() || room.is_err();
+        let has_room = self.check_room(now, backend).is_ok() && self.has_free_slot(now, backend);
+        let refused = self.may_admit(now).is_err() || !has_room;
         if refused || !self.serves(backend, &packet) {
             self.answer_hunt(now, owner, &packet, backend, false);
             return Ok(());
@@ -213,13 +213,14 @@
             self.check_room(now, backend)
         };
         let other = self.best_other(now, packet, backend, asked);
-        match (room, other) {
-            (Ok(()), Some(other)) if self.is_clearly_better(packet, &other, backend) => {
+        let free = room.is_ok() && self.has_free_slot(now, backend);
+        match other {
+            Some(other) if !free || self.is_clearly_better(packet, &other, backend) => {
                 self.pass_or_keep(other)
             }
-            (Ok(()), _) => Decision::Here(backend),
-            (Err(_), Some(other)) => self.pass_or_keep(other),
-            (Err(reason), None) => Decision::Refuse(reason),
+            // Nobody has a free slot: the flow waits here if it is for a short
+            // time only.
+            _ => room.map_or_else(Decision::Refuse, |()| Decision::Here(backend)),
         }
     }
 
@@ -355,6 +356,11 @@
         local.is_some_and(|it| it.record.service == packet.service.0)
     }
 
+    fn has_free_slot(&self, now: Timestamp, backend: BackendId) -> bool {
+        let local = self.backends.get(&backend);
+        local.is_some_and(|it| it.has_free_slot(now))
+    }
+
     /// Returns whether this agent decides about the packet's flow.
     fn owns(&self, packet: &CallerPacket) -> bool {
         let state = self.services.get(&packet.service);
--- a/crates/petrellatch-core/src/agent_node/local_backend.rs
+++ b/crates/petrellatch-core/src/agent_node/local_backend.rs
@@ -75,6 +75,12 @@
         self.limits.check(now, self.present, &self.service_time)
     }
 
+    /// Returns whether one more request would be worked on at once.
+    pub(super) fn has_free_slot(&self, now: Timestamp) -> bool {
+        let slots = self.limits.slots(now);
+        slots == 0 || self.present.busy < slots
+    }
+
     /// Returns how long a refused caller should stay away.
     pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
         let slots = self.limits.slots(now);
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -6,4 +6,5 @@
 
 mod failures;
 mod handover;
+mod refusals;
 mod serving;
--- a/crates/petrellatch-core/src/agent_node/tests/world.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/world.rs
@@ -26,6 +26,7 @@
 /// Another service, to see that packets don't cross.
 pub(super) const GALLERY: u32 = 2;
 
+#[derive(Clone)]
 pub(super) enum Happening {
     Control(SocketAddrV4, SocketAddrV4, Envelope),
     Datagram(SocketAddrV4, DataDatagram),
@@ -55,6 +56,7 @@
     pub(super) cut_off: BTreeSet<String>,
     pub(super) settings: AgentSettings,
     pub(super) loss_permille: u32,
+    pub(super) duplicate_permille: u32,
     pub(super) greatest_delay: Duration,
     pub(super) service_time: Duration,
 }
@@ -102,6 +104,7 @@
             cut_off: BTreeSet::new(),
             settings,
             loss_permille: 0,
+            duplicate_permille: 0,
             greatest_delay: Duration::from_millis(1),
             service_time: Duration::from_millis(20),
         };
@@ -187,6 +190,19 @@
         self.poll_caller(source);
     }
 
+    /// The packet that opens a flow from a caller port, unsent.
+    pub(super) fn opening_packet(&mut self, number: u16) -> Vec<u8> {
+        let mut caller = Caller::connect(self.now, source(number), address_of(DESK));
+        caller.poll(self.now).remove(0)
+    }
+
+    /// The datagram that opens a flow of the first service.
+    pub(super) fn opening_datagram(&mut self, number: u16) -> DataDatagram {
+        let packet = self.opening_packet(number);
+        let routed = self.balancers[0].handle_packet(self.now, &packet);
+        routed.expect("the service is placed").1
+    }
+
     /// Sends more bytes on an open flow.
     pub(super) fn say(&mut self, number: u16, request: &str) {
         let source = source(number);
@@ -433,6 +449,9 @@
         let lost = self.random.random_range(0..1_000) < self.loss_permille;
         let greatest = u64::try_from(self.greatest_delay.as_micros()).unwrap();
         let delay = Duration::from_micros(self.random.random_range(100..=greatest.max(100)));
+        if self.random.random_range(0..1_000) < self.duplicate_permille {
+            self.push_after(delay * 2, happening.clone());
+        }
         if !lost {
             self.push_after(delay, happening);
         }
--- a/crates/petrellatch-core/src/flow/tests.rs
+++ b/crates/petrellatch-core/src/flow/tests.rs
@@ -1,1 +1,97 @@
-//! Tests of this module.
+//! Tests of the callers' side of TCP.
+
+use assert_matches::assert_matches;
+use smoltcp::wire::{Ipv4Packet, TcpPacket};
+
+use super::{FlowBuffers, FlowTerminator, PacketError, PacketView, reset_for};
+use crate::Timestamp;
+
+/// A SYN from 10.8.0.1:5000 to 10.9.0.1:80, without checksums.
+fn opening() -> Vec<u8> {
+    let mut packet = vec![0; 40];
+    let mut ip = Ipv4Packet::new_unchecked(&mut packet[..]);
+    ip.set_version(4);
+    ip.set_header_len(20);
+    ip.set_total_len(40);
+    ip.set_hop_limit(64);
+    ip.set_next_header(smoltcp::wire::IpProtocol::Tcp);
+    ip.set_src_addr([10, 8, 0, 1].into());
+    ip.set_dst_addr([10, 9, 0, 1].into());
+    ip.fill_checksum();
+    let mut tcp = TcpPacket::new_unchecked(ip.payload_mut());
+    tcp.set_src_port(5_000);
+    tcp.set_dst_port(80);
+    tcp.set_seq_number(smoltcp::wire::TcpSeqNumber(1_000));
+    tcp.set_header_len(20);
+    tcp.set_syn(true);
+    tcp.set_window_len(1_000);
+    let source = smoltcp::wire::IpAddress::v4(10, 8, 0, 1);
+    let destination = smoltcp::wire::IpAddress::v4(10, 9, 0, 1);
+    tcp.fill_checksum(&source, &destination);
+    packet
+}
+
+#[test]
+fn a_packet_is_read() {
+    let view = PacketView::parse(&opening()).unwrap();
+    assert!(view.opens && !view.resets);
+    assert_eq!(view.key.source.to_string(), "10.8.0.1:5000");
+    assert_eq!(view.key.destination.to_string(), "10.9.0.1:80");
+}
+
+#[test]
+fn what_can_not_be_used_is_refused_with_a_reason() {
+    assert_matches!(PacketView::parse(&[]), Err(PacketError::Truncated));
+    let packet = opening();
+    for length in 1..40 {
+        assert!(PacketView::parse(&packet[..length]).is_err());
+    }
+    let mut version_six = packet.clone();
+    version_six[0] = 0x65;
+    assert_matches!(PacketView::parse(&version_six), Err(PacketError::NotIpv4));
+    let mut fragment = packet.clone();
+    fragment[6] |= 0x20;
+    assert_matches!(PacketView::parse(&fragment), Err(PacketError::Fragment));
+    let mut udp = packet.clone();
+    udp[9] = 17;
+    assert_matches!(PacketView::parse(&udp), Err(PacketError::NotTcp));
+    let mut no_port = packet.clone();
+    no_port[20..22].fill(0);
+    assert_matches!(PacketView::parse(&no_port), Err(PacketError::MalformedTcp));
+    let mut offset = packet;
+    offset[32] = 0xf0;
+    assert_matches!(PacketView::parse(&offset), Err(PacketError::MalformedTcp));
+}
+
+#[test]
+fn a_reset_is_one_that_the_caller_accepts() {
+    let reset = reset_for(&opening()).unwrap();
+    let view = PacketView::parse(&reset).unwrap();
+    assert!(view.resets);
+    assert_eq!(view.key.destination.to_string(), "10.8.0.1:5000");
+    let ip = Ipv4Packet::new_checked(&reset[..]).unwrap();
+    assert!(ip.verify_checksum());
+    let tcp = TcpPacket::new_checked(ip.payload()).unwrap();
+    assert_eq!(tcp.ack_number().0, 1_001);
+    assert_eq!(reset_for(&reset), None, "a reset is never answered");
+}
+
+#[test]
+fn a_reset_during_the_handshake_ends_the_flow() {
+    let now = Timestamp::from_millis(1);
+    let view = PacketView::parse(&opening()).unwrap();
+    let mut terminator = FlowTerminator::new(now, &view.key, FlowBuffers::default(), 7);
+    assert!(!terminator.is_closed());
+    terminator.handle_packet(now, &opening());
+    let answer = terminator.poll_packet().expect("the SYN is answered");
+    assert!(!terminator.is_established());
+    let mut reset = reset_for(&answer).unwrap();
+    // The reset of a caller that does not know the connection.
+    assert!(PacketView::parse(&reset).unwrap().resets);
+    terminator.handle_packet(now, &reset);
+    assert!(terminator.is_closed());
+    // A repeated SYN does not open it again.
+    reset = opening();
+    terminator.handle_packet(now, &reset);
+    assert_eq!(terminator.poll_packet(), None);
+}
--- a/crates/petrellatch-core/src/routing/mod.rs
+++ b/crates/petrellatch-core/src/routing/mod.rs
@@ -18,7 +18,7 @@
 //! let mut router = Router::new(NodeId::from_name("balancer-1"));
 //! router.refresh(&ClusterView::new());
 //! let dropped = router.route(b"no packet").err();
-//! assert_eq!(dropped, Some(DropReason::Malformed(PacketError::Truncated)));
+//! assert_eq!(dropped, Some(DropReason::Malformed(PacketError::NotIpv4)));
 //! ```
 
 mod drop_reason;
