--- /dev/null
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -0,0 +1,10 @@
+//! Tests of agents and balancers together, on a virtual clock.
+
+mod caller;
+mod control_stub;
+mod world;
+
+mod failures;
+mod handover;
+mod refusals;
+mod serving;
