Add the command line, settings, errors and operator client

Cause: the programs need one product frame before they get state machines.

Ruled out: reporting only the first problem of a settings file (an operator would run the check once a mistake); a registry of HTTP frameworks (tiny_http serves two small APIs); reading the cluster key from a flag (it would show in the process list).

Change: gumdrop command line with an explanation and an example for each command; TOML settings with flags over them, where every unknown key and impossible value is listed with file, line, key, value and what is allowed; errors with exit codes by kind; numbered events in the log; operator documents in TOML and JSON; the operator client with a deadline, a retry budget and full jitter; HTTP server with bounds; catalogues of errors, events and settings that a test compares with the code.

--- /dev/null
+++ b/crates/petrellatch/src/api/mod.rs
@@ -0,0 +1,19 @@
+//! What operators and control replicas say to each other in JSON.
+//!
+//! The documents that operators write in TOML have the same fields.
+
+mod change;
+mod document;
+mod error_body;
+mod status;
+
+pub use change::{ChangeAccepted, ChangeRequest, DrainEdit, DrainKind, EditDocument};
+pub use document::{
+    BackendDocument, Configuration, Document, DocumentError, PolicyDocument, Refusal,
+    ServiceDocument,
+};
+pub use error_body::{ErrorBody, ErrorDocument, kind_by_name};
+pub use status::{
+    BackendShare, MemberStatus, PolicyCheck, PolicyDecision, PolicyExplanation, ServiceStatus,
+    StatusDocument,
+};
--- /dev/null
+++ b/crates/petrellatch/src/ctl/apply.rs
@@ -0,0 +1,102 @@
+//! `ctl apply` and `ctl get`.
+
+use std::path::Path;
+
+use petrellatch_core::ErrorKind;
+
+use super::client::{Failure, OperatorClient};
+use super::edits::edits_between;
+use super::output::{print_document, print_result};
+use super::request_error;
+use crate::api::{ChangeAccepted, ChangeRequest, Configuration, Document};
+use crate::command_line::{ApplyOptions, OutputFormat};
+use crate::error::ProgramError;
+
+/// Path of the operator API for changes.
+const CHANGES: &str = "/v1/changes";
+/// Path of the operator API for the configuration.
+const CONFIGURATION: &str = "/v1/configuration";
+
+/// Makes the configuration equal to a document.
+pub fn run(
+    client: &mut OperatorClient,
+    options: &ApplyOptions,
+    output: OutputFormat,
+) -> Result<(), ProgramError> {
+    let Some(path) = &options.file else {
+        let message = "ctl apply needs a document".to_string();
+        return Err(ProgramError::Usage { message });
+    };
+    let wanted = read_document(path)?;
+    loop {
+        let current: Configuration = client.get(CONFIGURATION)?;
+        let edits = edits_between(&current.document, &wanted, options.prune);
+        if edits.is_empty() {
+            print_result(output, "nothing to change", current.version);
+            return Ok(());
+        }
+        let request = ChangeRequest {
+            request_id: options.request_id.clone().unwrap_or_else(draw_request_id),
+            based_on: options.based_on.unwrap_or(current.version),
+            edits,
+        };
+        match send(client, &request) {
+            Ok(accepted) => {
+                print_result(output, "accepted", accepted.version);
+                return Ok(());
+            }
+            Err(failure) if failure.kind == ErrorKind::Conflict && options.rebase => {
+                check_time(client)?;
+            }
+            Err(failure) => return Err(failure.into()),
+        }
+    }
+}
+
+/// Prints the configuration.
+pub fn get(client: &mut OperatorClient, output: OutputFormat) -> Result<(), ProgramError> {
+    let configuration: Configuration = client.get(CONFIGURATION)?;
+    print_document(output, &configuration, || {
+        let text = toml::to_string(&configuration.document);
+        let version = configuration.version;
+        format!("# version {version}\n{}", text.unwrap_or_default())
+    });
+    Ok(())
+}
+
+/// Sends a change until its outcome is known.
+pub fn send(
+    client: &mut OperatorClient,
+    request: &ChangeRequest,
+) -> Result<ChangeAccepted, Failure> {
+    client.post(CHANGES, request)
+}
+
+/// Reads the version to base a change on.
+pub fn current_version(client: &mut OperatorClient) -> Result<u64, ProgramError> {
+    let configuration: Configuration = client.get(CONFIGURATION)?;
+    Ok(configuration.version)
+}
+
+/// Draws a request id that no other change has.
+pub fn draw_request_id() -> String {
+    format!("ctl-{:032x}", rand::random::<u128>())
+}
+
+/// Refuses to go on when the deadline is over.
+pub fn check_time(client: &OperatorClient) -> Result<(), ProgramError> {
+    if client.time_left().is_zero() {
+        let message = "other changes came first until the deadline";
+        return Err(request_error(ErrorKind::DeadlineExceeded, message));
+    }
+    Ok(())
+}
+
+/// Reads an operator document.
+pub fn read_document(path: &Path) -> Result<Document, ProgramError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| request_error(ErrorKind::NotFound, format!("{name}: {error}")))?;
+    Document::parse(&name, &text)
+        .map_err(|error| request_error(ErrorKind::Invalid, error.to_string()))
+}
--- /dev/null
+++ b/crates/petrellatch/src/ctl/client.rs
@@ -0,0 +1,209 @@
+//! Sends requests to the operator API until the answer is known.
+
+use std::net::SocketAddrV4;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use petrellatch_core::ErrorKind;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use super::backoff::Backoff;
+use super::request_error;
+use crate::api::{ErrorBody, ErrorDocument, kind_by_name};
+use crate::error::ProgramError;
+
+/// The longest wait for one answer, so that a silent server is left for
+/// another one in time.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(5);
+/// How many leader hints are followed in a row without a wait.
+const MAX_HINTS_IN_A_ROW: u32 = 3;
+
+/// A failure that a server reported, or that kept its answer away.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// The kind.
+    pub kind: ErrorKind,
+    /// What the server said.
+    pub body: ErrorBody,
+}
+
+/// A client of the control replicas.
+#[derive(Debug)]
+pub struct OperatorClient {
+    agent: Agent,
+    servers: Vec<String>,
+    /// The server that is asked next.
+    current: usize,
+    backoff: Backoff,
+    deadline: Instant,
+}
+
+impl OperatorClient {
+    /// Makes a client of these servers.
+    pub fn new(servers: &[String], retries: u32, deadline: Instant) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .build()
+            .into();
+        OperatorClient {
+            agent,
+            servers: servers.to_vec(),
+            current: 0,
+            backoff: Backoff::new(retries),
+            deadline,
+        }
+    }
+
+    /// Reads a document.
+    pub fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, Failure> {
+        self.request(path, None)
+    }
+
+    /// Sends a document and reads the answer. The server must treat a resent
+    /// document as the same request.
+    pub fn post<T: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        document: &impl Serialize,
+    ) -> Result<T, Failure> {
+        let body = serde_json::to_vec(document)
+            .map_err(|error| Failure::new(ErrorKind::Internal, error.to_string()))?;
+        self.request(path, Some(&body))
+    }
+
+    /// Returns the time left before the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn request<T: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        body: Option<&[u8]>,
+    ) -> Result<T, Failure> {
+        let mut hints = 0;
+        loop {
+            let failure = match self.attempt(path, body) {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            if !failure.kind.answer().retryable {
+                return Err(failure);
+            }
+            let hinted = hints < MAX_HINTS_IN_A_ROW && self.follow_hint(&failure);
+            if hinted {
+                hints += 1;
+                continue;
+            }
+            hints = 0;
+            self.current = (self.current + 1) % self.servers.len();
+            self.wait_before_retry(failure)?;
+        }
+    }
+
+    /// Makes the leader that the failure names the next server.
+    fn follow_hint(&mut self, failure: &Failure) -> bool {
+        let Some(leader) = &failure.body.leader else {
+            return false;
+        };
+        if leader.parse::<SocketAddrV4>().is_err() || self.servers[self.current] == *leader {
+            return false;
+        }
+        let known = self.servers.iter().position(|server| server == leader);
+        self.current = known.unwrap_or_else(|| {
+            self.servers.push(leader.clone());
+            self.servers.len() - 1
+        });
+        true
+    }
+
+    fn wait_before_retry(&mut self, failure: Failure) -> Result<(), Failure> {
+        let wish = Duration::from_millis(failure.body.retry_after_ms.unwrap_or(0));
+        let Some(wait) = self.backoff.next_wait(wish) else {
+            return Err(failure);
+        };
+        if wait >= self.time_left() {
+            let message = format!(
+                "no answer in time; the last failure: {}",
+                failure.body.message
+            );
+            return Err(Failure::new(ErrorKind::DeadlineExceeded, message));
+        }
+        thread::sleep(wait);
+        Ok(())
+    }
+
+    fn attempt<T: DeserializeOwned>(&self, path: &str, body: Option<&[u8]>) -> Result<T, Failure> {
+        let server = &self.servers[self.current];
+        let url = format!("http://{server}{path}");
+        let limit = Some(self.time_left().min(ATTEMPT_LIMIT));
+        let sent = match body {
+            Some(body) => self
+                .agent
+                .post(&url)
+                .config()
+                .timeout_global(limit)
+                .build()
+                .header("Content-Type", "application/json")
+                .send(body),
+            None => {
+                let request = self.agent.get(&url).config().timeout_global(limit);
+                request.build().call()
+            }
+        };
+        let response = sent.map_err(|error| unreachable(server, &error))?;
+        read(server, response)
+    }
+}
+
+fn read<T: DeserializeOwned>(server: &str, mut response: Response<Body>) -> Result<T, Failure> {
+    let text = response
+        .body_mut()
+        .read_to_string()
+        .map_err(|error| unreachable(server, &error))?;
+    if response.status().is_success() {
+        return serde_json::from_str(&text)
+            .map_err(|error| Failure::new(ErrorKind::Internal, format!("{server}: {error}")));
+    }
+    let reported: ErrorDocument = serde_json::from_str(&text).map_err(|_| {
+        let message = format!("{server} answered {}", response.status());
+        Failure::new(ErrorKind::Unavailable, message)
+    })?;
+    let kind = kind_by_name(&reported.error.kind).unwrap_or(ErrorKind::Internal);
+    Err(Failure {
+        kind,
+        body: reported.error,
+    })
+}
+
+fn unreachable(server: &str, error: &ureq::Error) -> Failure {
+    let mut failure = Failure::new(ErrorKind::Unavailable, format!("{server}: {error}"));
+    // Another server may answer at once; the backoff alone decides.
+    failure.body.retry_after_ms = None;
+    failure
+}
+
+impl Failure {
+    /// Makes a failure that this client found.
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Failure {
+            kind,
+            body: ErrorDocument::new(kind, message).error,
+        }
+    }
+}
+
+impl From<Failure> for ProgramError {
+    fn from(failure: Failure) -> Self {
+        let message = match failure.body.current_version {
+            Some(version) => {
+                format!("{} (current version {version})", failure.body.message)
+            }
+            None => failure.body.message,
+        };
+        request_error(failure.kind, message)
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/ctl/drain.rs
@@ -0,0 +1,57 @@
+//! `ctl drain` and `ctl undrain`.
+
+use petrellatch_core::ErrorKind;
+
+use super::apply::{check_time, current_version, draw_request_id, send};
+use super::client::OperatorClient;
+use super::output::print_result;
+use crate::api::{ChangeRequest, DrainEdit, DrainKind, EditDocument};
+use crate::command_line::{DrainOptions, OutputFormat};
+use crate::error::ProgramError;
+
+/// Starts or ends a drain. The edit states what is to hold, whatever else has
+/// changed, so a conflict is answered by basing it on the newer version.
+pub fn run(
+    client: &mut OperatorClient,
+    options: &DrainOptions,
+    draining: bool,
+    output: OutputFormat,
+) -> Result<(), ProgramError> {
+    let edit = EditDocument::SetDrain(parse(options, draining)?);
+    loop {
+        let request = ChangeRequest {
+            request_id: draw_request_id(),
+            based_on: current_version(client)?,
+            edits: vec![edit.clone()],
+        };
+        match send(client, &request) {
+            Ok(accepted) => {
+                print_result(output, "accepted", accepted.version);
+                return Ok(());
+            }
+            Err(failure) if failure.kind == ErrorKind::Conflict => check_time(client)?,
+            Err(failure) => return Err(failure.into()),
+        }
+    }
+}
+
+fn parse(options: &DrainOptions, draining: bool) -> Result<DrainEdit, ProgramError> {
+    let [kind, name] = options.target.as_slice() else {
+        return Err(usage());
+    };
+    let target = match kind.as_str() {
+        "backend" => DrainKind::Backend,
+        "node" => DrainKind::Node,
+        _ => return Err(usage()),
+    };
+    Ok(DrainEdit {
+        target,
+        name: name.clone(),
+        draining,
+    })
+}
+
+fn usage() -> ProgramError {
+    let message = "name what to drain: backend NAME, or node NAME".to_string();
+    ProgramError::Usage { message }
+}
--- /dev/null
+++ b/crates/petrellatch/src/ctl/mod.rs
@@ -0,0 +1,52 @@
+//! The operator's command line.
+
+mod apply;
+mod backoff;
+mod client;
+mod drain;
+mod edits;
+mod output;
+mod policy;
+mod status;
+
+use std::time::{Duration, Instant};
+
+use petrellatch_core::ErrorKind;
+use snafu::ensure;
+
+use crate::command_line::{CtlCommand, CtlOptions};
+use crate::error::{ProgramError, UsageSnafu};
+use client::OperatorClient;
+
+/// Runs one operator command.
+pub fn run(options: &CtlOptions) -> Result<(), ProgramError> {
+    ensure!(
+        !options.server.is_empty(),
+        UsageSnafu {
+            message: "ctl needs --server IP:PORT with the operator address of a control replica"
+        }
+    );
+    let Some(command) = &options.command else {
+        let message = "ctl needs a command; see petrellatch ctl --help".to_string();
+        return Err(ProgramError::Usage { message });
+    };
+    let deadline = Instant::now() + Duration::from_secs(options.deadline);
+    let mut client = OperatorClient::new(&options.server, options.retries, deadline);
+    let output = options.output;
+    match command {
+        CtlCommand::Apply(arguments) => apply::run(&mut client, arguments, output),
+        CtlCommand::Get(_) => apply::get(&mut client, output),
+        CtlCommand::Drain(arguments) => drain::run(&mut client, arguments, true, output),
+        CtlCommand::Undrain(arguments) => drain::run(&mut client, arguments, false, output),
+        CtlCommand::Status(_) => status::run(&mut client, output),
+        CtlCommand::Wait(arguments) => status::wait(&mut client, arguments, output),
+        CtlCommand::Policy(arguments) => policy::run(&mut client, arguments, output),
+    }
+}
+
+fn request_error(kind: ErrorKind, message: impl Into<String>) -> ProgramError {
+    ProgramError::Request {
+        kind,
+        message: message.into(),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/ctl/output.rs
@@ -0,0 +1,33 @@
+//! How results are printed.
+
+use serde::Serialize;
+
+use crate::command_line::OutputFormat;
+
+/// The result of a change.
+#[derive(Serialize)]
+struct ChangeResult<'a> {
+    result: &'a str,
+    version: u64,
+}
+
+/// Prints what became of a change.
+pub fn print_result(output: OutputFormat, result: &str, version: u64) {
+    print_document(output, &ChangeResult { result, version }, || {
+        format!("{result}: version {version}\n")
+    });
+}
+
+/// Prints a document: as JSON, or as `text` makes it.
+pub fn print_document(
+    output: OutputFormat,
+    document: &impl Serialize,
+    text: impl FnOnce() -> String,
+) {
+    match output {
+        OutputFormat::Text => print!("{}", text()),
+        OutputFormat::Json => {
+            println!("{}", serde_json::to_string(document).unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/error.rs
@@ -0,0 +1,102 @@
+//! Errors of the programs.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+
+use petrellatch_core::ErrorKind;
+use snafu::Snafu;
+
+use crate::settings::SettingsProblem;
+
+/// Why a program ended without having done its work.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ProgramError {
+    /// The command line is wrong.
+    #[snafu(display("{message}"))]
+    Usage {
+        /// What is wrong.
+        message: String,
+    },
+    /// The settings are wrong; every problem is listed.
+    #[snafu(display("{}", join_lines(problems)))]
+    Settings {
+        /// Everything that is wrong.
+        problems: Vec<SettingsProblem>,
+    },
+    /// An address can't be opened.
+    #[snafu(display("can't open {address} for {purpose}: {source}"))]
+    Bind {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddrV4,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The HTTP server can't be started.
+    #[snafu(display("can't open {address} for {purpose}: {message}"))]
+    BindHttp {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddrV4,
+        /// The reason.
+        message: String,
+    },
+    /// The data folder can't be used.
+    #[snafu(display("can't use {}: {source}", path.display()))]
+    DataFolder {
+        /// The file or folder.
+        path: PathBuf,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// Stored data is damaged.
+    #[snafu(display("{}: {message}", path.display()))]
+    Damaged {
+        /// The file or folder.
+        path: PathBuf,
+        /// What is wrong with it.
+        message: String,
+    },
+    /// The event loop or a thread of the program can't go on.
+    #[snafu(display("can't {action}: {source}"))]
+    System {
+        /// What was attempted.
+        action: &'static str,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The system refused a request of an operator, or could not be reached.
+    #[snafu(display("{}: {message}", kind.answer().name))]
+    Request {
+        /// The kind.
+        kind: ErrorKind,
+        /// The explanation.
+        message: String,
+    },
+}
+
+impl ProgramError {
+    /// Returns the kind, which decides the exit code.
+    pub fn kind(&self) -> ErrorKind {
+        match self {
+            ProgramError::Usage { .. } | ProgramError::Settings { .. } => {
+                ErrorKind::InvalidSettings
+            }
+            ProgramError::Bind { .. } | ProgramError::BindHttp { .. } => {
+                ErrorKind::AddressUnavailable
+            }
+            ProgramError::DataFolder { .. } => ErrorKind::StorageFailed,
+            ProgramError::Damaged { .. } => ErrorKind::StorageDamaged,
+            ProgramError::System { .. } => ErrorKind::Internal,
+            ProgramError::Request { kind, .. } => *kind,
+        }
+    }
+}
+
+fn join_lines(problems: &[SettingsProblem]) -> String {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/petrellatch/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! A small HTTP server with bounds, on top of `tiny_http`.
+
+mod message;
+mod server;
+
+pub use message::{HttpRequest, HttpResponse};
+pub use server::{HttpHandler, HttpLimits, HttpServer, open_listener};
--- /dev/null
+++ b/crates/petrellatch/src/http/server.rs
@@ -0,0 +1,194 @@
+//! The server: one thread takes requests, a few answer them.
+
+use std::io::Read;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use petrellatch_core::ErrorKind;
+use tiny_http::{Header, Request, Response, Server};
+
+use super::message::{HttpRequest, HttpResponse};
+use crate::error::ProgramError;
+
+/// Answers requests.
+pub trait HttpHandler: Send + Sync + 'static {
+    /// Answers one request. May be called by several threads at once.
+    fn handle(&self, request: &HttpRequest) -> HttpResponse;
+}
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Threads that answer.
+    pub workers: usize,
+    /// Requests worked on or waiting at once; more are refused.
+    pub requests: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+}
+
+/// A running server. It stops when the process ends.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddrV4,
+}
+
+/// What the threads of one server share.
+struct Shared<H> {
+    handler: Arc<H>,
+    limits: HttpLimits,
+    requests: AtomicUsize,
+    queue: Mutex<Receiver<Request>>,
+}
+
+impl HttpServer {
+    /// Starts to serve.
+    pub fn start<H: HttpHandler>(
+        listener: TcpListener,
+        limits: HttpLimits,
+        handler: Arc<H>,
+    ) -> Result<Self, ProgramError> {
+        let address = local_address(&listener);
+        let server =
+            Server::from_listener(listener, None).map_err(|error| ProgramError::BindHttp {
+                purpose: "HTTP",
+                address,
+                message: error.to_string(),
+            })?;
+        let (sender, receiver) = channel();
+        let shared = Arc::new(Shared {
+            handler,
+            limits,
+            requests: AtomicUsize::new(0),
+            queue: Mutex::new(receiver),
+        });
+        for _ in 0..limits.workers {
+            let shared = Arc::clone(&shared);
+            spawn("http-worker", move || shared.work())?;
+        }
+        spawn("http-server", move || shared.accept(&server, &sender))?;
+        Ok(HttpServer { address })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+}
+
+impl<H: HttpHandler> Shared<H> {
+    /// Takes requests and refuses those above the bounds.
+    fn accept(&self, server: &Server, queue: &Sender<Request>) {
+        for request in server.incoming_requests() {
+            let length = request.body_length().unwrap_or(0);
+            if length > self.limits.body_bytes {
+                answer(request, &too_large(self.limits.body_bytes));
+                continue;
+            }
+            if self.requests.fetch_add(1, Ordering::AcqRel) >= self.limits.requests {
+                self.requests.fetch_sub(1, Ordering::AcqRel);
+                let message = "too many requests at once; this one did not run";
+                answer(
+                    request,
+                    &HttpResponse::error(ErrorKind::Overloaded, message),
+                );
+                continue;
+            }
+            if queue.send(request).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn work(&self) {
+        loop {
+            let next = self
+                .queue
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .recv();
+            let Ok(mut request) = next else { return };
+            let response = match read(&mut request, self.limits.body_bytes) {
+                Ok(request) => self.handler.handle(&request),
+                Err(refusal) => refusal,
+            };
+            answer(request, &response);
+            self.requests.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
+fn read(request: &mut Request, body_bytes: usize) -> Result<HttpRequest, HttpResponse> {
+    let mut body = Vec::new();
+    let mut reader = request.as_reader().take(body_bytes as u64 + 1);
+    reader
+        .read_to_end(&mut body)
+        .map_err(|error| HttpResponse::error(ErrorKind::Invalid, error.to_string()))?;
+    if body.len() > body_bytes {
+        return Err(too_large(body_bytes));
+    }
+    let (path, query) = match request.url().split_once('?') {
+        Some((path, query)) => (path.to_string(), query.to_string()),
+        None => (request.url().to_string(), String::new()),
+    };
+    Ok(HttpRequest {
+        method: request.method().to_string(),
+        path,
+        query,
+        body,
+    })
+}
+
+fn too_large(body_bytes: usize) -> HttpResponse {
+    let message = format!("the body is larger than {body_bytes} bytes");
+    HttpResponse::error(ErrorKind::TooLarge, message)
+}
+
+/// Sends a response. A client that has gone away is its own affair.
+fn answer(request: Request, response: &HttpResponse) {
+    let mut reply = Response::from_data(response.body.clone())
+        .with_status_code(response.status)
+        .with_header(header("Content-Type", response.content_type));
+    if let Some(wait) = response.retry_after {
+        let seconds = wait.as_secs().max(1);
+        reply = reply.with_header(header("Retry-After", &seconds.to_string()));
+    }
+    let _ = request.respond(reply);
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("names and values here are printable ASCII")
+}
+
+/// Opens a TCP address for HTTP.
+pub fn open_listener(
+    address: SocketAddrV4,
+    purpose: &'static str,
+) -> Result<TcpListener, ProgramError> {
+    TcpListener::bind(address).map_err(|source| ProgramError::Bind {
+        purpose,
+        address,
+        source,
+    })
+}
+
+fn local_address(listener: &TcpListener) -> SocketAddrV4 {
+    match listener.local_addr() {
+        Ok(SocketAddr::V4(address)) => address,
+        _ => SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+    }
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
+    thread::Builder::new()
+        .name(name.to_string())
+        .spawn(work)
+        .map(|_| ())
+        .map_err(|source| ProgramError::System {
+            action: "start a thread",
+            source,
+        })
+}
--- /dev/null
+++ b/crates/petrellatch/src/lib.rs
@@ -0,0 +1,91 @@
+//! The programs of petrellatch: control replica, balancer, agent and the
+//! operator's command line, all in one binary.
+//!
+//! The state machines live in `petrellatch-core`; this crate gives them
+//! sockets, clocks, disks, logs and HTTP.
+
+pub mod api;
+pub mod check;
+pub mod command_line;
+pub mod ctl;
+pub mod error;
+pub mod http;
+pub mod logging;
+pub mod runtime;
+pub mod settings;
+mod usage;
+
+use std::process::ExitCode;
+
+use command_line::{Command, CommandLine, DaemonOptions};
+use error::ProgramError;
+use gumdrop::Options;
+use settings::{Role, Settings, SettingsFile};
+
+/// Runs the command that the process was started with.
+pub fn run() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let command_line = match CommandLine::parse_args_default(&arguments) {
+        Ok(command_line) => command_line,
+        Err(error) => return usage::wrong_usage(&error.to_string()),
+    };
+    if command_line.version {
+        println!("petrellatch {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    if command_line.help_requested() {
+        usage::print_help(&command_line);
+        return ExitCode::SUCCESS;
+    }
+    match command_line.command {
+        Some(command) => report(execute(command)),
+        None => usage::wrong_usage("a command is missing"),
+    }
+}
+
+fn execute(command: Command) -> Result<(), ProgramError> {
+    match command {
+        Command::Control(options) => daemon(&options, Role::Control),
+        Command::Balancer(options) => daemon(&options, Role::Balancer),
+        Command::Agent(options) => daemon(&options, Role::Agent),
+        Command::Ctl(options) => ctl::run(&options),
+        Command::Check(options) => check::run(&options),
+    }
+}
+
+fn daemon(options: &DaemonOptions, role: Role) -> Result<(), ProgramError> {
+    let _settings = settings_for(options, role)?;
+    let message = "this command is not there yet".to_string();
+    Err(ProgramError::Usage { message })
+}
+
+fn settings_for(options: &DaemonOptions, role: Role) -> Result<Settings, ProgramError> {
+    let (file_name, file, mut problems) = match &options.settings {
+        Some(path) => {
+            let (file, problems) = settings::load(path);
+            (path.display().to_string(), file, problems)
+        }
+        None => (
+            "command line".to_string(),
+            SettingsFile::default(),
+            Vec::new(),
+        ),
+    };
+    match settings::resolve(&file_name, file, options, Some(role)) {
+        Ok(settings) if problems.is_empty() => Ok(settings),
+        Ok(_) => Err(ProgramError::Settings { problems }),
+        Err(more) => {
+            problems.extend(more);
+            Err(ProgramError::Settings { problems })
+        }
+    }
+}
+
+fn report(result: Result<(), ProgramError>) -> ExitCode {
+    let Err(error) = result else {
+        return ExitCode::SUCCESS;
+    };
+    eprintln!("petrellatch: {error}");
+    let code = error.kind().answer().exit_code;
+    ExitCode::from(u8::try_from(code).unwrap_or(1))
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/datagram_socket.rs
@@ -0,0 +1,103 @@
+//! A UDP socket for sealed messages or bare packets.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+
+use mio::net::UdpSocket;
+use mio::{Interest, Registry, Token};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::error::ProgramError;
+
+/// The largest datagram that UDP carries, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_535;
+/// Most datagrams taken in one go, so that timers are not starved.
+const BATCH_DATAGRAMS: usize = 256;
+
+/// A non-blocking UDP socket with its receive buffer.
+#[derive(Debug)]
+pub struct DatagramSocket {
+    socket: UdpSocket,
+    buffer: Vec<u8>,
+    address: SocketAddrV4,
+}
+
+/// Whether there may be more to receive after a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Batch {
+    /// Everything has been received.
+    Complete,
+    /// The batch was full; call again.
+    Full,
+}
+
+impl DatagramSocket {
+    /// Opens the socket.
+    pub fn open(
+        address: SocketAddrV4,
+        purpose: &'static str,
+        receive_buffer_bytes: usize,
+    ) -> Result<Self, ProgramError> {
+        bind(address, receive_buffer_bytes).map_err(|source| ProgramError::Bind {
+            purpose,
+            address,
+            source,
+        })
+    }
+
+    /// Registers the socket for reading.
+    pub fn register(&mut self, registry: &Registry, token: Token) -> Result<(), ProgramError> {
+        registry
+            .register(&mut self.socket, token, Interest::READABLE)
+            .map_err(|source| ProgramError::System {
+                action: "watch a UDP socket",
+                source,
+            })
+    }
+
+    /// Returns the address that was opened.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Hands every waiting datagram to `handle`, at most one batch.
+    pub fn receive_batch(&mut self, mut handle: impl FnMut(SocketAddrV4, &[u8])) -> Batch {
+        let mut received = 0;
+        while received < BATCH_DATAGRAMS {
+            match self.socket.recv_from(&mut self.buffer) {
+                Ok((length, SocketAddr::V4(sender))) => handle(sender, &self.buffer[..length]),
+                Ok((_, SocketAddr::V6(_))) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Batch::Complete;
+                }
+                // An earlier send met a closed port; the socket goes on.
+                Err(_) => {}
+            }
+            received += 1;
+        }
+        Batch::Full
+    }
+
+    /// Sends one datagram. A datagram that can't be sent is lost, as it may be
+    /// on the way; returns whether it was handed to the system.
+    pub fn send(&self, to: SocketAddrV4, datagram: &[u8]) -> bool {
+        self.socket.send_to(datagram, to.into()).is_ok()
+    }
+}
+
+fn bind(address: SocketAddrV4, receive_buffer_bytes: usize) -> io::Result<DatagramSocket> {
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::from(address).into())?;
+    let socket = UdpSocket::from_std(socket.into());
+    let address = match socket.local_addr()? {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => address,
+    };
+    Ok(DatagramSocket {
+        socket,
+        buffer: vec![0; MAX_DATAGRAM_BYTES],
+        address,
+    })
+}
--- /dev/null
+++ b/crates/petrellatch/src/settings/keys.rs
@@ -0,0 +1,106 @@
+//! What each key of the settings file may hold.
+
+use std::ops::RangeInclusive;
+
+/// Bounds of `timing.heartbeat_milliseconds`.
+pub const HEARTBEAT_MILLISECONDS: RangeInclusive<u64> = 50..=10_000;
+/// Bounds of `timing.lease_milliseconds`.
+pub const LEASE_MILLISECONDS: RangeInclusive<u64> = 500..=60_000;
+/// Bounds of `timing.election_milliseconds`.
+pub const ELECTION_MILLISECONDS: RangeInclusive<u64> = 100..=10_000;
+/// Bounds of `timing.stop_seconds`.
+pub const STOP_SECONDS: RangeInclusive<u64> = 1..=86_400;
+/// Bounds of `limits.operator_requests`.
+pub const OPERATOR_REQUESTS: RangeInclusive<u64> = 1..=1_024;
+/// Bounds of `limits.receive_buffer_bytes`.
+pub const RECEIVE_BUFFER_BYTES: RangeInclusive<u64> = 65_536..=67_108_864;
+
+/// One key with what is allowed.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyDescription {
+    /// The key with its section.
+    pub key: &'static str,
+    /// What is allowed.
+    pub allowed: &'static str,
+    /// The value when the key is missing; empty if there is none.
+    pub default: &'static str,
+}
+
+const ADDRESS: &str = "an IPv4 address and port such as 127.0.0.1:7400";
+const NAME: &str = "1 to 64 letters, digits, '-', '_' or '.'";
+
+const fn key(key: &'static str, allowed: &'static str, default: &'static str) -> KeyDescription {
+    KeyDescription {
+        key,
+        allowed,
+        default,
+    }
+}
+
+/// All keys, in the order of the documentation.
+pub const KEYS: &[KeyDescription] = &[
+    key("node.name", NAME, ""),
+    key("node.zone", NAME, ""),
+    key("node.data_folder", "the path of a folder", ""),
+    key(
+        "cluster.key_file",
+        "the path of a file with 32 hexadecimal digits",
+        "",
+    ),
+    key("cluster.replicas.name", NAME, ""),
+    key("cluster.replicas.control", ADDRESS, ""),
+    key("cluster.replicas.operator", ADDRESS, ""),
+    key(
+        "cluster.replicas",
+        "1, 3 or 5 tables with name, control and operator",
+        "",
+    ),
+    key("addresses.control", ADDRESS, "127.0.0.1:0"),
+    key("addresses.data", ADDRESS, "127.0.0.1:0"),
+    key("addresses.admin", ADDRESS, "127.0.0.1:0"),
+    key("addresses.operator", ADDRESS, "127.0.0.1:0"),
+    key("addresses.fabric", ADDRESS, ""),
+    key(
+        "timing.heartbeat_milliseconds",
+        "a whole number from 50 to 10000",
+        "1000",
+    ),
+    key(
+        "timing.lease_milliseconds",
+        "a whole number from 500 to 60000, at least three heartbeats",
+        "6000",
+    ),
+    key(
+        "timing.election_milliseconds",
+        "a whole number from 100 to 10000",
+        "1000",
+    ),
+    key(
+        "timing.stop_seconds",
+        "a whole number from 1 to 86400",
+        "3600",
+    ),
+    key(
+        "limits.operator_requests",
+        "a whole number from 1 to 1024",
+        "64",
+    ),
+    key(
+        "limits.receive_buffer_bytes",
+        "a whole number from 65536 to 67108864",
+        "4194304",
+    ),
+    key("log.format", "\"terminal\" or \"json\"", "\"terminal\""),
+    key(
+        "log.level",
+        "\"debug\", \"info\", \"warning\" or \"error\"",
+        "\"info\"",
+    ),
+];
+
+/// Returns what a key may hold; empty for an unknown key.
+pub fn allowed(key: &str) -> &'static str {
+    KEYS.iter()
+        .find(|description| description.key == key)
+        .map_or("", |description| description.allowed)
+}
--- /dev/null
+++ b/crates/petrellatch/src/settings/resolve.rs
@@ -0,0 +1,417 @@
+//! Puts flags over the file, adds defaults, and checks what holds together.
+
+use std::fmt::Display;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::de::IntoDeserializer;
+use serde::de::value::{Error as ValueError, StrDeserializer};
+
+use super::keys;
+use super::problem::SettingsProblem;
+use super::settings_file::{ReplicaSettings, SettingsFile};
+use crate::command_line::DaemonOptions;
+use crate::logging::{LogFormat, LogLevel};
+
+/// Where a problem of a flag is reported.
+const COMMAND_LINE: &str = "command line";
+/// The longest name of a node or zone, in characters.
+const MAX_NAME_CHARACTERS: usize = 64;
+/// The sizes that a control group may have.
+const REPLICA_COUNTS: [usize; 3] = [1, 3, 5];
+/// How many heartbeats a lease lasts at least, so that one lost heartbeat does
+/// not end it.
+const MIN_HEARTBEATS_PER_LEASE: u64 = 3;
+
+/// The job of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// A control replica.
+    Control,
+    /// A balancer.
+    Balancer,
+    /// An agent.
+    Agent,
+}
+
+impl FromStr for Role {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "control" => Ok(Role::Control),
+            "balancer" => Ok(Role::Balancer),
+            "agent" => Ok(Role::Agent),
+            other => Err(format!(
+                "role '{other}' is not allowed; allowed: control, balancer, agent"
+            )),
+        }
+    }
+}
+
+/// Intervals and bounds that hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Between two heartbeats.
+    pub heartbeat: Duration,
+    /// An agent's admission lease.
+    pub lease: Duration,
+    /// The shortest time without a leader before an election.
+    pub election: Duration,
+    /// The longest that a planned stop waits for open flows.
+    pub stop: Duration,
+}
+
+/// The settings that hold for one process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node name.
+    pub name: String,
+    /// The zone.
+    pub zone: String,
+    /// The folder for all files.
+    pub data_folder: PathBuf,
+    /// The file with the cluster key.
+    pub key_file: PathBuf,
+    /// The control replicas.
+    pub replicas: Vec<ReplicaSettings>,
+    /// Control messages (UDP).
+    pub control: SocketAddrV4,
+    /// Caller packets (UDP).
+    pub data: SocketAddrV4,
+    /// Health and metrics (HTTP).
+    pub admin: SocketAddrV4,
+    /// Operators (HTTP).
+    pub operator: SocketAddrV4,
+    /// The fabric; the unspecified address when there is none.
+    pub fabric: SocketAddrV4,
+    /// Intervals and bounds.
+    pub timing: Timing,
+    /// Operator requests worked on or waiting at once.
+    pub operator_requests: usize,
+    /// The kernel's receive buffer of each UDP socket, in bytes.
+    pub receive_buffer_bytes: usize,
+    /// The log's format.
+    pub log_format: LogFormat,
+    /// The lowest level logged.
+    pub log_level: LogLevel,
+}
+
+/// Puts the flags over the file and checks the result for `role`. Without a
+/// role nothing counts as missing.
+pub fn resolve(
+    file_name: &str,
+    mut file: SettingsFile,
+    flags: &DaemonOptions,
+    role: Option<Role>,
+) -> Result<Settings, Vec<SettingsProblem>> {
+    let mut problems = Vec::new();
+    put_flags(&mut file, flags, &mut problems);
+    let mut resolver = Resolver {
+        file_name,
+        role,
+        problems,
+    };
+    let settings = resolver.settings(&file);
+    if resolver.problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(resolver.problems)
+    }
+}
+
+fn put_flags(file: &mut SettingsFile, flags: &DaemonOptions, problems: &mut Vec<SettingsProblem>) {
+    let node = &mut file.node;
+    put_flag(&mut node.name, "node.name", &flags.name, problems);
+    put_flag(&mut node.zone, "node.zone", &flags.zone, problems);
+    put_flag(
+        &mut node.data_folder,
+        "node.data_folder",
+        &flags.data_folder,
+        problems,
+    );
+    let key_file = &mut file.cluster.key_file;
+    put_flag(key_file, "cluster.key_file", &flags.key_file, problems);
+    let addresses = &mut file.addresses;
+    for (target, key, flag) in [
+        (
+            &mut addresses.control,
+            "addresses.control",
+            &flags.control_address,
+        ),
+        (&mut addresses.data, "addresses.data", &flags.data_address),
+        (
+            &mut addresses.admin,
+            "addresses.admin",
+            &flags.admin_address,
+        ),
+        (
+            &mut addresses.operator,
+            "addresses.operator",
+            &flags.operator_address,
+        ),
+        (
+            &mut addresses.fabric,
+            "addresses.fabric",
+            &flags.fabric_address,
+        ),
+    ] {
+        put_flag(target, key, flag, problems);
+    }
+    put_word(
+        &mut file.log.format,
+        "log.format",
+        &flags.log_format,
+        problems,
+    );
+    put_word(&mut file.log.level, "log.level", &flags.log_level, problems);
+    if !flags.replica.is_empty() {
+        file.cluster.replicas = flags
+            .replica
+            .iter()
+            .filter_map(|text| parse_replica(text, problems))
+            .collect();
+    }
+}
+
+fn put_flag<T>(
+    target: &mut Option<T>,
+    key: &str,
+    flag: &Option<String>,
+    problems: &mut Vec<SettingsProblem>,
+) where
+    T: FromStr,
+    T::Err: Display,
+{
+    let Some(text) = flag else { return };
+    match text.parse() {
+        Ok(value) => *target = Some(value),
+        Err(error) => problems.push(flag_problem(key, text, error.to_string())),
+    }
+}
+
+/// Like [`put_flag`], for values that are words of a closed list.
+fn put_word<T>(
+    target: &mut Option<T>,
+    key: &str,
+    flag: &Option<String>,
+    problems: &mut Vec<SettingsProblem>,
+) where
+    T: for<'a> Deserialize<'a>,
+{
+    let Some(text) = flag else { return };
+    let deserializer: StrDeserializer<'_, ValueError> = text.as_str().into_deserializer();
+    match T::deserialize(deserializer) {
+        Ok(value) => *target = Some(value),
+        Err(_) => problems.push(flag_problem(key, text, "is not allowed".to_string())),
+    }
+}
+
+fn parse_replica(text: &str, problems: &mut Vec<SettingsProblem>) -> Option<ReplicaSettings> {
+    let parsed = split_replica(text);
+    if parsed.is_none() {
+        let message = "expected NAME=CONTROL[,OPERATOR] with IPv4 addresses and ports";
+        problems.push(flag_problem("cluster.replicas", text, message.to_string()));
+    }
+    parsed
+}
+
+fn split_replica(text: &str) -> Option<ReplicaSettings> {
+    let (name, addresses) = text.split_once('=')?;
+    let (control, operator) = match addresses.split_once(',') {
+        Some((control, operator)) => (control, Some(operator.parse().ok()?)),
+        None => (addresses, None),
+    };
+    Some(ReplicaSettings {
+        name: name.to_string(),
+        control: control.parse().ok()?,
+        operator,
+    })
+}
+
+fn flag_problem(key: &str, value: &str, message: String) -> SettingsProblem {
+    SettingsProblem {
+        file: COMMAND_LINE.to_string(),
+        line: None,
+        key: key.to_string(),
+        value: format!("{value:?}"),
+        message,
+        allowed: keys::allowed(key).to_string(),
+    }
+}
+
+/// Takes values out of the file and notes what is wrong with them.
+struct Resolver<'a> {
+    file_name: &'a str,
+    role: Option<Role>,
+    problems: Vec<SettingsProblem>,
+}
+
+impl Resolver<'_> {
+    fn settings(&mut self, file: &SettingsFile) -> Settings {
+        let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let addresses = &file.addresses;
+        let settings = Settings {
+            name: self.name("node.name", &file.node.name),
+            zone: self.name("node.zone", &file.node.zone),
+            data_folder: self.required("node.data_folder", &file.node.data_folder),
+            key_file: self.required("cluster.key_file", &file.cluster.key_file),
+            replicas: self.replicas(&file.cluster.replicas),
+            control: addresses.control.unwrap_or(any_port),
+            data: addresses.data.unwrap_or(any_port),
+            admin: addresses.admin.unwrap_or(any_port),
+            operator: addresses.operator.unwrap_or(any_port),
+            fabric: self.fabric(addresses.fabric),
+            timing: self.timing(file),
+            operator_requests: self.number(
+                "limits.operator_requests",
+                file.limits.operator_requests,
+                64,
+                keys::OPERATOR_REQUESTS,
+            ) as usize,
+            receive_buffer_bytes: self.number(
+                "limits.receive_buffer_bytes",
+                file.limits.receive_buffer_bytes,
+                4 * 1024 * 1024,
+                keys::RECEIVE_BUFFER_BYTES,
+            ) as usize,
+            log_format: file.log.format.unwrap_or_default(),
+            log_level: file.log.level.unwrap_or_default(),
+        };
+        self.check_own_replica(&settings);
+        settings
+    }
+
+    fn timing(&mut self, file: &SettingsFile) -> Timing {
+        let timing = &file.timing;
+        let heartbeat = self.number(
+            "timing.heartbeat_milliseconds",
+            timing.heartbeat_milliseconds,
+            1_000,
+            keys::HEARTBEAT_MILLISECONDS,
+        );
+        let lease = self.number(
+            "timing.lease_milliseconds",
+            timing.lease_milliseconds,
+            6_000,
+            keys::LEASE_MILLISECONDS,
+        );
+        let election = self.number(
+            "timing.election_milliseconds",
+            timing.election_milliseconds,
+            1_000,
+            keys::ELECTION_MILLISECONDS,
+        );
+        let stop = self.number(
+            "timing.stop_seconds",
+            timing.stop_seconds,
+            3_600,
+            keys::STOP_SECONDS,
+        );
+        if lease < heartbeat.saturating_mul(MIN_HEARTBEATS_PER_LEASE) {
+            let message = format!("is shorter than three heartbeats of {heartbeat} ms");
+            self.wrong("timing.lease_milliseconds", lease.to_string(), message);
+        }
+        Timing {
+            heartbeat: Duration::from_millis(heartbeat),
+            lease: Duration::from_millis(lease),
+            election: Duration::from_millis(election),
+            stop: Duration::from_secs(stop),
+        }
+    }
+
+    fn name(&mut self, key: &str, value: &Option<String>) -> String {
+        let name = self.required(key, value);
+        if value.is_some() && !is_name(&name) {
+            self.wrong(key, format!("{name:?}"), "is not a name".to_string());
+        }
+        name
+    }
+
+    fn replicas(&mut self, replicas: &[ReplicaSettings]) -> Vec<ReplicaSettings> {
+        let count = replicas.len();
+        let missing = count == 0 && self.role.is_none();
+        if !missing && !REPLICA_COUNTS.contains(&count) {
+            let message = format!("names {count} replicas");
+            self.wrong("cluster.replicas", String::new(), message);
+        }
+        for (index, replica) in replicas.iter().enumerate() {
+            if !is_name(&replica.name) {
+                let value = format!("{:?}", replica.name);
+                self.wrong("cluster.replicas.name", value, "is not a name".to_string());
+            }
+            let earlier = &replicas[..index];
+            if earlier.iter().any(|other| other.name == replica.name) {
+                let value = format!("{:?}", replica.name);
+                let message = "stands there twice".to_string();
+                self.wrong("cluster.replicas.name", value, message);
+            }
+            if earlier.iter().any(|other| other.control == replica.control) {
+                let value = replica.control.to_string();
+                let message = "is the address of two replicas".to_string();
+                self.wrong("cluster.replicas.control", value, message);
+            }
+        }
+        replicas.to_vec()
+    }
+
+    fn check_own_replica(&mut self, settings: &Settings) {
+        if self.role != Some(Role::Control) || settings.replicas.is_empty() {
+            return;
+        }
+        let mut replicas = settings.replicas.iter();
+        if !replicas.any(|replica| replica.name == settings.name) {
+            let value = format!("{:?}", settings.name);
+            let message = "is not among cluster.replicas".to_string();
+            self.wrong("node.name", value, message);
+        }
+    }
+
+    fn fabric(&mut self, address: Option<SocketAddrV4>) -> SocketAddrV4 {
+        if self.role == Some(Role::Agent) && address.is_none() {
+            self.wrong("addresses.fabric", String::new(), "is missing".to_string());
+        }
+        address.unwrap_or(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0))
+    }
+
+    fn required<T: Clone + Default>(&mut self, key: &str, value: &Option<T>) -> T {
+        if value.is_none() && self.role.is_some() {
+            self.wrong(key, String::new(), "is missing".to_string());
+        }
+        value.clone().unwrap_or_default()
+    }
+
+    fn number(
+        &mut self,
+        key: &str,
+        value: Option<u64>,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        let number = value.unwrap_or(default);
+        if !range.contains(&number) {
+            self.wrong(key, number.to_string(), "is out of range".to_string());
+        }
+        number
+    }
+
+    fn wrong(&mut self, key: &str, value: String, message: String) {
+        self.problems.push(SettingsProblem {
+            file: self.file_name.to_string(),
+            line: None,
+            key: key.to_string(),
+            value,
+            message,
+            allowed: keys::allowed(key).to_string(),
+        });
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    !text.is_empty() && text.chars().count() <= MAX_NAME_CHARACTERS && text.chars().all(allowed)
+}
