--- a/crates/petrellatch-core/src/control/placement_planner.rs
+++ b/crates/petrellatch-core/src/control/placement_planner.rs
@@ -34,6 +34,10 @@
 /// age alone.
 const LOAD_CHANGE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// A new leader changes placements only for the loss of a member in this time,
+/// until it has heard of the members' loads.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+
 /// How long the outcome of a proposal is awaited before it is repeated.
 const PROPOSAL_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -70,6 +74,7 @@
     policies: PolicyCache,
     plans: BTreeMap<ServiceId, ServicePlan>,
     next_plan: Timestamp,
+    learned_at: Timestamp,
     outputs: VecDeque<PlannerOutput>,
 }
 
@@ -80,6 +85,7 @@
             policies: PolicyCache::default(),
             plans: BTreeMap::new(),
             next_plan: now,
+            learned_at: now + LEARNING_TIME,
             outputs: VecDeque::new(),
         };
         for placement in view.placements() {
@@ -166,7 +172,8 @@
             self.outputs.push_back(PlannerOutput::Event(event));
         }
         let placement = view.placement(id);
-        if let Some(generation) = plan.next_generation(now, placement, view) {
+        let is_learning = now < self.learned_at && !plan.knows_loads(tracker);
+        if let Some(generation) = plan.next_generation(now, is_learning, placement, view) {
             let command = CommandKind::SetPlacement(SetPlacement {
                 service: service.id,
                 generation,
@@ -206,6 +213,7 @@
     fn next_generation(
         &mut self,
         now: Timestamp,
+        is_learning: bool,
         placement: Option<&PlacementRecord>,
         view: &ClusterView,
     ) -> Option<GenerationRecord> {
@@ -221,7 +229,8 @@
         } else {
             PLANNED_GENERATIONS
         };
-        let is_damped = self.changed_at.is_some_and(|at| at + self.pause() > now);
+        let is_early = self.changed_at.is_some_and(|at| at + self.pause() > now);
+        let is_damped = is_early || is_learning;
         if generations.len() >= listed_limit || (is_damped && !has_lost_member) {
             return None;
         }
@@ -234,6 +243,14 @@
         })
     }
 
+    /// Whether all agents concerned have reported to this leader.
+    fn knows_loads(&self, tracker: &MemberTracker) -> bool {
+        let candidates = self.input.iter().flat_map(|input| &input.candidates);
+        candidates
+            .map(|candidate| candidate.node)
+            .all(|node| tracker.has_reported_loads(node))
+    }
+
     /// The least time since the last change, longer if only loads differ.
     fn pause(&self) -> Duration {
         let (Some(placed), Some(input)) = (&self.placed_input, &self.input) else {
--- a/crates/petrellatch-core/src/control/service_input.rs
+++ b/crates/petrellatch-core/src/control/service_input.rs
@@ -14,6 +14,7 @@
 use crate::time::Timestamp;
 
 use super::load_level::LoadLevels;
+use super::policy_check::service_view;
 
 /// Steps in which a cold back end is ramped up.
 const WARM_UP_STEPS: u32 = 8;
@@ -113,11 +114,7 @@
         }
     }
     Some(ServiceInput {
-        service: ServiceView {
-            id: ServiceId(service.id),
-            name: service.name.clone(),
-            zone: None,
-        },
+        service: service_view(service),
         policy: view.policy(&service.policy)?.clone(),
         candidates,
     })
--- a/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
+++ b/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
@@ -141,7 +141,7 @@
     }
 
     fn handle_answer(&mut self, now: Timestamp, from: SocketAddrV4, answer: &HeartbeatAnswer) {
-        let Some(sent_at) = self.heartbeats.handle_answer(answer) else {
+        let Some(sent_at) = self.heartbeats.handle_answer(now, answer) else {
             return;
         };
         self.newest_known = self.newest_known.max(answer.version);
--- a/crates/petrellatch-core/src/dissemination/heartbeat_schedule.rs
+++ b/crates/petrellatch-core/src/dissemination/heartbeat_schedule.rs
@@ -33,6 +33,7 @@
     last_sent: Option<Timestamp>,
     due: Timestamp,
     registered: bool,
+    leader_term: u64,
     report: AgentReport,
     confirmed_loads: BTreeMap<u64, BackendLoad>,
     unanswered: BTreeMap<u64, SentHeartbeat>,
@@ -47,6 +48,7 @@
             last_sent: None,
             due,
             registered: false,
+            leader_term: 0,
             report: AgentReport::default(),
             confirmed_loads: BTreeMap::new(),
             unanswered: BTreeMap::new(),
@@ -126,11 +128,20 @@
 
     /// Takes the answer to a heartbeat of this life. Returns when it was
     /// sent, or none if that is not known (any more).
-    pub(super) fn handle_answer(&mut self, answer: &HeartbeatAnswer) -> Option<Timestamp> {
+    pub(super) fn handle_answer(
+        &mut self,
+        now: Timestamp,
+        answer: &HeartbeatAnswer,
+    ) -> Option<Timestamp> {
         let sent = self.unanswered.remove(&answer.sequence)?;
-        if self.registered != answer.registered {
+        let is_new_leader = answer.term > self.leader_term;
+        if is_new_leader || self.registered != answer.registered {
+            self.leader_term = self.leader_term.max(answer.term);
             self.registered = answer.registered;
             self.confirmed_loads.clear();
+            self.hasten(now);
+            // The answered heartbeat is the first to this leader; what it said
+            // is confirmed below, and the rest is sent with the next.
         }
         for load in sent.loads {
             self.confirmed_loads.insert(load.backend, load);
--- a/crates/petrellatch-core/src/membership/member_tracker.rs
+++ b/crates/petrellatch-core/src/membership/member_tracker.rs
@@ -43,6 +43,17 @@
     Event(Event),
 }
 
+/// The term that a leader begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TermStart {
+    /// The term.
+    pub term: u64,
+    /// For so long former leaders can still have granted leases.
+    pub election_timeout: Duration,
+    /// Silent agents are fenced at once (a fault for the lab).
+    pub fences_without_waiting: bool,
+}
+
 /// Follows the members' heartbeats, grants leases and decides who is fenced.
 /// It exists only while a replica leads. See the [module page](super).
 #[derive(Clone, Debug)]
@@ -54,6 +65,7 @@
     attachment: Attachment,
     suspected: BTreeSet<NodeId>,
     fences_without_waiting: bool,
+    term: u64,
     mass_silence_since: Option<Timestamp>,
     next_check: Timestamp,
     outputs: VecDeque<TrackerOutput>,
@@ -61,15 +73,14 @@
 
 impl MemberTracker {
     /// Starts when a replica became leader. Former leaders may have granted
-    /// leases until `election_timeout` from now, to any member.
+    /// leases until an election timeout from now, to any member.
     pub fn new(
         now: Timestamp,
         settings: MembershipSettings,
-        election_timeout: Duration,
-        fences_without_waiting: bool,
+        start: TermStart,
         state: &ControlState,
     ) -> Self {
-        let lease_over_at = now + election_timeout + settings.lease_end();
+        let lease_over_at = now + start.election_timeout + settings.lease_end();
         let track = |member: &MemberRecord| {
             let incarnation = Incarnation(member.incarnation);
             let tracked = TrackedMember::new(now, incarnation, lease_over_at, None);
@@ -81,7 +92,8 @@
             platform: PlatformList::default(),
             attachment: Attachment::default(),
             suspected: BTreeSet::new(),
-            fences_without_waiting,
+            fences_without_waiting: start.fences_without_waiting,
+            term: start.term,
             mass_silence_since: None,
             next_check: now + CHECK_INTERVAL,
             outputs: VecDeque::new(),
@@ -110,6 +122,7 @@
             lease_milliseconds: 0,
             registered: false,
             fenced: false,
+            term: self.term,
         };
         if state.view().is_member(life.node, life.incarnation) {
             answer.registered = true;
@@ -198,6 +211,12 @@
         self.members.get(&node).is_some_and(TrackedMember::is_ready)
     }
 
+    /// Whether this leader has heard of a member's loads.
+    pub fn has_reported_loads(&self, node: NodeId) -> bool {
+        let member = self.members.get(&node);
+        member.is_some_and(TrackedMember::has_reported_loads)
+    }
+
     /// The load of a back end as the agent on `node` last reported it.
     pub fn load(&self, node: NodeId, backend: BackendId) -> Option<&BackendLoad> {
         self.members.get(&node)?.loads.get(&backend)
@@ -317,6 +336,7 @@
 
     /// Proposes what a member's condition asks for.
     fn review(&mut self, now: Timestamp, record: &MemberRecord, is_mass_silence: bool) {
+        let has_successor = self.registrations.contains(NodeId(record.node));
         let Some(member) = self.members.get_mut(&NodeId(record.node)) else {
             return;
         };
@@ -333,7 +353,8 @@
         let lease_is_over = member.lease_over_at <= now;
         let is_silent = member.last_seen + self.settings.lease_end() <= now;
         let is_behind = member.is_ready() && member.lag(now) >= self.settings.version_lag_limit;
-        let is_lost = lease_is_over && !is_mass_silence && (is_silent || is_behind);
+        let is_spared = is_mass_silence && !has_successor;
+        let is_lost = lease_is_over && !is_spared && (is_silent || is_behind);
         let too_early = self.fences_without_waiting && member.is_suspected;
         if member.is_stopped || is_lost || too_early {
             self.propose_fence(now, record);
--- a/crates/petrellatch-core/src/membership/mod.rs
+++ b/crates/petrellatch-core/src/membership/mod.rs
@@ -29,7 +29,9 @@
 //! use std::time::Duration;
 //! use petrellatch_core::Timestamp;
 //! use petrellatch_core::control::{ControlMutations, ControlState};
-//! use petrellatch_core::membership::{MemberTracker, MembershipSettings, TrackerOutput};
+//! use petrellatch_core::membership::{
+//!     MemberTracker, MembershipSettings, TermStart, TrackerOutput,
+//! };
 //! use petrellatch_proto::command::CommandKind;
 //! use petrellatch_proto::dissemination::HeartbeatEntry;
 //! use petrellatch_proto::record::{MemberRecord, NodeRole};
@@ -38,7 +40,12 @@
 //! let mut state = ControlState::new(ControlMutations::default());
 //! let now = Timestamp::from_millis(10);
 //! let settings = MembershipSettings::default();
-//! let mut tracker = MemberTracker::new(now, settings, Duration::from_millis(500), false, &state);
+//! let start = TermStart {
+//!     term: 1,
+//!     election_timeout: Duration::from_millis(500),
+//!     fences_without_waiting: false,
+//! };
+//! let mut tracker = MemberTracker::new(now, settings, start, &state);
 //! let record = MemberRecord {
 //!     node: NodeId::from_name("agent-1").0,
 //!     incarnation: 1,
@@ -72,6 +79,6 @@
 mod settings;
 mod tracked_member;
 
-pub use member_tracker::{MemberTracker, TrackerOutput};
+pub use member_tracker::{MemberTracker, TermStart, TrackerOutput};
 pub use platform_list::PlatformMachine;
 pub use settings::MembershipSettings;
--- a/crates/petrellatch-core/src/membership/registration_queue.rs
+++ b/crates/petrellatch-core/src/membership/registration_queue.rs
@@ -28,12 +28,14 @@
 pub(super) struct RegistrationQueue {
     waiting: BTreeMap<NodeId, Waiting>,
     pacer: Pacer,
+    looked_at: Timestamp,
 }
 
 impl RegistrationQueue {
     pub(super) fn new(settings: &MembershipSettings) -> Self {
         RegistrationQueue {
             waiting: BTreeMap::new(),
+            looked_at: Timestamp::ZERO,
             pacer: Pacer::new(
                 settings.registrations_per_second,
                 settings.registration_burst,
@@ -57,6 +59,11 @@
         self.waiting.insert(node, waiting);
     }
 
+    /// Whether a new life of this node waits.
+    pub(super) fn contains(&self, node: NodeId) -> bool {
+        self.waiting.contains_key(&node)
+    }
+
     /// Removes daemons for which `is_done` holds.
     pub(super) fn remove_if(&mut self, is_done: impl Fn(&MemberRecord) -> bool) {
         self.waiting.retain(|_, waiting| !is_done(&waiting.record));
@@ -69,6 +76,7 @@
         now: Timestamp,
         is_free: impl Fn(NodeId) -> bool,
     ) -> Option<MemberRecord> {
+        self.looked_at = now;
         if !self.pacer.is_ready(now) {
             return None;
         }
@@ -85,12 +93,10 @@
         Some(waiting.record.clone())
     }
 
-    /// When the next daemon may be proposed, if any waits.
+    /// When the next daemon may be proposed, if only the rate holds it back.
     pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
-        let any_new = self
-            .waiting
-            .values()
-            .any(|waiting| waiting.proposed_at.is_none());
-        any_new.then(|| self.pacer.ready_at())
+        let ready_at = self.pacer.ready_at();
+        let is_held = ready_at > self.looked_at && !self.waiting.is_empty();
+        is_held.then_some(ready_at)
     }
 }
--- a/crates/petrellatch-core/src/membership/tracked_member.rs
+++ b/crates/petrellatch-core/src/membership/tracked_member.rs
@@ -36,6 +36,7 @@
     pub(super) state_proposed_at: Option<Timestamp>,
     pub(super) loads: BTreeMap<BackendId, BackendLoad>,
     sequence: u64,
+    heartbeats: u32,
     version: u64,
     unsettled: BTreeSet<ServiceId>,
     lag: Option<Lag>,
@@ -61,6 +62,7 @@
             state_proposed_at: None,
             loads: BTreeMap::new(),
             sequence: 0,
+            heartbeats: 0,
             version: 0,
             unsettled: BTreeSet::new(),
             lag: None,
@@ -74,6 +76,7 @@
             return false;
         }
         self.sequence = entry.sequence;
+        self.heartbeats = self.heartbeats.saturating_add(1);
         self.last_seen = now;
         self.is_suspected = false;
         self.version = entry.version;
@@ -93,6 +96,13 @@
         (self.sequence > 0).then_some(self.version)
     }
 
+    /// Whether the member's loads are known: it sends all with the second
+    /// heartbeat to a leader at the latest.
+    pub(super) fn has_reported_loads(&self) -> bool {
+        const NEEDED_HEARTBEATS: u32 = 2;
+        self.heartbeats >= NEEDED_HEARTBEATS
+    }
+
     /// Whether the newest generation that the member knows is settled there.
     pub(super) fn is_settled(&self, service: ServiceId) -> bool {
         !self.unsettled.contains(&service)
--- /dev/null
+++ b/crates/petrellatch-core/tests/control/cluster.rs
@@ -0,0 +1,455 @@
+//! Control nodes with disks, daemons and a network on a virtual clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::cluster::ClusterView;
+use petrellatch_core::consensus::{
+    Membership, PersistRequest, PersistentState, ReplicaId, ReplicaStart,
+};
+use petrellatch_core::control::{
+    ControlNode, ControlOutput, ControlPeer, ControlSettings, OperatorError, OperatorRequest,
+    OperatorResponse,
+};
+use petrellatch_core::dissemination::{
+    AgentReport, DaemonLink, LinkOutput, LinkSettings, RelaySettings,
+};
+use petrellatch_core::identity::{Incarnation, NodeId};
+use petrellatch_core::node::NodeIdentity;
+use petrellatch_proto::envelope::Envelope;
+use petrellatch_proto::record::NodeRole;
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SYNC_TIME: Duration = Duration::from_millis(2);
+const STEP_LIMIT: u32 = 5_000_000;
+
+pub type RequestResult = Result<OperatorResponse, OperatorError>;
+
+/// Faults of the network.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub duplication: f64,
+    pub jitter_micros: u64,
+}
+
+pub const ROUGH: Faults = Faults {
+    loss: 0.1,
+    duplication: 0.05,
+    jitter_micros: 10_000,
+};
+
+enum Event {
+    Deliver {
+        from: SocketAddrV4,
+        to: SocketAddrV4,
+        envelope: Envelope,
+    },
+    Synced {
+        node: usize,
+        life: u64,
+        request: PersistRequest,
+    },
+}
+
+pub struct Control {
+    pub node: Option<ControlNode>,
+    disk: PersistentState,
+    life: u64,
+}
+
+pub struct Daemon {
+    pub link: DaemonLink,
+    pub report: AgentReport,
+    /// Goes on as a new life as soon as it is told that it was fenced.
+    pub lives: u64,
+}
+
+pub struct Cluster {
+    pub now: Timestamp,
+    pub controls: Vec<Control>,
+    pub daemons: BTreeMap<SocketAddrV4, Daemon>,
+    pub responses: BTreeMap<u64, RequestResult>,
+    pub cut: BTreeSet<SocketAddrV4>,
+    pub faults: Faults,
+    /// Lives that held a lease while they were no members any more.
+    pub violations: Vec<String>,
+    pub received_bytes: BTreeMap<SocketAddrV4, u64>,
+    pub sent_bytes: BTreeMap<SocketAddrV4, u64>,
+    settings: ControlSettings,
+    random: ChaCha8Rng,
+    queue: BTreeMap<(Timestamp, u64), Event>,
+    events: u64,
+    last_token: u64,
+}
+
+pub fn control_address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1 + index as u16)
+}
+
+pub fn daemon_address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+fn identity(name: &str, role: NodeRole, control: SocketAddrV4, incarnation: u64) -> NodeIdentity {
+    NodeIdentity {
+        node: NodeId::from_name(name),
+        name: name.to_owned(),
+        incarnation: Incarnation(incarnation),
+        zone: "zone-a".to_owned(),
+        role,
+        control,
+        data: control,
+    }
+}
+
+fn control_identity(index: usize) -> NodeIdentity {
+    let name = format!("control-{index}");
+    identity(&name, NodeRole::Control, control_address(index), 100)
+}
+
+impl Cluster {
+    pub fn new(seed: u64, mut settings: ControlSettings) -> Self {
+        const CONTROLS: usize = 3;
+        settings.peers = (0..CONTROLS)
+            .map(|index| ControlPeer {
+                node: control_identity(index).node,
+                control: control_address(index),
+            })
+            .collect();
+        let mut cluster = Cluster {
+            now: Timestamp::from_millis(1_000),
+            controls: Vec::new(),
+            daemons: BTreeMap::new(),
+            responses: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            faults: Faults::default(),
+            violations: Vec::new(),
+            received_bytes: BTreeMap::new(),
+            sent_bytes: BTreeMap::new(),
+            settings,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            events: 0,
+            last_token: 0,
+        };
+        for index in 0..CONTROLS {
+            cluster.controls.push(Control {
+                node: None,
+                disk: PersistentState::default(),
+                life: 0,
+            });
+            cluster.start(index);
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let voters = self.settings.peers.iter().map(|peer| ReplicaId {
+            node: peer.node,
+            incarnation: Incarnation(100),
+        });
+        let bootstrap = Membership::of_voters(voters);
+        let seed = self.random.random();
+        let identity = control_identity(index);
+        let control = &mut self.controls[index];
+        control.life += 1;
+        let start = ReplicaStart {
+            id: identity.node,
+            incarnation: Incarnation(100),
+            seed,
+            persisted: control.disk.clone(),
+            bootstrap: Some(bootstrap),
+        };
+        let settings = self.settings.clone();
+        control.node = Some(ControlNode::new(self.now, settings, identity, start));
+        self.flush_control(index);
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.controls[index].node = None;
+    }
+
+    pub fn add_daemon(&mut self, port: u16, name: &str, role: NodeRole) {
+        let controls = (0..self.controls.len()).map(control_address).collect();
+        let relay = (role == NodeRole::Balancer).then(RelaySettings::default);
+        let settings = LinkSettings {
+            controls,
+            relay,
+            ..LinkSettings::default()
+        };
+        let address = daemon_address(port);
+        let identity = identity(name, role, address, u64::from(port) * 1_000);
+        let link = DaemonLink::new(self.now, settings, identity, 3, None);
+        let daemon = Daemon {
+            link,
+            report: AgentReport::default(),
+            lives: 1,
+        };
+        self.daemons.insert(address, daemon);
+    }
+
+    pub fn daemon(&self, port: u16) -> &Daemon {
+        &self.daemons[&daemon_address(port)]
+    }
+
+    pub fn report(&mut self, port: u16, change: impl Fn(&mut AgentReport)) {
+        let now = self.now;
+        let daemon = self.daemons.get_mut(&daemon_address(port)).expect("known");
+        change(&mut daemon.report);
+        daemon.link.set_report(now, daemon.report.clone());
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |index: &usize| {
+            let node = self.controls[*index].node.as_ref();
+            let is_cut = self.cut.contains(&control_address(*index));
+            node.is_some_and(|node| node.replica().is_leader_with_quorum(self.now)) && !is_cut
+        };
+        (0..self.controls.len()).find(leads)
+    }
+
+    /// The newest view of any control node.
+    pub fn view(&self) -> &ClusterView {
+        let nodes = self.controls.iter().filter_map(|it| it.node.as_ref());
+        nodes
+            .map(|node| node.state().view())
+            .max_by_key(|view| view.version())
+            .expect("a running control node")
+    }
+
+    pub fn config_version(&self) -> u64 {
+        let nodes = self.controls.iter().filter_map(|it| it.node.as_ref());
+        let versions = nodes.map(|node| node.state().config_version());
+        versions.max().expect("a running control node")
+    }
+
+    pub fn submit(&mut self, index: usize, request: OperatorRequest) -> u64 {
+        self.last_token += 1;
+        let token = self.last_token;
+        if let Some(node) = &mut self.controls[index].node {
+            node.handle_request(self.now, token, request);
+            self.flush_control(index);
+        }
+        token
+    }
+
+    /// Asks the leader and waits for its answer.
+    pub fn ask(&mut self, request: OperatorRequest) -> RequestResult {
+        let limit = Duration::from_secs(20);
+        self.run_until(limit, "a leader", |cluster| cluster.leader().is_some());
+        let leader = self.leader().expect("just found");
+        let token = self.submit(leader, request);
+        self.run_until(limit, "an answer", |cluster| {
+            cluster.responses.contains_key(&token)
+        });
+        self.responses[&token].clone()
+    }
+
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        what: &str,
+        done: impl Fn(&Cluster) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        for _ in 0..STEP_LIMIT {
+            if done(self) {
+                return self.now.saturating_since(start);
+            }
+            assert!(self.step(start + limit), "no {what} after {limit:?}");
+        }
+        panic!("no {what} after {STEP_LIMIT} steps");
+    }
+
+    pub fn all_in_force(&self) -> bool {
+        let version = self.view().version();
+        let daemons = self.daemons.iter();
+        daemons
+            .filter(|(address, _)| !self.cut.contains(address))
+            .all(|(_, daemon)| daemon.link.is_current() && daemon.link.view().version() == version)
+    }
+
+    pub fn all_registered(&self) -> bool {
+        self.daemons.values().all(|daemon| {
+            let identity = daemon.link.identity();
+            self.view().is_member(identity.node, identity.incarnation)
+        })
+    }
+
+    fn step(&mut self, end: Timestamp) -> bool {
+        let event = self.queue.keys().next().map(|key| key.0);
+        let nodes = self.controls.iter().filter_map(|it| it.node.as_ref());
+        let control = nodes.filter_map(ControlNode::poll_timeout).min();
+        let links = self.daemons.values().map(|it| &it.link);
+        let link = links.filter_map(DaemonLink::poll_timeout).min();
+        let Some(next) = [event, control, link].into_iter().flatten().min() else {
+            return false;
+        };
+        if next > end {
+            return false;
+        }
+        self.now = self.now.max(next);
+        self.handle_events();
+        self.handle_timeouts();
+        self.check_leases();
+        true
+    }
+
+    fn handle_events(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Event::Deliver { from, to, envelope } => self.deliver(from, to, envelope),
+                Event::Synced {
+                    node,
+                    life,
+                    request,
+                } => self.synced(node, life, &request),
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, envelope: Envelope) {
+        if self.cut.contains(&from) || self.cut.contains(&to) {
+            return;
+        }
+        *self.received_bytes.entry(to).or_default() += envelope.encoded_len() as u64;
+        if let Some(daemon) = self.daemons.get_mut(&to) {
+            daemon.link.handle_control(self.now, from, &envelope);
+            self.flush_daemon(to);
+            return;
+        }
+        let index = usize::from(to.port() - 1);
+        if let Some(node) = &mut self.controls[index].node {
+            node.handle_control(self.now, from, envelope);
+            self.flush_control(index);
+        }
+    }
+
+    fn synced(&mut self, index: usize, life: u64, request: &PersistRequest) {
+        let control = &mut self.controls[index];
+        if control.life != life || control.node.is_none() {
+            return;
+        }
+        control.disk.apply(request);
+        if let Some(node) = &mut control.node {
+            node.handle_persisted(self.now, request.ticket);
+            self.flush_control(index);
+        }
+    }
+
+    fn handle_timeouts(&mut self) {
+        let now = self.now;
+        let is_due = |at: Option<Timestamp>| at.is_some_and(|at| at <= now);
+        for index in 0..self.controls.len() {
+            if let Some(node) = &mut self.controls[index].node
+                && is_due(node.poll_timeout())
+            {
+                node.handle_timeout(now);
+                self.flush_control(index);
+            }
+        }
+        let daemons = self.daemons.iter();
+        let due: Vec<SocketAddrV4> = daemons
+            .filter(|(_, daemon)| is_due(daemon.link.poll_timeout()))
+            .map(|(address, _)| *address)
+            .collect();
+        for address in due {
+            let daemon = self.daemons.get_mut(&address).expect("known");
+            daemon.link.handle_timeout(now);
+            self.flush_daemon(address);
+        }
+    }
+
+    fn flush_control(&mut self, index: usize) {
+        loop {
+            let control = &mut self.controls[index];
+            let Some(output) = control.node.as_mut().and_then(ControlNode::poll_output) else {
+                return;
+            };
+            match output {
+                ControlOutput::Send { to, envelope } => {
+                    self.send(control_address(index), to, envelope);
+                }
+                ControlOutput::Persist(request) => {
+                    let event = Event::Synced {
+                        node: index,
+                        life: control.life,
+                        request,
+                    };
+                    self.schedule(SYNC_TIME, event);
+                }
+                ControlOutput::Respond { token, result } => {
+                    self.responses.insert(token, result);
+                }
+                ControlOutput::Event(_) => {}
+                ControlOutput::Failed { message } => panic!("control {index}: {message}"),
+            }
+        }
+    }
+
+    fn flush_daemon(&mut self, address: SocketAddrV4) {
+        loop {
+            let daemon = self.daemons.get_mut(&address).expect("known");
+            match daemon.link.poll_output() {
+                Some(LinkOutput::Send { to, envelope }) => self.send(address, to, envelope),
+                Some(LinkOutput::Fenced) => {
+                    daemon.lives += 1;
+                    let next = Incarnation(daemon.link.identity().incarnation.0 + 1);
+                    daemon.link.new_life(self.now, next);
+                }
+                Some(_) => {}
+                None => return,
+            }
+        }
+    }
+
+    fn send(&mut self, from: SocketAddrV4, to: SocketAddrV4, envelope: Envelope) {
+        *self.sent_bytes.entry(from).or_default() += envelope.encoded_len() as u64;
+        if self.random.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = 1 + u64::from(self.random.random_bool(self.faults.duplication));
+        for _ in 0..copies {
+            let jitter = self.random.random_range(0..=self.faults.jitter_micros);
+            let event = Event::Deliver {
+                from,
+                to,
+                envelope: envelope.clone(),
+            };
+            self.schedule(Duration::from_micros(500 + jitter), event);
+        }
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.events += 1;
+        self.queue.insert((self.now + delay, self.events), event);
+    }
+
+    /// Whoever holds a valid lease must be a member in the newest view.
+    fn check_leases(&mut self) {
+        let view = self.view();
+        let mut found = Vec::new();
+        for daemon in self.daemons.values() {
+            let identity = daemon.link.identity();
+            let is_valid = daemon.link.lease_until().is_some_and(|at| at > self.now);
+            if is_valid && !view.is_member(identity.node, identity.incarnation) {
+                found.push(format!("{} at {}", identity.name, self.now));
+            }
+        }
+        self.violations.extend(found);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -0,0 +1,8 @@
+//! The control group with its daemons under faults.
+
+mod changes;
+mod cluster;
+mod fencing;
+mod operators;
+mod placements;
+mod scale;
--- a/crates/petrellatch-core/tests/dissemination/main.rs
+++ b/crates/petrellatch-core/tests/dissemination/main.rs
@@ -214,6 +214,7 @@
         lease_milliseconds: if fenced { 0 } else { 6_000 },
         registered: !fenced,
         fenced,
+        term: 1,
     };
     Envelope {
         body: Some(Body::HeartbeatReply(HeartbeatReply {
--- a/crates/petrellatch-core/tests/dissemination/network.rs
+++ b/crates/petrellatch-core/tests/dissemination/network.rs
@@ -216,6 +216,7 @@
             lease_milliseconds: LEASE_MILLISECONDS,
             registered: true,
             fenced: false,
+            term: 1,
         };
         let answers = entries.iter().map(answer).collect();
         self.relay.handle_reply(&HeartbeatReply { answers });
--- a/crates/petrellatch-proto/src/dissemination.rs
+++ b/crates/petrellatch-proto/src/dissemination.rs
@@ -168,6 +168,9 @@
     /// The life was fenced: the daemon must start a new one.
     #[prost(bool, tag = "7")]
     pub fenced: bool,
+    /// The leader's term. A new leader knows no loads: the daemon sends all.
+    #[prost(uint64, tag = "8")]
+    pub term: u64,
 }
 
 /// Answers, passed down the tree the way the heartbeats came.
