--- /dev/null
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for everything around petrellatch, and the simulator.
+
+pub mod simulator;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -1,1 +1,3 @@
+//! Stand-ins and experiments around petrellatch.
+
 fn main() {}
