--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -8,9 +8,12 @@
 //! and the simulator therefore run exactly the same code.
 
 pub mod cluster;
+pub mod consensus;
 pub mod error_kind;
 pub mod event;
 pub mod identity;
+pub mod placement;
+pub mod policy;
 pub mod time;
 
 pub use error_kind::ErrorKind;
