--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -7,13 +7,20 @@
 //! clock and draws randomness only from a seed that it was given. The daemons
 //! and the simulator therefore run exactly the same code.
 
+pub mod admission;
+pub mod agent_node;
+pub mod balancer_node;
 pub mod cluster;
 pub mod consensus;
+pub mod dissemination;
 pub mod error_kind;
 pub mod event;
+pub mod flow;
 pub mod identity;
+pub mod node;
 pub mod placement;
 pub mod policy;
+pub mod routing;
 pub mod time;
 
 pub use error_kind::ErrorKind;
