--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod backend;
 pub mod caller;
 pub mod fabric;
+pub mod simulator;
 pub mod support;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -6,6 +6,7 @@
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
+use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
 
 /// Stand-ins for what surrounds petrellatch. Every long-running subcommand
@@ -28,6 +29,8 @@
     Backend(BackendOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
+    /// Simulate whole fleets with faults and check what is promised.
+    Sim(SimOptions),
 }
 
 fn main() -> ExitCode {
@@ -62,5 +65,6 @@
             fabric::run(&options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Sim(options) => Ok(sim::run(&options, &mut std::io::stdout().lock())?),
     }
 }
