--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -22,5 +22,4 @@
 pub mod time;
 
 pub use error_kind::ErrorKind;
-pub use event::{Event, EventKind};
 pub use time::Timestamp;
