Let a daemon link keep a view of any kind

Cause: one process that measures thousands of daemon links can't hold a private copy of the cluster's records for each of them. Ruled out: persistent maps inside the cluster view, since every link would still copy the path of each delta; a second, simplified link, since it would measure something else than what the daemons run. Change: DaemonLink and Relay work on the trait DisseminatedView. ClusterView implements it and stays the default, so that callers see no difference. Conclusion: the dissemination tests pass as before.

--- a/crates/petrellatch-core/src/dissemination/daemon_link.rs
+++ b/crates/petrellatch-core/src/dissemination/daemon_link.rs
@@ -17,6 +17,7 @@
 use crate::time::Timestamp;
 
 use super::backoff::{Backoff, jitter};
+use super::disseminated_view::DisseminatedView;
 use super::heartbeat_schedule::HeartbeatSchedule;
 use super::lease_clock::LeaseClock;
 use super::link_output::{AgentReport, LinkOutput};
@@ -30,11 +31,11 @@
 
 /// Keeps a daemon's view up to date, sends its heartbeats and holds its
 /// lease. See the [module page](super) for the guarantees.
-pub struct DaemonLink {
+pub struct DaemonLink<View = ClusterView> {
     identity: NodeIdentity,
     settings: LinkSettings,
     random: ChaCha8Rng,
-    updater: ViewUpdater,
+    updater: ViewUpdater<View>,
     assembly: Option<SnapshotAssembly>,
     parents: ParentList,
     silence_deadline: Timestamp,
@@ -58,8 +59,26 @@
         seed: u64,
         stored: Option<StoredView>,
     ) -> Self {
-        let mut random = ChaCha8Rng::seed_from_u64(seed ^ identity.incarnation.0);
         let view = stored.map_or_else(ClusterView::new, |stored| stored.to_view());
+        DaemonLink::with_view(now, settings, identity, seed, view)
+    }
+
+    /// The copy of the view to be kept on disk.
+    pub fn stored_view(&self) -> StoredView {
+        StoredView::of(self.view())
+    }
+}
+
+impl<View: DisseminatedView> DaemonLink<View> {
+    /// Starts with a view of any kind.
+    pub fn with_view(
+        now: Timestamp,
+        settings: LinkSettings,
+        identity: NodeIdentity,
+        seed: u64,
+        view: View,
+    ) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ identity.incarnation.0);
         let backoff = Backoff::new(settings.retry_base, settings.retry_limit);
         let start = settings.start_jitter;
         let subscription = Subscription::new(now, start, backoff, &mut random);
@@ -149,15 +168,10 @@
     }
 
     /// The view in force.
-    pub fn view(&self) -> &ClusterView {
+    pub fn view(&self) -> &View {
         self.updater.view()
     }
 
-    /// The copy of the view to be kept on disk.
-    pub fn stored_view(&self) -> StoredView {
-        StoredView::of(self.view())
-    }
-
     /// Whether the view holds everything that was committed when this process
     /// first asked after its start.
     pub fn is_current(&self) -> bool {
--- a/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
+++ b/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
@@ -14,11 +14,12 @@
 use crate::time::Timestamp;
 
 use super::super::backoff::jitter;
+use super::super::disseminated_view::DisseminatedView;
 use super::super::link_output::LinkOutput;
 use super::super::snapshot_assembly::SnapshotAssembly;
 use super::DaemonLink;
 
-impl DaemonLink {
+impl<View: DisseminatedView> DaemonLink<View> {
     pub(super) fn handle_body(
         &mut self,
         now: Timestamp,
--- /dev/null
+++ b/crates/petrellatch-core/src/dissemination/disseminated_view.rs
@@ -0,0 +1,48 @@
+//! What a link and a relay need of the view that they keep or serve.
+
+use petrellatch_proto::dissemination::Delta;
+use petrellatch_proto::record::RecordChange;
+
+use crate::cluster::{ApplyError, ClusterView};
+
+/// A view that moves forward by deltas and snapshots. Daemons keep a
+/// [`ClusterView`]; many daemons in one measuring process share the records
+/// behind another type.
+pub trait DisseminatedView {
+    /// The version in force.
+    fn version(&self) -> u64;
+
+    /// Applies the delta that follows the version in force.
+    fn apply(&mut self, delta: &Delta) -> Result<(), ApplyError>;
+
+    /// Replaces the whole content by a snapshot of a newer version.
+    fn replace(&mut self, version: u64, records: &[RecordChange]) -> Result<(), ApplyError>;
+
+    /// All records as puts, in a fixed order.
+    fn records(&self) -> Vec<RecordChange>;
+
+    /// An empty view of the same kind, at version zero.
+    fn cleared(&self) -> Self;
+}
+
+impl DisseminatedView for ClusterView {
+    fn version(&self) -> u64 {
+        ClusterView::version(self)
+    }
+
+    fn apply(&mut self, delta: &Delta) -> Result<(), ApplyError> {
+        ClusterView::apply(self, delta)
+    }
+
+    fn replace(&mut self, version: u64, records: &[RecordChange]) -> Result<(), ApplyError> {
+        ClusterView::replace(self, version, records)
+    }
+
+    fn records(&self) -> Vec<RecordChange> {
+        ClusterView::records(self)
+    }
+
+    fn cleared(&self) -> Self {
+        ClusterView::new()
+    }
+}
--- a/crates/petrellatch-core/src/dissemination/mod.rs
+++ b/crates/petrellatch-core/src/dissemination/mod.rs
@@ -55,6 +55,7 @@
 mod child;
 mod daemon_link;
 mod delta_log;
+mod disseminated_view;
 mod heartbeat_collector;
 mod heartbeat_schedule;
 mod lease_clock;
@@ -73,6 +74,7 @@
 
 pub use daemon_link::DaemonLink;
 pub use delta_log::DeltaLog;
+pub use disseminated_view::DisseminatedView;
 pub use link_output::{AgentReport, LinkOutput};
 pub use link_settings::{
     DisseminationMutations, HEARTBEAT_COMBINE_INTERVAL, HEARTBEAT_INTERVAL, LinkSettings,
--- a/crates/petrellatch-core/src/dissemination/relay.rs
+++ b/crates/petrellatch-core/src/dissemination/relay.rs
@@ -10,12 +10,12 @@
 use petrellatch_proto::envelope::Body;
 use prost::Message;
 
-use crate::cluster::ClusterView;
 use crate::identity::NodeId;
 use crate::time::Timestamp;
 
 use super::child::Child;
 use super::delta_log::DeltaLog;
+use super::disseminated_view::DisseminatedView;
 use super::heartbeat_collector::HeartbeatCollector;
 use super::pacer::Pacer;
 use super::relay_settings::RelaySettings;
@@ -78,14 +78,14 @@
     }
 
     /// The view was replaced as a whole; children get what they lack from it.
-    pub fn restart(&mut self, now: Timestamp, view: &ClusterView) {
+    pub fn restart(&mut self, now: Timestamp, view: &impl DisseminatedView) {
         self.log.restart(view.version());
         self.snapshots = SnapshotCache::default();
         self.push_to_all(now, view);
     }
 
     /// These deltas led to `view`; they are pushed to the children.
-    pub fn publish(&mut self, now: Timestamp, deltas: &[Delta], view: &ClusterView) {
+    pub fn publish(&mut self, now: Timestamp, deltas: &[Delta], view: &impl DisseminatedView) {
         if deltas.is_empty() {
             return;
         }
@@ -102,7 +102,7 @@
         from: SocketAddrV4,
         sender: NodeId,
         subscribe: &Subscribe,
-        view: &ClusterView,
+        view: &impl DisseminatedView,
     ) {
         if let Some(child) = self.admit_child(now, from, sender, subscribe.version) {
             child.subscribe(subscribe.version);
@@ -120,7 +120,7 @@
         from: SocketAddrV4,
         sender: NodeId,
         request: &SnapshotRequest,
-        view: &ClusterView,
+        view: &impl DisseminatedView,
     ) {
         let count = self.snapshots.part_count(request.version);
         let Some(child) = self.admit_child(now, from, sender, 0) else {
@@ -146,7 +146,7 @@
         from: SocketAddrV4,
         sender: NodeId,
         heartbeat: &Heartbeat,
-        view: &ClusterView,
+        view: &impl DisseminatedView,
     ) {
         for entry in self.accept_heartbeat(now, from, sender, heartbeat, view) {
             self.collector.insert(now, entry);
@@ -161,7 +161,7 @@
         from: SocketAddrV4,
         sender: NodeId,
         heartbeat: &Heartbeat,
-        view: &ClusterView,
+        view: &impl DisseminatedView,
     ) -> Vec<HeartbeatEntry> {
         let own = |entry: &&HeartbeatEntry| entry.node == sender.0;
         if let Some(entry) = heartbeat.entries.iter().find(own) {
@@ -226,7 +226,7 @@
         from: SocketAddrV4,
         sender: NodeId,
         version: u64,
-        view: &ClusterView,
+        view: &impl DisseminatedView,
     ) {
         let is_new = !self.children.contains_key(&sender);
         let newest = self.log.newest();
@@ -261,7 +261,7 @@
         Some(child)
     }
 
-    fn push_to_all(&mut self, now: Timestamp, view: &ClusterView) {
+    fn push_to_all(&mut self, now: Timestamp, view: &impl DisseminatedView) {
         let children: Vec<NodeId> = self.children.keys().copied().collect();
         for child in children {
             self.enqueue(child);
@@ -280,7 +280,7 @@
 
     /// Makes sure that a snapshot is at hand, with all deltas after it, if a
     /// waiting child is too far behind for deltas.
-    fn prepare_snapshot(&mut self, view: &ClusterView) {
+    fn prepare_snapshot(&mut self, view: &impl DisseminatedView) {
         if self.log.newest() != view.version() {
             self.log.restart(view.version());
         }
--- a/crates/petrellatch-core/src/dissemination/snapshot_cache.rs
+++ b/crates/petrellatch-core/src/dissemination/snapshot_cache.rs
@@ -6,7 +6,7 @@
 use petrellatch_proto::record::RecordChange;
 use prost::Message;
 
-use crate::cluster::ClusterView;
+use super::disseminated_view::DisseminatedView;
 
 /// Target size of the records in one part, in encoded bytes. A single record
 /// that is larger has a part of its own.
@@ -31,7 +31,7 @@
 
 impl SnapshotCache {
     /// Adds the snapshot of `view`, unless it is there already.
-    pub(super) fn insert(&mut self, view: &ClusterView) {
+    pub(super) fn insert(&mut self, view: &impl DisseminatedView) {
         let version = view.version();
         if self.newest_version() == Some(version) {
             return;
--- a/crates/petrellatch-core/src/dissemination/view_updater.rs
+++ b/crates/petrellatch-core/src/dissemination/view_updater.rs
@@ -5,8 +5,7 @@
 use petrellatch_proto::dissemination::{Delta, Update};
 use petrellatch_proto::record::{RecordChange, RecordKey};
 
-use crate::cluster::ClusterView;
-
+use super::disseminated_view::DisseminatedView;
 use super::link_settings::DisseminationMutations;
 
 /// What an update did.
@@ -24,18 +23,18 @@
 
 /// A view that moves only forward.
 #[derive(Clone, Debug)]
-pub(super) struct ViewUpdater {
-    view: ClusterView,
+pub(super) struct ViewUpdater<View> {
+    view: View,
     mutations: DisseminationMutations,
 }
 
-impl ViewUpdater {
-    pub(super) fn new(view: ClusterView, mutations: DisseminationMutations) -> Self {
+impl<View: DisseminatedView> ViewUpdater<View> {
+    pub(super) fn new(view: View, mutations: DisseminationMutations) -> Self {
         ViewUpdater { view, mutations }
     }
 
     /// The view in force.
-    pub(super) fn view(&self) -> &ClusterView {
+    pub(super) fn view(&self) -> &View {
         &self.view
     }
 
@@ -68,7 +67,7 @@
     ) -> BTreeSet<RecordKey> {
         let mut keys: BTreeSet<RecordKey> = self.view.records().iter().filter_map(key_of).collect();
         if self.mutations.apply_older_versions {
-            self.view = ClusterView::new();
+            self.view = self.view.cleared();
         }
         if self.view.replace(version, records).is_ok() {
             keys.extend(records.iter().filter_map(key_of));
@@ -87,7 +86,7 @@
     /// the lab).
     fn step_back(&mut self, version: u64) {
         let records = self.view.records();
-        self.view = ClusterView::new();
+        self.view = self.view.cleared();
         if version > 1 {
             let _ = self.view.replace(version - 1, &records);
         }
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod time;
 
 pub use error_kind::ErrorKind;
+pub use event::{Event, EventKind};
 pub use time::Timestamp;
