Index the cluster view by name, address and service

Cause: ClusterView::backends_of, service_by_name, service_by_address and backend_by_name walked over all records. The control group's planner asks for the back ends of every service, which made one look services times back ends: about 10^10 steps at 67,000 services and 160,000 back ends. Ruled out: an index beside the view in each user, since every user would have to follow every delta again. Change: a RecordIndex inside the view, kept by put and remove. Conclusion: lookups cost the logarithm of the view, and the back ends of a service their own number.

--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -12,6 +12,8 @@
 
 use crate::identity::{BackendId, Incarnation, NodeId, ServiceId};
 
+use super::record_index::RecordIndex;
+
 /// Why a delta or snapshot was not applied.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum ApplyError {
@@ -42,6 +44,7 @@
     policies: BTreeMap<String, PolicyRecord>,
     members: BTreeMap<NodeId, MemberRecord>,
     placements: BTreeMap<ServiceId, PlacementRecord>,
+    index: RecordIndex,
 }
 
 impl ClusterView {
@@ -114,14 +117,14 @@
 
     /// Returns a service by the operator's name for it.
     pub fn service_by_name(&self, name: &str) -> Option<&ServiceRecord> {
-        self.services.values().find(|service| service.name == name)
+        let id = self.index.service_by_name(name)?;
+        self.services.get(&id)
     }
 
     /// Returns the service that callers reach at this address.
     pub fn service_by_address(&self, address: SocketAddrV4) -> Option<&ServiceRecord> {
-        self.services
-            .values()
-            .find(|service| SocketAddrV4::from(service.address) == address)
+        let id = self.index.service_by_address(address.into())?;
+        self.services.get(&id)
     }
 
     /// Returns all services by identifier.
@@ -136,7 +139,8 @@
 
     /// Returns a back end by the operator's name for it.
     pub fn backend_by_name(&self, name: &str) -> Option<&BackendRecord> {
-        self.backends.values().find(|backend| backend.name == name)
+        let id = self.index.backend_by_name(name)?;
+        self.backends.get(&id)
     }
 
     /// Returns all back ends by identifier.
@@ -146,9 +150,8 @@
 
     /// Returns the back ends of one service by identifier.
     pub fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = &BackendRecord> {
-        self.backends
-            .values()
-            .filter(move |backend| backend.service == service.0)
+        let ids = self.index.backends_of(service);
+        ids.filter_map(|id| self.backends.get(&id))
     }
 
     /// Returns a policy.
@@ -201,9 +204,13 @@
     fn put(&mut self, record: Record) {
         match record {
             Record::Service(service) => {
+                self.remove_service(ServiceId(service.id));
+                self.index.insert_service(&service);
                 self.services.insert(ServiceId(service.id), service);
             }
             Record::Backend(backend) => {
+                self.remove_backend(BackendId(backend.id));
+                self.index.insert_backend(&backend);
                 self.backends.insert(BackendId(backend.id), backend);
             }
             Record::Policy(policy) => {
@@ -222,10 +229,10 @@
     fn remove(&mut self, key: &RecordKey) {
         match key {
             RecordKey::Service(id) => {
-                self.services.remove(&ServiceId(*id));
+                self.remove_service(ServiceId(*id));
             }
             RecordKey::Backend(id) => {
-                self.backends.remove(&BackendId(*id));
+                self.remove_backend(BackendId(*id));
             }
             RecordKey::Policy(name) => {
                 self.policies.remove(name);
@@ -238,4 +245,16 @@
             }
         }
     }
+
+    fn remove_service(&mut self, id: ServiceId) {
+        if let Some(service) = self.services.remove(&id) {
+            self.index.remove_service(&service);
+        }
+    }
+
+    fn remove_backend(&mut self, id: BackendId) {
+        if let Some(backend) = self.backends.remove(&id) {
+            self.index.remove_backend(&backend);
+        }
+    }
 }
--- a/crates/petrellatch-core/src/cluster/mod.rs
+++ b/crates/petrellatch-core/src/cluster/mod.rs
@@ -15,5 +15,6 @@
 //! ```
 
 mod cluster_view;
+mod record_index;
 
 pub use cluster_view::{ApplyError, ClusterView};
--- /dev/null
+++ b/crates/petrellatch-core/tests/cluster_index.rs
@@ -0,0 +1,114 @@
+//! Lookups in a cluster view follow every put and removal.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::cluster::ClusterView;
+use petrellatch_core::identity::{BackendId, ServiceId};
+use petrellatch_proto::dissemination::Delta;
+use petrellatch_proto::record::{BackendRecord, Record, RecordChange, RecordKey, ServiceRecord};
+
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, 1].into(), port)
+}
+
+fn put(record: Record) -> RecordChange {
+    RecordChange {
+        put: Some(record),
+        remove: None,
+    }
+}
+
+fn remove(key: RecordKey) -> RecordChange {
+    RecordChange {
+        put: None,
+        remove: Some(key),
+    }
+}
+
+fn service(id: u32, name: &str, port: u16) -> RecordChange {
+    put(Record::Service(ServiceRecord {
+        id,
+        name: name.to_owned(),
+        address: address(port).into(),
+        ..ServiceRecord::default()
+    }))
+}
+
+fn backend(id: u64, name: &str, service: u32) -> RecordChange {
+    put(Record::Backend(BackendRecord {
+        id,
+        name: name.to_owned(),
+        service,
+        ..BackendRecord::default()
+    }))
+}
+
+fn apply(view: &mut ClusterView, changes: Vec<RecordChange>) {
+    let version = view.version() + 1;
+    view.apply(&Delta { version, changes })
+        .expect("the delta follows the version in force");
+}
+
+fn backends_of(view: &ClusterView, service: u32) -> Vec<u64> {
+    let backends = view.backends_of(ServiceId(service));
+    backends.map(|backend| backend.id).collect()
+}
+
+#[test]
+fn lookups_find_what_was_put_last() {
+    let mut view = ClusterView::new();
+    apply(
+        &mut view,
+        vec![service(1, "desk", 80), service(2, "map", 81)],
+    );
+    apply(&mut view, vec![service(1, "desk", 90)]);
+    assert!(view.service_by_address(address(80)).is_none());
+    let found = view.service_by_address(address(90)).expect("it moved");
+    assert_eq!(found.id, 1);
+    let found = view.service_by_name("map").expect("it was put");
+    assert_eq!(found.id, 2);
+}
+
+#[test]
+fn back_ends_are_listed_in_order_and_leave_when_removed() {
+    let mut view = ClusterView::new();
+    let backends = vec![backend(9, "c", 1), backend(3, "a", 1), backend(5, "b", 2)];
+    apply(&mut view, backends);
+    assert_eq!(backends_of(&view, 1), [3, 9]);
+    apply(&mut view, vec![backend(3, "a", 2)]);
+    assert_eq!(backends_of(&view, 1), [9]);
+    assert_eq!(backends_of(&view, 2), [3, 5]);
+    apply(&mut view, vec![remove(RecordKey::Backend(3))]);
+    assert_eq!(backends_of(&view, 2), [5]);
+    assert!(view.backend_by_name("a").is_none());
+    assert!(view.backend(BackendId(3)).is_none());
+}
+
+#[test]
+fn a_name_or_address_that_was_taken_over_stays_with_its_new_record() {
+    let mut view = ClusterView::new();
+    apply(&mut view, vec![service(1, "desk", 80), backend(1, "a", 1)]);
+    let takeover = vec![
+        service(2, "desk", 80),
+        backend(2, "a", 2),
+        remove(RecordKey::Service(1)),
+        remove(RecordKey::Backend(1)),
+    ];
+    apply(&mut view, takeover);
+    assert_eq!(view.service_by_name("desk").map(|it| it.id), Some(2));
+    let at_address = view.service_by_address(address(80));
+    assert_eq!(at_address.map(|it| it.id), Some(2));
+    assert_eq!(view.backend_by_name("a").map(|it| it.id), Some(2));
+}
+
+#[test]
+fn a_snapshot_gives_the_same_view_as_the_deltas() {
+    let mut view = ClusterView::new();
+    apply(&mut view, vec![service(1, "desk", 80), backend(7, "a", 1)]);
+    apply(&mut view, vec![backend(4, "b", 1)]);
+    let mut copy = ClusterView::new();
+    copy.replace(view.version(), &view.records())
+        .expect("the snapshot is newer");
+    assert_eq!(copy, view);
+    assert_eq!(backends_of(&copy, 1), [4, 7]);
+}
