--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod admission;
 pub mod cluster;
 pub mod consensus;
+pub mod control;
 pub mod dissemination;
 pub mod error_kind;
 pub mod event;
 pub mod flow;
 pub mod identity;
+pub mod membership;
 pub mod node;
 pub mod placement;
 pub mod policy;
