Give the test stubs the term of a heartbeat answer

Cause: HeartbeatAnswer got the field term; two test stubs built it without. Ruled out: a default for the field, which would hide a leader that forgets it. Change: both stubs answer with term 1. Conclusion: the workspace builds again.

--- a/crates/petrellatch-core/src/agent_node/tests/control_stub.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/control_stub.rs
@@ -119,6 +119,7 @@
         let registered = is_member(&self.view);
         let granted = registered && !self.refuses_leases && !entry.stopped;
         let answer = HeartbeatAnswer {
+            term: 1,
             node: entry.node,
             incarnation: entry.incarnation,
             sequence: entry.sequence,
--- a/crates/petrellatch-core/src/balancer_node/tests.rs
+++ b/crates/petrellatch-core/src/balancer_node/tests.rs
@@ -72,6 +72,7 @@
 fn answer(sequence: u64, version: u64, fenced: bool) -> Body {
     Body::HeartbeatReply(HeartbeatReply {
         answers: vec![HeartbeatAnswer {
+            term: 1,
             node: NodeId::from_name("balancer-1").0,
             incarnation: 7,
             sequence,
