Forget redirects of ended flows, and decide about doubled openings once

Cause: reading the safety core against late and doubled packets. A former owner kept its copies as well, and the directory kept every node that ever left. A lost owner was forgotten after four more generations, which ended in resets of flows of an agent that is only cut off. Ruled out: a bound on the redirect table by eviction, because an evicted redirect breaks its flow.

--- a/crates/petrellatch-core/src/admission/redirect_table.rs
+++ b/crates/petrellatch-core/src/admission/redirect_table.rs
@@ -162,6 +162,15 @@
         });
     }
 
+    /// Forgets redirects for which `is_foreign` is true and that no packet
+    /// used for [`ORPHAN_GRACE`].
+    pub fn expire_foreign(&mut self, now: Timestamp, is_foreign: impl Fn(&FlowKey) -> bool) {
+        self.redirects.retain(|key, redirect| {
+            let unused = now.saturating_since(redirect.used_at) >= ORPHAN_GRACE;
+            !(unused && is_foreign(key))
+        });
+    }
+
     /// Returns all redirects by flow.
     pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &Redirect)> {
         self.redirects.iter()
@@ -179,6 +188,12 @@
 }
 
 impl Redirect {
+    /// Returns whether the flow was passed to the holder so recently that its
+    /// answer may be on its way.
+    pub fn was_just_passed(&self, now: Timestamp) -> bool {
+        self.pending.is_some() && now.saturating_since(self.made_at) < SETTLE_TIME
+    }
+
     /// Returns whether the holder's life is over as far as the view says.
     pub fn is_orphaned(&self) -> bool {
         self.orphaned_at.is_some()
--- a/crates/petrellatch-core/src/admission/report_outbox.rs
+++ b/crates/petrellatch-core/src/admission/report_outbox.rs
@@ -124,6 +124,11 @@
         self.reports.retain(|life, _| keep(*life));
     }
 
+    /// Returns whether a report to `recipient` was not confirmed yet.
+    pub fn has_report_for(&self, recipient: AgentLife) -> bool {
+        self.reports.contains_key(&recipient)
+    }
+
     /// Returns whether everything was confirmed.
     pub fn is_empty(&self) -> bool {
         self.reports.is_empty()
--- a/crates/petrellatch-core/src/admission/service_admission.rs
+++ b/crates/petrellatch-core/src/admission/service_admission.rs
@@ -21,10 +21,13 @@
 /// claims of agents that are not expected may still be on their way.
 const RESET_GRACE: Duration = Duration::from_secs(2);
 
-/// How many generations that are not listed any more are remembered, to reach
-/// earlier owners that are cut off from the control group.
+/// How many generations that are not listed any more are remembered.
 const RETIRED_GENERATIONS: usize = 4;
 
+/// How many of them are remembered as long as they name an owner whose life
+/// was lost and that may have flows still.
+const RETIRED_WITH_LOST_OWNERS: usize = 64;
+
 /// Where this agent stands towards the new flows of a bucket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -109,6 +112,7 @@
             self.take_generations(now, service, placement);
         }
         self.find_lost_lives(now, view);
+        self.trim_retired(now);
         self.find_reporters(view);
         let is_member = |life: AgentLife| view.is_member(life.node, life.incarnation);
         self.redirects.mark_orphans(now, is_member);
@@ -241,6 +245,11 @@
         self.outbox.poll_timeout()
     }
 
+    /// Returns whether a report to `recipient` was not confirmed yet.
+    pub fn is_reporting_to(&self, recipient: AgentLife) -> bool {
+        self.outbox.has_report_for(recipient)
+    }
+
     /// Returns whether all reports were confirmed.
     pub fn is_reported(&self) -> bool {
         self.outbox.is_empty()
@@ -249,6 +258,7 @@
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Timestamp, idle: Duration) {
         self.redirects.expire(now, idle);
+        self.expire_foreign_redirects(now);
         if self.lost.values().all(|until| *until <= now) {
             self.retired.clear();
         }
@@ -271,13 +281,30 @@
             self.generations.push(generation);
         }
         self.retired.append(&mut former);
-        let excess = self.retired.len().saturating_sub(RETIRED_GENERATIONS);
-        self.retired.drain(..excess);
         if self.generation() != before {
             self.applied_at = now;
         }
     }
 
+    /// Forgets redirects of buckets that belong to others, who know them by
+    /// this agent's reports.
+    fn expire_foreign_redirects(&mut self, now: Timestamp) {
+        let Some(newest) = self.generations.last() else {
+            return;
+        };
+        let foreign = |key: &FlowKey| {
+            let owner = newest.owner(key.bucket(newest.bucket_count()));
+            let owner = owner.filter(|owner| owner.agent != self.own);
+            owner.is_some_and(|owner| {
+                let is_member = self.reporters.contains(&owner.agent);
+                is_member && !self.outbox.has_report_for(owner.agent)
+            })
+        };
+        if self.reported == Some((newest.number(), self.own)) {
+            self.redirects.expire_foreign(now, foreign);
+        }
+    }
+
     /// Notes owners whose life ended.
     fn find_lost_lives(&mut self, now: Timestamp, view: &ClusterView) {
         let known = self.generations.iter().chain(&self.retired);
@@ -291,6 +318,21 @@
         }
     }
 
+    /// Forgets the oldest generations. Those that name a lost owner are kept
+    /// longer, to reach it if it is only cut off from the control group.
+    fn trim_retired(&mut self, now: Timestamp) {
+        let lost = &self.lost;
+        let may_have_flows = |life: AgentLife| lost.get(&life).is_some_and(|until| *until > now);
+        let mut excess = self.retired.len().saturating_sub(RETIRED_GENERATIONS);
+        self.retired.retain(|generation| {
+            let drop = excess > 0 && !generation.lives().any(may_have_flows);
+            excess -= usize::from(drop);
+            !drop
+        });
+        let excess = self.retired.len().saturating_sub(RETIRED_WITH_LOST_OWNERS);
+        self.retired.drain(..excess);
+    }
+
     /// Finds the members that have a share in a listed generation or a back
     /// end of the service; all of them report.
     fn find_reporters(&mut self, view: &ClusterView) {
--- a/crates/petrellatch-core/src/admission/tests/reports.rs
+++ b/crates/petrellatch-core/src/admission/tests/reports.rs
@@ -4,10 +4,18 @@
 use std::time::Duration;
 
 use petrellatch_proto::admission::{FlowEntry, FlowReportAck};
+use petrellatch_proto::dissemination::Delta;
+use petrellatch_proto::record::{
+    GenerationRecord, MemberRecord, NodeRole, PlacementRecord, Record, RecordChange, RecordKey,
+    ServiceRecord, ShareRecord,
+};
 
 use crate::Timestamp;
-use crate::admission::{RedirectTable, ReportInbox, ReportOutbox};
-use crate::identity::{Incarnation, NodeId, ServiceId};
+use crate::admission::{
+    AdmissionMutations, RedirectTable, ReportInbox, ReportOutbox, ServiceAdmission,
+};
+use crate::cluster::ClusterView;
+use crate::identity::{BucketIndex, Incarnation, NodeId, ServiceId};
 use crate::placement::FlowKey;
 use crate::routing::AgentLife;
 
@@ -117,3 +125,79 @@
     redirects.replace_former_lives(life(3, 2));
     assert!(redirects.is_empty());
 }
+
+#[test]
+fn a_lost_owner_is_remembered_through_many_generations() {
+    let (own, lost) = (life(1, 1), life(2, 1));
+    let mut view = ClusterView::new();
+    put(&mut view, Record::Service(service()));
+    put(&mut view, member(own));
+    put(&mut view, member(lost));
+    put(&mut view, placement(1, &[lost]));
+    let mut admission = ServiceAdmission::new(&service(), own, AdmissionMutations::default());
+    let mut now = Timestamp::from_millis(1);
+    admission.apply(now, &view, &service(), own, &[]);
+    let fenced = RecordChange {
+        put: None,
+        remove: Some(RecordKey::Member(lost.node.0)),
+    };
+    change(&mut view, fenced);
+    for generation in 2..12 {
+        now = now + Duration::from_secs(2);
+        put(&mut view, placement(generation, &[own]));
+        admission.apply(now, &view, &service(), own, &[]);
+        admission.expire(now, Duration::from_secs(600));
+    }
+    let holder = admission.possible_holder(now, BucketIndex(0));
+    assert_eq!(holder.map(|it| it.agent), Some(lost));
+    now = now + Duration::from_secs(60);
+    admission.expire(now, Duration::from_secs(600));
+    assert_eq!(admission.possible_holder(now, BucketIndex(0)), None);
+}
+
+fn service() -> ServiceRecord {
+    ServiceRecord {
+        id: 1,
+        name: "desk".to_owned(),
+        address: key(1).destination.into(),
+        buckets: 4,
+        ..ServiceRecord::default()
+    }
+}
+
+fn member(life: AgentLife) -> Record {
+    Record::Member(MemberRecord {
+        node: life.node.0,
+        incarnation: life.incarnation.0,
+        role: NodeRole::Agent as i32,
+        ..MemberRecord::default()
+    })
+}
+
+fn placement(number: u64, lives: &[AgentLife]) -> Record {
+    let share = |life: &AgentLife| ShareRecord {
+        backend: life.node.0,
+        weight: 1_000,
+        node: life.node.0,
+        incarnation: life.incarnation.0,
+    };
+    let generation = GenerationRecord {
+        number,
+        shares: lives.iter().map(share).collect(),
+    };
+    Record::Placement(PlacementRecord {
+        service: 1,
+        generations: vec![generation],
+    })
+}
+
+fn put(view: &mut ClusterView, record: Record) {
+    let put = Some(record);
+    change(view, RecordChange { put, remove: None });
+}
+
+fn change(view: &mut ClusterView, change: RecordChange) {
+    let version = view.version() + 1;
+    let changes = vec![change];
+    view.apply(&Delta { version, changes }).unwrap();
+}
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -57,6 +57,10 @@
         backend: BackendId,
         asked: Vec<BackendId>,
     ) {
+        if self.flows.find(&packet.view.key).is_some() {
+            // Another owner has passed the flow here in the meantime.
+            return;
+        }
         let owned = self.owns(&packet);
         let outcome = match (owned, self.may_admit(now)) {
             (false, _) => self.place(now, packet),
@@ -77,9 +81,11 @@
         let backend = BackendId(packet.datagram.backend);
         let owner = NodeId(packet.datagram.sender);
         let has_room = self.check_room(now, backend).is_ok() && self.has_free_slot(now, backend);
-        let refused = self.may_admit(now).is_err() || !has_room;
+        let key = packet.view.key;
+        let repeated = self.maintenance.refused_hunts.contains(now, key, backend);
+        let refused = repeated || self.may_admit(now).is_err() || !has_room;
         if refused || !self.serves(backend, &packet) {
-            self.answer_hunt(now, owner, &packet, backend, false);
+            self.refuse_hunt(now, owner, &packet, backend);
             return Ok(());
         }
         self.counters.hunted_in += 1;
@@ -107,19 +113,20 @@
         self.send_hunt_reply(now, owner, flow.backend, reply);
     }
 
-    /// Answers the owner of a flow that it passed here.
-    pub(super) fn answer_hunt(
+    /// Tells the owner that the flow it passed here is refused.
+    pub(super) fn refuse_hunt(
         &mut self,
         now: Timestamp,
         owner: NodeId,
         packet: &CallerPacket,
         backend: BackendId,
-        admitted: bool,
     ) {
+        let key = packet.view.key;
+        self.maintenance.refused_hunts.insert(now, key, backend);
         let reply = HuntReply {
             service: packet.service.0,
-            source: packet.view.key.source.into(),
-            admitted,
+            source: key.source.into(),
+            admitted: false,
             load: None,
         };
         self.send_hunt_reply(now, owner, backend, reply);
@@ -285,6 +292,7 @@
             return;
         };
         local.health.begin_probe(now);
+        self.maintenance.ended.remove(&packet.view.key);
         let server = local.record.server.into();
         let flow = OpenFlow::connecting(
             now,
--- a/crates/petrellatch-core/src/agent_node/agent_directory.rs
+++ b/crates/petrellatch-core/src/agent_node/agent_directory.rs
@@ -2,13 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
-use petrellatch_proto::record::NodeRole;
+use petrellatch_proto::record::{MemberRecord, NodeRole};
 
+use crate::Timestamp;
 use crate::cluster::ClusterView;
 use crate::identity::{Incarnation, NodeId};
 use crate::routing::AgentLife;
 
+/// How long the address of a life that ended is remembered: a little longer
+/// than packets are passed on to it.
+const FORMER_TIME: Duration = Duration::from_secs(65);
+
 /// The addresses of one agent life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct AgentAddress {
@@ -18,52 +24,90 @@
     pub(super) data: SocketAddrV4,
 }
 
-/// Addresses of all agent lives that are members, and of the last life of each
-/// node that is not one any more: it may be cut off from the control group and
-/// still have flows.
+/// A life of a node and its addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownLife {
+    incarnation: Incarnation,
+    address: AgentAddress,
+}
+
+/// A life that is not a member any more.
+#[derive(Clone, Copy, Debug)]
+struct FormerLife {
+    life: KnownLife,
+    until: Timestamp,
+}
+
+/// Addresses of all agent lives that are members and, for a while, of the last
+/// life of each node that is not one any more: it may be cut off from the
+/// control group and still have flows.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AgentDirectory {
-    members: BTreeMap<AgentLife, AgentAddress>,
-    former: BTreeMap<NodeId, (AgentLife, AgentAddress)>,
+    members: BTreeMap<NodeId, KnownLife>,
+    former: BTreeMap<NodeId, FormerLife>,
 }
 
 impl AgentDirectory {
-    /// Takes over a newer view.
-    pub(super) fn refresh(&mut self, view: &ClusterView) {
-        let agents = view.members().filter(|it| it.role() == NodeRole::Agent);
-        let members = agents
-            .map(|member| {
-                let life = AgentLife {
-                    node: NodeId(member.node),
-                    incarnation: Incarnation(member.incarnation),
-                };
-                let address = AgentAddress {
-                    control: member.control.into(),
-                    data: member.data.into(),
-                };
-                (life, address)
-            })
-            .collect();
-        let before = std::mem::replace(&mut self.members, members);
-        for (life, address) in before {
-            if !self.members.contains_key(&life) {
-                self.former.insert(life.node, (life, address));
-            }
+    /// Takes over all members of a view.
+    pub(super) fn refresh(&mut self, now: Timestamp, view: &ClusterView) {
+        let gone = self.members.keys().filter(|it| view.member(**it).is_none());
+        let gone: Vec<NodeId> = gone.copied().collect();
+        let present = view.members().map(|member| NodeId(member.node));
+        for node in gone.into_iter().chain(present) {
+            self.update(now, view, node);
+        }
+    }
+
+    /// Takes over what a view says about one node.
+    pub(super) fn update(&mut self, now: Timestamp, view: &ClusterView, node: NodeId) {
+        let member = view.member(node);
+        let agent = member.filter(|it| it.role() == NodeRole::Agent);
+        let present = agent.map(known_life);
+        let before = match present {
+            Some(present) => self.members.insert(node, present),
+            None => self.members.remove(&node),
+        };
+        if let Some(life) = before.filter(|before| present != Some(*before)) {
+            let until = now + FORMER_TIME;
+            self.former.insert(node, FormerLife { life, until });
         }
     }
 
+    /// Forgets lives that ended long ago.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        self.former.retain(|_, former| former.until > now);
+    }
+
     /// Returns the addresses of a life.
     pub(super) fn find(&self, life: AgentLife) -> Option<AgentAddress> {
-        let member = self.members.get(&life).copied();
-        member.or_else(|| {
-            let (former, address) = self.former.get(&life.node)?;
-            (*former == life).then_some(*address)
-        })
+        let member = self.members.get(&life.node).copied();
+        let former = self.former.get(&life.node).map(|former| former.life);
+        [member, former]
+            .into_iter()
+            .flatten()
+            .find(|known| known.incarnation == life.incarnation)
+            .map(|known| known.address)
     }
 
     /// Returns the member life of a node.
     pub(super) fn member(&self, node: NodeId) -> Option<AgentLife> {
-        let mut lives = self.members.keys();
-        lives.find(|life| life.node == node).copied()
+        let incarnation = self.members.get(&node)?.incarnation;
+        Some(AgentLife { node, incarnation })
+    }
+
+    /// Returns how many lives that ended are remembered.
+    #[cfg(test)]
+    pub(super) fn former_count(&self) -> usize {
+        self.former.len()
+    }
+}
+
+fn known_life(member: &MemberRecord) -> KnownLife {
+    KnownLife {
+        incarnation: Incarnation(member.incarnation),
+        address: AgentAddress {
+            control: member.control.into(),
+            data: member.data.into(),
+        },
     }
 }
--- a/crates/petrellatch-core/src/agent_node/backend_events.rs
+++ b/crates/petrellatch-core/src/agent_node/backend_events.rs
@@ -94,7 +94,7 @@
             self.outputs.push_back(AgentOutput::Abort { flow: id });
         }
         self.counters.ended += 1;
-        self.note_ended(&flow);
+        self.note_ended(now, &flow);
     }
 
     /// Takes a flow out of the table and out of its back end's count.
@@ -154,7 +154,7 @@
         };
         match flow.origin {
             FlowOrigin::Hunted { owner } => {
-                self.answer_hunt(now, owner, &packet, flow.backend, false);
+                self.refuse_hunt(now, owner, &packet, flow.backend);
             }
             FlowOrigin::Owner => {
                 let mut asked = asked;
--- a/crates/petrellatch-core/src/agent_node/maintenance.rs
+++ b/crates/petrellatch-core/src/agent_node/maintenance.rs
@@ -4,19 +4,22 @@
 use std::time::Duration;
 
 use petrellatch_proto::admission::FlowsEnded;
-use petrellatch_proto::endpoint::Endpoint;
 use petrellatch_proto::envelope::Body;
 
 use crate::Timestamp;
+use crate::admission::ServiceAdmission;
 use crate::dissemination::AgentReport;
 use crate::event::EventKind;
 use crate::identity::{BackendId, ServiceId};
+use crate::placement::FlowKey;
 use crate::routing::{AgentLife, DropReason};
 
 use super::agent_output::AgentOutput;
+use super::ended_flows::{EndedFlows, NOTICE_DELAY};
 use super::node::{AgentNode, StopPhase};
 use super::open_flow::OpenFlow;
 use super::packets::CallerPacket;
+use super::refused_hunts::RefusedHunts;
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -58,7 +61,10 @@
     store_at: Timestamp,
     view_changed: bool,
     held: Vec<HeldOpening>,
-    ended: BTreeMap<(AgentLife, ServiceId), Vec<Endpoint>>,
+    /// Flows whose end has to be told.
+    pub(super) ended: EndedFlows,
+    /// Hunted flows that were refused.
+    pub(super) refused_hunts: RefusedHunts,
     reported: Option<AgentReport>,
 }
 
@@ -71,7 +77,8 @@
             store_at: now,
             view_changed: false,
             held: Vec::new(),
-            ended: BTreeMap::new(),
+            ended: EndedFlows::default(),
+            refused_hunts: RefusedHunts::default(),
             reported: None,
         }
     }
@@ -107,7 +114,8 @@
         }
         self.maintenance.due = now + INTERVAL;
         self.retry_held_openings(now);
-        self.send_ended_flows();
+        self.send_ended_flows(now);
+        self.maintenance.refused_hunts.expire(now);
         let backends: Vec<BackendId> = self.backends.keys().copied().collect();
         for backend in backends {
             self.report_load(now, backend);
@@ -164,28 +172,64 @@
     }
 
     /// Notes a flow that ended, for the owner of its bucket.
-    pub(super) fn note_ended(&mut self, flow: &OpenFlow) {
-        let Some(state) = self.services.get(&flow.service) else {
-            return;
+    pub(super) fn note_ended(&mut self, now: Timestamp, flow: &OpenFlow) {
+        let due = now.max(flow.started_at() + NOTICE_DELAY);
+        self.maintenance.ended.insert(due, flow.service, flow.key);
+    }
+
+    fn send_ended_flows(&mut self, now: Timestamp) {
+        for (service, keys) in self.maintenance.ended.take_due(now) {
+            for (owner, keys) in self.group_by_owner(service, keys) {
+                if self.is_reporting_to(service, owner) {
+                    // The report, which lists these flows, must not come last.
+                    self.put_back_ended(now, service, keys);
+                } else {
+                    self.send_ended_to(owner, service, &keys);
+                }
+            }
+        }
+    }
+
+    /// Returns the flows whose buckets belong to other agents, by owner.
+    fn group_by_owner(
+        &self,
+        service: ServiceId,
+        keys: Vec<FlowKey>,
+    ) -> BTreeMap<AgentLife, Vec<FlowKey>> {
+        let mut groups: BTreeMap<AgentLife, Vec<FlowKey>> = BTreeMap::new();
+        let newest = self.services.get(&service).map(|it| &it.admission);
+        let Some(newest) = newest.and_then(ServiceAdmission::newest) else {
+            return groups;
         };
-        let bucket = state.admission.bucket(&flow.key);
-        let owner = state.admission.newest().and_then(|it| it.owner(bucket));
         let own = self.own_life();
-        if let Some(owner) = owner.filter(|owner| owner.agent != own) {
-            let ended = self.maintenance.ended.entry((owner.agent, flow.service));
-            ended.or_default().push(flow.key.source.into());
+        for key in keys {
+            let owner = newest.owner(key.bucket(newest.bucket_count()));
+            if let Some(owner) = owner.filter(|owner| owner.agent != own) {
+                groups.entry(owner.agent).or_default().push(key);
+            }
         }
+        groups
     }
 
-    fn send_ended_flows(&mut self) {
-        for ((owner, service), sources) in std::mem::take(&mut self.maintenance.ended) {
-            for sources in sources.chunks(ENDED_LIMIT) {
-                let ended = FlowsEnded {
-                    service: service.0,
-                    sources: sources.to_vec(),
-                };
-                self.send(owner, Body::FlowsEnded(ended));
-            }
+    fn is_reporting_to(&self, service: ServiceId, owner: AgentLife) -> bool {
+        let state = self.services.get(&service);
+        state.is_some_and(|state| state.admission.is_reporting_to(owner))
+    }
+
+    fn put_back_ended(&mut self, now: Timestamp, service: ServiceId, keys: Vec<FlowKey>) {
+        for key in keys {
+            let due = now + NOTICE_DELAY;
+            self.maintenance.ended.insert(due, service, key);
+        }
+    }
+
+    fn send_ended_to(&mut self, owner: AgentLife, service: ServiceId, keys: &[FlowKey]) {
+        for keys in keys.chunks(ENDED_LIMIT) {
+            let ended = FlowsEnded {
+                service: service.0,
+                sources: keys.iter().map(|key| key.source.into()).collect(),
+            };
+            self.send(owner, Body::FlowsEnded(ended));
         }
     }
 
@@ -194,6 +238,7 @@
             return;
         }
         self.maintenance.expire_at = now + EXPIRY_INTERVAL;
+        self.directory.expire(now);
         for state in self.services.values_mut() {
             let idle = state.idle() + IDLE_MARGIN;
             state.admission.expire(now, idle);
--- a/crates/petrellatch-core/src/agent_node/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/mod.rs
@@ -50,6 +50,7 @@
 mod agent_settings;
 mod backend_events;
 mod control_messages;
+mod ended_flows;
 mod flow_activity;
 mod flow_table;
 mod local_backend;
@@ -57,6 +58,7 @@
 mod node;
 mod open_flow;
 mod packets;
+mod refused_hunts;
 mod service_state;
 
 #[cfg(test)]
--- a/crates/petrellatch-core/src/agent_node/node.rs
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -248,7 +248,7 @@
     /// Takes over the view.
     fn refresh(&mut self, now: Timestamp) {
         let own = self.own_life();
-        self.directory.refresh(self.link.view());
+        self.directory.refresh(now, self.link.view());
         self.refresh_backends(now);
         self.refresh_services(now, own);
         self.retry_held_openings(now);
--- a/crates/petrellatch-core/src/agent_node/open_flow.rs
+++ b/crates/petrellatch-core/src/agent_node/open_flow.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Returns when the flow was admitted or, of a refused flow, refused.
+    pub(super) fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Returns whether the driver has a connection for the flow.
     pub(super) fn has_connection(&self) -> bool {
         !self.side.gone
--- a/crates/petrellatch-core/src/agent_node/packets.rs
+++ b/crates/petrellatch-core/src/agent_node/packets.rs
@@ -195,6 +195,11 @@
             redirects.forget(key);
             return Ok(false);
         }
+        if packet.view.opens && redirect.was_just_passed(now) {
+            // Doubled on its way. To ask the holder twice could bring two
+            // answers that differ.
+            return Err(DropReason::Repeated);
+        }
         let holder = redirect.holder;
         let asked = redirect.pending.as_ref().and_then(|it| it.asked.last());
         let (kind, backend) = match asked {
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -4,6 +4,7 @@
 mod control_stub;
 mod world;
 
+mod duplicates;
 mod failures;
 mod handover;
 mod refusals;
--- a/crates/petrellatch-core/src/routing/drop_reason.rs
+++ b/crates/petrellatch-core/src/routing/drop_reason.rs
@@ -26,6 +26,8 @@
     TooManyHops,
     /// This agent may not admit now: no lease.
     NoLease,
+    /// The packet opens a flow that is already being decided about.
+    Repeated,
     /// An earlier owner may still admit or hold flows of the bucket.
     Unsettled,
 }
