Take back flows that were passed to an agent that fell silent

Cause: a flow passed to an agent that had just died waited until that agent was fenced, and flows went on being passed there without bound as long as nothing was known of its load; an idle back end's load was told once, before the others knew its agent, and never again. Flows passed to a back end without a report count too. Reports are sent again when the candidates change.

--- a/crates/petrellatch-core/src/admission/load_table.rs
+++ b/crates/petrellatch-core/src/admission/load_table.rs
@@ -16,6 +16,10 @@
 /// How long a back end that refused a flow is left alone, unless it reports.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long a back end whose agent did not answer is left alone, unless it
+/// reports.
+const SILENCE_PAUSE: Duration = Duration::from_secs(10);
+
 /// Thousandths of a request.
 const REQUEST: u64 = 1_000;
 
@@ -41,6 +45,7 @@
 #[derive(Clone, Debug)]
 struct PeerLoad {
     reporter: AgentLife,
+    /// The number of the report; zero before the first.
     sequence: u64,
     present: BackendUse,
     closed: bool,
@@ -49,6 +54,20 @@
     paused_until: Timestamp,
 }
 
+impl PeerLoad {
+    /// What is assumed before the first report.
+    fn unreported(agent: AgentLife) -> Self {
+        PeerLoad {
+            reporter: agent,
+            sequence: 0,
+            present: BackendUse::default(),
+            closed: false,
+            passed: 0,
+            paused_until: Timestamp::ZERO,
+        }
+    }
+}
+
 impl LoadTable {
     /// Makes an empty table.
     pub fn new() -> Self {
@@ -77,11 +96,11 @@
         self.loads.insert(backend, load);
     }
 
-    /// Notes that a flow is passed to the back end.
-    pub fn note_passed(&mut self, backend: BackendId) {
-        if let Some(load) = self.loads.get_mut(&backend) {
-            load.passed += 1;
-        }
+    /// Notes that a flow is passed to the candidate.
+    pub fn note_passed(&mut self, candidate: &PeerCandidate) {
+        let load = self.loads.entry(candidate.backend);
+        let load = load.or_insert_with(|| PeerLoad::unreported(candidate.agent));
+        load.passed += 1;
     }
 
     /// Notes that the back end's agent refused a flow.
@@ -91,6 +110,26 @@
         }
     }
 
+    /// Notes that the back end's agent did not answer about a flow.
+    pub fn note_silent(&mut self, now: Timestamp, backend: BackendId) {
+        if let Some(load) = self.loads.get_mut(&backend) {
+            load.paused_until = now + SILENCE_PAUSE;
+        }
+    }
+
+    /// Returns whether the back end's agent has said nothing since a flow was
+    /// passed to it.
+    pub fn is_silent(&self, backend: BackendId) -> bool {
+        let load = self.loads.get(&backend);
+        load.is_none_or(|load| load.passed > 0)
+    }
+
+    /// Returns of how many back ends a report is known.
+    pub fn reported_count(&self) -> usize {
+        let loads = self.loads.values();
+        loads.filter(|load| load.sequence > 0).count()
+    }
+
     /// Forgets the reports of lives for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(AgentLife) -> bool) {
         self.loads.retain(|_, load| keep(load.reporter));
@@ -127,7 +166,8 @@
         weight: u32,
         margin: u64,
     ) -> bool {
-        let known = self.loads.contains_key(&candidate.backend);
+        let load = self.loads.get(&candidate.backend);
+        let known = load.is_some_and(|load| load.sequence > 0);
         let theirs = u64::from(self.busy(candidate.backend)) + 1;
         let scaled = theirs * u64::from(weight) * REQUEST / u64::from(candidate.weight.max(1));
         let ours = (u64::from(busy) + 1) * REQUEST;
--- a/crates/petrellatch-core/src/admission/redirect_table.rs
+++ b/crates/petrellatch-core/src/admission/redirect_table.rs
@@ -107,6 +107,12 @@
         self.redirects.remove(key)?.pending
     }
 
+    /// Takes out a pending hunt, whoever was asked.
+    pub fn take_pending(&mut self, key: &FlowKey) -> Option<PendingHunt> {
+        self.redirects.get(key)?.pending.as_ref()?;
+        self.redirects.remove(key)?.pending
+    }
+
     /// Forgets a flow that ended at `holder`, unless the redirect is so new
     /// that the message may be about an earlier flow of the same caller port.
     pub fn handle_ended(&mut self, now: Timestamp, key: &FlowKey, holder: NodeId) {
--- a/crates/petrellatch-core/src/admission/tests/limits.rs
+++ b/crates/petrellatch-core/src/admission/tests/limits.rs
@@ -133,7 +133,7 @@
     assert!(!loads.is_clearly_less(&best, 3, 1_000, 1_000));
     // Flows that were passed on count until the next report ..
     for _ in 0..3 {
-        loads.note_passed(BackendId(2));
+        loads.note_passed(&candidate(2, 1_000));
     }
     let best = loads.least_loaded(now, &candidates, &mut random).unwrap();
     assert_eq!(best.backend, BackendId(1));
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -1,17 +1,14 @@
 //! Admission of a new flow: here, at another agent, or not at all.
 
-use petrellatch_proto::admission::HuntReply;
-use petrellatch_proto::data::ForwardKind;
-use petrellatch_proto::envelope::Body;
 use rand::RngExt;
 
 use crate::Timestamp;
-use crate::admission::{PeerCandidate, PendingHunt, Refusal, RefusalReason, Standing};
+use crate::admission::{PeerCandidate, Refusal, RefusalReason, Standing};
 use crate::flow::reset_for;
-use crate::identity::{BackendId, NodeId, ServiceId};
+use crate::identity::{BackendId, ServiceId};
 use crate::routing::{BucketOwner, DropReason};
 
-use super::agent_output::{AgentOutput, FlowId};
+use super::agent_output::AgentOutput;
 use super::node::{AgentNode, StopPhase};
 use super::open_flow::{FlowOrigin, FlowPhase, OpenFlow};
 use super::packets::CallerPacket;
@@ -72,66 +69,6 @@
         }
     }
 
-    /// Admits or refuses a flow that its owner passed here.
-    pub(super) fn take_hunted(
-        &mut self,
-        now: Timestamp,
-        packet: CallerPacket,
-    ) -> Result<(), DropReason> {
-        let backend = BackendId(packet.datagram.backend);
-        let owner = NodeId(packet.datagram.sender);
-        let has_room = self.check_room(now, backend).is_ok() && self.has_free_slot(now, backend);
-        let key = packet.view.key;
-        let repeated = self.maintenance.refused_hunts.contains(now, key, backend);
-        let refused = repeated || self.may_admit(now).is_err() || !has_room;
-        if refused || !self.serves(backend, &packet) {
-            self.refuse_hunt(now, owner, &packet, backend);
-            return Ok(());
-        }
-        self.counters.hunted_in += 1;
-        self.admit(
-            now,
-            packet,
-            backend,
-            FlowOrigin::Hunted { owner },
-            Vec::new(),
-        );
-        Ok(())
-    }
-
-    /// Tells the owner that the flow it passed here was admitted.
-    pub(super) fn confirm_hunt(&mut self, now: Timestamp, owner: NodeId, id: FlowId) {
-        let Some(flow) = self.flows.get(id) else {
-            return;
-        };
-        let reply = HuntReply {
-            service: flow.service.0,
-            source: flow.key.source.into(),
-            admitted: true,
-            load: None,
-        };
-        self.send_hunt_reply(now, owner, flow.backend, reply);
-    }
-
-    /// Tells the owner that the flow it passed here is refused.
-    pub(super) fn refuse_hunt(
-        &mut self,
-        now: Timestamp,
-        owner: NodeId,
-        packet: &CallerPacket,
-        backend: BackendId,
-    ) {
-        let key = packet.view.key;
-        self.maintenance.refused_hunts.insert(now, key, backend);
-        let reply = HuntReply {
-            service: packet.service.0,
-            source: key.source.into(),
-            admitted: false,
-            load: None,
-        };
-        self.send_hunt_reply(now, owner, backend, reply);
-    }
-
     /// Returns whether a back end can take one more flow.
     pub(super) fn check_room(
         &mut self,
@@ -280,7 +217,7 @@
 
     /// Opens the connection to the back end; the caller's connection is
     /// accepted once that came about.
-    fn admit(
+    pub(super) fn admit(
         &mut self,
         now: Timestamp,
         packet: CallerPacket,
@@ -311,60 +248,14 @@
         self.settle_flow(now, id);
     }
 
-    /// Passes a new flow to another agent and remembers where it went.
-    fn pass(
-        &mut self,
-        now: Timestamp,
-        packet: CallerPacket,
-        candidate: PeerCandidate,
-        mut asked: Vec<BackendId>,
-    ) -> Result<(), DropReason> {
-        let Some(state) = self.services.get_mut(&packet.service) else {
-            return Err(DropReason::UnknownService);
-        };
-        asked.push(candidate.backend);
-        state.loads.note_passed(candidate.backend);
-        let pending = PendingHunt {
-            opening: packet.datagram.packet.clone(),
-            asked,
-        };
-        let redirects = &mut state.admission.redirects;
-        redirects.insert_pending(now, packet.view.key, candidate.agent, pending);
-        let generation = state.admission.generation();
-        self.counters.hunted += 1;
-        self.forward(
-            &packet,
-            candidate.agent,
-            ForwardKind::Hunted,
-            candidate.backend,
-            generation,
-        )
-    }
-
-    fn send_hunt_reply(
-        &mut self,
-        now: Timestamp,
-        owner: NodeId,
-        backend: BackendId,
-        mut reply: HuntReply,
-    ) {
-        let closed = self.check_room(now, backend).is_err();
-        if let Some(local) = self.backends.get_mut(&backend) {
-            reply.load = Some(local.load(closed));
-        }
-        if let Some(recipient) = self.directory.member(owner) {
-            self.send(recipient, Body::HuntReply(reply));
-        }
-    }
-
     /// Returns whether the back end is beside this agent and of the packet's
     /// service.
-    fn serves(&self, backend: BackendId, packet: &CallerPacket) -> bool {
+    pub(super) fn serves(&self, backend: BackendId, packet: &CallerPacket) -> bool {
         let local = self.backends.get(&backend);
         local.is_some_and(|it| it.record.service == packet.service.0)
     }
 
-    fn has_free_slot(&self, now: Timestamp, backend: BackendId) -> bool {
+    pub(super) fn has_free_slot(&self, now: Timestamp, backend: BackendId) -> bool {
         let local = self.backends.get(&backend);
         local.is_some_and(|it| it.has_free_slot(now))
     }
--- a/crates/petrellatch-core/src/agent_node/control_messages.rs
+++ b/crates/petrellatch-core/src/agent_node/control_messages.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_proto::admission::{FlowReport, FlowReportAck, FlowsEnded, HuntReply, LoadReport};
+use petrellatch_proto::admission::{FlowReport, FlowReportAck, FlowsEnded, LoadReport};
 use petrellatch_proto::envelope::{Body, Envelope};
 
 use crate::Timestamp;
@@ -96,33 +96,6 @@
         self.maintain(now);
     }
 
-    fn handle_hunt_reply(&mut self, now: Timestamp, sender: AgentLife, reply: &HuntReply) {
-        let Some(state) = self.services.get_mut(&ServiceId(reply.service)) else {
-            return;
-        };
-        if let Some(load) = &reply.load {
-            state.loads.handle_report(sender, load);
-        }
-        let key = key_of(state, reply.source.into());
-        if reply.admitted {
-            state.admission.redirects.confirm(&key, sender);
-            return;
-        }
-        let refused = state.admission.redirects.take_refused(&key, sender);
-        let Some(hunt) = refused else {
-            return;
-        };
-        if let Some(backend) = hunt.asked.last() {
-            state.loads.note_refused(now, *backend);
-        }
-        let bucket = state.admission.bucket(&key);
-        let owner = state.admission.newest().and_then(|it| it.owner(bucket));
-        let backend = owner.map_or(BackendId::default(), |owner| owner.backend);
-        if let Some(packet) = self.reconstruct(backend, hunt.opening) {
-            self.reopen_flow(now, packet, backend, hunt.asked);
-        }
-    }
-
     fn handle_flows_ended(&mut self, now: Timestamp, sender: AgentLife, ended: &FlowsEnded) {
         let Some(state) = self.services.get_mut(&ServiceId(ended.service)) else {
             return;
@@ -141,7 +114,7 @@
     }
 }
 
-fn key_of(state: &ServiceState, source: SocketAddrV4) -> FlowKey {
+pub(super) fn key_of(state: &ServiceState, source: SocketAddrV4) -> FlowKey {
     FlowKey {
         source,
         destination: state.record.address.into(),
--- a/crates/petrellatch-core/src/agent_node/local_backend.rs
+++ b/crates/petrellatch-core/src/agent_node/local_backend.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Makes a report due: there may be agents that have heard none.
+    pub(super) fn report_again(&mut self) {
+        self.reported = None;
+    }
+
     /// Returns a report for the other agents if one is due.
     pub(super) fn poll_report(&mut self, now: Timestamp, closed: bool) -> Option<LoadReport> {
         let busy = self.present.busy;
--- a/crates/petrellatch-core/src/agent_node/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/mod.rs
@@ -53,6 +53,7 @@
 mod ended_flows;
 mod flow_activity;
 mod flow_table;
+mod hunts;
 mod local_backend;
 mod maintenance;
 mod node;
--- a/crates/petrellatch-core/src/agent_node/node.rs
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -284,7 +284,11 @@
             let mut state = known.unwrap_or_else(|| ServiceState::new(now, record, own, mutations));
             let flows = self.flows.keys_of(id);
             state.admission.apply(now, view, record, own, &flows);
-            state.refresh(view, record);
+            if state.refresh(view, record) {
+                let local = self.backends.values_mut();
+                let beside = local.filter(|it| it.record.service == record.id);
+                beside.for_each(LocalBackend::report_again);
+            }
             self.service_of_address.insert(record.address.into(), id);
             self.services.insert(id, state);
         }
--- a/crates/petrellatch-core/src/agent_node/packets.rs
+++ b/crates/petrellatch-core/src/agent_node/packets.rs
@@ -56,6 +56,12 @@
 
     /// Decides about a packet of a flow that this agent does not have.
     pub(super) fn place(&mut self, now: Timestamp, packet: CallerPacket) -> Result<(), DropReason> {
+        if packet.view.opens
+            && let Some(hunt) = self.take_unanswered_hunt(now, &packet)
+        {
+            self.reopen_hunt(now, hunt);
+            return Ok(());
+        }
         if self.follow_redirect(now, &packet)? {
             return Ok(());
         }
--- a/crates/petrellatch-core/src/agent_node/service_state.rs
+++ b/crates/petrellatch-core/src/agent_node/service_state.rs
@@ -50,18 +50,22 @@
         }
     }
 
-    /// Takes over the changed record and finds the candidates anew.
-    pub(super) fn refresh(&mut self, view: &ClusterView, record: &ServiceRecord) {
+    /// Takes over the changed record and finds the candidates anew. Returns
+    /// whether they changed.
+    pub(super) fn refresh(&mut self, view: &ClusterView, record: &ServiceRecord) -> bool {
         self.record = record.clone();
         self.rate.set_limit(record.new_flows_per_second);
         let newest = self.admission.newest();
         let shares = newest.map_or(&[][..], |newest| newest.shares());
         let receiving = shares.iter().filter(|share| share.receives());
-        self.candidates = receiving
+        let candidates: Vec<PeerCandidate> = receiving
             .filter_map(|share| candidate(view, share))
             .collect();
         self.loads
             .retain(|life| view.is_member(life.node, life.incarnation));
+        let changed = candidates != self.candidates;
+        self.candidates = candidates;
+        changed
     }
 
     /// Returns the placement weight of a back end.
--- a/crates/petrellatch-core/src/agent_node/tests/duplicates.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/duplicates.rs
@@ -177,3 +177,27 @@
     world.run(QUIET);
     assert_eq!(world.agents["a"].directory.former_count(), 0);
 }
+
+#[test]
+fn flows_passed_to_a_dead_agent_are_decided_again_before_it_is_fenced() {
+    for seed in 36..40 {
+        let mut world = world_with_full_owner(seed);
+        world.frozen.insert("b".to_owned());
+        for number in 100..140 {
+            world.call(number, "one\n");
+            world.run(Duration::from_millis(10));
+        }
+        world.run(Duration::from_secs(3));
+        assert_eq!(world.unanswered(100..140, ":one;"), [], "seed {seed}");
+        assert_eq!(world.requests_like("one"), 40);
+    }
+}
+
+#[test]
+fn every_agent_knows_the_load_of_idle_back_ends() {
+    let world = World::new(41, 3);
+    for agent in world.agents.values() {
+        let loads = &agent.services[&ServiceId(DESK)].loads;
+        assert_eq!(loads.reported_count(), 3);
+    }
+}
