Judge back ends by their answers too, and bound what words take out

Cause: a back end that accepts connections and fails every request stayed healthy and, being idle, attracted the flows of others; one that came and went got its full trial rate back with the first success; back ends that all said they were draining ended the service at once. Ruled out: reading health endpoints at the agent. What an endpoint says can lag or mislead; connections and first answer bytes can't. Change: three requests in a row that end in a reset before the first answer byte close a back end like failed connections do; one that fails again within 60 s is tried after 1, 2, 4, 8 s; words and failed requests withdraw at most half of a service's back ends (at least one), by rank, so that all agents agree. A back end that can't be connected to gets nothing regardless. Retry-After covers the time to the next trial.

--- a/crates/petrellatch-core/src/admission/backend_health.rs
+++ b/crates/petrellatch-core/src/admission/backend_health.rs
@@ -1,14 +1,21 @@
-//! Whether a back end can be reached, as its agent sees it.
+//! Whether a back end works, as its agent sees it.
 
 use std::time::Duration;
 
 use crate::Timestamp;
 
-/// Failures in a row after which a back end counts as unreachable.
+/// Failures in a row after which a back end is closed.
 const FAILURE_LIMIT: u32 = 3;
 
-/// The time until an unreachable back end is tried again; it doubles with
-/// every failed trial.
+/// The limit for a back end that was closed a short time ago.
+const FLAPPING_LIMIT: u32 = 1;
+
+/// A back end that works for so long after it was closed counts as sound
+/// again; one that fails sooner is tried less and less often.
+const SOUND_TIME: Duration = Duration::from_secs(60);
+
+/// The time until a closed back end is tried again; it doubles with every
+/// failed trial.
 const FIRST_PROBE: Duration = Duration::from_secs(1);
 
 /// The longest time between two trials.
@@ -21,72 +28,130 @@
 /// flow.
 const HEALTH_STEP: u32 = 100;
 
-/// Judges a back end by the outcome of connections to it, which can't lag or
-/// mislead as a health endpoint can.
+/// What a flow asks of a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendStage {
+    /// That the connection comes about.
+    Connect,
+    /// That the request gets an answer; any first byte counts as one, and a
+    /// reset before it as a failure.
+    Answer,
+}
+
+/// Judges a back end by the outcome of connections and requests, which can't
+/// lag or mislead as a health endpoint can.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendHealth {
-    failures_in_a_row: u32,
-    closed_until: Option<Timestamp>,
+    connect_failures: u32,
+    answer_failures: u32,
+    closed: Option<Closure>,
+    reopened_at: Option<Timestamp>,
     probe_interval: Duration,
     score: u32,
 }
 
+/// Why and until when a back end is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Closure {
+    stage: BackendStage,
+    until: Timestamp,
+}
+
 impl BackendHealth {
     /// Starts with full health.
     pub fn new() -> Self {
         BackendHealth {
-            failures_in_a_row: 0,
-            closed_until: None,
+            connect_failures: 0,
+            answer_failures: 0,
+            closed: None,
+            reopened_at: None,
             probe_interval: FIRST_PROBE,
             score: FULL_HEALTH,
         }
     }
 
-    /// Notes a connection that came about. Returns whether the back end was
-    /// unreachable before.
-    pub fn record_success(&mut self) -> bool {
-        let was_closed = self.closed_until.is_some();
-        self.failures_in_a_row = 0;
-        self.closed_until = None;
-        self.probe_interval = FIRST_PROBE;
+    /// Notes that a flow got what it asked for. Returns whether the back end
+    /// was closed before and is open now.
+    pub fn record_success(&mut self, now: Timestamp, stage: BackendStage) -> bool {
+        *self.failures(stage) = 0;
         self.score += (FULL_HEALTH - self.score).div_ceil(8);
-        was_closed
+        let opens = self.closed.is_some_and(|closure| {
+            closure.stage == stage || closure.stage == BackendStage::Connect
+        });
+        if opens {
+            self.closed = None;
+            self.reopened_at = Some(now);
+        }
+        opens
     }
 
-    /// Notes a connection that failed. Returns whether the back end has just
-    /// become unreachable.
-    pub fn record_failure(&mut self, now: Timestamp) -> bool {
-        self.failures_in_a_row += 1;
+    /// Notes that a flow did not get what it asked for. Returns whether the
+    /// back end has just been closed.
+    pub fn record_failure(&mut self, now: Timestamp, stage: BackendStage) -> bool {
+        self.forget_recovery(now);
+        let flapping = self.reopened_at.is_some();
+        let limit = if flapping {
+            FLAPPING_LIMIT
+        } else {
+            FAILURE_LIMIT
+        };
         self.score -= self.score.div_ceil(4);
-        if self.failures_in_a_row < FAILURE_LIMIT {
+        let failures = self.failures(stage);
+        *failures += 1;
+        let is_tolerable = *failures < limit;
+        let was_open = self.closed.is_none();
+        if was_open && is_tolerable {
             return false;
         }
-        let was_open = self.closed_until.is_none();
-        self.closed_until = Some(now + self.probe_interval);
+        let until = now + self.probe_interval;
+        self.closed = Some(Closure { stage, until });
         self.probe_interval = (self.probe_interval * 2).min(LONGEST_PROBE);
         was_open
     }
 
-    /// Returns whether the back end is unreachable and not to be tried yet.
-    pub fn is_closed(&self, now: Timestamp) -> bool {
-        self.closed_until.is_some_and(|until| now < until)
+    /// Returns why the back end is closed, unless a flow may try it now.
+    pub fn closed_by(&self, now: Timestamp) -> Option<BackendStage> {
+        let closure = self.closed.filter(|closure| now < closure.until)?;
+        Some(closure.stage)
     }
 
-    /// Notes that a flow is used to try an unreachable back end; there is one
-    /// such flow at a time.
+    /// Returns the time until the next flow may try the back end.
+    pub fn time_to_probe(&self, now: Timestamp) -> Duration {
+        let until = self.closed.map_or(now, |closure| closure.until);
+        until.saturating_since(now)
+    }
+
+    /// Notes that a flow is used to try a closed back end; there is one such
+    /// flow at a time.
     pub fn begin_probe(&mut self, now: Timestamp) {
-        if let Some(until) = &mut self.closed_until {
-            *until = now + self.probe_interval;
+        if let Some(closure) = &mut self.closed {
+            closure.until = now + self.probe_interval;
         }
     }
 
-    /// Returns the health from 0, unreachable, to 1,000.
+    /// Returns the health from 0, closed, to 1,000.
     pub fn health(&self) -> u32 {
-        if self.closed_until.is_some() {
+        if self.closed.is_some() {
             return 0;
         }
         (self.score / HEALTH_STEP * HEALTH_STEP).max(HEALTH_STEP)
     }
+
+    fn failures(&mut self, stage: BackendStage) -> &mut u32 {
+        match stage {
+            BackendStage::Connect => &mut self.connect_failures,
+            BackendStage::Answer => &mut self.answer_failures,
+        }
+    }
+
+    /// Takes a back end that has worked for long enough for sound again.
+    fn forget_recovery(&mut self, now: Timestamp) {
+        let is_over = |at: Timestamp| now.saturating_since(at) >= SOUND_TIME;
+        if self.closed.is_none() && self.reopened_at.is_some_and(is_over) {
+            self.reopened_at = None;
+            self.probe_interval = FIRST_PROBE;
+        }
+    }
 }
 
 impl Default for BackendHealth {
--- a/crates/petrellatch-core/src/admission/load_table.rs
+++ b/crates/petrellatch-core/src/admission/load_table.rs
@@ -49,6 +49,7 @@
     sequence: u64,
     present: BackendUse,
     closed: bool,
+    withdrawn: bool,
     /// Flows that this agent passed to it since the report.
     passed: u32,
     paused_until: Timestamp,
@@ -62,6 +63,7 @@
             sequence: 0,
             present: BackendUse::default(),
             closed: false,
+            withdrawn: false,
             passed: 0,
             paused_until: Timestamp::ZERO,
         }
@@ -90,6 +92,7 @@
                 connections: report.connections,
             },
             closed: report.closed,
+            withdrawn: report.withdrawn,
             passed: 0,
             paused_until: Timestamp::ZERO,
         };
@@ -124,6 +127,11 @@
         load.is_none_or(|load| load.passed > 0)
     }
 
+    /// Returns whether the back end should get nothing new although it could.
+    pub fn is_withdrawn(&self, backend: BackendId) -> bool {
+        self.loads.get(&backend).is_some_and(|load| load.withdrawn)
+    }
+
     /// Returns of how many back ends a report is known.
     pub fn reported_count(&self) -> usize {
         let loads = self.loads.values();
--- a/crates/petrellatch-core/src/admission/mod.rs
+++ b/crates/petrellatch-core/src/admission/mod.rs
@@ -44,7 +44,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use backend_health::BackendHealth;
+pub use backend_health::{BackendHealth, BackendStage};
 pub use backend_limits::{BackendLimits, BackendUse, RefusalReason};
 pub use dispatch_state::DispatchState;
 pub use load_table::{LoadTable, PeerCandidate};
--- a/crates/petrellatch-core/src/admission/tests/limits.rs
+++ b/crates/petrellatch-core/src/admission/tests/limits.rs
@@ -10,8 +10,8 @@
 
 use crate::Timestamp;
 use crate::admission::{
-    BackendHealth, BackendLimits, BackendUse, LoadTable, PeerCandidate, Refusal, RefusalReason,
-    ServiceTime, TokenBucket,
+    BackendHealth, BackendLimits, BackendStage, BackendUse, LoadTable, PeerCandidate, Refusal,
+    RefusalReason, ServiceTime, TokenBucket,
 };
 use crate::identity::{BackendId, Incarnation, NodeId};
 use crate::routing::AgentLife;
@@ -58,6 +58,7 @@
         connections: busy,
         closed: false,
         sequence,
+        withdrawn: false,
     }
 }
 
@@ -147,24 +148,70 @@
 }
 
 #[test]
-fn a_flapping_back_end_is_tried_less_and_less_often() {
+fn a_failing_back_end_is_tried_less_and_less_often() {
+    let connect = BackendStage::Connect;
     let mut health = BackendHealth::new();
     let mut now = Timestamp::ZERO;
-    assert!(!health.record_failure(now));
-    assert!(!health.record_failure(now));
-    assert!(health.record_failure(now), "the third failure closes it");
+    assert!(!health.record_failure(now, connect));
+    assert!(!health.record_failure(now, connect));
+    assert!(
+        health.record_failure(now, connect),
+        "the third failure closes it"
+    );
     assert_eq!(health.health(), 0);
-    assert!(health.is_closed(Timestamp::from_millis(999)));
+    assert!(health.closed_by(Timestamp::from_millis(999)).is_some());
     now = Timestamp::from_millis(1_000);
-    assert!(!health.is_closed(now));
+    assert!(health.closed_by(now).is_none());
     health.begin_probe(now);
-    assert!(health.is_closed(now), "one trial at a time");
-    assert!(!health.record_failure(now));
-    assert!(health.is_closed(Timestamp::from_millis(2_999)));
-    assert!(health.record_success());
+    assert!(health.closed_by(now).is_some(), "one trial at a time");
+    assert!(!health.record_failure(now, connect));
+    assert!(health.closed_by(Timestamp::from_millis(2_999)).is_some());
+    assert!(health.record_success(now, connect));
     assert!(health.health() > 0 && health.health() < 1_000);
 }
 
+#[test]
+fn a_flapping_back_end_is_closed_for_longer_every_time() {
+    let connect = BackendStage::Connect;
+    let mut health = BackendHealth::new();
+    let mut now = Timestamp::ZERO;
+    for _ in 0..3 {
+        health.record_failure(now, connect);
+    }
+    let mut closed_for = Vec::new();
+    for _ in 0..5 {
+        closed_for.push(health.time_to_probe(now).as_secs());
+        now = now + health.time_to_probe(now);
+        assert!(health.record_success(now, connect));
+        now = now + Duration::from_secs(5);
+        assert!(health.record_failure(now, connect));
+    }
+    assert_eq!(closed_for, [1, 2, 4, 8, 8]);
+    // After a minute without a failure it is treated as in the beginning.
+    now = now + health.time_to_probe(now);
+    health.record_success(now, connect);
+    now = now + Duration::from_secs(60);
+    assert!(!health.record_failure(now, connect));
+    assert!(!health.record_failure(now, connect));
+    assert!(health.record_failure(now, connect));
+    assert_eq!(health.time_to_probe(now).as_secs(), 1);
+}
+
+#[test]
+fn connections_that_come_about_do_not_hide_failing_requests() {
+    let mut health = BackendHealth::new();
+    let now = Timestamp::ZERO;
+    for _ in 0..3 {
+        health.record_success(now, BackendStage::Connect);
+        health.record_failure(now, BackendStage::Answer);
+    }
+    assert_eq!(health.closed_by(now), Some(BackendStage::Answer));
+    assert!(!health.record_success(now, BackendStage::Connect));
+    assert!(health.closed_by(now).is_some());
+    assert!(health.record_success(now, BackendStage::Answer));
+    assert!(health.closed_by(now).is_none());
+}
+
 #[test]
 fn a_refusal_says_when_to_come_back() {
     let mut service = ServiceRecord {
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -79,7 +79,28 @@
             return Err(RefusalReason::Leaving);
         }
         let local = self.backends.get(&backend);
-        local.ok_or(RefusalReason::Unreachable)?.check(now)
+        let local = local.ok_or(RefusalReason::Unreachable)?;
+        match local.withdrawal(now) {
+            Some(reason) if self.follows_withdrawal(backend) => Err(reason),
+            _ => local.check(now),
+        }
+    }
+
+    /// Returns whether a back end that is withdrawn gets nothing new. At most
+    /// half of the back ends of a service are withdrawn at a time, whatever
+    /// they say and however they fail, so that endpoints that mislead and
+    /// requests that no back end survives can't end the service.
+    fn follows_withdrawal(&self, backend: BackendId) -> bool {
+        let local = self.backends.get(&backend);
+        let service = local.map(|local| ServiceId(local.record.service));
+        let state = service.and_then(|service| self.services.get(&service));
+        let Some(state) = state else {
+            return true;
+        };
+        let others = state.candidates.iter().map(|it| it.backend);
+        let before = others.filter(|it| *it < backend && state.loads.is_withdrawn(*it));
+        let most = (state.candidates.len() / 2).max(1);
+        before.count() < most
     }
 
     /// Refuses a new flow at once.
--- a/crates/petrellatch-core/src/agent_node/backend_events.rs
+++ b/crates/petrellatch-core/src/agent_node/backend_events.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 
 use crate::Timestamp;
+use crate::admission::BackendStage;
 use crate::event::EventKind;
 use crate::flow::PacketView;
 use crate::identity::BackendId;
@@ -28,7 +29,7 @@
         match event {
             BackendEvent::Connected => self.handle_connected(now, id),
             BackendEvent::ConnectFailed => self.handle_connect_failed(now, id),
-            BackendEvent::Data(bytes) => self.change(now, id, |flow| flow.handle_data(now, &bytes)),
+            BackendEvent::Data(bytes) => self.handle_data(now, id, &bytes),
             BackendEvent::Writable => self.change(now, id, OpenFlow::handle_writable),
             BackendEvent::Finished => self.handle_finished(now, id),
             BackendEvent::Reset => self.handle_reset(now, id),
@@ -131,7 +132,7 @@
         if let FlowOrigin::Hunted { owner } = origin {
             self.confirm_hunt(now, owner, id);
         }
-        self.record_reachable(backend);
+        self.record_works(now, backend, BackendStage::Connect);
         self.settle_flow(now, id);
     }
 
@@ -145,7 +146,7 @@
             return;
         };
         self.counters.connect_failures += 1;
-        self.record_unreachable(now, flow.backend);
+        self.record_fails(now, flow.backend, BackendStage::Connect);
         let FlowPhase::Connecting { opening, asked } = flow.phase else {
             return;
         };
@@ -164,6 +165,19 @@
         }
     }
 
+    fn handle_data(&mut self, now: Timestamp, id: FlowId, bytes: &[u8]) {
+        let Some(flow) = self.flows.get_mut(id) else {
+            return;
+        };
+        let is_first = !flow.is_answered();
+        let backend = flow.backend;
+        flow.handle_data(now, bytes);
+        if is_first {
+            self.record_works(now, backend, BackendStage::Answer);
+        }
+        self.settle_flow(now, id);
+    }
+
     fn handle_finished(&mut self, now: Timestamp, id: FlowId) {
         let Some(flow) = self.flows.get_mut(id) else {
             return;
@@ -193,6 +207,8 @@
             self.settle_flow(now, id);
             return;
         }
+        let fails = !flow.is_answered() && !flow.may_be_refused();
+        let backend = flow.backend;
         let not_run = flow.may_be_refused() || mutations.refuse_sent_as_not_run;
         match answer {
             Some(answer) if not_run => flow.refuse(now, answer),
@@ -201,6 +217,9 @@
                 self.counters.broken += 1;
             }
         }
+        if fails {
+            self.record_fails(now, backend, BackendStage::Answer);
+        }
         self.settle_flow(now, id);
     }
 
@@ -241,21 +260,21 @@
         }
     }
 
-    fn record_reachable(&mut self, backend: BackendId) {
+    fn record_works(&mut self, now: Timestamp, backend: BackendId, stage: BackendStage) {
         let Some(local) = self.backends.get_mut(&backend) else {
             return;
         };
-        if local.health.record_success() {
+        if local.health.record_success(now, stage) {
             let name = local.record.name.clone();
             self.emit(EventKind::BackendReachable, name);
         }
     }
 
-    fn record_unreachable(&mut self, now: Timestamp, backend: BackendId) {
+    fn record_fails(&mut self, now: Timestamp, backend: BackendId, stage: BackendStage) {
         let Some(local) = self.backends.get_mut(&backend) else {
             return;
         };
-        if local.health.record_failure(now) {
+        if local.health.record_failure(now, stage) {
             let name = local.record.name.clone();
             self.emit(EventKind::BackendUnreachable, name);
         }
--- a/crates/petrellatch-core/src/agent_node/control_messages.rs
+++ b/crates/petrellatch-core/src/agent_node/control_messages.rs
@@ -58,7 +58,7 @@
         let Some(local) = self.backends.get_mut(&backend) else {
             return;
         };
-        let exact = local.load(closed);
+        let exact = local.load(now, closed);
         let report = local.poll_report(now, closed);
         let Some(state) = self.services.get_mut(&service) else {
             return;
--- a/crates/petrellatch-core/src/agent_node/hunts.rs
+++ b/crates/petrellatch-core/src/agent_node/hunts.rs
@@ -182,7 +182,7 @@
     ) {
         let closed = self.check_room(now, backend).is_err();
         if let Some(local) = self.backends.get_mut(&backend) {
-            reply.load = Some(local.load(closed));
+            reply.load = Some(local.load(now, closed));
         }
         if let Some(recipient) = self.directory.member(owner) {
             self.send(recipient, Body::HuntReply(reply));
--- a/crates/petrellatch-core/src/agent_node/local_backend.rs
+++ b/crates/petrellatch-core/src/agent_node/local_backend.rs
@@ -7,7 +7,9 @@
 use petrellatch_proto::record::BackendRecord;
 
 use crate::Timestamp;
-use crate::admission::{BackendHealth, BackendLimits, BackendUse, RefusalReason, ServiceTime};
+use crate::admission::{
+    BackendHealth, BackendLimits, BackendStage, BackendUse, RefusalReason, ServiceTime,
+};
 
 /// The least time between two load reports of one back end.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -21,6 +23,7 @@
 struct ReportedLoad {
     busy: u32,
     closed: bool,
+    withdrawn: bool,
     at: Timestamp,
     repeated: bool,
 }
@@ -64,12 +67,21 @@
         self.limits.update(record);
     }
 
-    /// Returns whether one more flow may be admitted.
-    pub(super) fn check(&self, now: Timestamp) -> Result<(), RefusalReason> {
+    /// Returns whether the back end should get nothing new although it could:
+    /// it says so itself, or it fails requests. How far that is followed
+    /// depends on the other back ends of the service.
+    pub(super) fn withdrawal(&self, now: Timestamp) -> Option<RefusalReason> {
         if self.drains_itself {
-            return Err(RefusalReason::Draining);
+            return Some(RefusalReason::Draining);
         }
-        if self.health.is_closed(now) {
+        let fails = self.health.closed_by(now) == Some(BackendStage::Answer);
+        fails.then_some(RefusalReason::Unreachable)
+    }
+
+    /// Returns whether one more flow may be admitted, a withdrawal left out of
+    /// account.
+    pub(super) fn check(&self, now: Timestamp) -> Result<(), RefusalReason> {
+        if self.health.closed_by(now) == Some(BackendStage::Connect) {
             return Err(RefusalReason::Unreachable);
         }
         self.limits.check(now, self.present, &self.service_time)
@@ -84,11 +96,12 @@
     /// Returns how long a refused caller should stay away.
     pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
         let slots = self.limits.slots(now);
-        self.service_time.expected_wait(self.present.busy, slots)
+        let wait = self.service_time.expected_wait(self.present.busy, slots);
+        wait.max(self.health.time_to_probe(now))
     }
 
     /// Returns the load as it is now, for messages that carry it anyway.
-    pub(super) fn load(&mut self, closed: bool) -> LoadReport {
+    pub(super) fn load(&mut self, now: Timestamp, closed: bool) -> LoadReport {
         self.sequence += 1;
         LoadReport {
             service: self.record.service,
@@ -97,6 +110,7 @@
             connections: self.present.connections,
             closed,
             sequence: self.sequence,
+            withdrawn: self.withdrawal(now).is_some(),
         }
     }
 
@@ -108,11 +122,13 @@
     /// Returns a report for the other agents if one is due.
     pub(super) fn poll_report(&mut self, now: Timestamp, closed: bool) -> Option<LoadReport> {
         let busy = self.present.busy;
+        let withdrawn = self.withdrawal(now).is_some();
         let repeated = match self.reported {
             None => false,
             Some(last) => {
                 let elapsed = now.saturating_since(last.at);
-                let changed = last.busy != busy || last.closed != closed;
+                let same_state = last.closed == closed && last.withdrawn == withdrawn;
+                let changed = last.busy != busy || !same_state;
                 let due = changed && elapsed >= REPORT_INTERVAL;
                 let repeat = !changed && !last.repeated && elapsed >= REPEAT_INTERVAL;
                 if !due && !repeat {
@@ -124,10 +140,11 @@
         self.reported = Some(ReportedLoad {
             busy,
             closed,
+            withdrawn,
             at: now,
             repeated,
         });
-        Some(self.load(closed))
+        Some(self.load(now, closed))
     }
 
     /// Returns the load for the leader.
--- a/crates/petrellatch-core/src/agent_node/open_flow.rs
+++ b/crates/petrellatch-core/src/agent_node/open_flow.rs
@@ -208,6 +208,11 @@
         self.side.finished_reading
     }
 
+    /// Returns whether the back end sent anything.
+    pub(super) fn is_answered(&self) -> bool {
+        self.answered
+    }
+
     /// Returns whether the caller may still be told that the flow did not run.
     pub(super) fn may_be_refused(&self) -> bool {
         self.dispatch.may_refuse_as_not_run() && !self.answered
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -7,5 +7,6 @@
 mod duplicates;
 mod failures;
 mod handover;
+mod health;
 mod refusals;
 mod serving;
--- a/crates/petrellatch-proto/src/admission.rs
+++ b/crates/petrellatch-proto/src/admission.rs
@@ -105,4 +105,8 @@
     /// Grows with every report of one life of the sender.
     #[prost(uint64, tag = "6")]
     pub sequence: u64,
+    /// Whether the back end should get nothing new although it could: it says
+    /// so itself, or it fails requests.
+    #[prost(bool, tag = "7")]
+    pub withdrawn: bool,
 }
