Measure single roles: balancer, agent, and changes of large views

Cause: the goals for packets a second, memory and cost of a change had no measurement. Ruled out: wall-clock rates on the shared machine; the loops are compared by the processor time of their thread, and they take turns in one run. Change: petrellatch-lab bench balancer|agent|balancer-changes|agent-changes. Refused flows are counted instead of searched for at every refusal. Copies of the view for the disk are made less often the more records there are (1 ms a record, at least 1 s): at 313,000 records a copy each second was due at any change.

--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -107,7 +107,7 @@
     pub(super) fn refuse(&mut self, now: Timestamp, packet: CallerPacket, reason: RefusalReason) {
         self.counters.count_refusal(reason);
         let answer = self.refusal_answer(now, packet.service);
-        let Some(answer) = answer.filter(|_| self.refusing_flows() < REFUSING_LIMIT) else {
+        let Some(answer) = answer.filter(|_| self.refusing < REFUSING_LIMIT) else {
             let reset = reset_for(&packet.datagram.packet);
             self.outputs.extend(reset.map(AgentOutput::Packet));
             return;
@@ -289,11 +289,4 @@
             matches!(standing, Standing::Owner(_))
         })
     }
-
-    fn refusing_flows(&self) -> usize {
-        let flows = self.flows.iter();
-        flows
-            .filter(|(_, flow)| matches!(flow.phase, FlowPhase::Refusing { .. }))
-            .count()
-    }
 }
--- a/crates/petrellatch-core/src/agent_node/backend_events.rs
+++ b/crates/petrellatch-core/src/agent_node/backend_events.rs
@@ -73,6 +73,10 @@
             self.end_flow(now, id);
             return;
         }
+        if flow.is_refusing() && !flow.counted_refusing {
+            flow.counted_refusing = true;
+            self.refusing += 1;
+        }
         let present = flow.usage();
         let before = std::mem::replace(&mut flow.counted, present);
         let backend = flow.backend;
@@ -101,6 +105,7 @@
     /// Takes a flow out of the table and out of its back end's count.
     fn take_flow(&mut self, now: Timestamp, id: FlowId) -> Option<OpenFlow> {
         let flow = self.flows.remove(id)?;
+        self.refusing -= usize::from(flow.counted_refusing);
         if let Some(local) = self.backends.get_mut(&flow.backend) {
             local.present.adjust(flow.counted, Default::default());
             self.report_load(now, flow.backend);
--- a/crates/petrellatch-core/src/agent_node/maintenance.rs
+++ b/crates/petrellatch-core/src/agent_node/maintenance.rs
@@ -8,7 +8,7 @@
 
 use crate::Timestamp;
 use crate::admission::ServiceAdmission;
-use crate::dissemination::AgentReport;
+use crate::dissemination::{AgentReport, store_interval};
 use crate::event::EventKind;
 use crate::identity::{BackendId, ServiceId};
 use crate::placement::FlowKey;
@@ -24,9 +24,6 @@
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// The least time between two copies of the view for the disk.
-const STORE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time between two searches for redirects that nobody uses.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -250,7 +247,7 @@
             return;
         }
         self.maintenance.view_changed = false;
-        self.maintenance.store_at = now + STORE_INTERVAL;
+        self.maintenance.store_at = now + store_interval(self.link.view());
         let bytes = self.link.stored_view().to_bytes();
         self.outputs.push_back(AgentOutput::StoreView(bytes));
     }
--- a/crates/petrellatch-core/src/agent_node/node.rs
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -50,6 +50,8 @@
     pub(super) backends: BTreeMap<BackendId, LocalBackend>,
     pub(super) directory: AgentDirectory,
     pub(super) flows: FlowTable,
+    /// How many of them are refused ones.
+    pub(super) refusing: usize,
     pub(super) maintenance: Maintenance,
     pub(super) random: ChaCha8Rng,
     pub(super) outputs: VecDeque<AgentOutput>,
@@ -78,6 +80,7 @@
             backends: BTreeMap::new(),
             directory: AgentDirectory::default(),
             flows: FlowTable::default(),
+            refusing: 0,
             maintenance: Maintenance::new(now),
             random: ChaCha8Rng::seed_from_u64(seed),
             outputs: VecDeque::new(),
--- a/crates/petrellatch-core/src/agent_node/open_flow.rs
+++ b/crates/petrellatch-core/src/agent_node/open_flow.rs
@@ -90,6 +90,8 @@
     pub(super) activity: FlowActivity,
     /// What the flow was counted for at its back end.
     pub(super) counted: BackendUse,
+    /// Whether it was counted as a refused one.
+    pub(super) counted_refusing: bool,
     terminator: Option<FlowTerminator>,
     side: BackendSide,
     to_caller: VecDeque<u8>,
@@ -120,6 +122,7 @@
             dispatch: DispatchState::NotSent,
             activity: FlowActivity::new(now),
             counted: BackendUse::default(),
+            counted_refusing: false,
             terminator: None,
             side: BackendSide::default(),
             to_caller: VecDeque::new(),
@@ -237,10 +240,14 @@
         !self.side.gone
     }
 
+    /// Returns whether the flow is refused.
+    pub(super) fn is_refusing(&self) -> bool {
+        matches!(self.phase, FlowPhase::Refusing { .. })
+    }
+
     /// Returns what the flow uses of its back end.
     pub(super) fn usage(&self) -> BackendUse {
-        let refusing = matches!(self.phase, FlowPhase::Refusing { .. });
-        let connected = !refusing && !self.is_lingering() && !self.is_over();
+        let connected = !self.is_refusing() && !self.is_lingering() && !self.is_over();
         BackendUse {
             busy: u32::from(connected && self.activity.is_busy()),
             connections: u32::from(connected),
--- a/crates/petrellatch-core/src/balancer_node/node.rs
+++ b/crates/petrellatch-core/src/balancer_node/node.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::Timestamp;
-use crate::dissemination::{AgentReport, DaemonLink, LinkOutput, StoredView};
+use crate::dissemination::{AgentReport, DaemonLink, LinkOutput, StoredView, store_interval};
 use crate::identity::Incarnation;
 use crate::node::NodeIdentity;
 use crate::routing::{DropReason, Router};
@@ -20,9 +20,6 @@
 use super::balancer_output::BalancerOutput;
 use super::balancer_settings::BalancerSettings;
 
-/// The least time between two copies of the view for the disk.
-const STORE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// A balancer that said it stopped ends after this time even if the leader
 /// does not confirm it.
 const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -212,7 +209,7 @@
     }
 
     fn handle_changed(&mut self, now: Timestamp, keys: &[RecordKey]) {
-        let due = (self.stored_at + STORE_INTERVAL).max(now);
+        let due = (self.stored_at + store_interval(self.link.view())).max(now);
         self.store_due = self.store_due.or(Some(due));
         self.router.apply_changes(self.link.view(), keys);
     }
--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -110,6 +110,12 @@
             .collect()
     }
 
+    /// Returns the number of records.
+    pub fn record_count(&self) -> usize {
+        let placed = self.services.len() + self.backends.len() + self.placements.len();
+        placed + self.policies.len() + self.members.len()
+    }
+
     /// Returns a service.
     pub fn service(&self, id: ServiceId) -> Option<&ServiceRecord> {
         self.services.get(&id)
--- a/crates/petrellatch-core/src/dissemination/mod.rs
+++ b/crates/petrellatch-core/src/dissemination/mod.rs
@@ -82,4 +82,4 @@
 pub(crate) use pacer::Pacer;
 pub use relay::{Relay, RelayOutput};
 pub use relay_settings::RelaySettings;
-pub use stored_view::{StoredView, StoredViewError};
+pub use stored_view::{StoredView, StoredViewError, store_interval};
--- a/crates/petrellatch-core/src/dissemination/stored_view.rs
+++ b/crates/petrellatch-core/src/dissemination/stored_view.rs
@@ -1,6 +1,7 @@
 //! The copy of a view that a daemon keeps on its disk.
 
 use std::hash::Hasher;
+use std::time::Duration;
 
 use petrellatch_proto::record::RecordChange;
 use prost::Message;
@@ -12,6 +13,20 @@
 /// Bytes of the checksum in front of the encoded content.
 const CHECKSUM_BYTES: usize = 8;
 
+/// The least time between two copies.
+const SHORTEST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The time between two copies grows by this with every record, because a copy
+/// takes all of them.
+const INTERVAL_PER_RECORD: Duration = Duration::from_millis(1);
+
+/// Returns the least time between two copies of a view. What a copy lacks is
+/// caught up by deltas after a restart.
+pub fn store_interval(view: &ClusterView) -> Duration {
+    let records = u32::try_from(view.record_count()).unwrap_or(u32::MAX);
+    (INTERVAL_PER_RECORD * records).max(SHORTEST_INTERVAL)
+}
+
 /// Why a stored view was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum StoredViewError {
--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! free of input and output (see [`caller::CallerEndpoint`]), the simulator.
 
 pub mod backend;
+pub mod bench;
 pub mod caller;
 pub mod fabric;
 pub mod simulator;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -5,6 +5,7 @@
 
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
+use petrellatch_lab::bench::{self, BenchOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
@@ -27,6 +28,8 @@
 enum Command {
     /// Serve HTTP as one back end of a service.
     Backend(BackendOptions),
+    /// Measure single roles on this machine.
+    Bench(BenchOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
     /// Simulate whole fleets with faults and check what is promised.
@@ -60,6 +63,10 @@
             backend::run(options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Bench(options) => {
+            bench::run(&options, &mut std::io::stdout().lock())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Fabric(options) => {
             let log = terminal_logger(options.verbose);
             fabric::run(&options, log)?;
