--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -58,6 +58,10 @@
     ProcessStopped = 102, Info;
     /// A datagram was dropped because its seal or content was wrong.
     DatagramRejected = 103, Warning;
+    /// The copy of the cluster view could not be stored; the next start takes longer.
+    ViewNotStored = 104, Warning;
+    /// The stored copy of the cluster view is damaged and is not used.
+    StoredViewIgnored = 105, Warning;
     /// A control replica became leader.
     LeaderElected = 200, Info;
     /// A control replica stopped being leader.
--- a/crates/petrellatch/src/api/document.rs
+++ b/crates/petrellatch/src/api/document.rs
@@ -9,7 +9,7 @@
 use snafu::Snafu;
 
 /// Buckets of a service that does not say how many.
-const DEFAULT_BUCKETS: u32 = 4_096;
+const DEFAULT_BUCKETS: u32 = 256;
 /// Idle limit of a service that does not say one, in seconds.
 const DEFAULT_IDLE_SECONDS: u32 = 3_600;
 /// Connections of a back end that does not say how many.
--- a/crates/petrellatch/src/api/mod.rs
+++ b/crates/petrellatch/src/api/mod.rs
@@ -14,6 +14,6 @@
 };
 pub use error_body::{ErrorBody, ErrorDocument, kind_by_name};
 pub use status::{
-    BackendShare, MemberStatus, PolicyCheck, PolicyDecision, PolicyExplanation, ServiceStatus,
-    StatusDocument,
+    BackendShare, MemberStatus, PolicyCheck, PolicyCheckRequest, PolicyDecision, PolicyExplanation,
+    ReplicaAction, ReplicaRequest, ReplicaStatus, ReplicasChanging, ServiceStatus, StatusDocument,
 };
--- a/crates/petrellatch/src/api/status.rs
+++ b/crates/petrellatch/src/api/status.rs
@@ -7,16 +7,34 @@
 pub struct StatusDocument {
     /// The leader's node name.
     pub leader: String,
+    /// The leader's term.
+    pub term: u64,
     /// The newest version of the whole state.
     pub version: u64,
     /// The version of the last accepted change.
     pub configuration_version: u64,
+    /// Control replicas.
+    pub replicas: Vec<ReplicaStatus>,
     /// Balancers and agents.
     pub members: Vec<MemberStatus>,
     /// Services.
     pub services: Vec<ServiceStatus>,
 }
 
+/// A control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct ReplicaStatus {
+    /// The node name.
+    pub name: String,
+    /// "voter", "joining" or "learner".
+    pub role: String,
+    /// The last entry of the log that is known to be durable there.
+    pub durable_index: u64,
+    /// Milliseconds since it was last heard of; absent if never in this term.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silent_ms: Option<u64>,
+}
+
 /// A balancer or agent.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct MemberStatus {
@@ -52,19 +70,58 @@
     pub name: String,
     /// The weight in force; 1,000 is nominal.
     pub weight: u32,
-    /// Requests in progress by the last report.
-    pub busy: u32,
-    /// Open flows by the last report.
-    pub connections: u32,
     /// Whether the operator is draining it.
     pub draining: bool,
 }
 
+/// A policy to be checked without effect.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PolicyCheckRequest {
+    /// Whether a back end may receive new flows: a boolean.
+    pub eligible: String,
+    /// How many it should receive in relation to others: a number from 0.
+    pub weight: String,
+    /// The service for whose back ends it is checked; absent for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+}
+
 /// A policy in which nothing is wrong.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct PolicyCheck {
-    /// The policy.
-    pub policy: String,
+    /// Always true; a policy that is not sound is refused.
+    pub sound: bool,
+}
+
+/// What to do about a control replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaAction {
+    /// Add it; it votes once it has caught up.
+    Add,
+    /// Remove it.
+    Remove,
+}
+
+/// A change of the set of control replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReplicaRequest {
+    /// What to do.
+    pub action: ReplicaAction,
+    /// The node name.
+    pub name: String,
+    /// To add: the incarnation that the replica printed when it started.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<String>,
+}
+
+/// A change of the set of control replicas has begun.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct ReplicasChanging {
+    /// Always true; the status shows the end of it.
+    pub started: bool,
 }
 
 /// What a policy decides for each back end of a service.
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -77,6 +77,10 @@
     /// Where the fabric receives answer packets (UDP); agent only.
     #[options(meta = "IP:PORT", no_short)]
     pub fabric_address: Option<String>,
+    /// Found the control group: format the empty data folder of a listed
+    /// replica as one of its first voters. Once for each replica; control only.
+    #[options(no_short)]
+    pub bootstrap: bool,
     /// Log format: terminal or json.
     #[options(meta = "FORMAT", no_short)]
     pub log_format: Option<String>,
--- a/crates/petrellatch/src/ctl/policy.rs
+++ b/crates/petrellatch/src/ctl/policy.rs
@@ -6,7 +6,7 @@
 use super::apply::read_document;
 use super::client::OperatorClient;
 use super::output::print_document;
-use crate::api::{PolicyCheck, PolicyExplanation};
+use crate::api::{PolicyCheck, PolicyCheckRequest, PolicyExplanation};
 use crate::command_line::{OutputFormat, PolicyOptions};
 use crate::error::ProgramError;
 
@@ -33,9 +33,14 @@
 ) -> Result<(), ProgramError> {
     let document = read_document(file)?;
     for policy in &document.policies {
-        let checked: PolicyCheck = client.post("/v1/policies/check", policy)?;
+        let request = PolicyCheckRequest {
+            eligible: policy.eligible.clone(),
+            weight: policy.weight.clone(),
+            service: None,
+        };
+        let checked: PolicyCheck = client.post("/v1/policies/check", &request)?;
         print_document(output, &checked, || {
-            format!("policy {}: nothing is wrong\n", checked.policy)
+            format!("policy {}: nothing is wrong\n", policy.name)
         });
     }
     Ok(())
--- a/crates/petrellatch/src/ctl/status.rs
+++ b/crates/petrellatch/src/ctl/status.rs
@@ -106,8 +106,8 @@
             let drain = if backend.draining { "  draining" } else { "" };
             let _ = writeln!(
                 text,
-                "  {:<24} weight {:>6}  busy {:>4}  connections {:>5}{drain}",
-                backend.name, backend.weight, backend.busy, backend.connections
+                "  {:<24} weight {:>6}{drain}",
+                backend.name, backend.weight
             );
         }
     }
--- a/crates/petrellatch/src/error.rs
+++ b/crates/petrellatch/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use petrellatch_core::ErrorKind;
+use petrellatch_storage::StorageError;
 use snafu::Snafu;
 
 use crate::settings::SettingsProblem;
@@ -52,6 +53,12 @@
         /// The system's reason.
         source: std::io::Error,
     },
+    /// The replica's data folder can't be read or written.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// What is wrong with it.
+        source: StorageError,
+    },
     /// Stored data is damaged.
     #[snafu(display("{}: {message}", path.display()))]
     Damaged {
@@ -89,6 +96,7 @@
                 ErrorKind::AddressUnavailable
             }
             ProgramError::DataFolder { .. } => ErrorKind::StorageFailed,
+            ProgramError::Storage { source } => storage_kind(source),
             ProgramError::Damaged { .. } => ErrorKind::StorageDamaged,
             ProgramError::System { .. } => ErrorKind::Internal,
             ProgramError::Request { kind, .. } => *kind,
@@ -96,6 +104,21 @@
     }
 }
 
+fn storage_kind(error: &StorageError) -> ErrorKind {
+    match error {
+        StorageError::Damaged { .. } | StorageError::MissingFile { .. } => {
+            ErrorKind::StorageDamaged
+        }
+        StorageError::WrongCluster { .. } | StorageError::UnknownVersion { .. } => {
+            ErrorKind::InvalidSettings
+        }
+        StorageError::Io { .. }
+        | StorageError::DiskFull { .. }
+        | StorageError::FolderInUse { .. }
+        | StorageError::Unusable { .. } => ErrorKind::StorageFailed,
+    }
+}
+
 fn join_lines(problems: &[SettingsProblem]) -> String {
     let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
     lines.join("\n")
--- a/crates/petrellatch/src/http/message.rs
+++ b/crates/petrellatch/src/http/message.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::api::ErrorDocument;
+use crate::api::{ErrorDocument, kind_by_name};
 
 /// A request whose body has been read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -86,11 +86,16 @@
     }
 
     /// Makes the response to a failure with a body of its own.
-    pub fn failure(kind: ErrorKind, document: &ErrorDocument) -> Self {
+    pub fn refusal(document: &ErrorDocument) -> Self {
+        let kind = kind_by_name(&document.error.kind).unwrap_or(ErrorKind::Internal);
+        HttpResponse::failure(kind, document)
+    }
+
+    fn failure(kind: ErrorKind, document: &ErrorDocument) -> Self {
         let answer = kind.answer();
         let body = serde_json::to_string(document).unwrap_or_default();
         HttpResponse {
-            retry_after: answer.retry_after,
+            retry_after: document.error.retry_after_ms.map(Duration::from_millis),
             ..HttpResponse::json(answer.http_status, body)
         }
     }
--- a/crates/petrellatch/src/http/mod.rs
+++ b/crates/petrellatch/src/http/mod.rs
@@ -4,4 +4,4 @@
 mod server;
 
 pub use message::{HttpRequest, HttpResponse};
-pub use server::{HttpHandler, HttpLimits, HttpServer, open_listener};
+pub use server::{HttpHandler, HttpLimits, HttpServer, local_address, open_listener};
--- a/crates/petrellatch/src/http/server.rs
+++ b/crates/petrellatch/src/http/server.rs
@@ -1,11 +1,11 @@
 //! The server: one thread takes requests, a few answer them.
 
 use std::io::Read;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 use petrellatch_core::ErrorKind;
 use tiny_http::{Header, Request, Response, Server};
@@ -30,10 +30,11 @@
     pub body_bytes: usize,
 }
 
-/// A running server. It stops when the process ends.
-#[derive(Debug)]
+/// A running server. Dropping it closes the address.
 pub struct HttpServer {
     address: SocketAddrV4,
+    server: Arc<Server>,
+    accepting: Option<JoinHandle<()>>,
 }
 
 /// What the threads of one server share.
@@ -51,7 +52,8 @@
         limits: HttpLimits,
         handler: Arc<H>,
     ) -> Result<Self, ProgramError> {
-        let address = local_address(&listener);
+        let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        let address = local_address(&listener).unwrap_or(unknown);
         let server =
             Server::from_listener(listener, None).map_err(|error| ProgramError::BindHttp {
                 purpose: "HTTP",
@@ -69,8 +71,14 @@
             let shared = Arc::clone(&shared);
             spawn("http-worker", move || shared.work())?;
         }
-        spawn("http-server", move || shared.accept(&server, &sender))?;
-        Ok(HttpServer { address })
+        let server = Arc::new(server);
+        let accepted = Arc::clone(&server);
+        let accepting = spawn("http-server", move || shared.accept(&accepted, &sender))?;
+        Ok(HttpServer {
+            address,
+            server,
+            accepting: Some(accepting),
+        })
     }
 
     /// Returns the address that is served.
@@ -79,6 +87,15 @@
     }
 }
 
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(accepting) = self.accepting.take() {
+            let _ = accepting.join();
+        }
+    }
+}
+
 impl<H: HttpHandler> Shared<H> {
     /// Takes requests and refuses those above the bounds.
     fn accept(&self, server: &Server, queue: &Sender<Request>) {
@@ -175,18 +192,18 @@
     })
 }
 
-fn local_address(listener: &TcpListener) -> SocketAddrV4 {
+/// Returns the address that a listener was opened on.
+pub fn local_address(listener: &TcpListener) -> Option<SocketAddrV4> {
     match listener.local_addr() {
-        Ok(SocketAddr::V4(address)) => address,
-        _ => SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+        Ok(SocketAddr::V4(address)) => Some(address),
+        _ => None,
     }
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, ProgramError> {
     thread::Builder::new()
         .name(name.to_string())
         .spawn(work)
-        .map(|_| ())
         .map_err(|source| ProgramError::System {
             action: "start a thread",
             source,
--- a/crates/petrellatch/src/lib.rs
+++ b/crates/petrellatch/src/lib.rs
@@ -20,7 +20,10 @@
 use command_line::{Command, CommandLine, DaemonOptions};
 use error::ProgramError;
 use gumdrop::Options;
-use settings::{Role, Settings, SettingsFile};
+use logging::make_logger;
+use runtime::control::{ControlSockets, open_replica_folder};
+use runtime::{DaemonSockets, Process, StopSignal, agent, balancer, control};
+use settings::{Role, Settings, SettingsFile, read_cluster_key};
 
 /// Runs the command that the process was started with.
 pub fn run() -> ExitCode {
@@ -54,9 +57,41 @@
 }
 
 fn daemon(options: &DaemonOptions, role: Role) -> Result<(), ProgramError> {
-    let _settings = settings_for(options, role)?;
-    let message = "this command is not there yet".to_string();
-    Err(ProgramError::Usage { message })
+    let settings = settings_for(options, role)?;
+    let key = read_cluster_key(&settings.key_file).map_err(|problem| ProgramError::Settings {
+        problems: vec![*problem],
+    })?;
+    let process = Process {
+        logger: make_logger(settings.log_format, settings.log_level, &settings.name),
+        stop: StopSignal::from_signals()?,
+        settings,
+        key,
+    };
+    match role {
+        Role::Control => run_control(process),
+        Role::Balancer => {
+            let sockets = open_daemon(&process)?;
+            balancer::run(process, sockets)
+        }
+        Role::Agent => {
+            let sockets = open_daemon(&process)?;
+            agent::run(process, sockets)
+        }
+    }
+}
+
+fn run_control(process: Process) -> Result<(), ProgramError> {
+    let sockets = ControlSockets::open(&process.settings)?;
+    let folder = open_replica_folder(&process.settings, &process.key)?;
+    let ready_line = sockets.ready_line(&process.settings.name, folder.incarnation);
+    ready_line.print();
+    control::run(process, sockets, folder)
+}
+
+fn open_daemon(process: &Process) -> Result<DaemonSockets, ProgramError> {
+    let sockets = DaemonSockets::open(&process.settings)?;
+    sockets.ready_line(&process.settings.name).print();
+    Ok(sockets)
 }
 
 fn settings_for(options: &DaemonOptions, role: Role) -> Result<Settings, ProgramError> {
--- a/crates/petrellatch/src/runtime/admin.rs
+++ b/crates/petrellatch/src/runtime/admin.rs
@@ -1,13 +1,13 @@
 //! Health and metrics over HTTP.
 
-use std::net::SocketAddrV4;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::error::ProgramError;
-use crate::http::{HttpHandler, HttpLimits, HttpRequest, HttpResponse, HttpServer, open_listener};
+use crate::http::{HttpHandler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
 
 /// Threads and bounds of the admin server.
 const LIMITS: HttpLimits = HttpLimits {
@@ -40,22 +40,29 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the process finishes what it has.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Returns the registry of the metrics.
     pub fn registry(&self) -> &Registry {
         &self.registry
     }
 
-    /// Answers `GET /health`.
-    pub fn health(&self) -> HttpResponse {
-        let stopping = self.stopping.load(Ordering::Relaxed);
-        let ready = self.ready.load(Ordering::Relaxed) && !stopping;
-        let status = if ready { 200 } else { 503 };
-        let body = format!("{{\"ready\":{ready},\"stopping\":{stopping}}}");
-        HttpResponse::json(status, body)
+    /// Answers `GET /healthz`: the process lives.
+    fn health(&self) -> HttpResponse {
+        HttpResponse::json(200, self.describe())
+    }
+
+    /// Answers `GET /readyz`: 200 if new work should be sent here, else 503.
+    fn readiness(&self) -> HttpResponse {
+        let status = if self.is_ready() { 200 } else { 503 };
+        HttpResponse::json(status, self.describe())
     }
 
     /// Answers `GET /metrics`.
-    pub fn metrics(&self) -> HttpResponse {
+    fn metrics(&self) -> HttpResponse {
         let mut body = Vec::new();
         let encoder = TextEncoder::new();
         match encoder.encode(&self.registry.gather(), &mut body) {
@@ -63,23 +70,33 @@
             Err(error) => HttpResponse::text(500, error.to_string().into_bytes()),
         }
     }
+
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn describe(&self) -> String {
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        let ready = self.is_ready();
+        format!("{{\"ready\":{ready},\"stopping\":{stopping}}}")
+    }
 }
 
 impl HttpHandler for AdminState {
     fn handle(&self, request: &HttpRequest) -> HttpResponse {
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/health") => self.health(),
+            ("GET", "/healthz") => self.health(),
+            ("GET", "/readyz") => self.readiness(),
             ("GET", "/metrics") => self.metrics(),
-            _ => HttpResponse::text(404, b"try /health or /metrics\n".to_vec()),
+            _ => HttpResponse::text(404, b"try /healthz, /readyz or /metrics\n".to_vec()),
         }
     }
 }
 
-/// Opens the admin address and serves it.
-pub fn open_admin(
-    address: SocketAddrV4,
+/// Serves the admin address.
+pub fn serve_admin(
+    listener: TcpListener,
     state: &Arc<AdminState>,
 ) -> Result<HttpServer, ProgramError> {
-    let listener = open_listener(address, "health and metrics")?;
     HttpServer::start(listener, LIMITS, Arc::clone(state))
 }
--- /dev/null
+++ b/crates/petrellatch/src/runtime/agent/agent_metrics.rs
@@ -0,0 +1,106 @@
+//! The metrics of an agent.
+
+use petrellatch_core::agent_node::AgentNode;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
+
+use crate::runtime::metrics::{
+    counter, counters, drop_reason_name, gauge, raise, refusal_reason_name, set,
+};
+
+/// The metrics of an agent.
+pub(super) struct AgentMetrics {
+    packets: IntCounter,
+    forwarded: IntCounter,
+    drops: IntCounterVec,
+    flows: IntCounterVec,
+    refused: IntCounterVec,
+    open_flows: IntGauge,
+    connect_failures: IntCounter,
+    rejected: IntCounter,
+    version: IntGauge,
+}
+
+impl AgentMetrics {
+    /// Registers the metrics.
+    pub(super) fn new(registry: &Registry) -> Self {
+        AgentMetrics {
+            packets: counter(
+                registry,
+                "petrellatch_packets_total",
+                "Datagrams with a caller packet that arrived.",
+            ),
+            forwarded: counter(
+                registry,
+                "petrellatch_forwarded_packets_total",
+                "Packets that were passed on to another agent.",
+            ),
+            drops: counters(
+                registry,
+                "petrellatch_dropped_packets_total",
+                "Packets that were dropped, by reason.",
+                "reason",
+            ),
+            flows: counters(
+                registry,
+                "petrellatch_flows_total",
+                "Flows by what became of them.",
+                "outcome",
+            ),
+            refused: counters(
+                registry,
+                "petrellatch_refused_flows_total",
+                "New flows that were refused, by reason.",
+                "reason",
+            ),
+            open_flows: gauge(
+                registry,
+                "petrellatch_open_flows",
+                "Flows that are open here.",
+            ),
+            connect_failures: counter(
+                registry,
+                "petrellatch_backend_connect_failures_total",
+                "Connections to back ends that did not come about.",
+            ),
+            rejected: counter(
+                registry,
+                "petrellatch_rejected_datagrams_total",
+                "Datagrams whose seal or content was wrong.",
+            ),
+            version: gauge(
+                registry,
+                "petrellatch_view_version",
+                "Version of the cluster view in force here.",
+            ),
+        }
+    }
+
+    /// Brings the metrics up to date.
+    pub(super) fn update(&self, node: &AgentNode, rejected: u64) {
+        let counters = node.counters();
+        raise(&self.packets, counters.packets);
+        raise(&self.forwarded, counters.forwarded);
+        for (reason, total) in &counters.drops {
+            let name = drop_reason_name(*reason);
+            raise(&self.drops.with_label_values(&[name]), *total);
+        }
+        for (reason, total) in &counters.refused {
+            let name = refusal_reason_name(*reason);
+            raise(&self.refused.with_label_values(&[name]), *total);
+        }
+        for (outcome, total) in [
+            ("admitted", counters.admitted),
+            ("hunted", counters.hunted),
+            ("hunted_in", counters.hunted_in),
+            ("reset_unknown", counters.resets),
+            ("broken", counters.broken),
+            ("ended", counters.ended),
+        ] {
+            raise(&self.flows.with_label_values(&[outcome]), total);
+        }
+        set(&self.open_flows, node.open_flows());
+        raise(&self.connect_failures, counters.connect_failures);
+        raise(&self.rejected, rejected);
+        set(&self.version, node.link().view().version());
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/agent/backend_connection.rs
@@ -0,0 +1,197 @@
+//! One TCP connection to a back end.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddrV4};
+use std::time::Duration;
+
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use petrellatch_core::agent_node::BackendEvent;
+use socket2::SockRef;
+
+/// Most bytes read from one connection before others have their turn, and
+/// before the flow may ask to pause.
+pub(super) const READ_BUDGET_BYTES: usize = 16 * 1024;
+
+/// A connection with what is to be written to it.
+#[derive(Debug)]
+pub(super) struct BackendConnection {
+    stream: TcpStream,
+    phase: Phase,
+    pending: Vec<u8>,
+    written: usize,
+    finish: bool,
+    paused: bool,
+    read_closed: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    Open,
+    /// It failed, and the flow was told.
+    Gone,
+}
+
+/// Whether there may be more to move at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// The connection waits for its next event.
+    Waits,
+    /// The budget was spent; serve it again.
+    More,
+}
+
+impl BackendConnection {
+    /// Begins to open a connection.
+    pub(super) fn open(
+        registry: &Registry,
+        token: Token,
+        server: SocketAddrV4,
+    ) -> io::Result<BackendConnection> {
+        let mut stream = TcpStream::connect(server.into())?;
+        stream.set_nodelay(true)?;
+        registry.register(
+            &mut stream,
+            token,
+            Interest::READABLE.add(Interest::WRITABLE),
+        )?;
+        Ok(BackendConnection {
+            stream,
+            phase: Phase::Connecting,
+            pending: Vec::new(),
+            written: 0,
+            finish: false,
+            paused: false,
+            read_closed: false,
+        })
+    }
+
+    /// Takes bytes to write, and writes what the back end takes at once.
+    pub(super) fn write(&mut self, bytes: Vec<u8>, tell: &mut impl FnMut(BackendEvent)) {
+        self.pending = bytes;
+        self.written = 0;
+        if self.phase == Phase::Open {
+            self.write_pending(tell);
+        }
+    }
+
+    /// Whether it failed and the flow was told.
+    pub(super) fn is_gone(&self) -> bool {
+        self.phase == Phase::Gone
+    }
+
+    /// Shuts down the direction to the back end after the last write.
+    pub(super) fn finish(&mut self, tell: &mut impl FnMut(BackendEvent)) {
+        self.finish = true;
+        if self.phase == Phase::Open {
+            self.write_pending(tell);
+        }
+    }
+
+    /// Stops or resumes reading.
+    pub(super) fn set_paused(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
+    /// Moves what can be moved now, and tells what happened.
+    pub(super) fn serve(
+        &mut self,
+        buffer: &mut [u8],
+        tell: &mut impl FnMut(BackendEvent),
+    ) -> Progress {
+        if self.phase == Phase::Connecting && !self.check_connected(tell) {
+            return Progress::Waits;
+        }
+        if self.phase == Phase::Open {
+            self.write_pending(tell);
+        }
+        if self.phase == Phase::Open {
+            return self.read(buffer, tell);
+        }
+        Progress::Waits
+    }
+
+    /// Closes the connection. Unless the back end closed its direction before,
+    /// it is reset, so that the back end learns that its answer is not wanted.
+    pub(super) fn close(mut self, registry: &Registry) {
+        let _ = registry.deregister(&mut self.stream);
+        if !self.read_closed {
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    fn check_connected(&mut self, tell: &mut impl FnMut(BackendEvent)) -> bool {
+        if let Ok(Some(_)) | Err(_) = self.stream.take_error() {
+            self.phase = Phase::Gone;
+            tell(BackendEvent::ConnectFailed);
+            return false;
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                self.phase = Phase::Open;
+                tell(BackendEvent::Connected);
+                true
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => false,
+            Err(_) => {
+                self.phase = Phase::Gone;
+                tell(BackendEvent::ConnectFailed);
+                false
+            }
+        }
+    }
+
+    fn write_pending(&mut self, tell: &mut impl FnMut(BackendEvent)) {
+        let wrote = !self.pending.is_empty();
+        while self.written < self.pending.len() {
+            match self.stream.write(&self.pending[self.written..]) {
+                Ok(0) => return self.fail(tell),
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.fail(tell),
+            }
+        }
+        self.pending.clear();
+        self.written = 0;
+        if self.finish {
+            self.finish = false;
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        if wrote {
+            tell(BackendEvent::Writable);
+        }
+    }
+
+    fn read(&mut self, buffer: &mut [u8], tell: &mut impl FnMut(BackendEvent)) -> Progress {
+        let mut total = 0;
+        while !self.paused && !self.read_closed {
+            if total >= READ_BUDGET_BYTES {
+                return Progress::More;
+            }
+            match self.stream.read(buffer) {
+                Ok(0) => {
+                    self.read_closed = true;
+                    tell(BackendEvent::Finished);
+                }
+                Ok(count) => {
+                    total += count;
+                    tell(BackendEvent::Data(buffer[..count].to_vec()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.fail(tell),
+            }
+            if self.phase == Phase::Gone {
+                break;
+            }
+        }
+        Progress::Waits
+    }
+
+    fn fail(&mut self, tell: &mut impl FnMut(BackendEvent)) {
+        self.phase = Phase::Gone;
+        tell(BackendEvent::Reset);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/balancer.rs
@@ -0,0 +1,226 @@
+//! The event loop of a balancer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mio::{Events, Poll, Token};
+use petrellatch_core::balancer_node::{BalancerNode, BalancerOutput, BalancerSettings};
+use petrellatch_core::dissemination::{LinkSettings, RelaySettings};
+use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_proto::record::NodeRole;
+use petrellatch_proto::seal::ClusterKey;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
+
+use super::admin::AdminState;
+use super::clock::ProcessClock;
+use super::data_folder::DataFolder;
+use super::datagram_socket::{Batch, DatagramSocket};
+use super::metrics::{counter, counters, drop_reason_name, gauge, raise, set};
+use super::process::{DaemonSockets, Process, link_settings, node_identity, open_poll, waited};
+use super::sealed_socket::SealedSocket;
+use super::stop_signal::StopWish;
+use super::view_writer::ViewWriter;
+use crate::error::ProgramError;
+
+const CONTROL: Token = Token(0);
+const DATA: Token = Token(1);
+const STOP: Token = Token(2);
+
+/// Most events taken in one go.
+const EVENTS: usize = 16;
+/// Between two updates of the metrics, and the longest sleep.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs a balancer until it has stopped.
+pub fn run(process: Process, sockets: DaemonSockets) -> Result<(), ProgramError> {
+    let folder = DataFolder::open(&process.settings.data_folder)?;
+    let stored = process.read_view(&folder)?;
+    let identity = node_identity(&process.settings, &sockets, NodeRole::Balancer);
+    let settings = BalancerSettings {
+        link: LinkSettings {
+            relay: Some(RelaySettings::default()),
+            ..link_settings(&process.settings)
+        },
+        ..BalancerSettings::default()
+    };
+    let clock = ProcessClock::start();
+    let node = BalancerNode::new(clock.now(), settings, identity, rand::random(), stored);
+    let admin = AdminState::new();
+    let _admin_server = process.serve_admin(sockets.admin, &admin)?;
+    let mut balancer = BalancerLoop {
+        clock,
+        node,
+        control: SealedSocket::new(sockets.control, process.key.clone()),
+        data: sockets.data,
+        key: process.key.clone(),
+        buffer: Vec::new(),
+        views: ViewWriter::start(folder, process.logger.clone())?,
+        metrics: BalancerMetrics::new(admin.registry()),
+        admin,
+        reported_at: Timestamp::ZERO,
+        reported_rejected: 0,
+        process,
+    };
+    balancer.run()
+}
+
+struct BalancerLoop {
+    process: Process,
+    clock: ProcessClock,
+    node: BalancerNode,
+    control: SealedSocket,
+    data: DatagramSocket,
+    key: ClusterKey,
+    /// The sealed datagram that is being sent.
+    buffer: Vec<u8>,
+    views: ViewWriter,
+    admin: Arc<AdminState>,
+    metrics: BalancerMetrics,
+    reported_at: Timestamp,
+    reported_rejected: u64,
+}
+
+impl BalancerLoop {
+    fn run(&mut self) -> Result<(), ProgramError> {
+        let mut poll = open_poll()?;
+        self.register(&poll)?;
+        self.process.log(EventKind::ProcessStarted, "balancer");
+        let mut events = Events::with_capacity(EVENTS);
+        let mut more = false;
+        while !self.node.is_stopped() {
+            let wait = match more {
+                true => Duration::ZERO,
+                false => self.clock.until(self.node.poll_timeout(), REPORT_INTERVAL),
+            };
+            waited(poll.poll(&mut events, Some(wait)))?;
+            match self.process.stop.check() {
+                StopWish::None => {}
+                StopWish::Planned => self.begin_stop(),
+                StopWish::AtOnce => break,
+            }
+            more = self.receive();
+            self.work();
+        }
+        self.process.log(EventKind::ProcessStopped, "balancer");
+        Ok(())
+    }
+
+    fn register(&mut self, poll: &Poll) -> Result<(), ProgramError> {
+        self.control.register(poll.registry(), CONTROL)?;
+        self.data.register(poll.registry(), DATA)?;
+        self.process.stop.register(poll.registry(), STOP)
+    }
+
+    fn begin_stop(&mut self) {
+        if !self.admin.is_stopping() {
+            self.process.log(EventKind::ProcessStopping, "balancer");
+            self.admin.set_stopping();
+            self.node.begin_stop(self.clock.now());
+        }
+    }
+
+    /// Takes one batch from each socket. Returns whether there may be more.
+    fn receive(&mut self) -> bool {
+        let now = self.clock.now();
+        let BalancerLoop {
+            node,
+            control,
+            data,
+            key,
+            buffer,
+            ..
+        } = self;
+        let control_batch = control.receive_batch(|from, envelope| {
+            node.handle_control(now, from, envelope);
+        });
+        let data_batch = data.exchange_batch(|packet, sender| {
+            if let Some((to, datagram)) = node.handle_packet(now, packet) {
+                key.seal(&datagram, buffer);
+                sender.send(to, buffer);
+            }
+        });
+        control_batch == Batch::Full || data_batch == Batch::Full
+    }
+
+    fn work(&mut self) {
+        let now = self.clock.now();
+        if self.node.poll_timeout().is_some_and(|due| due <= now) {
+            self.node.handle_timeout(now);
+        }
+        while let Some(output) = self.node.poll_output() {
+            match output {
+                BalancerOutput::Send { to, envelope } => self.control.send(to, &envelope),
+                BalancerOutput::Event(event) => self.process.log_event(&event),
+                BalancerOutput::StoreView(copy) => self.views.store(copy),
+            }
+        }
+        self.admin.set_ready(self.node.is_ready());
+        if now.saturating_since(self.reported_at) >= REPORT_INTERVAL {
+            self.reported_at = now;
+            self.report();
+        }
+    }
+
+    fn report(&mut self) {
+        let rejected = self.control.rejected();
+        if rejected > self.reported_rejected {
+            let subject = format!("{rejected} since the start");
+            self.process.log(EventKind::DatagramRejected, subject);
+            self.reported_rejected = rejected;
+        }
+        self.metrics.update(&self.node, rejected);
+    }
+}
+
+struct BalancerMetrics {
+    packets: IntCounter,
+    forwarded: IntCounter,
+    drops: IntCounterVec,
+    rejected: IntCounter,
+    version: IntGauge,
+}
+
+impl BalancerMetrics {
+    fn new(registry: &Registry) -> Self {
+        BalancerMetrics {
+            packets: counter(
+                registry,
+                "petrellatch_packets_total",
+                "Packets that came from the fabric.",
+            ),
+            forwarded: counter(
+                registry,
+                "petrellatch_forwarded_packets_total",
+                "Packets that were passed on to an agent.",
+            ),
+            drops: counters(
+                registry,
+                "petrellatch_dropped_packets_total",
+                "Packets that were dropped, by reason.",
+                "reason",
+            ),
+            rejected: counter(
+                registry,
+                "petrellatch_rejected_datagrams_total",
+                "Control datagrams whose seal or content was wrong.",
+            ),
+            version: gauge(
+                registry,
+                "petrellatch_view_version",
+                "Version of the cluster view in force here.",
+            ),
+        }
+    }
+
+    fn update(&self, node: &BalancerNode, rejected: u64) {
+        let counters = node.counters();
+        raise(&self.packets, counters.packets);
+        raise(&self.forwarded, counters.forwarded);
+        for (reason, total) in &counters.drops {
+            let name = drop_reason_name(*reason);
+            raise(&self.drops.with_label_values(&[name]), *total);
+        }
+        raise(&self.rejected, rejected);
+        set(&self.version, node.link().view().version());
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/control/control_metrics.rs
@@ -0,0 +1,62 @@
+//! The metrics of a control replica.
+
+use petrellatch_core::consensus::Role;
+use petrellatch_core::control::ControlNode;
+use prometheus::{IntCounter, IntGauge, Registry};
+
+use crate::runtime::metrics::{counter, gauge, raise, set};
+
+/// The metrics of a control replica.
+pub(super) struct ControlMetrics {
+    is_leader: IntGauge,
+    term: IntGauge,
+    commit_index: IntGauge,
+    version: IntGauge,
+    config_version: IntGauge,
+    rejected: IntCounter,
+}
+
+impl ControlMetrics {
+    /// Registers the metrics.
+    pub(super) fn new(registry: &Registry) -> Self {
+        ControlMetrics {
+            is_leader: gauge(
+                registry,
+                "petrellatch_is_leader",
+                "Whether this replica leads: 1 or 0.",
+            ),
+            term: gauge(registry, "petrellatch_term", "The current term."),
+            commit_index: gauge(
+                registry,
+                "petrellatch_commit_index",
+                "The last entry of the log known to be committed.",
+            ),
+            version: gauge(
+                registry,
+                "petrellatch_view_version",
+                "Version of the cluster view as applied here.",
+            ),
+            config_version: gauge(
+                registry,
+                "petrellatch_configuration_version",
+                "Version of the last accepted change.",
+            ),
+            rejected: counter(
+                registry,
+                "petrellatch_rejected_datagrams_total",
+                "Control datagrams whose seal or content was wrong.",
+            ),
+        }
+    }
+
+    /// Brings the metrics up to date.
+    pub(super) fn update(&self, node: &ControlNode, rejected: u64) {
+        let replica = node.replica();
+        self.is_leader.set((replica.role() == Role::Leader).into());
+        set(&self.term, replica.term());
+        set(&self.commit_index, replica.commit_index());
+        set(&self.version, node.state().view().version());
+        set(&self.config_version, node.state().config_version());
+        raise(&self.rejected, rejected);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/control/mod.rs
@@ -0,0 +1,323 @@
+//! The event loop of a control replica.
+
+mod control_metrics;
+mod documents;
+mod operator_api;
+mod replica_folder;
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddrV4, TcpListener};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use mio::{Events, Poll, Token, Waker};
+use petrellatch_core::consensus::{ReplicaSettings, ReplicaStart};
+use petrellatch_core::control::{
+    ControlNode, ControlOutput, ControlPeer, ControlSettings, OperatorError, OperatorResponse,
+};
+use petrellatch_core::identity::{Incarnation, NodeId};
+use petrellatch_core::membership::MembershipSettings;
+use petrellatch_core::node::NodeIdentity;
+use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_proto::record::NodeRole;
+
+use self::control_metrics::ControlMetrics;
+use self::documents::Directory;
+use self::operator_api::{Answer, AnswerSender, OperatorApi, PendingRequest};
+use super::admin::AdminState;
+use super::clock::ProcessClock;
+use super::datagram_socket::{Batch, DatagramSocket};
+use super::log_writer::LogWriter;
+use super::process::{Process, open_poll, waited};
+use super::ready_line::ReadyLine;
+use super::sealed_socket::SealedSocket;
+use super::stop_signal::StopWish;
+use crate::error::ProgramError;
+use crate::http::{HttpLimits, HttpServer, local_address, open_listener};
+use crate::settings::Settings;
+
+pub use self::replica_folder::{ReplicaFolder, open_replica_folder};
+
+const CONTROL: Token = Token(0);
+const WAKE: Token = Token(1);
+const STOP: Token = Token(2);
+
+/// Most events taken in one go.
+const EVENTS: usize = 16;
+/// Between two updates of the metrics, and the longest sleep.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How many heartbeats a leader sends in the shortest time without a leader
+/// before an election.
+const HEARTBEATS_PER_ELECTION: u32 = 5;
+/// The largest body of an operator's request, in bytes.
+const OPERATOR_BODY_BYTES: usize = 1024 * 1024;
+/// A request that waits for the event loop longer than this is given up.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
+/// Most threads that wait for answers to operators.
+const MAX_OPERATOR_THREADS: usize = 64;
+
+/// The open addresses of a control replica.
+#[derive(Debug)]
+pub struct ControlSockets {
+    /// Control messages (UDP).
+    pub control: DatagramSocket,
+    /// Operators (HTTP).
+    pub operator: TcpListener,
+    /// Health and metrics (HTTP).
+    pub admin: TcpListener,
+}
+
+impl ControlSockets {
+    /// Opens the addresses.
+    pub fn open(settings: &Settings) -> Result<Self, ProgramError> {
+        let buffer = settings.receive_buffer_bytes;
+        Ok(ControlSockets {
+            control: DatagramSocket::open(settings.control, "control messages", buffer)?,
+            operator: open_listener(settings.operator, "operators")?,
+            admin: open_listener(settings.admin, "health and metrics")?,
+        })
+    }
+
+    /// Makes the line that says that the addresses are open.
+    pub fn ready_line(&self, name: &str, incarnation: Incarnation) -> ReadyLine {
+        ReadyLine {
+            ready: true,
+            name: name.to_string(),
+            incarnation: Some(format!("{:016x}", incarnation.0)),
+            control: Some(self.control.address()),
+            admin: local_address(&self.admin),
+            operator: local_address(&self.operator),
+            ..ReadyLine::default()
+        }
+    }
+}
+
+/// Runs a control replica until it has stopped.
+pub fn run(
+    process: Process,
+    sockets: ControlSockets,
+    folder: ReplicaFolder,
+) -> Result<(), ProgramError> {
+    let settings = &process.settings;
+    let poll = open_poll()?;
+    let waker = Waker::new(poll.registry(), WAKE).map_err(|source| ProgramError::System {
+        action: "watch for operators",
+        source,
+    })?;
+    let waker = Arc::new(waker);
+    if folder.torn_bytes > 0 {
+        let subject = format!("{} bytes", folder.torn_bytes);
+        process.log(EventKind::LogTailCut, subject);
+    }
+    let identity = control_identity(settings, &sockets);
+    let start = ReplicaStart {
+        id: identity.node,
+        incarnation: folder.incarnation,
+        seed: rand::random(),
+        persisted: folder.state,
+        bootstrap: Some(folder.first_membership),
+    };
+    let clock = ProcessClock::start();
+    let node = ControlNode::new(clock.now(), control_settings(settings), identity, start);
+    let (request_sender, requests) = channel();
+    let operator_api = OperatorApi::new(request_sender, Arc::clone(&waker), REQUEST_TIMEOUT);
+    let limits = HttpLimits {
+        workers: settings.operator_requests.min(MAX_OPERATOR_THREADS),
+        requests: settings.operator_requests,
+        body_bytes: OPERATOR_BODY_BYTES,
+    };
+    let _operator_server = HttpServer::start(sockets.operator, limits, Arc::new(operator_api))?;
+    let admin = AdminState::new();
+    let _admin_server = process.serve_admin(sockets.admin, &admin)?;
+    let mut control = ControlLoop {
+        clock,
+        node,
+        control: SealedSocket::new(sockets.control, process.key.clone()),
+        log: LogWriter::start(folder.store, waker)?,
+        requests,
+        waiting: BTreeMap::new(),
+        next_token: 0,
+        directory: Directory::new(&settings.replicas),
+        metrics: ControlMetrics::new(admin.registry()),
+        admin,
+        reported_at: Timestamp::ZERO,
+        reported_rejected: 0,
+        is_stopped: false,
+        process,
+    };
+    control.run(poll)
+}
+
+struct ControlLoop {
+    process: Process,
+    clock: ProcessClock,
+    node: ControlNode,
+    control: SealedSocket,
+    log: LogWriter,
+    requests: Receiver<PendingRequest>,
+    /// Who waits for the answer to which request.
+    waiting: BTreeMap<u64, AnswerSender>,
+    next_token: u64,
+    directory: Directory,
+    admin: Arc<AdminState>,
+    metrics: ControlMetrics,
+    reported_at: Timestamp,
+    reported_rejected: u64,
+    is_stopped: bool,
+}
+
+impl ControlLoop {
+    fn run(&mut self, mut poll: Poll) -> Result<(), ProgramError> {
+        self.control.register(poll.registry(), CONTROL)?;
+        self.process.stop.register(poll.registry(), STOP)?;
+        self.process.log(EventKind::ProcessStarted, "control");
+        let mut events = Events::with_capacity(EVENTS);
+        let mut more = false;
+        self.work()?;
+        while !self.is_stopped {
+            let wait = match more {
+                true => Duration::ZERO,
+                false => self.clock.until(self.node.poll_timeout(), REPORT_INTERVAL),
+            };
+            waited(poll.poll(&mut events, Some(wait)))?;
+            match self.process.stop.check() {
+                StopWish::None => {}
+                StopWish::Planned => self.begin_stop(),
+                StopWish::AtOnce => break,
+            }
+            more = self.receive();
+            self.take_requests();
+            self.take_written()?;
+            self.work()?;
+        }
+        self.process.log(EventKind::ProcessStopped, "control");
+        Ok(())
+    }
+
+    fn begin_stop(&mut self) {
+        if !self.admin.is_stopping() {
+            self.process.log(EventKind::ProcessStopping, "control");
+            self.admin.set_stopping();
+            self.is_stopped = true;
+        }
+    }
+
+    /// Takes one batch of control messages. Returns whether there may be more.
+    fn receive(&mut self) -> bool {
+        let now = self.clock.now();
+        let ControlLoop { node, control, .. } = self;
+        let batch = control.receive_batch(|from, envelope| {
+            node.handle_control(now, from, envelope);
+        });
+        batch == Batch::Full
+    }
+
+    fn take_requests(&mut self) {
+        while let Ok(pending) = self.requests.try_recv() {
+            let token = self.next_token;
+            self.next_token += 1;
+            self.waiting.insert(token, pending.answer);
+            let now = self.clock.now();
+            self.node.handle_request(now, token, pending.request);
+        }
+    }
+
+    fn take_written(&mut self) -> Result<(), ProgramError> {
+        while let Some(written) = self.log.poll() {
+            let ticket = written.map_err(|source| ProgramError::Storage { source })?;
+            self.node.handle_persisted(self.clock.now(), ticket);
+        }
+        Ok(())
+    }
+
+    fn work(&mut self) -> Result<(), ProgramError> {
+        let now = self.clock.now();
+        if self.node.poll_timeout().is_some_and(|due| due <= now) {
+            self.node.handle_timeout(now);
+        }
+        while let Some(output) = self.node.poll_output() {
+            self.carry_out(output)?;
+        }
+        self.admin.set_ready(self.node.replica().leader().is_some());
+        if now.saturating_since(self.reported_at) >= REPORT_INTERVAL {
+            self.reported_at = now;
+            self.report();
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, output: ControlOutput) -> Result<(), ProgramError> {
+        match output {
+            ControlOutput::Send { to, envelope } => self.control.send(to, &envelope),
+            ControlOutput::Persist(request) => self.log.write(request),
+            ControlOutput::Respond { token, result } => self.respond(token, result),
+            ControlOutput::Event(event) => self.process.log_event(&event),
+            ControlOutput::Failed { message } => {
+                let path = self.process.settings.data_folder.clone();
+                return Err(ProgramError::Damaged { path, message });
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands the answer to the thread that waits for it. If that has given up,
+    /// the client will ask again.
+    fn respond(&mut self, token: u64, result: Result<OperatorResponse, OperatorError>) {
+        let Some(answer) = self.waiting.remove(&token) else {
+            return;
+        };
+        let view = self.node.state().view();
+        let document = match result {
+            Ok(response) => Answer::Done(self.directory.describe(response, view)),
+            Err(error) => Answer::Refused(self.directory.describe_error(error)),
+        };
+        let _ = answer.send(document);
+    }
+
+    fn report(&mut self) {
+        let rejected = self.control.rejected();
+        if rejected > self.reported_rejected {
+            let subject = format!("{rejected} since the start");
+            self.process.log(EventKind::DatagramRejected, subject);
+            self.reported_rejected = rejected;
+        }
+        self.metrics.update(&self.node, rejected);
+    }
+}
+
+fn control_identity(settings: &Settings, sockets: &ControlSockets) -> NodeIdentity {
+    let control = sockets.control.address();
+    NodeIdentity {
+        name: settings.name.clone(),
+        node: NodeId::from_name(&settings.name),
+        incarnation: Incarnation(rand::random()),
+        zone: settings.zone.clone(),
+        role: NodeRole::Control,
+        control,
+        data: SocketAddrV4::new(*control.ip(), 0),
+    }
+}
+
+fn control_settings(settings: &Settings) -> ControlSettings {
+    let peer = |replica: &crate::settings::ReplicaSettings| ControlPeer {
+        node: NodeId::from_name(&replica.name),
+        control: replica.control,
+    };
+    let election = settings.timing.election;
+    ControlSettings {
+        peers: settings.replicas.iter().map(peer).collect(),
+        replica: ReplicaSettings {
+            election_timeout: election,
+            heartbeat_interval: election / HEARTBEATS_PER_ELECTION,
+            ..ReplicaSettings::default()
+        },
+        membership: MembershipSettings {
+            lease: settings.timing.lease,
+            ..MembershipSettings::default()
+        },
+        request_limit: settings.operator_requests,
+        request_timeout: REQUEST_TIMEOUT,
+        ..ControlSettings::default()
+    }
+}
--- a/crates/petrellatch/src/runtime/datagram_socket.rs
+++ b/crates/petrellatch/src/runtime/datagram_socket.rs
@@ -61,30 +61,58 @@
     }
 
     /// Hands every waiting datagram to `handle`, at most one batch.
-    pub fn receive_batch(&mut self, mut handle: impl FnMut(SocketAddrV4, &[u8])) -> Batch {
-        let mut received = 0;
-        while received < BATCH_DATAGRAMS {
-            match self.socket.recv_from(&mut self.buffer) {
-                Ok((length, SocketAddr::V4(sender))) => handle(sender, &self.buffer[..length]),
-                Ok((_, SocketAddr::V6(_))) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return Batch::Complete;
-                }
-                // An earlier send met a closed port; the socket goes on.
-                Err(_) => {}
-            }
-            received += 1;
-        }
-        Batch::Full
+    pub fn receive_batch(&mut self, handle: impl FnMut(SocketAddrV4, &[u8])) -> Batch {
+        receive_batch(&self.socket, &mut self.buffer, handle)
+    }
+
+    /// Like [`DatagramSocket::receive_batch`], for a handler that sends through
+    /// the same socket while it still reads the received bytes.
+    pub fn exchange_batch(&mut self, mut handle: impl FnMut(&[u8], DatagramSender<'_>)) -> Batch {
+        let DatagramSocket { socket, buffer, .. } = self;
+        let sender = DatagramSender { socket };
+        receive_batch(socket, buffer, |_, datagram| handle(datagram, sender))
     }
 
     /// Sends one datagram. A datagram that can't be sent is lost, as it may be
     /// on the way; returns whether it was handed to the system.
+    pub fn send(&self, to: SocketAddrV4, datagram: &[u8]) -> bool {
+        DatagramSender {
+            socket: &self.socket,
+        }
+        .send(to, datagram)
+    }
+}
+
+/// Sends through a socket that is being received from.
+#[derive(Clone, Copy, Debug)]
+pub struct DatagramSender<'a> {
+    socket: &'a UdpSocket,
+}
+
+impl DatagramSender<'_> {
+    /// Sends one datagram, as [`DatagramSocket::send`] does.
     pub fn send(&self, to: SocketAddrV4, datagram: &[u8]) -> bool {
         self.socket.send_to(datagram, to.into()).is_ok()
     }
 }
 
+fn receive_batch(
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+    mut handle: impl FnMut(SocketAddrV4, &[u8]),
+) -> Batch {
+    for _ in 0..BATCH_DATAGRAMS {
+        match socket.recv_from(buffer) {
+            Ok((length, SocketAddr::V4(sender))) => handle(sender, &buffer[..length]),
+            Ok((_, SocketAddr::V6(_))) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Batch::Complete,
+            // An earlier send met a closed port; the socket goes on.
+            Err(_) => {}
+        }
+    }
+    Batch::Full
+}
+
 fn bind(address: SocketAddrV4, receive_buffer_bytes: usize) -> io::Result<DatagramSocket> {
     let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
     socket.set_recv_buffer_size(receive_buffer_bytes)?;
--- /dev/null
+++ b/crates/petrellatch/src/runtime/log_writer.rs
@@ -0,0 +1,78 @@
+//! Writes the replicated log without holding up the event loop.
+
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{self, JoinHandle};
+
+use mio::Waker;
+use petrellatch_core::consensus::{PersistRequest, PersistTicket};
+use petrellatch_storage::{LogStore, StorageError};
+
+use crate::error::ProgramError;
+
+/// What became of a write.
+pub type Written = Result<PersistTicket, StorageError>;
+
+/// A thread that writes and syncs one request after the other. It ends when
+/// the writer is dropped, after the write that it is at.
+#[derive(Debug)]
+pub struct LogWriter {
+    requests: Option<Sender<PersistRequest>>,
+    results: Receiver<Written>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl LogWriter {
+    /// Starts the thread. It wakes the event loop after each write.
+    pub fn start(store: LogStore, waker: Arc<Waker>) -> Result<Self, ProgramError> {
+        let (requests, request_receiver) = channel();
+        let (result_sender, results) = channel();
+        let thread = thread::Builder::new()
+            .name("log-writer".to_string())
+            .spawn(move || write_requests(store, &request_receiver, &result_sender, &waker))
+            .map_err(|source| ProgramError::System {
+                action: "start a thread",
+                source,
+            })?;
+        Ok(LogWriter {
+            requests: Some(requests),
+            results,
+            thread: Some(thread),
+        })
+    }
+
+    /// Hands over a request.
+    pub fn write(&self, request: PersistRequest) {
+        if let Some(requests) = &self.requests {
+            let _ = requests.send(request);
+        }
+    }
+
+    /// Returns the result of a write that is done.
+    pub fn poll(&self) -> Option<Written> {
+        self.results.try_recv().ok()
+    }
+}
+
+impl Drop for LogWriter {
+    fn drop(&mut self) {
+        self.requests = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn write_requests(
+    mut store: LogStore,
+    requests: &Receiver<PersistRequest>,
+    results: &Sender<Written>,
+    waker: &Waker,
+) {
+    while let Ok(request) = requests.recv() {
+        if results.send(store.write(&request)).is_err() {
+            return;
+        }
+        let _ = waker.wake();
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -0,0 +1,68 @@
+//! Metrics of the daemons, in the form that Prometheus reads.
+
+use petrellatch_core::admission::RefusalReason;
+use petrellatch_core::routing::DropReason;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// A metric that can't be registered is a fault in the names here.
+const UNIQUE: &str = "names of metrics are valid and unique";
+
+/// Registers a counter.
+pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect(UNIQUE);
+    registry.register(Box::new(counter.clone())).expect(UNIQUE);
+    counter
+}
+
+/// Registers a counter for each value of a label.
+pub(super) fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label]).expect(UNIQUE);
+    registry.register(Box::new(counters.clone())).expect(UNIQUE);
+    counters
+}
+
+/// Registers a gauge.
+pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect(UNIQUE);
+    registry.register(Box::new(gauge.clone())).expect(UNIQUE);
+    gauge
+}
+
+/// Brings a counter up to a total that is counted elsewhere.
+pub(super) fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+/// Sets a gauge to a number that may be too large for it.
+pub(super) fn set(gauge: &IntGauge, value: impl TryInto<i64>) {
+    gauge.set(value.try_into().unwrap_or(i64::MAX));
+}
+
+/// Returns the value of the label `reason` for a dropped packet.
+pub(super) fn drop_reason_name(reason: DropReason) -> &'static str {
+    match reason {
+        DropReason::Malformed(_) => "malformed",
+        DropReason::NotCurrent => "not_current",
+        DropReason::UnknownService => "unknown_service",
+        DropReason::WrongService => "wrong_service",
+        DropReason::WrongBackend => "wrong_backend",
+        DropReason::WrongIncarnation => "wrong_incarnation",
+        DropReason::NoOwner => "no_owner",
+        DropReason::UnknownAgent => "unknown_agent",
+        DropReason::TooManyHops => "too_many_hops",
+        DropReason::NoLease => "no_lease",
+        DropReason::Unsettled => "unsettled",
+    }
+}
+
+/// Returns the value of the label `reason` for a refused flow.
+pub(super) fn refusal_reason_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::Draining => "draining",
+        RefusalReason::Connections => "connections",
+        RefusalReason::Slots => "slots",
+        RefusalReason::RateLimit => "rate_limit",
+        RefusalReason::Unreachable => "unreachable",
+    }
+}
--- a/crates/petrellatch/src/runtime/mod.rs
+++ b/crates/petrellatch/src/runtime/mod.rs
@@ -1,16 +1,29 @@
 //! What every daemon needs around its state machine: clock, data folder,
-//! sockets, signals, health, metrics and the line that says it is ready.
+//! sockets, the wish to stop, health, metrics and the line that says it is
+//! ready; and the event loops that bring these together.
 
 mod admin;
+pub mod agent;
+pub mod balancer;
 mod clock;
+pub mod control;
 mod data_folder;
 mod datagram_socket;
+mod log_writer;
+mod metrics;
+mod process;
 mod ready_line;
+mod sealed_socket;
 mod stop_signal;
+mod view_writer;
 
-pub use admin::{AdminState, open_admin};
+pub use admin::{AdminState, serve_admin};
 pub use clock::ProcessClock;
 pub use data_folder::DataFolder;
-pub use datagram_socket::{Batch, DatagramSocket};
+pub use datagram_socket::{Batch, DatagramSender, DatagramSocket};
+pub use log_writer::LogWriter;
+pub use process::{DaemonSockets, Process, link_settings, node_identity};
 pub use ready_line::ReadyLine;
-pub use stop_signal::StopSignal;
+pub use sealed_socket::SealedSocket;
+pub use stop_signal::{StopHandle, StopSignal, StopWish};
+pub use view_writer::ViewWriter;
--- a/crates/petrellatch/src/runtime/ready_line.rs
+++ b/crates/petrellatch/src/runtime/ready_line.rs
@@ -12,6 +12,10 @@
     pub ready: bool,
     /// The node name.
     pub name: String,
+    /// The life of a control replica's data folder, as `ctl replica add`
+    /// wants it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<String>,
     /// Control messages (UDP).
     pub control: Option<SocketAddrV4>,
     /// Caller packets (UDP).
--- a/crates/petrellatch/src/settings/resolve.rs
+++ b/crates/petrellatch/src/settings/resolve.rs
@@ -87,6 +87,8 @@
     pub admin: SocketAddrV4,
     /// Operators (HTTP).
     pub operator: SocketAddrV4,
+    /// Whether the data folder is formatted as that of a first voter.
+    pub bootstrap: bool,
     /// The fabric; the unspecified address when there is none.
     pub fabric: SocketAddrV4,
     /// Intervals and bounds.
@@ -116,7 +118,8 @@
         role,
         problems,
     };
-    let settings = resolver.settings(&file);
+    let mut settings = resolver.settings(&file);
+    settings.bootstrap = flags.bootstrap;
     if resolver.problems.is_empty() {
         Ok(settings)
     } else {
@@ -255,16 +258,20 @@
     fn settings(&mut self, file: &SettingsFile) -> Settings {
         let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
         let addresses = &file.addresses;
+        let own = self.own_replica(file);
+        let own_control = own.map_or(any_port, |replica| replica.control);
+        let own_operator = own.and_then(|replica| replica.operator);
         let settings = Settings {
             name: self.name("node.name", &file.node.name),
             zone: self.name("node.zone", &file.node.zone),
             data_folder: self.required("node.data_folder", &file.node.data_folder),
             key_file: self.required("cluster.key_file", &file.cluster.key_file),
             replicas: self.replicas(&file.cluster.replicas),
-            control: addresses.control.unwrap_or(any_port),
+            control: addresses.control.unwrap_or(own_control),
             data: addresses.data.unwrap_or(any_port),
             admin: addresses.admin.unwrap_or(any_port),
-            operator: addresses.operator.unwrap_or(any_port),
+            operator: addresses.operator.or(own_operator).unwrap_or(any_port),
+            bootstrap: false,
             fabric: self.fabric(addresses.fabric),
             timing: self.timing(file),
             operator_requests: self.number(
@@ -359,6 +366,15 @@
         replicas.to_vec()
     }
 
+    /// The entry of this process, which tells its addresses.
+    fn own_replica<'a>(&self, file: &'a SettingsFile) -> Option<&'a ReplicaSettings> {
+        let name = file.node.name.as_ref();
+        let mut replicas = file.cluster.replicas.iter();
+        replicas
+            .find(|replica| Some(&replica.name) == name)
+            .filter(|_| self.role == Some(Role::Control))
+    }
+
     fn check_own_replica(&mut self, settings: &Settings) {
         if self.role != Some(Role::Control) || settings.replicas.is_empty() {
             return;
