Add replica commands and whole-process tests

Cause: ctl could not change the set of control replicas, `ctl wait` read the whole status ten times a second, and nothing tested the daemons together. Ruled out: `ctl wait` that leaves silent members out: a silent balancer may still pass packets on by its old view, so a version counts as in force only when every member has it; a dead one is fenced and taken out within its lease. Ruled out: letting an operator copy incarnations by hand for `replica add`; the leader knows which replicas announced themselves.

--- a/crates/petrellatch/src/api/mod.rs
+++ b/crates/petrellatch/src/api/mod.rs
@@ -14,6 +14,7 @@
 };
 pub use error_body::{ErrorBody, ErrorDocument, kind_by_name};
 pub use status::{
-    BackendShare, MemberStatus, PolicyCheck, PolicyCheckRequest, PolicyDecision, PolicyExplanation,
-    ReplicaAction, ReplicaRequest, ReplicaStatus, ReplicasChanging, ServiceStatus, StatusDocument,
+    AnnouncedReplica, BackendShare, MemberStatus, PolicyCheck, PolicyCheckRequest, PolicyDecision,
+    PolicyExplanation, ProgressDocument, ReplicaAction, ReplicaRequest, ReplicaStatus,
+    ReplicasChanging, ServiceStatus, StatusDocument,
 };
--- a/crates/petrellatch/src/api/status.rs
+++ b/crates/petrellatch/src/api/status.rs
@@ -15,6 +15,9 @@
     pub configuration_version: u64,
     /// Control replicas.
     pub replicas: Vec<ReplicaStatus>,
+    /// Replicas that are no members and ask to be added.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub announced: Vec<AnnouncedReplica>,
     /// Balancers and agents.
     pub members: Vec<MemberStatus>,
     /// Services.
@@ -35,6 +38,30 @@
     pub silent_ms: Option<u64>,
 }
 
+/// A replica that is no member and asks to be added.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct AnnouncedReplica {
+    /// The node name, if the settings of the leader list it.
+    pub name: String,
+    /// The incarnation of its data folder, in hexadecimal digits.
+    pub incarnation: String,
+}
+
+/// How far a version has come.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct ProgressDocument {
+    /// The version that was asked about; the newest one if none was.
+    pub version: u64,
+    /// The newest version of the whole state.
+    pub newest: u64,
+    /// Whether it is in force at every balancer and agent.
+    pub in_force: bool,
+    /// How many balancers and agents are not known to have it in force.
+    pub lagging_count: usize,
+    /// The names of some of them.
+    pub lagging: Vec<String>,
+}
+
 /// A balancer or agent.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct MemberStatus {
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -171,6 +171,8 @@
     Status(StatusOptions),
     /// Wait until a version is in force at every member.
     Wait(WaitOptions),
+    /// List, add or remove control replicas.
+    Replica(ReplicaOptions),
     /// Check a policy or explain what it decides.
     Policy(PolicyOptions),
 }
@@ -226,7 +228,7 @@
     pub help: bool,
 }
 
-/// Waits until every live member has a version in force.
+/// Waits until every balancer and agent has a version in force.
 #[derive(Debug, Default, Options)]
 pub struct WaitOptions {
     /// Print this help.
@@ -242,6 +244,24 @@
     pub timeout: u64,
 }
 
+/// Works on the set of control replicas.
+///
+/// `list`: prints them, with those that ask to be added.
+/// `add NAME`: adds a replica that runs; it votes once it has caught up.
+/// `remove NAME`: removes a replica; stop its process after that.
+#[derive(Debug, Default, Options)]
+pub struct ReplicaOptions {
+    /// Print this help.
+    pub help: bool,
+    /// list, add NAME, or remove NAME.
+    #[options(free)]
+    pub arguments: Vec<String>,
+    /// To add: the incarnation that the replica printed when it started, if
+    /// it has not announced itself to the leader.
+    #[options(meta = "HEX", no_short)]
+    pub incarnation: Option<String>,
+}
+
 /// Works on policies.
 ///
 /// `check FILE`: checks the policies of a document on the cluster's back ends.
--- a/crates/petrellatch/src/ctl/apply.rs
+++ b/crates/petrellatch/src/ctl/apply.rs
@@ -28,6 +28,7 @@
         return Err(ProgramError::Usage { message });
     };
     let wanted = read_document(path)?;
+    let mut request_id = options.request_id.clone();
     loop {
         let current: Configuration = client.get(CONFIGURATION)?;
         let edits = edits_between(&current.document, &wanted, options.prune);
@@ -36,7 +37,8 @@
             return Ok(());
         }
         let request = ChangeRequest {
-            request_id: options.request_id.clone().unwrap_or_else(draw_request_id),
+            // After a conflict it is another change, which needs another id.
+            request_id: request_id.take().unwrap_or_else(draw_request_id),
             based_on: options.based_on.unwrap_or(current.version),
             edits,
         };
--- a/crates/petrellatch/src/ctl/mod.rs
+++ b/crates/petrellatch/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 mod edits;
 mod output;
 mod policy;
+mod replica;
 mod status;
 
 use std::time::{Duration, Instant};
@@ -40,6 +41,7 @@
         CtlCommand::Undrain(arguments) => drain::run(&mut client, arguments, false, output),
         CtlCommand::Status(_) => status::run(&mut client, output),
         CtlCommand::Wait(arguments) => status::wait(&mut client, arguments, output),
+        CtlCommand::Replica(arguments) => replica::run(&mut client, arguments, output),
         CtlCommand::Policy(arguments) => policy::run(&mut client, arguments, output),
     }
 }
--- a/crates/petrellatch/src/ctl/status.rs
+++ b/crates/petrellatch/src/ctl/status.rs
@@ -9,12 +9,14 @@
 use super::client::OperatorClient;
 use super::output::{print_document, print_result};
 use super::request_error;
-use crate::api::StatusDocument;
+use crate::api::{ProgressDocument, StatusDocument};
 use crate::command_line::{OutputFormat, WaitOptions};
 use crate::error::ProgramError;
 
 /// Path of the operator API for the status.
-const STATUS: &str = "/v1/status";
+pub const STATUS: &str = "/v1/status";
+/// Path of the operator API for how far a version has come.
+const PROGRESS: &str = "/v1/progress";
 /// Between two looks at the status.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -25,58 +27,85 @@
     Ok(())
 }
 
-/// Waits until a version is in force at every live member.
+/// Waits until a version is in force at every balancer and agent.
 pub fn wait(
     client: &mut OperatorClient,
     options: &WaitOptions,
     output: OutputFormat,
 ) -> Result<(), ProgramError> {
+    if options.version.is_some() == options.latest {
+        let message = "say --version VERSION or --latest".to_string();
+        return Err(ProgramError::Usage { message });
+    }
     let timeout = Duration::from_secs(options.timeout).min(client.time_left());
     let deadline = Instant::now() + timeout;
-    let mut status: StatusDocument = client.get(STATUS)?;
-    let version = match (options.version, options.latest) {
-        (Some(version), false) => version,
-        (None, true) => status.version,
-        _ => {
-            let message = "say --version VERSION or --latest".to_string();
-            return Err(ProgramError::Usage { message });
-        }
-    };
-    while !in_force(&status, version) {
-        if Instant::now() >= deadline {
-            let message = describe_lag(&status, version);
+    let mut progress = read_progress(client, options.version)?;
+    let version = progress.version;
+    while !progress.in_force {
+        if Instant::now() + POLL_INTERVAL >= deadline {
+            let message = describe_lag(&progress);
             return Err(request_error(ErrorKind::DeadlineExceeded, message));
         }
         thread::sleep(POLL_INTERVAL);
-        status = client.get(STATUS)?;
+        progress = read_progress(client, Some(version))?;
     }
     print_result(output, "in force", version);
     Ok(())
 }
 
-fn in_force(status: &StatusDocument, version: u64) -> bool {
-    status.version >= version && lagging(status, version).is_empty()
+fn read_progress(
+    client: &mut OperatorClient,
+    version: Option<u64>,
+) -> Result<ProgressDocument, ProgramError> {
+    let path = match version {
+        Some(version) => format!("{PROGRESS}?version={version}"),
+        None => PROGRESS.to_string(),
+    };
+    Ok(client.get(&path)?)
 }
 
-/// Returns the names of live members that have not reported the version.
-fn lagging(status: &StatusDocument, version: u64) -> Vec<&str> {
-    status
-        .members
-        .iter()
-        .filter(|member| member.state != "suspected" && member.version < version)
-        .map(|member| member.name.as_str())
-        .collect()
+fn describe_lag(progress: &ProgressDocument) -> String {
+    let ProgressDocument {
+        version,
+        newest,
+        lagging_count,
+        lagging,
+        ..
+    } = progress;
+    if newest < version {
+        return format!("version {version} does not exist yet; the newest is {newest}");
+    }
+    let names = lagging.join(", ");
+    format!("version {version} is not in force at {lagging_count} members: {names}")
 }
 
-fn describe_lag(status: &StatusDocument, version: u64) -> String {
-    if status.version < version {
-        return format!(
-            "version {version} does not exist yet; the newest is {}",
-            status.version
+/// Describes the control replicas.
+pub fn describe_replicas(status: &StatusDocument) -> String {
+    let mut text = String::from("control replicas:\n");
+    for replica in &status.replicas {
+        let leads = if replica.name == status.leader {
+            "  leads"
+        } else {
+            ""
+        };
+        let silence = match replica.silent_ms {
+            Some(silence) => format!("heard {silence} ms ago"),
+            None => "not heard of".to_string(),
+        };
+        let _ = writeln!(
+            text,
+            "  {:<24} {:<9} durable to entry {}  {silence}{leads}",
+            replica.name, replica.role, replica.durable_index
+        );
+    }
+    for replica in &status.announced {
+        let _ = writeln!(
+            text,
+            "  {:<24} asks to be added; incarnation {}",
+            replica.name, replica.incarnation
         );
     }
-    let names = lagging(status, version).join(", ");
-    format!("version {version} is not in force at: {names}")
+    text
 }
 
 fn describe(status: &StatusDocument) -> String {
@@ -86,6 +115,7 @@
         "leader {}, version {}, configuration version {}",
         status.leader, status.version, status.configuration_version
     );
+    text.push_str(&describe_replicas(status));
     let _ = writeln!(text, "members:");
     for member in &status.members {
         let _ = writeln!(
--- a/crates/petrellatch/src/runtime/control/documents.rs
+++ b/crates/petrellatch/src/runtime/control/documents.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_core::cluster::ClusterView;
-use petrellatch_core::consensus::MemberRole;
+use petrellatch_core::consensus::{MemberRole, ReplicaId};
 use petrellatch_core::control::{
-    ClusterStatus, Configuration, MemberStatus, OperatorError, OperatorResponse, ReplicaStatus,
+    ClusterStatus, Configuration, ControlNode, MemberStatus, OperatorError, OperatorResponse,
+    ReplicaStatus,
 };
 use petrellatch_core::identity::{NodeId, ServiceId};
 use petrellatch_core::policy::{BackendExplanation, Explanation};
@@ -16,6 +17,9 @@
 use crate::http::HttpResponse;
 use crate::settings::ReplicaSettings;
 
+/// Most names in the list of lagging members.
+const MAX_LISTED_NAMES: usize = 32;
+
 /// The document that answers a request that was carried out.
 pub(super) enum OperatorDocument {
     /// The change was accepted.
@@ -24,6 +28,8 @@
     Configuration(Configuration),
     /// The status.
     Status(api::StatusDocument),
+    /// How far a version has come.
+    Progress(api::ProgressDocument),
     /// What each back end of a service receives.
     Explanation(api::PolicyExplanation),
     /// The policy is sound.
@@ -42,6 +48,7 @@
                 HttpResponse::document(&configuration_document(&configuration))
             }
             OperatorDocument::Status(status) => HttpResponse::document(&status),
+            OperatorDocument::Progress(progress) => HttpResponse::document(&progress),
             OperatorDocument::Explanation(explanation) => HttpResponse::document(&explanation),
             OperatorDocument::PolicyAccepted => {
                 HttpResponse::document(&api::PolicyCheck { sound: true })
@@ -53,6 +60,18 @@
     }
 }
 
+/// Which document a status is made into.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shape {
+    /// All of it.
+    Whole,
+    /// How far one version has come.
+    Progress {
+        /// The version; none for the newest.
+        version: Option<u64>,
+    },
+}
+
 /// Names and operator addresses of the control replicas.
 pub(super) struct Directory {
     replicas: BTreeMap<NodeId, (String, Option<SocketAddrV4>)>,
@@ -74,8 +93,10 @@
     pub(super) fn describe(
         &self,
         response: OperatorResponse,
-        view: &ClusterView,
+        shape: Shape,
+        node: &ControlNode,
     ) -> OperatorDocument {
+        let view = node.state().view();
         match response {
             OperatorResponse::Changed(accepted) => {
                 let version = accepted.version;
@@ -84,9 +105,12 @@
             OperatorResponse::Configuration(configuration) => {
                 OperatorDocument::Configuration(configuration)
             }
-            OperatorResponse::Status(status) => {
-                OperatorDocument::Status(self.status_document(status, view))
-            }
+            OperatorResponse::Status(status) => match shape {
+                Shape::Whole => OperatorDocument::Status(self.status_document(status, node)),
+                Shape::Progress { version } => {
+                    OperatorDocument::Progress(progress_document(&status, version))
+                }
+            },
             OperatorResponse::Explanation(explanations) => {
                 OperatorDocument::Explanation(explanation_document(&explanations, view))
             }
@@ -115,7 +139,9 @@
         }
     }
 
-    fn status_document(&self, status: ClusterStatus, view: &ClusterView) -> api::StatusDocument {
+    fn status_document(&self, status: ClusterStatus, node: &ControlNode) -> api::StatusDocument {
+        let view = node.state().view();
+        let announced = node.replica().waiting_replicas();
         let unsettled: BTreeSet<&str> = status.unsettled.iter().map(String::as_str).collect();
         let services = view.services().map(|service| {
             let settled = !unsettled.contains(service.name.as_str());
@@ -127,11 +153,19 @@
             version: status.version,
             configuration_version: status.config_version,
             replicas: status.replicas.iter().map(|it| self.replica(it)).collect(),
+            announced: announced.iter().map(|it| self.announced(it)).collect(),
             members: status.members.iter().map(member_status).collect(),
             services: services.collect(),
         }
     }
 
+    fn announced(&self, replica: &ReplicaId) -> api::AnnouncedReplica {
+        api::AnnouncedReplica {
+            name: self.name(replica.node),
+            incarnation: format!("{:016x}", replica.incarnation.0),
+        }
+    }
+
     fn replica(&self, status: &ReplicaStatus) -> api::ReplicaStatus {
         let role = match status.role {
             MemberRole::Voter => "voter",
@@ -148,6 +182,22 @@
     }
 }
 
+fn progress_document(status: &ClusterStatus, version: Option<u64>) -> api::ProgressDocument {
+    let version = version.unwrap_or(status.version);
+    let lacks = |member: &&MemberStatus| member.version.is_none_or(|it| it < version);
+    let lagging = || status.members.iter().filter(lacks);
+    api::ProgressDocument {
+        version,
+        newest: status.version,
+        in_force: status.is_in_force(version),
+        lagging_count: lagging().count(),
+        lagging: lagging()
+            .take(MAX_LISTED_NAMES)
+            .map(|member| member.name.clone())
+            .collect(),
+    }
+}
+
 fn member_status(member: &MemberStatus) -> api::MemberStatus {
     let role = match member.role {
         NodeRole::Control => "control",
--- a/crates/petrellatch/src/runtime/control/mod.rs
+++ b/crates/petrellatch/src/runtime/control/mod.rs
@@ -12,19 +12,22 @@
 use std::time::Duration;
 
 use mio::{Events, Poll, Token, Waker};
-use petrellatch_core::consensus::{ReplicaSettings, ReplicaStart};
+use petrellatch_core::consensus::{
+    MembershipChange, ReplicaId, ReplicaSettings, ReplicaStart, Role,
+};
 use petrellatch_core::control::{
-    ControlNode, ControlOutput, ControlPeer, ControlSettings, OperatorError, OperatorResponse,
+    ControlNode, ControlOutput, ControlPeer, ControlSettings, OperatorError, OperatorRequest,
+    OperatorResponse,
 };
 use petrellatch_core::identity::{Incarnation, NodeId};
 use petrellatch_core::membership::MembershipSettings;
 use petrellatch_core::node::NodeIdentity;
-use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_core::{ErrorKind, EventKind, Timestamp};
 use petrellatch_proto::record::NodeRole;
 
 use self::control_metrics::ControlMetrics;
-use self::documents::Directory;
-use self::operator_api::{Answer, AnswerSender, OperatorApi, PendingRequest};
+use self::documents::{Directory, Shape};
+use self::operator_api::{Answer, AnswerSender, LoopRequest, OperatorApi, PendingRequest};
 use super::admin::AdminState;
 use super::clock::ProcessClock;
 use super::datagram_socket::{Batch, DatagramSocket};
@@ -33,6 +36,7 @@
 use super::ready_line::ReadyLine;
 use super::sealed_socket::SealedSocket;
 use super::stop_signal::StopWish;
+use crate::api::ErrorDocument;
 use crate::error::ProgramError;
 use crate::http::{HttpLimits, HttpServer, local_address, open_listener};
 use crate::settings::Settings;
@@ -157,7 +161,7 @@
     log: LogWriter,
     requests: Receiver<PendingRequest>,
     /// Who waits for the answer to which request.
-    waiting: BTreeMap<u64, AnswerSender>,
+    waiting: BTreeMap<u64, Waiting>,
     next_token: u64,
     directory: Directory,
     admin: Arc<AdminState>,
@@ -167,6 +171,12 @@
     is_stopped: bool,
 }
 
+/// An operator's request in progress.
+struct Waiting {
+    answer: AnswerSender,
+    shape: Shape,
+}
+
 impl ControlLoop {
     fn run(&mut self, mut poll: Poll) -> Result<(), ProgramError> {
         self.control.register(poll.registry(), CONTROL)?;
@@ -214,15 +224,43 @@
     }
 
     fn take_requests(&mut self) {
-        while let Ok(pending) = self.requests.try_recv() {
-            let token = self.next_token;
-            self.next_token += 1;
-            self.waiting.insert(token, pending.answer);
-            let now = self.clock.now();
-            self.node.handle_request(now, token, pending.request);
+        while let Ok(PendingRequest { request, answer }) = self.requests.try_recv() {
+            match request {
+                LoopRequest::Node(request, shape) => self.ask_node(request, shape, answer),
+                LoopRequest::AddAnnounced(node) => self.add_announced(node, answer),
+            }
         }
     }
 
+    fn ask_node(&mut self, request: OperatorRequest, shape: Shape, answer: AnswerSender) {
+        let token = self.next_token;
+        self.next_token += 1;
+        self.waiting.insert(token, Waiting { answer, shape });
+        self.node.handle_request(self.clock.now(), token, request);
+    }
+
+    /// Adds the replica that a node announced. Only a leader knows it; others
+    /// say who leads.
+    fn add_announced(&mut self, node: NodeId, answer: AnswerSender) {
+        let replica = self.node.replica();
+        let announced = replica.waiting_replicas();
+        let found = announced.into_iter().find(|it| it.node == node);
+        let leads = replica.role() == Role::Leader;
+        if found.is_none() && leads {
+            let message = "no replica of this name that is not a member has announced itself";
+            let error = ErrorDocument::new(ErrorKind::NotFound, message);
+            let _ = answer.send(Answer::Refused(error));
+            return;
+        }
+        let unknown = ReplicaId {
+            node,
+            incarnation: Incarnation::default(),
+        };
+        let change = MembershipChange::AddVoter(found.unwrap_or(unknown));
+        let request = OperatorRequest::ChangeReplicas(change);
+        self.ask_node(request, Shape::Whole, answer);
+    }
+
     fn take_written(&mut self) -> Result<(), ProgramError> {
         while let Some(written) = self.log.poll() {
             let ticket = written.map_err(|source| ProgramError::Storage { source })?;
@@ -264,15 +302,15 @@
     /// Hands the answer to the thread that waits for it. If that has given up,
     /// the client will ask again.
     fn respond(&mut self, token: u64, result: Result<OperatorResponse, OperatorError>) {
-        let Some(answer) = self.waiting.remove(&token) else {
+        let Some(waiting) = self.waiting.remove(&token) else {
             return;
         };
-        let view = self.node.state().view();
-        let document = match result {
-            Ok(response) => Answer::Done(self.directory.describe(response, view)),
-            Err(error) => Answer::Refused(self.directory.describe_error(error)),
+        let directory = &self.directory;
+        let answer = match result {
+            Ok(response) => Answer::Done(directory.describe(response, waiting.shape, &self.node)),
+            Err(error) => Answer::Refused(directory.describe_error(error)),
         };
-        let _ = answer.send(document);
+        let _ = waiting.answer.send(answer);
     }
 
     fn report(&mut self) {
--- a/crates/petrellatch/src/runtime/control/operator_api.rs
+++ b/crates/petrellatch/src/runtime/control/operator_api.rs
@@ -12,7 +12,7 @@
 use petrellatch_core::policy::PolicySource;
 use petrellatch_proto::command::OperatorChange;
 
-use super::documents::OperatorDocument;
+use super::documents::{OperatorDocument, Shape};
 use crate::api::{ChangeRequest, ErrorDocument, PolicyCheckRequest, ReplicaAction, ReplicaRequest};
 use crate::http::{HttpHandler, HttpRequest, HttpResponse};
 
@@ -22,10 +22,19 @@
 /// Where the answer to one request goes.
 pub(super) type AnswerSender = SyncSender<Answer>;
 
+/// What the event loop is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum LoopRequest {
+    /// A request for the control node.
+    Node(OperatorRequest, Shape),
+    /// Adds the replica of this node that has announced itself.
+    AddAnnounced(NodeId),
+}
+
 /// A request on its way to the event loop.
 pub(super) struct PendingRequest {
     /// The request.
-    pub(super) request: OperatorRequest,
+    pub(super) request: LoopRequest,
     /// Where its answer goes.
     pub(super) answer: AnswerSender,
 }
@@ -61,7 +70,7 @@
         }
     }
 
-    fn ask(&self, request: OperatorRequest) -> HttpResponse {
+    fn ask(&self, request: LoopRequest) -> HttpResponse {
         let (answer, answers) = sync_channel(1);
         let pending = PendingRequest { request, answer };
         if self.requests.send(pending).is_err() {
@@ -89,17 +98,19 @@
     }
 }
 
-fn read_request(request: &HttpRequest) -> Result<OperatorRequest, HttpResponse> {
+fn read_request(request: &HttpRequest) -> Result<LoopRequest, HttpResponse> {
+    let node = |request| Ok(LoopRequest::Node(request, Shape::Whole));
     match (request.method.as_str(), request.path.as_str()) {
         ("POST", "/v1/changes") => {
             let change: ChangeRequest = request.json()?;
-            Ok(OperatorRequest::Change(OperatorChange::from(&change)))
+            node(OperatorRequest::Change(OperatorChange::from(&change)))
         }
-        ("GET", "/v1/configuration") => Ok(OperatorRequest::ReadConfiguration),
-        ("GET", "/v1/status") => Ok(OperatorRequest::Status),
+        ("GET", "/v1/configuration") => node(OperatorRequest::ReadConfiguration),
+        ("GET", "/v1/status") => node(OperatorRequest::Status),
+        ("GET", "/v1/progress") => read_progress(request),
         ("POST", "/v1/policies/check") => {
             let check: PolicyCheckRequest = request.json()?;
-            Ok(OperatorRequest::CheckPolicy {
+            node(OperatorRequest::CheckPolicy {
                 policy: PolicySource {
                     eligible: check.eligible,
                     weight: check.weight,
@@ -108,18 +119,12 @@
             })
         }
         ("GET", "/v1/policies/explain") => match request.query_value("service") {
-            Some(service) => Ok(OperatorRequest::ExplainPolicy {
+            Some(service) => node(OperatorRequest::ExplainPolicy {
                 service: service.to_string(),
             }),
-            None => {
-                let message = "the query needs service=NAME";
-                Err(HttpResponse::error(ErrorKind::Invalid, message))
-            }
+            None => Err(invalid("the query needs service=NAME")),
         },
-        ("POST", "/v1/replicas") => {
-            let change: ReplicaRequest = request.json()?;
-            replica_change(&change).map(OperatorRequest::ChangeReplicas)
-        }
+        ("POST", "/v1/replicas") => read_replica_change(&request.json()?),
         (method, path) => {
             let message = format!("there is no {method} {path}; see docs/API.md");
             Err(HttpResponse::error(ErrorKind::NotFound, message))
@@ -127,23 +132,41 @@
     }
 }
 
-fn replica_change(request: &ReplicaRequest) -> Result<MembershipChange, HttpResponse> {
+fn read_progress(request: &HttpRequest) -> Result<LoopRequest, HttpResponse> {
+    let version = match request.query_value("version") {
+        None => None,
+        Some(text) => {
+            let parsed = text.parse::<u64>();
+            Some(parsed.map_err(|_| invalid("version must be a whole number"))?)
+        }
+    };
+    let wait = OperatorRequest::Wait {
+        version: version.unwrap_or(0),
+    };
+    Ok(LoopRequest::Node(wait, Shape::Progress { version }))
+}
+
+fn read_replica_change(request: &ReplicaRequest) -> Result<LoopRequest, HttpResponse> {
     let node = NodeId::from_name(&request.name);
-    match request.action {
-        ReplicaAction::Remove => Ok(MembershipChange::Remove(node)),
-        ReplicaAction::Add => {
-            let text = request.incarnation.as_deref().unwrap_or("");
+    let change = match (request.action, &request.incarnation) {
+        (ReplicaAction::Remove, _) => MembershipChange::Remove(node),
+        (ReplicaAction::Add, None) => return Ok(LoopRequest::AddAnnounced(node)),
+        (ReplicaAction::Add, Some(text)) => {
             let incarnation = u64::from_str_radix(text, 16).map_err(|_| {
-                let message = "incarnation must be the 16 hexadecimal digits that the new \
-                               replica printed when it started";
-                HttpResponse::error(ErrorKind::Invalid, message)
+                invalid("incarnation must be the 16 hexadecimal digits of the replica's folder")
             })?;
-            Ok(MembershipChange::AddVoter(ReplicaId {
+            MembershipChange::AddVoter(ReplicaId {
                 node,
                 incarnation: Incarnation(incarnation),
-            }))
+            })
         }
-    }
+    };
+    let request = OperatorRequest::ChangeReplicas(change);
+    Ok(LoopRequest::Node(request, Shape::Whole))
+}
+
+fn invalid(message: &str) -> HttpResponse {
+    HttpResponse::error(ErrorKind::Invalid, message)
 }
 
 fn stopped() -> HttpResponse {
--- a/crates/petrellatch/src/usage.rs
+++ b/crates/petrellatch/src/usage.rs
@@ -42,6 +42,10 @@
         "ctl wait",
         "petrellatch ctl --server 127.0.0.1:7410 wait --latest --timeout 10",
     ),
+    (
+        "ctl replica",
+        "petrellatch ctl --server 127.0.0.1:7410 replica add control-3",
+    ),
     (
         "ctl policy",
         "petrellatch ctl --server 127.0.0.1:7410 policy explain valuation-desk",
--- a/crates/petrellatch/tests/command_line.rs
+++ b/crates/petrellatch/tests/command_line.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn every_command_has_help_with_an_explanation_and_an_example() {
-    let commands: [&[&str]; 11] = [
+    let commands: [&[&str]; 12] = [
         &["control"],
         &["balancer"],
         &["agent"],
@@ -28,6 +28,7 @@
         &["ctl", "drain"],
         &["ctl", "undrain"],
         &["ctl", "wait"],
+        &["ctl", "replica"],
         &["ctl", "policy"],
     ];
     for command in commands {
--- /dev/null
+++ b/crates/petrellatch/tests/control_group.rs
@@ -0,0 +1,172 @@
+//! Control replicas with a balancer and an agent, as they run in production
+//! but in threads of the test.
+
+mod support;
+
+use petrellatch::api::Configuration;
+use petrellatch::settings::Role;
+use support::{Cluster, DOCUMENT, policy, read_admin, wait_for};
+
+fn policy_names(cluster: &Cluster) -> Vec<String> {
+    let output = cluster.ctl_output(&["get"]);
+    let configuration: Configuration = serde_json::from_str(&output).expect("a configuration");
+    let policies = configuration.document.policies.into_iter();
+    policies.map(|policy| policy.name).collect()
+}
+
+fn role_of(status: &petrellatch::api::StatusDocument, name: &str) -> Option<String> {
+    let mut replicas = status.replicas.iter();
+    let replica = replicas.find(|replica| replica.name == name);
+    replica.map(|replica| replica.role.clone())
+}
+
+#[test]
+fn an_accepted_change_comes_into_force_at_every_daemon() {
+    let mut cluster = Cluster::found(3);
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    cluster.start_daemon(Role::Agent, "agent-1");
+    cluster.wait_for_status("both are members", |status| status.members.len() == 2);
+    let version = cluster.apply(DOCUMENT);
+    cluster.ctl_output(&["wait", "--version", &version.to_string()]);
+    let status = cluster.wait_for_status("the service is placed", |status| {
+        let mut services = status.services.iter();
+        services.any(|service| service.settled && service.generation > 0)
+    });
+    assert_eq!(status.services[0].backends[0].weight, 1_000);
+    for member in &status.members {
+        assert!(member.version >= version, "{member:?}");
+    }
+    let admin = cluster.running["balancer-1"]
+        .ready
+        .admin
+        .expect("it is open");
+    assert_eq!(read_admin(admin, "/readyz").0, 200);
+    let (_, metrics) = read_admin(admin, "/metrics");
+    assert!(metrics.contains("petrellatch_view_version"), "{metrics}");
+}
+
+#[test]
+fn changes_go_on_when_the_leader_stops_and_it_catches_up_when_it_is_back() {
+    let mut cluster = Cluster::found(3);
+    cluster.apply(&policy("first"));
+    let leader = cluster.status().leader;
+    cluster.take(&leader).stop();
+    cluster.apply(&policy("second"));
+    cluster.restart_control(&leader);
+    let newest = cluster
+        .status()
+        .replicas
+        .iter()
+        .map(|it| it.durable_index)
+        .max();
+    cluster.wait_for_status("it has caught up", |status| {
+        let mut replicas = status.replicas.iter();
+        replicas.any(|it| it.name == leader && Some(it.durable_index) >= newest)
+    });
+    assert_eq!(policy_names(&cluster), ["first", "second"]);
+}
+
+#[test]
+fn a_group_that_was_killed_keeps_what_it_accepted() {
+    let mut cluster = Cluster::found(3);
+    let names = ["one", "two", "three", "four"];
+    let mut version = 0;
+    for name in names {
+        version = cluster.apply(&policy(name));
+    }
+    let replicas: Vec<String> = cluster.running.keys().cloned().collect();
+    for name in &replicas {
+        cluster.take(name).kill();
+    }
+    for name in &replicas {
+        cluster.restart_control(name);
+    }
+    let mut found = policy_names(&cluster);
+    found.sort();
+    let mut expected = names.to_vec();
+    expected.sort_unstable();
+    assert_eq!(found, expected);
+    assert_eq!(cluster.status().configuration_version, version);
+}
+
+#[test]
+fn a_replica_that_lost_its_folder_is_admitted_again_and_then_counts() {
+    let mut cluster = Cluster::found(3);
+    cluster.apply(&policy("before"));
+    let lost = cluster.follower();
+    cluster.take(&lost).kill();
+    std::fs::remove_dir_all(cluster.data_folder(&lost)).expect("the folder is removed");
+    cluster.restart_control(&lost);
+    let incarnation = cluster.running[&lost].ready.incarnation.clone();
+    assert_ne!(incarnation, None);
+    cluster.wait_for_status("it is a voter again", |status| {
+        let durable = status.replicas.iter().find(|it| it.name == lost);
+        let caught_up = durable.is_some_and(|it| it.durable_index > 0);
+        caught_up && role_of(status, &lost).as_deref() == Some("voter")
+    });
+    // A second machine is lost right after the first one was repaired. The
+    // quorum now needs the one that came back.
+    let leader = cluster.status().leader;
+    let second = cluster
+        .replicas
+        .iter()
+        .map(|replica| replica.name.clone())
+        .find(|name| *name != leader && *name != lost)
+        .expect("there are three");
+    cluster.take(&second).kill();
+    cluster.apply(&policy("after"));
+    assert_eq!(policy_names(&cluster), ["after", "before"]);
+}
+
+#[test]
+fn an_operator_removes_and_adds_a_replica() {
+    let mut cluster = Cluster::found(3);
+    cluster.apply(&policy("before"));
+    let name = cluster.follower();
+    cluster.ctl_output(&["replica", "remove", &name]);
+    assert_eq!(role_of(&cluster.status(), &name), None);
+    cluster.take(&name).kill();
+    std::fs::remove_dir_all(cluster.data_folder(&name)).expect("the folder is removed");
+    cluster.restart_control(&name);
+    cluster.wait_for_status("it has announced itself", |status| {
+        status.announced.iter().any(|replica| replica.name == name)
+    });
+    cluster.ctl_output(&["replica", "add", &name]);
+    assert_eq!(role_of(&cluster.status(), &name).as_deref(), Some("voter"));
+    let listed = cluster.ctl_output(&["replica", "list"]);
+    assert!(listed.contains(&name), "{listed}");
+}
+
+#[test]
+fn a_planned_stop_takes_a_balancer_and_an_agent_out_of_the_cluster() {
+    let mut cluster = Cluster::found(1);
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    cluster.start_daemon(Role::Agent, "agent-1");
+    cluster.wait_for_status("both are members", |status| status.members.len() == 2);
+    let admin = cluster.running["balancer-1"]
+        .ready
+        .admin
+        .expect("it is open");
+    wait_for("it is ready", || read_admin(admin, "/readyz").0 == 200);
+    cluster.take("agent-1").stop();
+    cluster.take("balancer-1").stop();
+    cluster.wait_for_status("both have left", |status| status.members.is_empty());
+}
+
+#[test]
+fn a_restarted_daemon_is_ready_again_with_what_happened_meanwhile() {
+    let mut cluster = Cluster::found(1);
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    let first = cluster.apply(&policy("first"));
+    cluster.ctl_output(&["wait", "--version", &first.to_string()]);
+    cluster.take("balancer-1").kill();
+    let mut version = 0;
+    for number in 0..20 {
+        version = cluster.apply(&policy(&format!("policy-{number}")));
+    }
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    cluster.wait_for_status("it has the newest version", |status| {
+        let mut members = status.members.iter();
+        members.any(|member| member.name == "balancer-1" && member.version >= version)
+    });
+}
--- /dev/null
+++ b/crates/petrellatch/tests/support/mod.rs
@@ -0,0 +1,337 @@
+//! Control replicas, balancers and agents in threads of the test process, and
+//! the operator's command line as a process.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use petrellatch::api::StatusDocument;
+use petrellatch::command_line::DaemonOptions;
+use petrellatch::error::ProgramError;
+use petrellatch::logging::{LogFormat, LogLevel, make_logger};
+use petrellatch::runtime::control::{ControlSockets, open_replica_folder};
+use petrellatch::runtime::{
+    DaemonSockets, Process, ReadyLine, StopHandle, StopSignal, agent, balancer, control,
+};
+use petrellatch::settings::{Role, Settings, SettingsFile, read_cluster_key, resolve};
+use tempfile::TempDir;
+
+/// The longest that anything in these tests may take.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Between two looks at something that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The key of the cluster, and one of another cluster.
+pub const KEY: &str = "000102030405060708090a0b0c0d0e0f";
+pub const OTHER_KEY: &str = "ffeeddccbbaa99887766554433221100";
+
+/// Where a control replica is reached.
+#[derive(Clone, Debug)]
+pub struct ReplicaAddress {
+    pub name: String,
+    pub control: SocketAddrV4,
+    pub operator: SocketAddrV4,
+}
+
+/// A daemon in a thread.
+pub struct Running {
+    pub ready: ReadyLine,
+    stop: StopHandle,
+    thread: JoinHandle<Result<(), ProgramError>>,
+}
+
+impl Running {
+    /// Asks for a planned stop and waits for its end.
+    pub fn stop(mut self) {
+        self.stop.stop();
+        self.thread
+            .join()
+            .expect("the daemon does not panic")
+            .expect("it stops well");
+    }
+
+    /// Ends the daemon at once, as if it was killed.
+    pub fn kill(mut self) {
+        self.stop.stop_at_once();
+        self.thread
+            .join()
+            .expect("the daemon does not panic")
+            .expect("it ends");
+    }
+
+    pub fn is_running(&self) -> bool {
+        !self.thread.is_finished()
+    }
+}
+
+/// A cluster on the loopback interface.
+pub struct Cluster {
+    pub folder: TempDir,
+    pub replicas: Vec<ReplicaAddress>,
+    pub running: BTreeMap<String, Running>,
+}
+
+impl Cluster {
+    /// Founds a control group of so many replicas.
+    pub fn found(replicas: usize) -> Cluster {
+        let folder = tempfile::tempdir().expect("a scratch folder");
+        std::fs::write(folder.path().join("key"), KEY).expect("the key is written");
+        let mut cluster = Cluster {
+            folder,
+            replicas: Vec::new(),
+            running: BTreeMap::new(),
+        };
+        // All sockets are open before the addresses are told to anyone, so no
+        // other process can take a port in between.
+        let sockets: Vec<ControlSockets> = (1..=replicas)
+            .map(|number| {
+                let name = format!("control-{number}");
+                let settings = cluster.settings_with(Role::Control, &name, true, &[]);
+                let sockets = ControlSockets::open(&settings).expect("free ports");
+                let ready = sockets.ready_line(&name, Default::default());
+                cluster.replicas.push(ReplicaAddress {
+                    name,
+                    control: ready.control.expect("it is open"),
+                    operator: ready.operator.expect("it is open"),
+                });
+                sockets
+            })
+            .collect();
+        for (number, sockets) in (1..=replicas).zip(sockets) {
+            let name = format!("control-{number}");
+            let settings = cluster.settings(Role::Control, &name, true);
+            cluster.run_control(settings, sockets);
+        }
+        cluster
+    }
+
+    /// Starts a control replica again on its folder and addresses.
+    pub fn restart_control(&mut self, name: &str) {
+        let settings = self.settings(Role::Control, name, false);
+        let sockets = ControlSockets::open(&settings).expect("its ports are free again");
+        self.run_control(settings, sockets);
+    }
+
+    fn run_control(&mut self, settings: Settings, sockets: ControlSockets) {
+        let name = settings.name.clone();
+        let (process, stop) = process(settings);
+        let folder = open_replica_folder(&process.settings, &process.key).expect("it opens");
+        let ready = sockets.ready_line(&name, folder.incarnation);
+        let thread = thread::spawn(move || control::run(process, sockets, folder));
+        self.running.insert(
+            name,
+            Running {
+                ready,
+                stop,
+                thread,
+            },
+        );
+    }
+
+    /// Starts a balancer or agent.
+    pub fn start_daemon(&mut self, role: Role, name: &str) {
+        let settings = self.settings(role, name, false);
+        self.start_daemon_with(role, settings);
+    }
+
+    /// Starts a balancer or agent with these settings.
+    pub fn start_daemon_with(&mut self, role: Role, settings: Settings) {
+        let name = settings.name.clone();
+        let sockets = DaemonSockets::open(&settings).expect("free ports");
+        let ready = sockets.ready_line(&name);
+        let (process, stop) = process(settings);
+        let thread = thread::spawn(move || match role {
+            Role::Agent => agent::run(process, sockets),
+            _ => balancer::run(process, sockets),
+        });
+        self.running.insert(
+            name,
+            Running {
+                ready,
+                stop,
+                thread,
+            },
+        );
+    }
+
+    /// Takes a daemon out, to stop or kill it.
+    pub fn take(&mut self, name: &str) -> Running {
+        self.running.remove(name).expect("it runs")
+    }
+
+    /// Where a process has its files.
+    pub fn data_folder(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// The settings of a process.
+    pub fn settings(&self, role: Role, name: &str, bootstrap: bool) -> Settings {
+        self.settings_with(role, name, bootstrap, &self.replicas)
+    }
+
+    fn settings_with(
+        &self,
+        role: Role,
+        name: &str,
+        bootstrap: bool,
+        replicas: &[ReplicaAddress],
+    ) -> Settings {
+        let mut replica: Vec<String> = replicas
+            .iter()
+            .map(|it| format!("{}={},{}", it.name, it.control, it.operator))
+            .collect();
+        if replica.is_empty() {
+            replica.push(format!("{name}=127.0.0.1:0"));
+        }
+        let options = DaemonOptions {
+            name: Some(name.to_string()),
+            zone: Some("zone-a".to_string()),
+            data_folder: Some(self.data_folder(name).display().to_string()),
+            key_file: Some(self.folder.path().join("key").display().to_string()),
+            fabric_address: Some("127.0.0.1:9".to_string()),
+            replica,
+            bootstrap,
+            ..DaemonOptions::default()
+        };
+        let mut file = SettingsFile::default();
+        file.timing.heartbeat_milliseconds = Some(100);
+        file.timing.lease_milliseconds = Some(1_000);
+        file.timing.election_milliseconds = Some(500);
+        file.timing.stop_seconds = Some(20);
+        resolve("test", file, &options, Some(role)).expect("sound settings")
+    }
+
+    /// Runs `petrellatch ctl` against all replicas.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_petrellatch"));
+        command.arg("ctl");
+        for replica in &self.replicas {
+            command.arg("--server").arg(replica.operator.to_string());
+        }
+        command.args(["--output", "json", "--deadline", "50", "--retries", "1000"]);
+        command.args(arguments).output().expect("the program runs")
+    }
+
+    /// Runs `petrellatch ctl`, which has to succeed, and returns its output.
+    pub fn ctl_output(&self, arguments: &[&str]) -> String {
+        let output = self.ctl(arguments);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "ctl {arguments:?}: {errors}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+
+    /// Applies a document and returns its version.
+    pub fn apply(&self, document: &str) -> u64 {
+        let path = self.folder.path().join("document.toml");
+        std::fs::write(&path, document).expect("the document is written");
+        let path = path.display().to_string();
+        let output = self.ctl_output(&["apply", &path]);
+        let result: serde_json::Value = serde_json::from_str(&output).expect("JSON");
+        assert_eq!(result["result"], "accepted");
+        result["version"].as_u64().expect("a version")
+    }
+
+    /// Reads the status from the leader.
+    pub fn status(&self) -> StatusDocument {
+        let output = self.ctl_output(&["status"]);
+        serde_json::from_str(&output).expect("a status document")
+    }
+
+    /// Waits until the status is as wanted.
+    pub fn wait_for_status(
+        &self,
+        what: &str,
+        mut wanted: impl FnMut(&StatusDocument) -> bool,
+    ) -> StatusDocument {
+        let mut last = None;
+        wait_for(what, || {
+            let status = self.status();
+            let found = wanted(&status);
+            last = Some(status);
+            found
+        });
+        last.expect("it was read")
+    }
+
+    /// Returns the name of a control replica that does not lead.
+    pub fn follower(&self) -> String {
+        let leader = self.status().leader;
+        let mut names = self.replicas.iter().map(|replica| replica.name.clone());
+        names
+            .find(|name| *name != leader)
+            .expect("there are others")
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for (_, mut running) in std::mem::take(&mut self.running) {
+            running.stop.stop_at_once();
+            let _ = running.thread.join();
+        }
+    }
+}
+
+fn process(settings: Settings) -> (Process, StopHandle) {
+    let (stop, handle) = StopSignal::manual().expect("a pair of sockets");
+    let key = read_cluster_key(&settings.key_file).expect("a sound key");
+    let process = Process {
+        logger: make_logger(LogFormat::Terminal, LogLevel::Error, &settings.name),
+        key,
+        stop,
+        settings,
+    };
+    (process, handle)
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited too long: {what}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Reads a path of an admin address. Returns the status and the body.
+pub fn read_admin(address: SocketAddrV4, path: &str) -> (u16, String) {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let url = format!("http://{address}{path}");
+    let mut response = agent.get(&url).call().expect("an answer");
+    let body = response.body_mut().read_to_string().expect("a body");
+    (response.status().as_u16(), body)
+}
+
+/// A document with one policy, one service and one back end.
+pub const DOCUMENT: &str = r#"
+[[policies]]
+name = "even"
+eligible = "!backend.draining"
+weight = "1.0"
+
+[[services]]
+name = "valuation-desk"
+address = "10.1.0.1:80"
+policy = "even"
+
+[[backends]]
+name = "valuation-desk-1"
+service = "valuation-desk"
+agent = "agent-1"
+zone = "zone-a"
+server = "127.0.0.1:9"
+slots = 7
+"#;
+
+/// A document with one further policy.
+pub fn policy(name: &str) -> String {
+    format!("[[policies]]\nname = \"{name}\"\neligible = \"true\"\nweight = \"1.0\"\n")
+}
