Document the operator API and tell replicas' incarnations in the status

Ruled out: a fault in the log; the replica was still a voter under its former incarnation, which counts for the quorum until the change is committed. Tests use loopback addresses of their own, and wait for ports that a starting process still holds. Conclusion: an operator can see when a lost replica counts again.

--- a/crates/petrellatch/src/api/mod.rs
+++ b/crates/petrellatch/src/api/mod.rs
@@ -4,6 +4,7 @@
 
 mod change;
 mod document;
+mod endpoint;
 mod error_body;
 mod status;
 
@@ -12,6 +13,7 @@
     BackendDocument, Configuration, Document, DocumentError, PolicyDocument, Refusal,
     ServiceDocument,
 };
+pub use endpoint::Endpoint;
 pub use error_body::{ErrorBody, ErrorDocument, kind_by_name};
 pub use status::{
     AnnouncedReplica, BackendShare, MemberStatus, PolicyCheck, PolicyCheckRequest, PolicyDecision,
--- a/crates/petrellatch/src/api/status.rs
+++ b/crates/petrellatch/src/api/status.rs
@@ -29,6 +29,9 @@
 pub struct ReplicaStatus {
     /// The node name.
     pub name: String,
+    /// The incarnation of its data folder, in hexadecimal digits. After a lost
+    /// folder it is another one as soon as the replica is admitted again.
+    pub incarnation: String,
     /// "voter", "joining" or "learner".
     pub role: String,
     /// The last entry of the log that is known to be durable there.
--- a/crates/petrellatch/src/ctl/apply.rs
+++ b/crates/petrellatch/src/ctl/apply.rs
@@ -3,21 +3,23 @@
 use std::path::Path;
 
 use petrellatch_core::ErrorKind;
+use petrellatch_core::control::limits::MAX_EDITS;
 
 use super::client::{Failure, OperatorClient};
 use super::edits::edits_between;
 use super::output::{print_document, print_result};
 use super::request_error;
-use crate::api::{ChangeAccepted, ChangeRequest, Configuration, Document};
+use crate::api::{ChangeAccepted, ChangeRequest, Configuration, Document, Endpoint};
 use crate::command_line::{ApplyOptions, OutputFormat};
 use crate::error::ProgramError;
 
 /// Path of the operator API for changes.
-const CHANGES: &str = "/v1/changes";
+const CHANGES: &str = Endpoint::Change.path();
 /// Path of the operator API for the configuration.
-const CONFIGURATION: &str = "/v1/configuration";
+const CONFIGURATION: &str = Endpoint::Configuration.path();
 
-/// Makes the configuration equal to a document.
+/// Makes the configuration equal to a document. One with more edits than a
+/// change may have is applied in several changes, one after the other.
 pub fn run(
     client: &mut OperatorClient,
     options: &ApplyOptions,
@@ -31,22 +33,25 @@
     let mut request_id = options.request_id.clone();
     loop {
         let current: Configuration = client.get(CONFIGURATION)?;
-        let edits = edits_between(&current.document, &wanted, options.prune);
+        let mut edits = edits_between(&current.document, &wanted, options.prune);
+        let is_last = edits.len() <= MAX_EDITS;
+        edits.truncate(MAX_EDITS);
         if edits.is_empty() {
             print_result(output, "nothing to change", current.version);
             return Ok(());
         }
         let request = ChangeRequest {
-            // After a conflict it is another change, which needs another id.
+            // What is sent after this one is another change with another id.
             request_id: request_id.take().unwrap_or_else(draw_request_id),
             based_on: options.based_on.unwrap_or(current.version),
             edits,
         };
         match send(client, &request) {
-            Ok(accepted) => {
+            Ok(accepted) if is_last => {
                 print_result(output, "accepted", accepted.version);
                 return Ok(());
             }
+            Ok(_) => check_time(client)?,
             Err(failure) if failure.kind == ErrorKind::Conflict && options.rebase => {
                 check_time(client)?;
             }
--- a/crates/petrellatch/src/ctl/mod.rs
+++ b/crates/petrellatch/src/ctl/mod.rs
@@ -19,8 +19,17 @@
 use crate::error::{ProgramError, UsageSnafu};
 use client::OperatorClient;
 
-/// Runs one operator command.
+/// Runs one operator command. With JSON output a failure of a request is
+/// printed as the same document that the operator API reports it with.
 pub fn run(options: &CtlOptions) -> Result<(), ProgramError> {
+    let result = run_command(options);
+    if let Err(ProgramError::Request { kind, message }) = &result {
+        output::print_failure(options.output, *kind, message);
+    }
+    result
+}
+
+fn run_command(options: &CtlOptions) -> Result<(), ProgramError> {
     ensure!(
         !options.server.is_empty(),
         UsageSnafu {
--- a/crates/petrellatch/src/ctl/output.rs
+++ b/crates/petrellatch/src/ctl/output.rs
@@ -1,7 +1,9 @@
 //! How results are printed.
 
+use petrellatch_core::ErrorKind;
 use serde::Serialize;
 
+use crate::api::ErrorDocument;
 use crate::command_line::OutputFormat;
 
 /// The result of a change.
@@ -18,6 +20,14 @@
     });
 }
 
+/// Prints a failure as JSON. As text it goes to standard error, like all
+/// failures of the program.
+pub fn print_failure(output: OutputFormat, kind: ErrorKind, message: &str) {
+    if output == OutputFormat::Json {
+        print_document(output, &ErrorDocument::new(kind, message), String::new);
+    }
+}
+
 /// Prints a document: as JSON, or as `text` makes it.
 pub fn print_document(
     output: OutputFormat,
--- a/crates/petrellatch/src/ctl/policy.rs
+++ b/crates/petrellatch/src/ctl/policy.rs
@@ -6,7 +6,7 @@
 use super::apply::read_document;
 use super::client::OperatorClient;
 use super::output::print_document;
-use crate::api::{PolicyCheck, PolicyCheckRequest, PolicyExplanation};
+use crate::api::{Endpoint, PolicyCheck, PolicyCheckRequest, PolicyExplanation};
 use crate::command_line::{OutputFormat, PolicyOptions};
 use crate::error::ProgramError;
 
@@ -38,7 +38,7 @@
             weight: policy.weight.clone(),
             service: None,
         };
-        let checked: PolicyCheck = client.post("/v1/policies/check", &request)?;
+        let checked: PolicyCheck = client.post(Endpoint::CheckPolicy.path(), &request)?;
         print_document(output, &checked, || {
             format!("policy {}: nothing is wrong\n", policy.name)
         });
@@ -51,7 +51,7 @@
     service: &str,
     output: OutputFormat,
 ) -> Result<(), ProgramError> {
-    let path = format!("/v1/policies/explain?service={service}");
+    let path = format!("{}?service={service}", Endpoint::ExplainPolicy.path());
     let explanation: PolicyExplanation = client.get(&path)?;
     print_document(output, &explanation, || describe(&explanation));
     Ok(())
--- a/crates/petrellatch/src/ctl/replica.rs
+++ b/crates/petrellatch/src/ctl/replica.rs
@@ -9,12 +9,12 @@
 use super::output::print_document;
 use super::request_error;
 use super::status::{STATUS, describe_replicas};
-use crate::api::{ReplicaAction, ReplicaRequest, ReplicasChanging, StatusDocument};
+use crate::api::{Endpoint, ReplicaAction, ReplicaRequest, ReplicasChanging, StatusDocument};
 use crate::command_line::{OutputFormat, ReplicaOptions};
 use crate::error::ProgramError;
 
 /// Path of the operator API for changes of the control replicas.
-const REPLICAS: &str = "/v1/replicas";
+const REPLICAS: &str = Endpoint::ChangeReplicas.path();
 /// Between two looks at the status.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The role of a replica that counts for quorums.
--- a/crates/petrellatch/src/ctl/status.rs
+++ b/crates/petrellatch/src/ctl/status.rs
@@ -9,14 +9,14 @@
 use super::client::OperatorClient;
 use super::output::{print_document, print_result};
 use super::request_error;
-use crate::api::{ProgressDocument, StatusDocument};
+use crate::api::{Endpoint, ProgressDocument, StatusDocument};
 use crate::command_line::{OutputFormat, WaitOptions};
 use crate::error::ProgramError;
 
 /// Path of the operator API for the status.
-pub const STATUS: &str = "/v1/status";
+pub const STATUS: &str = Endpoint::Status.path();
 /// Path of the operator API for how far a version has come.
-const PROGRESS: &str = "/v1/progress";
+const PROGRESS: &str = Endpoint::Progress.path();
 /// Between two looks at the status.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/petrellatch/src/runtime/control/documents.rs
+++ b/crates/petrellatch/src/runtime/control/documents.rs
@@ -9,7 +9,7 @@
     ClusterStatus, Configuration, ControlNode, MemberStatus, OperatorError, OperatorResponse,
     ReplicaStatus,
 };
-use petrellatch_core::identity::{NodeId, ServiceId};
+use petrellatch_core::identity::{Incarnation, NodeId, ServiceId};
 use petrellatch_core::policy::{BackendExplanation, Explanation};
 use petrellatch_proto::record::{MemberState, NodeRole, Record, ServiceRecord};
 
@@ -147,12 +147,18 @@
             let settled = !unsettled.contains(service.name.as_str());
             service_status(service, settled, view)
         });
+        let membership = node.replica().membership();
+        let replicas = status.replicas.iter().map(|replica| {
+            let member = membership.member(replica.node);
+            let incarnation = member.map_or(Incarnation(0), |it| it.replica.incarnation);
+            self.replica(replica, incarnation)
+        });
         api::StatusDocument {
             leader: self.name(status.leader),
             term: status.term,
             version: status.version,
             configuration_version: status.config_version,
-            replicas: status.replicas.iter().map(|it| self.replica(it)).collect(),
+            replicas: replicas.collect(),
             announced: announced.iter().map(|it| self.announced(it)).collect(),
             members: status.members.iter().map(member_status).collect(),
             services: services.collect(),
@@ -166,7 +172,7 @@
         }
     }
 
-    fn replica(&self, status: &ReplicaStatus) -> api::ReplicaStatus {
+    fn replica(&self, status: &ReplicaStatus, incarnation: Incarnation) -> api::ReplicaStatus {
         let role = match status.role {
             MemberRole::Voter => "voter",
             MemberRole::JoiningVoter => "joining",
@@ -175,6 +181,7 @@
         let silent = status.silent_for.map(|silence| silence.as_millis());
         api::ReplicaStatus {
             name: self.name(status.node),
+            incarnation: format!("{:016x}", incarnation.0),
             role: role.to_string(),
             durable_index: status.durable_index,
             silent_ms: silent.and_then(|silence| u64::try_from(silence).ok()),
--- a/crates/petrellatch/src/runtime/control/operator_api.rs
+++ b/crates/petrellatch/src/runtime/control/operator_api.rs
@@ -13,7 +13,9 @@
 use petrellatch_proto::command::OperatorChange;
 
 use super::documents::{OperatorDocument, Shape};
-use crate::api::{ChangeRequest, ErrorDocument, PolicyCheckRequest, ReplicaAction, ReplicaRequest};
+use crate::api::{
+    ChangeRequest, Endpoint, ErrorDocument, PolicyCheckRequest, ReplicaAction, ReplicaRequest,
+};
 use crate::http::{HttpHandler, HttpRequest, HttpResponse};
 
 /// Added to the time after which the event loop answers by itself.
@@ -99,16 +101,21 @@
 }
 
 fn read_request(request: &HttpRequest) -> Result<LoopRequest, HttpResponse> {
+    let Some(endpoint) = Endpoint::find(&request.method, &request.path) else {
+        let HttpRequest { method, path, .. } = request;
+        let message = format!("there is no {method} {path}; see docs/API.md");
+        return Err(HttpResponse::error(ErrorKind::NotFound, message));
+    };
     let node = |request| Ok(LoopRequest::Node(request, Shape::Whole));
-    match (request.method.as_str(), request.path.as_str()) {
-        ("POST", "/v1/changes") => {
+    match endpoint {
+        Endpoint::Change => {
             let change: ChangeRequest = request.json()?;
             node(OperatorRequest::Change(OperatorChange::from(&change)))
         }
-        ("GET", "/v1/configuration") => node(OperatorRequest::ReadConfiguration),
-        ("GET", "/v1/status") => node(OperatorRequest::Status),
-        ("GET", "/v1/progress") => read_progress(request),
-        ("POST", "/v1/policies/check") => {
+        Endpoint::Configuration => node(OperatorRequest::ReadConfiguration),
+        Endpoint::Status => node(OperatorRequest::Status),
+        Endpoint::Progress => read_progress(request),
+        Endpoint::CheckPolicy => {
             let check: PolicyCheckRequest = request.json()?;
             node(OperatorRequest::CheckPolicy {
                 policy: PolicySource {
@@ -118,17 +125,13 @@
                 service: check.service,
             })
         }
-        ("GET", "/v1/policies/explain") => match request.query_value("service") {
+        Endpoint::ExplainPolicy => match request.query_value("service") {
             Some(service) => node(OperatorRequest::ExplainPolicy {
                 service: service.to_string(),
             }),
             None => Err(invalid("the query needs service=NAME")),
         },
-        ("POST", "/v1/replicas") => read_replica_change(&request.json()?),
-        (method, path) => {
-            let message = format!("there is no {method} {path}; see docs/API.md");
-            Err(HttpResponse::error(ErrorKind::NotFound, message))
-        }
+        Endpoint::ChangeReplicas => read_replica_change(&request.json()?),
     }
 }
 
--- a/crates/petrellatch/tests/catalogues.rs
+++ b/crates/petrellatch/tests/catalogues.rs
@@ -1,7 +1,9 @@
 //! The catalogues in the documentation against the code.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 
+use petrellatch::api::{Document, Endpoint};
 use petrellatch::settings::KEYS;
 use petrellatch_core::event::Severity;
 use petrellatch_core::{ErrorKind, EventKind};
@@ -85,3 +87,49 @@
         .collect();
     assert_eq!(rows("SETTINGS.md"), expected);
 }
+
+#[test]
+fn the_endpoints_are_the_ones_in_the_code() {
+    let documented: Vec<String> = rows("API.md")
+        .iter()
+        .filter_map(|row| row.split('`').nth(1))
+        .filter(|cell| cell.contains(" /"))
+        .map(str::to_string)
+        .collect();
+    let expected: Vec<String> = Endpoint::ALL
+        .into_iter()
+        .map(|endpoint| format!("{} {}", endpoint.method(), endpoint.path()))
+        .collect();
+    assert_eq!(documented, expected);
+}
+
+/// Returns the keys that a document is serialized with.
+fn keys(document: &impl serde::Serialize) -> BTreeSet<String> {
+    let value = serde_json::to_value(document).expect("JSON");
+    let object = value.as_object().expect("an object");
+    object.keys().cloned().collect()
+}
+
+fn documented_fields(heading: &str) -> BTreeSet<String> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/API.md");
+    let text = std::fs::read_to_string(path).expect("the document is there");
+    let (_, table) = text.split_once(heading).expect("the table is there");
+    let rows = table
+        .lines()
+        .skip(2)
+        .take_while(|line| line.starts_with("| `"));
+    let names = rows.filter_map(|row| row.split('`').nth(1));
+    names.map(str::to_string).collect()
+}
+
+#[test]
+fn the_fields_of_documents_are_the_ones_in_the_code() {
+    let text = "[[services]]\nname='s'\naddress='10.0.0.1:80'\npolicy='p'\n\
+                [[backends]]\nname='b'\nservice='s'\nagent='a'\nzone='z'\n\
+                server='127.0.0.1:1'\nslots=1\ndraining=true\n";
+    let document = Document::parse("test.toml", text).expect("a sound document");
+    let service = documented_fields("| field of a service |");
+    assert_eq!(service, keys(&document.services[0]));
+    let backend = documented_fields("| field of a back end |");
+    assert_eq!(backend, keys(&document.backends[0]));
+}
--- a/crates/petrellatch/tests/control_group.rs
+++ b/crates/petrellatch/tests/control_group.rs
@@ -45,6 +45,25 @@
     assert!(metrics.contains("petrellatch_view_version"), "{metrics}");
 }
 
+#[test]
+fn the_metrics_are_the_ones_in_the_documentation() {
+    let mut cluster = Cluster::found(1);
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    cluster.start_daemon(Role::Agent, "agent-1");
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/API.md");
+    let page = std::fs::read_to_string(page).expect("the page is there");
+    for (name, running) in &cluster.running {
+        let admin = running.ready.admin.expect("it is open");
+        let (_, metrics) = read_admin(admin, "/metrics");
+        let names = metrics
+            .lines()
+            .filter_map(|line| line.strip_prefix("# TYPE "));
+        for metric in names.filter_map(|line| line.split(' ').next()) {
+            assert!(page.contains(&format!("`{metric}`")), "{name}: {metric}");
+        }
+    }
+}
+
 #[test]
 fn changes_go_on_when_the_leader_stops_and_it_catches_up_when_it_is_back() {
     let mut cluster = Cluster::found(3);
@@ -97,12 +116,12 @@
     cluster.take(&lost).kill();
     std::fs::remove_dir_all(cluster.data_folder(&lost)).expect("the folder is removed");
     cluster.restart_control(&lost);
+    // Until it is admitted with its new incarnation, its former life counts.
     let incarnation = cluster.running[&lost].ready.incarnation.clone();
-    assert_ne!(incarnation, None);
+    let incarnation = incarnation.expect("a control replica prints it");
     cluster.wait_for_status("it is a voter again", |status| {
-        let durable = status.replicas.iter().find(|it| it.name == lost);
-        let caught_up = durable.is_some_and(|it| it.durable_index > 0);
-        caught_up && role_of(status, &lost).as_deref() == Some("voter")
+        let mut replicas = status.replicas.iter();
+        replicas.any(|it| it.incarnation == incarnation && it.role == "voter")
     });
     // A second machine is lost right after the first one was repaired. The
     // quorum now needs the one that came back.
@@ -153,6 +172,18 @@
     cluster.wait_for_status("both have left", |status| status.members.is_empty());
 }
 
+#[test]
+fn a_document_with_more_edits_than_a_change_may_have_is_applied_whole() {
+    let cluster = Cluster::found(1);
+    let names = (0..200).map(|number| format!("policy-{number:03}"));
+    let expected: Vec<String> = names.collect();
+    let document: Vec<String> = expected.iter().map(|name| policy(name)).collect();
+    cluster.apply(&document.join("\n"));
+    let mut found = policy_names(&cluster);
+    found.sort();
+    assert_eq!(found, expected);
+}
+
 #[test]
 fn a_restarted_daemon_is_ready_again_with_what_happened_meanwhile() {
     let mut cluster = Cluster::found(1);
--- a/crates/petrellatch/tests/support/mod.rs
+++ b/crates/petrellatch/tests/support/mod.rs
@@ -4,9 +4,10 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -69,8 +70,23 @@
     }
 }
 
+/// Numbers the clusters of this process.
+static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+
+/// Draws two loopback addresses that no other cluster of any test uses, for
+/// control replicas and for daemons. A port of a stopped replica therefore
+/// stays free until it is started again.
+fn draw_addresses() -> [Ipv4Addr; 2] {
+    let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let first = 1 + 2 * (cluster % 100);
+    [first, first + 1].map(|second| Ipv4Addr::new(127, second, high, low))
+}
+
 /// A cluster on the loopback interface.
 pub struct Cluster {
+    /// Where control replicas and daemons listen.
+    addresses: [Ipv4Addr; 2],
     pub folder: TempDir,
     pub replicas: Vec<ReplicaAddress>,
     pub running: BTreeMap<String, Running>,
@@ -82,6 +98,7 @@
         let folder = tempfile::tempdir().expect("a scratch folder");
         std::fs::write(folder.path().join("key"), KEY).expect("the key is written");
         let mut cluster = Cluster {
+            addresses: draw_addresses(),
             folder,
             replicas: Vec::new(),
             running: BTreeMap::new(),
@@ -113,8 +130,14 @@
     /// Starts a control replica again on its folder and addresses.
     pub fn restart_control(&mut self, name: &str) {
         let settings = self.settings(Role::Control, name, false);
-        let sockets = ControlSockets::open(&settings).expect("its ports are free again");
-        self.run_control(settings, sockets);
+        // A process that another test starts at this moment holds a copy of all
+        // sockets until it runs its own program.
+        let mut sockets = None;
+        wait_for("its ports are free again", || {
+            sockets = ControlSockets::open(&settings).ok();
+            sockets.is_some()
+        });
+        self.run_control(settings, sockets.expect("they are open"));
     }
 
     fn run_control(&mut self, settings: Settings, sockets: ControlSockets) {
@@ -188,7 +211,21 @@
         if replica.is_empty() {
             replica.push(format!("{name}=127.0.0.1:0"));
         }
+        let [control, daemon] = self.addresses;
+        let listed = replicas.iter().find(|it| it.name == name);
+        let operator = listed.map(|it| it.operator.to_string());
+        let own = match role {
+            Role::Control => control,
+            Role::Balancer | Role::Agent => daemon,
+        };
+        let any_port = format!("{own}:0");
         let options = DaemonOptions {
+            control_address: listed
+                .map(|it| it.control.to_string())
+                .or(Some(any_port.clone())),
+            operator_address: operator.or(Some(any_port.clone())),
+            data_address: Some(any_port.clone()),
+            admin_address: Some(any_port.clone()),
             name: Some(name.to_string()),
             zone: Some("zone-a".to_string()),
             data_folder: Some(self.data_folder(name).display().to_string()),
