--- a/crates/petrellatch-core/src/control/limits.rs
+++ b/crates/petrellatch-core/src/control/limits.rs
@@ -16,20 +16,22 @@
 /// fits one control message.
 pub const MAX_DELTA_BYTES: usize = 50_000;
 
-/// Most services.
-pub const MAX_SERVICES: usize = 1_024;
+/// Most services: about twice the 67,000 addresses of the largest deployment.
+pub const MAX_SERVICES: usize = 131_072;
 
 /// Most back ends of one service, so that its placement fits one message.
 pub const MAX_BACKENDS_OF_SERVICE: usize = 256;
 
-/// Most back ends in total.
-pub const MAX_BACKENDS: usize = 4_096;
+/// Most back ends in total: about one and a half times the 160,000 of the
+/// largest deployment.
+pub const MAX_BACKENDS: usize = 262_144;
 
 /// Most policies.
 pub const MAX_POLICIES: usize = 256;
 
-/// Most balancers and agents.
-pub const MAX_MEMBERS: usize = 4_096;
+/// Most balancers and agents: nearly twice the 18,000 daemons of the largest
+/// deployment.
+pub const MAX_MEMBERS: usize = 32_768;
 
 /// Most labels of one back end.
 pub const MAX_LABELS: usize = 16;
@@ -43,16 +45,17 @@
 /// Longest warm-up time and idle time, in seconds: one week.
 pub const MAX_SECONDS: u32 = 7 * 24 * 3_600;
 
-/// Most drained node names.
-pub const MAX_DRAINED_NODES: usize = 1_024;
+/// Most drained node names: more than one region of six has.
+pub const MAX_DRAINED_NODES: usize = 4_096;
 
 /// Answers to operator changes that are remembered for resends. A resend is
 /// answered as at first as long as fewer other changes came in between.
 pub const REQUEST_WINDOW: usize = 4_096;
 
 /// Fenced lives that are remembered, over all nodes. A life among them can't
-/// be registered again.
-pub const FENCED_WINDOW: usize = 4_096;
+/// be registered again. It covers the loss of all daemons at once, and half a
+/// day with 64,000 restarts.
+pub const FENCED_WINDOW: usize = 32_768;
 
 /// Generations of one placement that the replicated state keeps at most. The
 /// planner starts no optional change beyond
--- a/crates/petrellatch-core/src/dissemination/routes.rs
+++ b/crates/petrellatch-core/src/dissemination/routes.rs
@@ -8,8 +8,8 @@
 use crate::identity::NodeId;
 use crate::time::Timestamp;
 
-/// Most daemons below one relay.
-const MAX_ROUTES: usize = 16_384;
+/// Most daemons below one relay. All of the cluster are below the leader.
+const MAX_ROUTES: usize = 32_768;
 
 /// The neighbour that passed on a daemon's heartbeats, or the daemon itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/petrellatch-core/src/membership/registration_queue.rs
+++ b/crates/petrellatch-core/src/membership/registration_queue.rs
@@ -12,7 +12,7 @@
 use super::settings::MembershipSettings;
 
 /// Most waiting daemons; others ask again with their next heartbeat.
-const MAX_WAITING: usize = 4_096;
+const MAX_WAITING: usize = 32_768;
 
 /// How long the outcome of a proposal is awaited before it is repeated.
 const PROPOSAL_PATIENCE: Duration = Duration::from_secs(2);
