Try operator changes on top of the view and bound the configuration in bytes

Ruled out: applying to the state and undoing it on refusal, because the check of policies needs the outcome before the change goes to the log. Change: ChangedView holds the changes of a draft over the borrowed view; ClusterView finds services by policy and back ends by agent; the encoded size of services, back ends and policies is bounded by 48 MiB, since numbers alone don't bound memory once records may be long. Conclusion: a change costs as much as its edits. Random changes show that the view tried is the view that the change leads to.

--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -110,6 +110,20 @@
             .collect()
     }
 
+    /// Returns the keys of all records.
+    pub fn keys(&self) -> impl Iterator<Item = RecordKey> {
+        let policies = self.policies.keys().cloned().map(RecordKey::Policy);
+        let services = self.services.keys().map(|id| RecordKey::Service(id.0));
+        let backends = self.backends.keys().map(|id| RecordKey::Backend(id.0));
+        let members = self.members.keys().map(|node| RecordKey::Member(node.0));
+        let placements = self.placements.keys();
+        policies
+            .chain(services)
+            .chain(backends)
+            .chain(members)
+            .chain(placements.map(|service| RecordKey::Placement(service.0)))
+    }
+
     /// Returns a service.
     pub fn service(&self, id: ServiceId) -> Option<&ServiceRecord> {
         self.services.get(&id)
@@ -132,6 +146,17 @@
         self.services.values()
     }
 
+    /// Returns how many services there are.
+    pub fn service_count(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Returns the services that use a policy, by identifier.
+    pub fn services_of_policy(&self, policy: &str) -> impl Iterator<Item = &ServiceRecord> {
+        let ids = self.index.services_of_policy(policy);
+        ids.filter_map(|id| self.services.get(&id))
+    }
+
     /// Returns a back end.
     pub fn backend(&self, id: BackendId) -> Option<&BackendRecord> {
         self.backends.get(&id)
@@ -148,6 +173,17 @@
         self.backends.values()
     }
 
+    /// Returns how many back ends there are.
+    pub fn backend_count(&self) -> usize {
+        self.backends.len()
+    }
+
+    /// Returns the back ends beside one agent by identifier.
+    pub fn backends_of_agent(&self, agent: NodeId) -> impl Iterator<Item = &BackendRecord> {
+        let ids = self.index.backends_of_agent(agent);
+        ids.filter_map(|id| self.backends.get(&id))
+    }
+
     /// Returns the back ends of one service by identifier.
     pub fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = &BackendRecord> {
         let ids = self.index.backends_of(service);
@@ -164,6 +200,11 @@
         self.policies.values()
     }
 
+    /// Returns how many policies there are.
+    pub fn policy_count(&self) -> usize {
+        self.policies.len()
+    }
+
     /// Returns a member.
     pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
         self.members.get(&node)
@@ -182,6 +223,11 @@
         self.members.values()
     }
 
+    /// Returns how many members there are.
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Returns the placement of a service.
     pub fn placement(&self, service: ServiceId) -> Option<&PlacementRecord> {
         self.placements.get(&service)
--- a/crates/petrellatch-core/src/control/change_draft.rs
+++ b/crates/petrellatch-core/src/control/change_draft.rs
@@ -1,17 +1,17 @@
-//! Edits of one change, tried on a copy of the view.
+//! Edits of one change, tried on top of the view.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 use petrellatch_proto::command::{BackendEdit, DrainTarget, Edit, EditKind, SetDrain};
-use petrellatch_proto::dissemination::Delta;
 use petrellatch_proto::record::{
-    BackendRecord, MemberState, PolicyRecord, Record, RecordChange, RecordKey, ServiceRecord,
+    BackendRecord, MemberState, PolicyRecord, Record, RecordKey, ServiceRecord,
 };
 
 use crate::cluster::ClusterView;
 use crate::identity::{NodeId, ServiceId};
 
+use super::assignments::{AssignmentChanges, Assignments};
+use super::changed_view::ChangedView;
 use super::limits::{
     MAX_BACKENDS, MAX_BACKENDS_OF_SERVICE, MAX_DRAINED_NODES, MAX_POLICIES, MAX_SERVICES,
 };
@@ -19,37 +19,25 @@
     EditError, check_backend, check_name, check_policy, check_service, require,
 };
 
-/// Identifiers that were handed out and the operator's drains: the part of
-/// the configuration that is not in the view.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct Assignments {
-    /// The identifier of the newest service.
-    pub(super) last_service: u32,
-    /// The identifier of the newest back end.
-    pub(super) last_backend: u64,
-    /// Names of nodes that an operator is draining.
-    pub(super) drained_nodes: BTreeSet<String>,
-}
-
 /// A change that is being tried.
-pub(super) struct ChangeDraft {
-    view: ClusterView,
-    assignments: Assignments,
-    changes: BTreeMap<RecordKey, RecordChange>,
+pub(super) struct ChangeDraft<'state> {
+    view: ChangedView<'state>,
+    before: &'state Assignments,
+    assignments: AssignmentChanges,
 }
 
 /// What a whole change leads to.
-pub(super) struct FinishedDraft {
-    pub(super) changes: Vec<RecordChange>,
-    pub(super) assignments: Assignments,
+pub(super) struct FinishedDraft<'state> {
+    pub(super) view: ChangedView<'state>,
+    pub(super) assignments: AssignmentChanges,
 }
 
-impl ChangeDraft {
-    pub(super) fn new(view: &ClusterView, assignments: &Assignments) -> Self {
+impl<'state> ChangeDraft<'state> {
+    pub(super) fn new(view: &'state ClusterView, before: &'state Assignments) -> Self {
         ChangeDraft {
-            view: view.clone(),
-            assignments: assignments.clone(),
-            changes: BTreeMap::new(),
+            view: ChangedView::new(view),
+            before,
+            assignments: AssignmentChanges::default(),
         }
     }
 
@@ -67,10 +55,10 @@
         }
     }
 
-    /// Returns all changes, each record once.
-    pub(super) fn finish(self) -> FinishedDraft {
+    /// Returns what all edits together lead to.
+    pub(super) fn finish(self) -> FinishedDraft<'state> {
         FinishedDraft {
-            changes: self.changes.into_values().collect(),
+            view: self.view,
             assignments: self.assignments,
         }
     }
@@ -89,7 +77,7 @@
             None => self.next_service()?,
         };
         let service = ServiceRecord { id, ..edit.clone() };
-        self.put(Record::Service(service));
+        self.view.put(Record::Service(service));
         Ok(())
     }
 
@@ -106,12 +94,12 @@
     }
 
     fn next_service(&mut self) -> Result<u32, EditError> {
-        let count = self.view.services().count();
+        let count = self.view.service_count();
         require(count < MAX_SERVICES, || {
             format!("there are {MAX_SERVICES} services already")
         })?;
-        self.assignments.last_service += 1;
-        Ok(self.assignments.last_service)
+        self.assignments.new_services += 1;
+        Ok(self.before.last_service + self.assignments.new_services)
     }
 
     fn remove_service(&mut self, name: &str) -> Result<(), EditError> {
@@ -123,9 +111,9 @@
         require(backends == 0, || {
             format!("the service '{name}' still has {backends} back ends")
         })?;
-        self.remove(RecordKey::Service(id));
-        if self.view.placement(ServiceId(id)).is_some() {
-            self.remove(RecordKey::Placement(id));
+        self.view.remove(RecordKey::Service(id));
+        if self.view.has_placement(ServiceId(id)) {
+            self.view.remove(RecordKey::Placement(id));
         }
         Ok(())
     }
@@ -145,7 +133,7 @@
             }
             None => (self.next_backend(service)?, backend.draining),
         };
-        self.put(Record::Backend(BackendRecord {
+        self.view.put(Record::Backend(BackendRecord {
             id,
             service: service.0,
             draining,
@@ -160,7 +148,8 @@
             let same = other.agent == edit.agent && other.server == edit.server;
             same && other.name != edit.name
         };
-        match self.view.backends().find(same_server) {
+        let agent = NodeId::from_name(&edit.agent);
+        match self.view.backends_of_agent(agent).find(same_server) {
             Some(other) => {
                 let message = format!("the server of '{}' is that of '{}'", edit.name, other.name);
                 Err(EditError::invalid(message))
@@ -171,15 +160,15 @@
 
     fn next_backend(&mut self, service: ServiceId) -> Result<u64, EditError> {
         let of_service = self.view.backends_of(service).count();
-        let total = self.view.backends().count();
+        let total = self.view.backend_count();
         let fits = of_service < MAX_BACKENDS_OF_SERVICE && total < MAX_BACKENDS;
         require(fits, || {
             format!(
                 "at most {MAX_BACKENDS_OF_SERVICE} back ends of one service, {MAX_BACKENDS} in total"
             )
         })?;
-        self.assignments.last_backend += 1;
-        Ok(self.assignments.last_backend)
+        self.assignments.new_backends += 1;
+        Ok(self.before.last_backend + self.assignments.new_backends)
     }
 
     fn remove_backend(&mut self, name: &str) -> Result<(), EditError> {
@@ -187,18 +176,18 @@
         let id = backend
             .ok_or_else(|| EditError::not_found("back end", name))?
             .id;
-        self.remove(RecordKey::Backend(id));
+        self.view.remove(RecordKey::Backend(id));
         Ok(())
     }
 
     fn put_policy(&mut self, edit: &PolicyRecord) -> Result<(), EditError> {
         check_policy(edit)?;
         let is_new = self.view.policy(&edit.name).is_none();
-        let fits = !is_new || self.view.policies().count() < MAX_POLICIES;
+        let fits = !is_new || self.view.policy_count() < MAX_POLICIES;
         require(fits, || {
             format!("there are {MAX_POLICIES} policies already")
         })?;
-        self.put(Record::Policy(edit.clone()));
+        self.view.put(Record::Policy(edit.clone()));
         Ok(())
     }
 
@@ -206,12 +195,12 @@
         if self.view.policy(name).is_none() {
             return Err(EditError::not_found("policy", name));
         }
-        let user = self.view.services().find(|service| service.policy == name);
+        let user = self.view.services_of_policy(name).next();
         if let Some(user) = user {
             let message = format!("the service '{}' uses the policy '{name}'", user.name);
             return Err(EditError::invalid(message));
         }
-        self.remove(RecordKey::Policy(name.to_owned()));
+        self.view.remove(RecordKey::Policy(name.to_owned()));
         Ok(())
     }
 
@@ -230,62 +219,34 @@
             draining: drain.draining,
             ..backend.clone()
         };
-        self.put(Record::Backend(changed));
+        self.view.put(Record::Backend(changed));
         Ok(())
     }
 
     fn drain_node(&mut self, drain: &SetDrain) -> Result<(), EditError> {
         check_name("node", &drain.name)?;
         let member = self.view.member(NodeId::from_name(&drain.name)).cloned();
-        let known = self.assignments.drained_nodes.contains(&drain.name);
+        let known = self.assignments.is_drained(self.before, &drain.name);
         if member.is_none() && !known {
             return Err(EditError::not_found("node", &drain.name));
         }
         let state = if drain.draining {
-            self.assignments.drained_nodes.insert(drain.name.clone());
             MemberState::Leaving
         } else {
-            self.assignments.drained_nodes.remove(&drain.name);
             MemberState::Live
         };
-        let count = self.assignments.drained_nodes.len();
+        let name = drain.name.clone();
+        self.assignments.drains.insert(name, drain.draining);
+        let count = self.assignments.drained_count(self.before);
         require(count <= MAX_DRAINED_NODES, || {
             format!("at most {MAX_DRAINED_NODES} nodes can be drained")
         })?;
         if let Some(mut member) = member {
             member.state = state as i32;
-            self.put(Record::Member(member));
+            self.view.put(Record::Member(member));
         }
         Ok(())
     }
-
-    fn put(&mut self, record: Record) {
-        let key = record.key();
-        let change = RecordChange {
-            put: Some(record),
-            remove: None,
-        };
-        self.record(key, change);
-    }
-
-    fn remove(&mut self, key: RecordKey) {
-        let change = RecordChange {
-            put: None,
-            remove: Some(key.clone()),
-        };
-        self.record(key, change);
-    }
-
-    fn record(&mut self, key: RecordKey, change: RecordChange) {
-        let delta = Delta {
-            version: self.view.version() + 1,
-            changes: vec![change.clone()],
-        };
-        self.view
-            .apply(&delta)
-            .expect("the delta follows the draft's version");
-        self.changes.insert(key, change);
-    }
 }
 
 /// Open flows depend on the address, and the buckets of all listed generations
--- a/crates/petrellatch-core/src/control/control_snapshot.rs
+++ b/crates/petrellatch-core/src/control/control_snapshot.rs
@@ -8,7 +8,8 @@
 use crate::error_kind::ErrorKind;
 use crate::identity::{Incarnation, NodeId};
 
-use super::change_draft::Assignments;
+use super::assignments::Assignments;
+use super::configuration_size;
 use super::control_state::ControlState;
 use super::fenced_lives::{FencedLives, Life};
 use super::mutations::ControlMutations;
@@ -137,6 +138,7 @@
         }
         let registrations = record.registrations.iter();
         Ok(ControlState {
+            configuration_bytes: configuration_size::of_view(&view),
             view,
             config_version: record.config_version,
             assignments: Assignments {
--- a/crates/petrellatch-core/src/control/control_state.rs
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -17,11 +17,14 @@
 use crate::error_kind::ErrorKind;
 use crate::identity::{Incarnation, NodeId, ServiceId};
 
-use super::change_draft::{Assignments, ChangeDraft, FinishedDraft};
+use super::assignments::Assignments;
+use super::change_draft::{ChangeDraft, FinishedDraft};
+use super::changed_view::ChangedView;
+use super::configuration_size;
 use super::fenced_lives::{FencedLives, Life};
 use super::limits::{
-    MAX_BACKENDS_OF_SERVICE, MAX_CHANGE_BYTES, MAX_DELTA_BYTES, MAX_EDITS, MAX_GENERATIONS,
-    MAX_MEMBERS, MAX_REQUEST_ID_BYTES,
+    MAX_BACKENDS_OF_SERVICE, MAX_CHANGE_BYTES, MAX_CONFIGURATION_BYTES, MAX_DELTA_BYTES, MAX_EDITS,
+    MAX_GENERATIONS, MAX_MEMBERS, MAX_REQUEST_ID_BYTES,
 };
 use super::mutations::ControlMutations;
 use super::outcome::{AcceptedChange, Applied, ChangeAnswer, ChangeRefusal, CommandOutcome};
@@ -35,6 +38,8 @@
     pub(super) view: ClusterView,
     pub(super) config_version: u64,
     pub(super) assignments: Assignments,
+    /// The encoded size of all services, back ends and policies.
+    pub(super) configuration_bytes: usize,
     /// The version at which each member's present life was registered.
     pub(super) registrations: BTreeMap<NodeId, u64>,
     pub(super) fenced: FencedLives,
@@ -92,12 +97,8 @@
 
     /// Returns the view as it would be after a change, to check policies
     /// against it.
-    pub fn view_after(&self, change: &OperatorChange) -> Result<ClusterView, ChangeRefusal> {
-        let finished = self.try_change(change)?;
-        let mut view = self.view.clone();
-        let delta = self.next_delta(finished.changes);
-        view.apply(&delta).expect("the delta follows the version");
-        Ok(view)
+    pub fn view_after(&self, change: &OperatorChange) -> Result<ChangedView<'_>, ChangeRefusal> {
+        self.try_change(change).map(|finished| finished.view)
     }
 
     /// Applies the next command of the log. A command of an unknown kind
@@ -121,8 +122,11 @@
         }
         let (answer, delta) = match self.try_change(change) {
             Ok(finished) => {
-                self.assignments = finished.assignments;
-                let delta = self.commit(finished.changes);
+                let assignments = finished.assignments;
+                let changes = finished.view.into_changes();
+                self.configuration_bytes = self.configuration_bytes_after(&changes);
+                self.assignments.apply(assignments);
+                let delta = self.commit(changes);
                 self.config_version = delta.version;
                 let accepted = AcceptedChange {
                     version: delta.version,
@@ -156,12 +160,12 @@
         });
     }
 
-    fn try_change(&self, change: &OperatorChange) -> Result<FinishedDraft, ChangeRefusal> {
+    fn try_change(&self, change: &OperatorChange) -> Result<FinishedDraft<'_>, ChangeRefusal> {
         self.draft_change(change)
             .map_err(|error| self.refusal(error.kind, error.message))
     }
 
-    fn draft_change(&self, change: &OperatorChange) -> Result<FinishedDraft, EditError> {
+    fn draft_change(&self, change: &OperatorChange) -> Result<FinishedDraft<'_>, EditError> {
         check_frame(change)?;
         let based_on_current = change.based_on == self.config_version;
         if !based_on_current && !self.mutations.ignore_based_on {
@@ -178,13 +182,29 @@
             draft.apply(edit)?;
         }
         let finished = draft.finish();
-        let bytes: usize = finished.changes.iter().map(Message::encoded_len).sum();
+        self.check_sizes(&finished.view)?;
+        Ok(finished)
+    }
+
+    fn check_sizes(&self, after: &ChangedView<'_>) -> Result<(), EditError> {
+        let changes = after.changes();
+        let bytes: usize = changes.iter().map(Message::encoded_len).sum();
         if bytes > MAX_DELTA_BYTES {
             let message =
                 format!("the change touches more than {MAX_DELTA_BYTES} bytes of records");
             return Err(EditError::too_large(message));
         }
-        Ok(finished)
+        let total = self.configuration_bytes_after(&changes);
+        if total > MAX_CONFIGURATION_BYTES && total > self.configuration_bytes {
+            let message =
+                format!("the configuration would have more than {MAX_CONFIGURATION_BYTES} bytes");
+            return Err(EditError::too_large(message));
+        }
+        Ok(())
+    }
+
+    fn configuration_bytes_after(&self, changes: &[RecordChange]) -> usize {
+        configuration_size::after(self.configuration_bytes, &self.view, changes)
     }
 
     fn refusal(&self, kind: ErrorKind, message: impl Into<String>) -> ChangeRefusal {
@@ -201,7 +221,7 @@
             incarnation: Incarnation(member.incarnation),
         };
         let known = self.view.member(life.node).is_some();
-        let is_full = self.view.members().count() >= MAX_MEMBERS;
+        let is_full = self.view.member_count() >= MAX_MEMBERS;
         let is_daemon = matches!(
             NodeRole::try_from(member.role),
             Ok(NodeRole::Balancer | NodeRole::Agent)
--- a/crates/petrellatch-core/src/control/limits.rs
+++ b/crates/petrellatch-core/src/control/limits.rs
@@ -26,6 +26,11 @@
 /// largest deployment.
 pub const MAX_BACKENDS: usize = 262_144;
 
+/// Most encoded bytes of all services, back ends and policies together, about
+/// twice those of the largest deployment. Records may be long, so the numbers
+/// alone would not bound memory.
+pub const MAX_CONFIGURATION_BYTES: usize = 48 << 20;
+
 /// Most policies.
 pub const MAX_POLICIES: usize = 256;
 
--- a/crates/petrellatch-core/src/control/mod.rs
+++ b/crates/petrellatch-core/src/control/mod.rs
@@ -58,7 +58,10 @@
 //! assert_eq!(again.delta, None, "it took effect only once");
 //! ```
 
+mod assignments;
 mod change_draft;
+mod changed_view;
+mod configuration_size;
 mod control_node;
 mod control_output;
 mod control_settings;
@@ -80,6 +83,7 @@
 mod status;
 mod validation;
 
+pub use changed_view::ChangedView;
 pub use control_node::ControlNode;
 pub use control_output::ControlOutput;
 pub use control_settings::{ControlPeer, ControlSettings};
--- a/crates/petrellatch-core/src/control/policy_check.rs
+++ b/crates/petrellatch-core/src/control/policy_check.rs
@@ -1,6 +1,6 @@
 //! Checks of policies where they are submitted.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use petrellatch_proto::command::{EditKind, OperatorChange};
 use petrellatch_proto::record::{PolicyRecord, ServiceRecord};
@@ -9,6 +9,7 @@
 use crate::identity::ServiceId;
 use crate::policy::{BackendView, Policy, PolicyError, PolicySource, ServiceView};
 
+use super::changed_view::ChangedView;
 use super::load_level::LoadLevels;
 use super::policy_cache::source;
 use super::service_input::backend_view;
@@ -25,32 +26,43 @@
 
 /// Checks the policies that a change puts or assigns, against the state after
 /// the change. Returns the explanation of the first fault.
-pub(super) fn check_change(change: &OperatorChange, after: &ClusterView) -> Result<(), String> {
-    let mut put = BTreeSet::new();
-    let mut assigned = BTreeSet::new();
+pub(super) fn check_change(change: &OperatorChange, after: &ChangedView<'_>) -> Result<(), String> {
+    for (name, services) in concerned_services(change, after) {
+        if let Some(policy) = after.policy(name) {
+            let services: Vec<&ServiceRecord> = services.into_values().collect();
+            check_policy(policy, &services, after)?;
+        }
+    }
+    Ok(())
+}
+
+/// Services by identifier.
+type Services<'view> = BTreeMap<u32, &'view ServiceRecord>;
+
+/// The policies that a change puts or assigns, each with the services for
+/// which it must be checked.
+fn concerned_services<'view>(
+    change: &'view OperatorChange,
+    after: &'view ChangedView<'_>,
+) -> BTreeMap<&'view str, Services<'view>> {
+    let mut concerned: BTreeMap<&str, Services> = BTreeMap::new();
     for edit in &change.edits {
         match &edit.kind {
             Some(EditKind::PutPolicy(policy)) => {
-                put.insert(policy.name.as_str());
+                let services = after.services_of_policy(&policy.name);
+                let services = services.map(|service| (service.id, service));
+                concerned.entry(&policy.name).or_default().extend(services);
             }
             Some(EditKind::PutService(service)) => {
-                assigned.insert(service.name.as_str());
+                if let Some(service) = after.service_by_name(&service.name) {
+                    let services = concerned.entry(&service.policy).or_default();
+                    services.insert(service.id, service);
+                }
             }
             _ => {}
         }
     }
-    for policy in after.policies() {
-        let is_put = put.contains(policy.name.as_str());
-        let services = after.services().filter(|service| {
-            let is_concerned = is_put || assigned.contains(service.name.as_str());
-            service.policy == policy.name && is_concerned
-        });
-        let services: Vec<&ServiceRecord> = services.collect();
-        if is_put || !services.is_empty() {
-            check_policy(policy, &services, after)?;
-        }
-    }
-    Ok(())
+    concerned
 }
 
 /// Checks a policy for one service, or for all.
@@ -64,13 +76,13 @@
         Some(service) => vec![service],
         None => view.services().collect(),
     };
-    check_services(&compiled, &services, view)
+    check_services(&compiled, &services, &ChangedView::new(view))
 }
 
 fn check_policy(
     policy: &PolicyRecord,
     services: &[&ServiceRecord],
-    view: &ClusterView,
+    view: &ChangedView<'_>,
 ) -> Result<(), String> {
     Policy::compile(&source(policy))
         .and_then(|compiled| check_services(&compiled, services, view))
@@ -80,7 +92,7 @@
 fn check_services(
     policy: &Policy,
     services: &[&ServiceRecord],
-    view: &ClusterView,
+    view: &ChangedView<'_>,
 ) -> Result<(), PolicyError> {
     if services.is_empty() {
         return policy.check(&ServiceView::default(), &[]);
--- a/crates/petrellatch-core/src/control/status.rs
+++ b/crates/petrellatch-core/src/control/status.rs
@@ -40,9 +40,9 @@
         version: view.version(),
         config_version: state.config_version(),
         counts: RecordCounts {
-            services: view.services().count(),
-            backends: view.backends().count(),
-            policies: view.policies().count(),
+            services: view.service_count(),
+            backends: view.backend_count(),
+            policies: view.policy_count(),
             members: members.len(),
         },
         lagging_count: lagging.len(),
--- a/crates/petrellatch-core/src/dissemination/disseminated_view.rs
+++ b/crates/petrellatch-core/src/dissemination/disseminated_view.rs
@@ -1,7 +1,9 @@
 //! What a link and a relay need of the view that they keep or serve.
 
+use std::collections::BTreeSet;
+
 use petrellatch_proto::dissemination::Delta;
-use petrellatch_proto::record::RecordChange;
+use petrellatch_proto::record::{RecordChange, RecordKey};
 
 use crate::cluster::{ApplyError, ClusterView};
 
@@ -21,6 +23,14 @@
     /// All records as puts, in a fixed order.
     fn records(&self) -> Vec<RecordChange>;
 
+    /// The keys of all records.
+    fn keys(&self) -> BTreeSet<RecordKey> {
+        self.records()
+            .iter()
+            .filter_map(RecordChange::key)
+            .collect()
+    }
+
     /// An empty view of the same kind, at version zero.
     fn cleared(&self) -> Self;
 }
@@ -42,6 +52,10 @@
         ClusterView::records(self)
     }
 
+    fn keys(&self) -> BTreeSet<RecordKey> {
+        ClusterView::keys(self).collect()
+    }
+
     fn cleared(&self) -> Self {
         ClusterView::new()
     }
--- a/crates/petrellatch-core/src/dissemination/view_updater.rs
+++ b/crates/petrellatch-core/src/dissemination/view_updater.rs
@@ -49,7 +49,9 @@
         for delta in &update.deltas {
             outcome.newest = outcome.newest.max(delta.version);
             if self.apply(delta) {
-                outcome.keys.extend(delta.changes.iter().filter_map(key_of));
+                outcome
+                    .keys
+                    .extend(delta.changes.iter().filter_map(RecordChange::key));
                 outcome.applied.push(delta.clone());
             } else if delta.version > self.view.version() {
                 outcome.has_gap = true;
@@ -65,12 +67,12 @@
         version: u64,
         records: &[RecordChange],
     ) -> BTreeSet<RecordKey> {
-        let mut keys: BTreeSet<RecordKey> = self.view.records().iter().filter_map(key_of).collect();
+        let mut keys = self.view.keys();
         if self.mutations.apply_older_versions {
             self.view = self.view.cleared();
         }
         if self.view.replace(version, records).is_ok() {
-            keys.extend(records.iter().filter_map(key_of));
+            keys.extend(records.iter().filter_map(RecordChange::key));
         }
         keys
     }
@@ -92,8 +94,3 @@
         }
     }
 }
-
-fn key_of(change: &RecordChange) -> Option<RecordKey> {
-    let put = change.put.as_ref().map(|record| record.key());
-    put.or_else(|| change.remove.clone())
-}
--- a/crates/petrellatch-core/tests/cluster_index.rs
+++ b/crates/petrellatch-core/tests/cluster_index.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_core::cluster::ClusterView;
-use petrellatch_core::identity::{BackendId, ServiceId};
+use petrellatch_core::identity::{BackendId, NodeId, ServiceId};
 use petrellatch_proto::dissemination::Delta;
 use petrellatch_proto::record::{BackendRecord, Record, RecordChange, RecordKey, ServiceRecord};
 
@@ -84,6 +84,46 @@
     assert!(view.backend(BackendId(3)).is_none());
 }
 
+#[test]
+fn services_of_a_policy_and_back_ends_of_an_agent_follow_changes() {
+    let assigned = |id: u32, policy: &str| {
+        put(Record::Service(ServiceRecord {
+            id,
+            policy: policy.to_owned(),
+            ..ServiceRecord::default()
+        }))
+    };
+    let beside = |id: u64, agent: &str| {
+        put(Record::Backend(BackendRecord {
+            id,
+            agent: agent.to_owned(),
+            ..BackendRecord::default()
+        }))
+    };
+    let mut view = ClusterView::new();
+    apply(&mut view, vec![assigned(2, "even"), assigned(1, "even")]);
+    apply(&mut view, vec![beside(8, "a"), beside(4, "a")]);
+    let of_policy = |view: &ClusterView, policy: &str| -> Vec<u32> {
+        view.services_of_policy(policy).map(|it| it.id).collect()
+    };
+    let of_agent = |view: &ClusterView, agent: &str| -> Vec<u64> {
+        let agent = NodeId::from_name(agent);
+        view.backends_of_agent(agent).map(|it| it.id).collect()
+    };
+    assert_eq!(of_policy(&view, "even"), [1, 2]);
+    assert_eq!(of_agent(&view, "a"), [4, 8]);
+    apply(&mut view, vec![assigned(1, "odd"), beside(8, "b")]);
+    assert_eq!(of_policy(&view, "even"), [2]);
+    assert_eq!(of_policy(&view, "odd"), [1]);
+    assert_eq!(of_agent(&view, "a"), [4]);
+    assert_eq!(of_agent(&view, "b"), [8]);
+    let removed = vec![remove(RecordKey::Service(1)), remove(RecordKey::Backend(8))];
+    apply(&mut view, removed);
+    assert!(of_policy(&view, "odd").is_empty());
+    assert!(of_agent(&view, "b").is_empty());
+    assert_eq!((view.service_count(), view.backend_count()), (1, 1));
+}
+
 #[test]
 fn a_name_or_address_that_was_taken_over_stays_with_its_new_record() {
     let mut view = ClusterView::new();
--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod cluster;
+mod drafts;
 mod fencing;
 mod operators;
 mod placements;
--- a/crates/petrellatch-proto/src/record.rs
+++ b/crates/petrellatch-proto/src/record.rs
@@ -255,3 +255,11 @@
     #[prost(oneof = "RecordKey", tags = "11, 12, 13, 14, 15")]
     pub remove: Option<RecordKey>,
 }
+
+impl RecordChange {
+    /// Returns the key of the record that is put or removed.
+    pub fn key(&self) -> Option<RecordKey> {
+        let put = self.put.as_ref().map(Record::key);
+        put.or_else(|| self.remove.clone())
+    }
+}
