--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -1,17 +1,14 @@
 //! Admission of a new flow: here, at another agent, or not at all.
 
-use petrellatch_proto::admission::HuntReply;
-use petrellatch_proto::data::ForwardKind;
-use petrellatch_proto::envelope::Body;
 use rand::RngExt;
 
 use crate::Timestamp;
-use crate::admission::{PeerCandidate, PendingHunt, Refusal, RefusalReason, Standing};
+use crate::admission::{PeerCandidate, Refusal, RefusalReason, Standing};
 use crate::flow::reset_for;
-use crate::identity::{BackendId, NodeId, ServiceId};
+use crate::identity::{BackendId, ServiceId};
 use crate::routing::{BucketOwner, DropReason};
 
-use super::agent_output::{AgentOutput, FlowId};
+use super::agent_output::AgentOutput;
 use super::node::{AgentNode, StopPhase};
 use super::open_flow::{FlowOrigin, FlowPhase, OpenFlow};
 use super::packets::CallerPacket;
@@ -57,6 +54,10 @@
         backend: BackendId,
         asked: Vec<BackendId>,
     ) {
+        if self.flows.find(&packet.view.key).is_some() {
+            // Another owner has passed the flow here in the meantime.
+            return;
+        }
         let owned = self.owns(&packet);
         let outcome = match (owned, self.may_admit(now)) {
             (false, _) => self.place(now, packet),
@@ -68,63 +69,6 @@
         }
     }
 
-    /// Admits or refuses a flow that its owner passed here.
-    pub(super) fn take_hunted(
-        &mut self,
-        now: Timestamp,
-        packet: CallerPacket,
-    ) -> Result<(), DropReason> {
-        let backend = BackendId(packet.datagram.backend);
-        let owner = NodeId(packet.datagram.sender);
-        let has_room = self.check_room(now, backend).is_ok() && self.has_free_slot(now, backend);
-        let refused = self.may_admit(now).is_err() || !has_room;
-        if refused || !self.serves(backend, &packet) {
-            self.answer_hunt(now, owner, &packet, backend, false);
-            return Ok(());
-        }
-        self.counters.hunted_in += 1;
-        self.admit(
-            now,
-            packet,
-            backend,
-            FlowOrigin::Hunted { owner },
-            Vec::new(),
-        );
-        Ok(())
-    }
-
-    /// Tells the owner that the flow it passed here was admitted.
-    pub(super) fn confirm_hunt(&mut self, now: Timestamp, owner: NodeId, id: FlowId) {
-        let Some(flow) = self.flows.get(id) else {
-            return;
-        };
-        let reply = HuntReply {
-            service: flow.service.0,
-            source: flow.key.source.into(),
-            admitted: true,
-            load: None,
-        };
-        self.send_hunt_reply(now, owner, flow.backend, reply);
-    }
-
-    /// Answers the owner of a flow that it passed here.
-    pub(super) fn answer_hunt(
-        &mut self,
-        now: Timestamp,
-        owner: NodeId,
-        packet: &CallerPacket,
-        backend: BackendId,
-        admitted: bool,
-    ) {
-        let reply = HuntReply {
-            service: packet.service.0,
-            source: packet.view.key.source.into(),
-            admitted,
-            load: None,
-        };
-        self.send_hunt_reply(now, owner, backend, reply);
-    }
-
     /// Returns whether a back end can take one more flow.
     pub(super) fn check_room(
         &mut self,
@@ -135,7 +79,28 @@
             return Err(RefusalReason::Leaving);
         }
         let local = self.backends.get(&backend);
-        local.ok_or(RefusalReason::Unreachable)?.check(now)
+        let local = local.ok_or(RefusalReason::Unreachable)?;
+        match local.withdrawal(now) {
+            Some(reason) if self.follows_withdrawal(backend) => Err(reason),
+            _ => local.check(now),
+        }
+    }
+
+    /// Returns whether a back end that is withdrawn gets nothing new. At most
+    /// half of the back ends of a service are withdrawn at a time, whatever
+    /// they say and however they fail, so that endpoints that mislead and
+    /// requests that no back end survives can't end the service.
+    fn follows_withdrawal(&self, backend: BackendId) -> bool {
+        let local = self.backends.get(&backend);
+        let service = local.map(|local| ServiceId(local.record.service));
+        let state = service.and_then(|service| self.services.get(&service));
+        let Some(state) = state else {
+            return true;
+        };
+        let others = state.candidates.iter().map(|it| it.backend);
+        let before = others.filter(|it| *it < backend && state.loads.is_withdrawn(*it));
+        let most = (state.candidates.len() / 2).max(1);
+        before.count() < most
     }
 
     /// Refuses a new flow at once.
@@ -273,7 +238,7 @@
 
     /// Opens the connection to the back end; the caller's connection is
     /// accepted once that came about.
-    fn admit(
+    pub(super) fn admit(
         &mut self,
         now: Timestamp,
         packet: CallerPacket,
@@ -285,6 +250,7 @@
             return;
         };
         local.health.begin_probe(now);
+        self.maintenance.ended.remove(&packet.view.key);
         let server = local.record.server.into();
         let flow = OpenFlow::connecting(
             now,
@@ -303,60 +269,14 @@
         self.settle_flow(now, id);
     }
 
-    /// Passes a new flow to another agent and remembers where it went.
-    fn pass(
-        &mut self,
-        now: Timestamp,
-        packet: CallerPacket,
-        candidate: PeerCandidate,
-        mut asked: Vec<BackendId>,
-    ) -> Result<(), DropReason> {
-        let Some(state) = self.services.get_mut(&packet.service) else {
-            return Err(DropReason::UnknownService);
-        };
-        asked.push(candidate.backend);
-        state.loads.note_passed(candidate.backend);
-        let pending = PendingHunt {
-            opening: packet.datagram.packet.clone(),
-            asked,
-        };
-        let redirects = &mut state.admission.redirects;
-        redirects.insert_pending(now, packet.view.key, candidate.agent, pending);
-        let generation = state.admission.generation();
-        self.counters.hunted += 1;
-        self.forward(
-            &packet,
-            candidate.agent,
-            ForwardKind::Hunted,
-            candidate.backend,
-            generation,
-        )
-    }
-
-    fn send_hunt_reply(
-        &mut self,
-        now: Timestamp,
-        owner: NodeId,
-        backend: BackendId,
-        mut reply: HuntReply,
-    ) {
-        let closed = self.check_room(now, backend).is_err();
-        if let Some(local) = self.backends.get_mut(&backend) {
-            reply.load = Some(local.load(closed));
-        }
-        if let Some(recipient) = self.directory.member(owner) {
-            self.send(recipient, Body::HuntReply(reply));
-        }
-    }
-
     /// Returns whether the back end is beside this agent and of the packet's
     /// service.
-    fn serves(&self, backend: BackendId, packet: &CallerPacket) -> bool {
+    pub(super) fn serves(&self, backend: BackendId, packet: &CallerPacket) -> bool {
         let local = self.backends.get(&backend);
         local.is_some_and(|it| it.record.service == packet.service.0)
     }
 
-    fn has_free_slot(&self, now: Timestamp, backend: BackendId) -> bool {
+    pub(super) fn has_free_slot(&self, now: Timestamp, backend: BackendId) -> bool {
         let local = self.backends.get(&backend);
         local.is_some_and(|it| it.has_free_slot(now))
     }
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -4,7 +4,9 @@
 mod control_stub;
 mod world;
 
+mod duplicates;
 mod failures;
 mod handover;
+mod health;
 mod refusals;
 mod serving;
