Add hollow daemons to measure capacity

Ruled out: a process for each daemon (memory and processes of one machine), and a virtual clock (it gives no processor time and no real datagrams). Change: petrellatch-lab hollow runs daemon links with a UDP socket each against control replicas with real data folders, and reports bytes, processor time, time until in force and catch-up by role.

--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod backend;
 pub mod caller;
 pub mod fabric;
+pub mod hollow;
 pub mod simulator;
 pub mod support;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -6,6 +6,7 @@
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
+use petrellatch_lab::hollow::{self, HollowOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
 
@@ -29,6 +30,8 @@
     Backend(BackendOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
+    /// Measure the capacity of control with hollow daemons.
+    Hollow(HollowOptions),
     /// Simulate whole fleets with faults and check what is promised.
     Sim(SimOptions),
 }
@@ -65,6 +68,11 @@
             fabric::run(&options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Hollow(options) => {
+            let log = terminal_logger(options.verbose);
+            hollow::run(&options, &log)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Sim(options) => Ok(sim::run(&options, &mut std::io::stdout().lock())?),
     }
 }
