Add the experiment tool with product, baselines and ablations

Cause: the users measure broken flows and imbalance; nothing compared the product with other ways to balance. Ruled out: a model on paper of the product's decisions; the runs drive the real control, balancer and agent nodes, and all variants get the same TCP callers. Conclusion: thin version; attribution of a flow whose machine died while a packet was on its way, and the crash of a back end alone, are still to be done.

--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod experiment;
 pub mod fabric;
 pub mod simulator;
 pub mod support;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -5,6 +5,7 @@
 
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
+use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
@@ -27,6 +28,8 @@
 enum Command {
     /// Serve HTTP as one back end of a service.
     Backend(BackendOptions),
+    /// Compare the product with baselines under load and faults.
+    Experiment(ExperimentOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
     /// Simulate whole fleets with faults and check what is promised.
@@ -60,6 +63,9 @@
             backend::run(options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Experiment(options) => {
+            Ok(experiment::run(&options, &mut std::io::stdout().lock())?)
+        }
         Command::Fabric(options) => {
             let log = terminal_logger(options.verbose);
             fabric::run(&options, log)?;
