Count packets dropped as repeated

Cause: the drop reason Repeated came to core while the metrics were written. Ruled out: a wildcard arm, which would hide the next new reason. Change: one label. Conclusion: the workspace builds again.

--- a/crates/petrellatch/src/runtime/metrics.rs
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -52,6 +52,7 @@
         DropReason::TooManyHops => "too_many_hops",
         DropReason::NoLease => "no_lease",
         DropReason::Unsettled => "unsettled",
+        DropReason::Repeated => "repeated",
     }
 }
 
