Simulate the whole fleet on a virtual clock

Cause: the engine had no fleet; no promise could be put to the test.

Change: World runs the daemons' own state machines (control replicas over simulated disks, balancers, agents), back ends, callers, operators that resend, the fabric and the platform's list. Invariants look at every step, checkers only at what callers, back ends and operators see. AgentNode::admitted_buckets lets the simulator check that a bucket has one owner.

Ruled out: sealing each envelope (the world carries the messages themselves).

--- a/crates/petrellatch-core/src/agent_node/node.rs
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -12,7 +12,7 @@
 use crate::Timestamp;
 use crate::dissemination::{DaemonLink, LinkOutput, StoredView};
 use crate::event::{Event, EventKind};
-use crate::identity::{BackendId, Incarnation, NodeId, ServiceId};
+use crate::identity::{BackendId, BucketIndex, Incarnation, NodeId, ServiceId};
 use crate::node::NodeIdentity;
 use crate::routing::{AgentLife, DropReason};
 
@@ -166,6 +166,18 @@
         flows.filter(|(_, flow)| !flow.is_lingering()).count()
     }
 
+    /// Returns the buckets in which this agent would admit a new flow now. The
+    /// simulator checks that no bucket has two such agents.
+    pub fn admitted_buckets(&self, now: Timestamp) -> Vec<(ServiceId, BucketIndex)> {
+        if self.may_admit(now).is_err() {
+            return Vec::new();
+        }
+        let services = self.services.iter();
+        services
+            .flat_map(|(id, state)| state.admitted_buckets().map(|bucket| (*id, bucket)))
+            .collect()
+    }
+
     /// Returns the link to the control group.
     pub fn link(&self) -> &DaemonLink {
         &self.link
--- a/crates/petrellatch-core/src/agent_node/service_state.rs
+++ b/crates/petrellatch-core/src/agent_node/service_state.rs
@@ -6,10 +6,10 @@
 
 use crate::Timestamp;
 use crate::admission::{
-    AdmissionMutations, LoadTable, PeerCandidate, ServiceAdmission, TokenBucket,
+    AdmissionMutations, LoadTable, PeerCandidate, ServiceAdmission, Standing, TokenBucket,
 };
 use crate::cluster::ClusterView;
-use crate::identity::{BackendId, Incarnation, NodeId};
+use crate::identity::{BackendId, BucketIndex, Incarnation, NodeId};
 use crate::routing::AgentLife;
 
 /// The idle limit of a service that sets none.
@@ -71,6 +71,13 @@
         found.map_or(0, |it| it.weight)
     }
 
+    /// Returns the buckets that this agent owns and that are settled.
+    pub(super) fn admitted_buckets(&self) -> impl Iterator<Item = BucketIndex> + '_ {
+        let newest = self.admission.newest().into_iter();
+        let buckets = newest.flat_map(|newest| newest.buckets());
+        buckets.filter(|bucket| matches!(self.admission.standing(*bucket), Standing::Owner(_)))
+    }
+
     /// Returns how long a flow may be idle.
     pub(super) fn idle(&self) -> Duration {
         match self.record.idle_seconds {
--- a/crates/petrellatch-lab/src/simulator/engine/disk.rs
+++ b/crates/petrellatch-lab/src/simulator/engine/disk.rs
@@ -43,11 +43,11 @@
         self.unsynced.push_back(write);
     }
 
-    /// Syncs the oldest write that was started.
-    pub fn sync_oldest(&mut self) {
-        if let Some(write) = self.unsynced.pop_front() {
-            self.synced.apply(&write);
-        }
+    /// Syncs the oldest write that was started, and returns it.
+    pub fn sync_oldest(&mut self) -> Option<I::Write> {
+        let write = self.unsynced.pop_front()?;
+        self.synced.apply(&write);
+        Some(write)
     }
 
     /// Returns what survives every crash but the loss of the disk.
--- a/crates/petrellatch-lab/src/simulator/mod.rs
+++ b/crates/petrellatch-lab/src/simulator/mod.rs
@@ -3,6 +3,7 @@
 //! It drives the same state machines as the daemons on one virtual clock and
 //! one event queue. A run is determined by its scenario and seed.
 
+pub mod checkers;
 pub mod command;
 pub mod engine;
 pub mod mutation;
@@ -11,3 +12,4 @@
 pub mod scenarios;
 pub mod schedule;
 pub mod workload;
+pub mod world;
--- a/crates/petrellatch-lab/src/simulator/schedule/action.rs
+++ b/crates/petrellatch-lab/src/simulator/schedule/action.rs
@@ -155,6 +155,8 @@
         /// How many.
         changes: usize,
     },
+    /// Ends all drains and allows all back ends.
+    Restore,
 }
 
 /// Which back ends of a service a policy allows.
