Cut only control messages, crash back ends alone, split the emulator

Cause: a cut of a back end's machine also cut caller packets, and no fault hit a back end without its machine, so three ablations could not show anything. Ruled out: nothing.

--- a/crates/petrellatch-lab/src/experiment/baseline/host.rs
+++ b/crates/petrellatch-lab/src/experiment/baseline/host.rs
@@ -130,7 +130,12 @@
                     terminator.finish();
                 }
             }
-            BackendEvent::Writable | BackendEvent::Reset => {}
+            BackendEvent::Reset => {
+                if let Some(terminator) = &mut flow.terminator {
+                    terminator.abort();
+                }
+            }
+            BackendEvent::Writable => {}
         }
         self.settle(now, id, effects);
     }
--- a/crates/petrellatch-lab/src/experiment/churn.rs
+++ b/crates/petrellatch-lab/src/experiment/churn.rs
@@ -29,6 +29,10 @@
     BackendDies(usize),
     /// It comes back, cold.
     BackendReturns(usize),
+    /// A back end's own process crashes; its machine stays.
+    ServerCrashes(usize),
+    /// That process starts again, cold.
+    ServerRestarts(usize),
     /// The back ends of one zone get this share of their weight, in thousandths.
     PolicyChanges {
         /// The zone.
@@ -48,7 +52,7 @@
 /// The kind of an action, to count flows that break by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Cause {
-    /// The machine that served the flow died.
+    /// The back end that served the flow died or crashed.
     OwnBackendDied,
     /// Nothing had happened yet.
     NoChange,
@@ -62,7 +66,7 @@
     BalancerLag,
     /// A drain began or ended.
     Drain,
-    /// Another back end died.
+    /// Another back end died or crashed.
     OtherBackendDied,
     /// A back end came back.
     BackendReturn,
@@ -120,7 +124,8 @@
             ChurnAction::BalancerLags(..) => Cause::BalancerLag,
             ChurnAction::DrainBegins(_) | ChurnAction::DrainEnds(_) => Cause::Drain,
             ChurnAction::BackendDies(_) => Cause::OtherBackendDied,
-            ChurnAction::BackendReturns(_) => Cause::BackendReturn,
+            ChurnAction::ServerCrashes(_) => Cause::OtherBackendDied,
+            ChurnAction::BackendReturns(_) | ChurnAction::ServerRestarts(_) => Cause::BackendReturn,
             ChurnAction::PolicyChanges { .. } => Cause::Policy,
             ChurnAction::BackendCutOff(..) => Cause::CutOff,
             ChurnAction::BackendSheds(..) => Cause::Shedding,
@@ -167,8 +172,10 @@
     draft.add(50, ChurnAction::BackendDies(victims[2]));
     draft.add(58, ChurnAction::DrainEnds(victims[1]));
     draft.add(64, ChurnAction::BackendReturns(victims[2]));
-    draft.for_seconds(70, 4, |it| ChurnAction::BackendSheds(victims[3], it));
-    draft.for_seconds(76, 15, |it| ChurnAction::BackendLies(victims[4], it));
+    draft.add(67, ChurnAction::ServerCrashes(victims[0]));
+    draft.add(72, ChurnAction::ServerRestarts(victims[0]));
+    draft.for_seconds(75, 4, |it| ChurnAction::BackendSheds(victims[3], it));
+    draft.for_seconds(78, 15, |it| ChurnAction::BackendLies(victims[4], it));
     draft.for_seconds(82, 14, |it| ChurnAction::BackendCutOff(victims[3], it));
     draft.lag(88, 2, 8);
     draft.policy(90, zones, 1_000);
--- a/crates/petrellatch-lab/src/experiment/emulator.rs
+++ b/crates/petrellatch-lab/src/experiment/emulator.rs
@@ -2,7 +2,10 @@
 
 mod callers;
 mod fabric;
+mod faults;
+mod serving;
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -15,11 +18,10 @@
 
 use self::callers::Callers;
 use self::fabric::Fabric;
-use super::churn::{Cause, ChurnAction, ChurnEvent, schedule};
+use super::churn::{Cause, ChurnEvent, schedule};
 use super::deployment::{BackendPlace, Deployment};
-use super::flow::{Message, MessageKind};
-use super::measures::{Measures, Sample};
-use super::server::{Intake, Job, Server};
+use super::measures::{Machine, Measures, Sample};
+use super::server::{Job, Server};
 use super::system::{Connection, Effect, Effects, System};
 use super::workload::{FlowPlan, Workload};
 
@@ -70,7 +72,7 @@
         packet: Vec<u8>,
     },
     AtCaller {
-        backend: usize,
+        machine: Machine,
         packet: Vec<u8>,
     },
     AtServer {
@@ -102,6 +104,7 @@
     system: S,
     places: Vec<BackendPlace>,
     servers: Vec<Server>,
+    connections: BTreeSet<Connection>,
     network: Network,
     fabric: Fabric,
     callers: Callers,
@@ -161,6 +164,7 @@
             queue: EventQueue::default(),
             system,
             servers: places.iter().map(|it| Server::new(it.slots)).collect(),
+            connections: BTreeSet::new(),
             network: make_network(&settings, "callers' network"),
             fabric: Fabric::new(settings.seed),
             callers: Callers::new(settings.seed),
@@ -224,7 +228,7 @@
                     self.carry_out(effects);
                 }
             }
-            Event::AtCaller { backend, packet } => self.packet_to_caller(now, backend, &packet),
+            Event::AtCaller { machine, packet } => self.packet_to_caller(now, machine, &packet),
             Event::AtServer { connection, bytes } => self.serve(now, connection, &bytes),
             Event::FromServer { connection, event } => {
                 let effects = self.system.handle_backend(now, connection, event);
@@ -249,8 +253,10 @@
                 Effect::ToCaller { backend, packet } => {
                     let from = backend_ip(backend);
                     let arrivals = self.network.send(from, Ipv4Addr::UNSPECIFIED);
+                    let life = self.servers[backend].life;
+                    let machine = Machine { backend, life };
                     if let Some(delay) = arrivals.first {
-                        self.after(delay, Event::AtCaller { backend, packet });
+                        self.after(delay, Event::AtCaller { machine, packet });
                     }
                 }
                 Effect::Connect(connection) => self.connect(now, connection),
@@ -261,114 +267,11 @@
                 Effect::Finish(connection) => {
                     self.notify(connection, BackendEvent::Finished);
                 }
-                Effect::Abort(connection) => self.servers[connection.backend].forget(connection),
+                Effect::Abort(connection) => self.disconnect(connection),
             }
         }
     }
 
-    fn notify(&mut self, connection: Connection, event: BackendEvent) {
-        self.after(LOCAL_DELAY, Event::FromServer { connection, event });
-    }
-
-    fn connect(&mut self, now: Timestamp, connection: Connection) {
-        let event = if self.servers[connection.backend].accepts(now) {
-            BackendEvent::Connected
-        } else {
-            BackendEvent::ConnectFailed
-        };
-        self.notify(connection, event);
-    }
-
-    fn serve(&mut self, now: Timestamp, connection: Connection, bytes: &[u8]) {
-        let place = self.places[connection.backend];
-        if !self.servers[connection.backend].is_up {
-            return;
-        }
-        let Some(request) = Message::parse(bytes) else {
-            self.measures.misrouted += 1;
-            return;
-        };
-        if usize::from(request.service) != place.service {
-            self.measures.misrouted += 1;
-            return;
-        }
-        let job = Job {
-            connection,
-            request: request.request,
-            service_time: Duration::from_micros(request.service_micros),
-            arrived_at: now,
-        };
-        match self.servers[connection.backend].take(now, job) {
-            Intake::Runs(duration) => self.begin_job(now, job, duration),
-            Intake::Waits => {}
-            Intake::Shed => self.answer(job, MessageKind::Shed),
-        }
-    }
-
-    fn begin_job(&mut self, now: Timestamp, job: Job, duration: Duration) {
-        let backend = job.connection.backend;
-        let wait = now.saturating_since(job.arrived_at);
-        let asked_at = self.callers.asked_at(job.request);
-        let delay = asked_at.map(|at| now.saturating_since(at));
-        self.measures.begin_job(backend, job.request, wait, delay);
-        let life = self.servers[backend].life;
-        self.after(duration, Event::JobEnds { life, job });
-    }
-
-    fn end_job(&mut self, now: Timestamp, life: u32, job: Job) {
-        let server = &mut self.servers[job.connection.backend];
-        if server.life != life {
-            return;
-        }
-        let next = server.finish(now);
-        self.answer(job, MessageKind::Answer);
-        if let Some((job, duration)) = next {
-            self.begin_job(now, job, duration);
-        }
-    }
-
-    fn answer(&mut self, job: Job, kind: MessageKind) {
-        let place = self.places[job.connection.backend];
-        let message = Message {
-            kind,
-            service: u8::try_from(place.service).unwrap_or(u8::MAX),
-            request: job.request,
-            service_micros: 0,
-        };
-        self.notify(job.connection, BackendEvent::Data(message.to_bytes()));
-    }
-
-    fn churn(&mut self, now: Timestamp, number: usize) {
-        let action = self.churn[number].action.clone();
-        self.last_cause = action.cause();
-        match &action {
-            ChurnAction::BalancerJoins(balancer) => self.fabric.start(*balancer),
-            ChurnAction::BalancerStops(balancer) => self.fabric.begin_stop(*balancer),
-            ChurnAction::BalancerDies(balancer) => {
-                self.fabric.kill(*balancer);
-                let balancer = *balancer;
-                self.after(fabric::NOTICE_TIME, Event::Delist { balancer });
-            }
-            ChurnAction::DrainBegins(backend) => self.draining[*backend] = true,
-            ChurnAction::DrainEnds(backend) => self.draining[*backend] = false,
-            ChurnAction::BackendDies(backend) => self.servers[*backend].die(),
-            ChurnAction::BackendReturns(backend) => self.servers[*backend].start(now),
-            ChurnAction::PolicyChanges { zone, weight } => {
-                self.policy_weight.fill(1_000);
-                self.policy_weight[*zone] = *weight;
-            }
-            ChurnAction::BackendSheds(backend, duration) => {
-                self.servers[*backend].sheds_until = now + *duration;
-            }
-            ChurnAction::BackendLies(backend, duration) => {
-                self.servers[*backend].lies_until = now + *duration;
-            }
-            ChurnAction::BalancerLags(..) | ChurnAction::BackendCutOff(..) => {}
-        }
-        let effects = self.system.handle_churn(now, &action);
-        self.carry_out(effects);
-    }
-
     fn sample(&mut self, now: Timestamp) {
         self.after(SAMPLE_INTERVAL, Event::Sample);
         self.fabric
@@ -410,9 +313,8 @@
         self.plan_flow(service);
     }
 
-    fn packet_to_caller(&mut self, now: Timestamp, backend: usize, packet: &[u8]) {
-        let life = self.servers[backend].life;
-        if let Some(flow) = self.callers.handle_packet(now, backend, life, packet) {
+    fn packet_to_caller(&mut self, now: Timestamp, machine: Machine, packet: &[u8]) {
+        if let Some(flow) = self.callers.handle_packet(now, machine, packet) {
             self.advance_caller(now, flow);
         }
     }
--- a/crates/petrellatch-lab/src/experiment/emulator/callers.rs
+++ b/crates/petrellatch-lab/src/experiment/emulator/callers.rs
@@ -89,15 +89,14 @@
     pub(super) fn handle_packet(
         &mut self,
         now: Timestamp,
-        backend: usize,
-        life: u32,
+        machine: Machine,
         packet: &[u8],
     ) -> Option<u64> {
         let view = PacketView::parse(packet).ok()?;
         let number = number(view.key.destination)?;
         let entry = self.flows.get_mut(&number)?;
         if !view.resets {
-            entry.machine = Some(Machine { backend, life });
+            entry.machine = Some(machine);
         }
         entry.flow.handle_packet(now, packet);
         Some(number)
--- a/crates/petrellatch-lab/src/experiment/product/event.rs
+++ b/crates/petrellatch-lab/src/experiment/product/event.rs
@@ -47,7 +47,5 @@
     Mend {
         /// The machine that was cut off.
         machine: Ipv4Addr,
-        /// Whether it was cut off from balancers too.
-        balancers_too: bool,
     },
 }
--- a/crates/petrellatch-lab/src/experiment/report.rs
+++ b/crates/petrellatch-lab/src/experiment/report.rs
@@ -57,7 +57,8 @@
     print_causes(summaries, output)?;
     print_imbalance(deployment, summaries, output)?;
     print_waits(summaries, output)?;
-    print_cost(summaries, output)
+    print_cost(summaries, output)?;
+    print_reasons(summaries, output)
 }
 
 fn print_flows(summaries: &[Summary], output: &mut dyn Write) -> io::Result<()> {
@@ -187,3 +188,18 @@
     let Percentiles { p50, p99, p999 } = percentiles;
     format!("{p50:.2} | {p99:.1} | {p999:.1}")
 }
+
+fn print_reasons(summaries: &[Summary], output: &mut dyn Write) -> io::Result<()> {
+    writeln!(
+        output,
+        "Refused flows and dropped packets by reason, all seeds:\n"
+    )?;
+    for it in summaries {
+        writeln!(
+            output,
+            "- {}: refused {:?}, dropped {:?}",
+            it.variant, it.refused, it.drops
+        )?;
+    }
+    writeln!(output)
+}
