Let refused callers come back as they are told

Cause: a refused flow cost a variant nothing, so waits were not comparable. Ruled out: counting a refusal as an endless wait. Change: refused callers retry after the time in the answer, or a second; the delay to the start counts from the first wish.

--- a/crates/petrellatch-lab/src/experiment/emulator.rs
+++ b/crates/petrellatch-lab/src/experiment/emulator.rs
@@ -64,6 +64,9 @@
     FlowOpens {
         service: usize,
     },
+    FlowRetries {
+        plan: Box<FlowPlan>,
+    },
     CallerDue {
         flow: u64,
     },
@@ -217,6 +220,10 @@
         let now = self.now();
         match event {
             Event::FlowOpens { service } => self.open_flow(now, service),
+            Event::FlowRetries { plan } => {
+                let flow = self.callers.open(now, *plan);
+                self.advance_caller(now, flow);
+            }
             Event::CallerDue { flow } => {
                 if self.callers.is_due(now, flow) {
                     self.advance_caller(now, flow);
@@ -340,6 +347,10 @@
                 self.last_cause
             };
             self.measures.end_flow(&ended, cause);
+            if let Some(retry) = ended.retry {
+                let plan = Box::new(retry.plan);
+                self.after(retry.after, Event::FlowRetries { plan });
+            }
         }
     }
 
--- a/crates/petrellatch-lab/src/experiment/emulator/serving.rs
+++ b/crates/petrellatch-lab/src/experiment/emulator/serving.rs
@@ -72,8 +72,8 @@
     pub(super) fn begin_job(&mut self, now: Timestamp, job: Job, duration: Duration) {
         let backend = job.connection.backend;
         let wait = now.saturating_since(job.arrived_at);
-        let asked_at = self.callers.asked_at(job.request);
-        let delay = asked_at.map(|at| now.saturating_since(at));
+        let wanted_at = self.callers.wanted_at(job.request);
+        let delay = wanted_at.map(|at| now.saturating_since(at));
         self.measures.begin_job(backend, job.request, wait, delay);
         let life = self.servers[backend].life;
         self.after(duration, Event::JobEnds { life, job });
--- a/crates/petrellatch-lab/src/experiment/product/nodes.rs
+++ b/crates/petrellatch-lab/src/experiment/product/nodes.rs
@@ -1,6 +1,7 @@
 //! The machines of a run and the processes on them.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use petrellatch_core::Timestamp;
 use petrellatch_core::agent_node::{AgentNode, AgentSettings};
@@ -209,5 +210,8 @@
     if let Some(margin) = variant.hunt_margin {
         settings.hunt_margin = margin;
     }
+    if let Some(millis) = variant.wait_limit_millis {
+        settings.wait_limit = Duration::from_millis(millis);
+    }
     settings
 }
--- a/crates/petrellatch-lab/src/experiment/report.rs
+++ b/crates/petrellatch-lab/src/experiment/report.rs
@@ -65,14 +65,17 @@
     writeln!(
         output,
         "| per million flows | flows | broken | of these avoidable | after planned changes | \
-         refused as not run | opening reset | opening unanswered | shed | \
+         refused as not run | opening reset | opening unanswered | gave up | shed | \
          run twice | false not-run | misrouted |"
     )?;
-    writeln!(output, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")?;
+    writeln!(
+        output,
+        "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|"
+    )?;
     for it in summaries {
         writeln!(
             output,
-            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
             it.variant,
             it.opened,
             whole(it.broken_per_million),
@@ -81,6 +84,7 @@
             whole(it.refused_per_million),
             whole(it.reset_openings_per_million),
             whole(it.unanswered_openings_per_million),
+            whole(it.gave_up_per_million),
             whole(it.shed_per_million),
             it.duplicated,
             it.false_refusals,
--- a/crates/petrellatch-lab/src/experiment/report/summary.rs
+++ b/crates/petrellatch-lab/src/experiment/report/summary.rs
@@ -97,6 +97,8 @@
     pub reset_openings_per_million: Estimate,
     /// Openings that got no answer, in a million.
     pub unanswered_openings_per_million: Estimate,
+    /// Flows whose callers gave up after many refusals, in a million.
+    pub gave_up_per_million: Estimate,
     /// Flows with a request that a back end shed, in a million.
     pub shed_per_million: Estimate,
     /// Requests that ran more than once.
@@ -162,9 +164,10 @@
             unanswered_openings_per_million: estimate(&|run| {
                 per_million(run, run.unanswered_openings)
             }),
+            gave_up_per_million: estimate(&|run| per_million(run, run.gave_up)),
             shed_per_million: ends(FlowEnd::Shed),
             duplicated: sum(runs, |run| run.duplicated),
-            false_refusals: sum(runs, Measures::false_refusals),
+            false_refusals: sum(runs, |run| run.false_refusals),
             misrouted: sum(runs, |run| run.misrouted),
             imbalance: imbalance(deployment, runs),
             wait_max_over_mean: estimate(&Measures::wait_imbalance),
--- a/crates/petrellatch-lab/src/experiment/variant.rs
+++ b/crates/petrellatch-lab/src/experiment/variant.rs
@@ -13,6 +13,8 @@
     pub mutations: AdmissionMutations,
     /// Replaces the hunting margin, in thousandths of a request.
     pub hunt_margin: Option<u64>,
+    /// Replaces the limit of the expected wait, in milliseconds.
+    pub wait_limit_millis: Option<u64>,
 }
 
 /// Another way to balance.
--- a/crates/petrellatch-lab/src/experiment/workload.rs
+++ b/crates/petrellatch-lab/src/experiment/workload.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use petrellatch_core::Timestamp;
 use rand::RngExt;
 
 use crate::simulator::engine::VirtualTime;
@@ -29,6 +30,10 @@
     pub opens_at: VirtualTime,
     /// What it asks; at least one request.
     pub requests: Vec<RequestPlan>,
+    /// When the caller first tried to open it, if it was refused since.
+    pub wanted_at: Option<Timestamp>,
+    /// How often it was refused.
+    pub refusals: u32,
 }
 
 /// Draws the flows of one service as a Poisson process.
@@ -79,6 +84,8 @@
             service: self.service,
             opens_at: self.next_at,
             requests,
+            wanted_at: None,
+            refusals: 0,
         }
     }
 
