--- a/crates/petrellatch-lab/src/experiment/report.rs
+++ b/crates/petrellatch-lab/src/experiment/report.rs
@@ -57,21 +57,25 @@
     print_causes(summaries, output)?;
     print_imbalance(deployment, summaries, output)?;
     print_waits(summaries, output)?;
-    print_cost(summaries, output)
+    print_cost(summaries, output)?;
+    print_reasons(summaries, output)
 }
 
 fn print_flows(summaries: &[Summary], output: &mut dyn Write) -> io::Result<()> {
     writeln!(
         output,
         "| per million flows | flows | broken | of these avoidable | after planned changes | \
-         refused as not run | opening reset | opening unanswered | shed | \
+         refused as not run | opening reset | opening unanswered | gave up | shed | \
          run twice | false not-run | misrouted |"
     )?;
-    writeln!(output, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")?;
+    writeln!(
+        output,
+        "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|"
+    )?;
     for it in summaries {
         writeln!(
             output,
-            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
             it.variant,
             it.opened,
             whole(it.broken_per_million),
@@ -80,6 +84,7 @@
             whole(it.refused_per_million),
             whole(it.reset_openings_per_million),
             whole(it.unanswered_openings_per_million),
+            whole(it.gave_up_per_million),
             whole(it.shed_per_million),
             it.duplicated,
             it.false_refusals,
@@ -187,3 +192,18 @@
     let Percentiles { p50, p99, p999 } = percentiles;
     format!("{p50:.2} | {p99:.1} | {p999:.1}")
 }
+
+fn print_reasons(summaries: &[Summary], output: &mut dyn Write) -> io::Result<()> {
+    writeln!(
+        output,
+        "Refused flows and dropped packets by reason, all seeds:\n"
+    )?;
+    for it in summaries {
+        writeln!(
+            output,
+            "- {}: refused {:?}, dropped {:?}",
+            it.variant, it.refused, it.drops
+        )?;
+    }
+    writeln!(output)
+}
