--- a/crates/petrellatch-core/examples/control_figures/leader.rs
+++ b/crates/petrellatch-core/examples/control_figures/leader.rs
@@ -7,15 +7,18 @@
 
 use petrellatch_core::Timestamp;
 use petrellatch_core::cluster::ClusterView;
-use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
+use petrellatch_core::consensus::{
+    EntryPayload, LogEntry, Membership, PersistentState, ReplicaId, ReplicaStart,
+};
 use petrellatch_core::control::{ControlNode, ControlOutput, ControlSettings, OperatorRequest};
 use petrellatch_core::identity::{Incarnation, NodeId};
 use petrellatch_core::membership::MembershipSettings;
 use petrellatch_core::node::NodeIdentity;
-use petrellatch_proto::command::{Edit, EditKind, OperatorChange};
-use petrellatch_proto::dissemination::{Heartbeat, HeartbeatEntry};
+use petrellatch_proto::command::{Command, CommandKind, Edit, EditKind, OperatorChange};
+use petrellatch_proto::dissemination::{Heartbeat, HeartbeatEntry, Subscribe};
 use petrellatch_proto::envelope::Body;
 use petrellatch_proto::record::NodeRole;
+use prost::Message;
 
 use crate::workload::agent_name;
 
@@ -31,12 +34,15 @@
 #[derive(Clone, Copy, Default)]
 pub struct Measured {
     pub total: Duration,
+    /// Of this, for heartbeats.
+    pub heartbeats: Duration,
     pub longest: Duration,
 }
 
 impl AddAssign for Measured {
     fn add_assign(&mut self, other: Self) {
         self.total += other.total;
+        self.heartbeats += other.heartbeats;
         self.longest = self.longest.max(other.longest);
     }
 }
@@ -48,55 +54,57 @@
 
 pub struct Leader {
     node: ControlNode,
+    disk: PersistentState,
     now: Timestamp,
     daemons: BTreeMap<NodeId, Daemon>,
     spent: Measured,
     requests: u64,
+    /// Placements that were set.
+    pub placements: u64,
+    /// Placements that were settled.
+    pub settled: u64,
+    /// Encoded bytes of all deltas that a child was sent.
+    pub delta_bytes: usize,
 }
 
 impl Leader {
     pub fn start() -> Self {
-        let identity = NodeIdentity {
-            name: "control-0".to_owned(),
-            node: NodeId::from_name("control-0"),
-            incarnation: Incarnation(1),
-            zone: "zone-00".to_owned(),
-            role: NodeRole::Control,
-            control: "127.0.0.1:1".parse().expect("an address"),
-            data: "127.0.0.1:1".parse().expect("an address"),
-        };
-        let id = ReplicaId {
-            node: identity.node,
-            incarnation: identity.incarnation,
-        };
-        let start = ReplicaStart {
-            id: id.node,
-            incarnation: id.incarnation,
-            seed: 1,
-            persisted: PersistentState::default(),
-            bootstrap: Some(Membership::of_voters([id])),
-        };
-        // The rate limit would make the virtual time long, not the work less.
-        let settings = ControlSettings {
-            membership: MembershipSettings {
-                registrations_per_second: 1_000,
-                ..MembershipSettings::default()
-            },
-            ..ControlSettings::default()
-        };
         let now = Timestamp::from_millis(1_000);
+        let disk = PersistentState::default();
         let mut leader = Leader {
-            node: ControlNode::new(now, settings, identity, start),
+            node: start_node(now, disk.clone()),
+            disk,
             now,
             daemons: BTreeMap::new(),
             spent: Measured::default(),
             requests: 0,
+            placements: 0,
+            settled: 0,
+            delta_bytes: 0,
         };
         leader.flush();
         leader.run_for(Duration::from_secs(5));
         leader
     }
 
+    /// Starts the node again from its disk, so that a new term begins.
+    pub fn restart(&mut self) {
+        self.node = start_node(self.now, self.disk.clone());
+        self.flush();
+        self.run_for(Duration::from_secs(5));
+    }
+
+    /// A child asks for all deltas after the newest version.
+    pub fn subscribe(&mut self) {
+        let version = self.version();
+        let child = self.daemons.values().next().expect("a daemon");
+        let address = child.identity.control;
+        let body = Body::Subscribe(Subscribe { version });
+        let envelope = child.identity.envelope(None, body);
+        self.call(|node, now| node.handle_control(now, address, envelope));
+        self.delta_bytes = 0;
+    }
+
     pub fn view(&self) -> &ClusterView {
         self.node.state().view()
     }
@@ -221,6 +229,14 @@
         });
     }
 
+    /// Lets time pass in which there are only heartbeats.
+    pub fn run_quietly(&mut self, seconds: usize) {
+        for _ in 0..seconds {
+            self.heartbeat_all();
+            self.run_for(ROUND);
+        }
+    }
+
     /// Lets virtual time pass without input.
     pub fn run_for(&mut self, duration: Duration) {
         let end = self.now + duration;
@@ -251,7 +267,9 @@
             ..sender.identity.clone()
         };
         let envelope = relay_identity.envelope(None, Body::Heartbeat(Heartbeat { entries }));
+        let before = self.spent.total;
         self.call(|node, now| node.handle_control(now, relay, envelope));
+        self.spent.heartbeats += self.spent.total.saturating_sub(before);
     }
 
     fn call(&mut self, input: impl FnOnce(&mut ControlNode, Timestamp)) {
@@ -266,10 +284,17 @@
         while let Some(output) = self.node.poll_output() {
             match output {
                 ControlOutput::Persist(request) => {
+                    self.count(&request.entries);
+                    self.disk.apply(&request);
                     let started = Instant::now();
                     self.node.handle_persisted(self.now, request.ticket);
                     self.note(started);
                 }
+                ControlOutput::Send { envelope, .. } => {
+                    if let Some(Body::Update(update)) = &envelope.body {
+                        self.delta_bytes += update.encoded_len();
+                    }
+                }
                 ControlOutput::Respond { result, .. } => {
                     result.expect("the request is accepted");
                 }
@@ -278,9 +303,56 @@
         }
     }
 
+    /// Counts the commands of entries; the deltas hold as much.
+    fn count(&mut self, entries: &[LogEntry]) {
+        for entry in entries {
+            let EntryPayload::Command(bytes) = &entry.payload else {
+                continue;
+            };
+            let command = Command::decode(bytes.as_slice()).expect("a command");
+            match &command.kind {
+                Some(CommandKind::SetPlacement(_)) => self.placements += 1,
+                Some(CommandKind::SettlePlacement(_)) => self.settled += 1,
+                _ => {}
+            }
+        }
+    }
+
     fn note(&mut self, started: Instant) {
         let elapsed = started.elapsed();
         self.spent.total += elapsed;
         self.spent.longest = self.spent.longest.max(elapsed);
     }
 }
+
+fn start_node(now: Timestamp, persisted: PersistentState) -> ControlNode {
+    let identity = NodeIdentity {
+        name: "control-0".to_owned(),
+        node: NodeId::from_name("control-0"),
+        incarnation: Incarnation(1),
+        zone: "zone-00".to_owned(),
+        role: NodeRole::Control,
+        control: "127.0.0.1:1".parse().expect("an address"),
+        data: "127.0.0.1:1".parse().expect("an address"),
+    };
+    let id = ReplicaId {
+        node: identity.node,
+        incarnation: identity.incarnation,
+    };
+    let start = ReplicaStart {
+        id: id.node,
+        incarnation: id.incarnation,
+        seed: 1,
+        persisted,
+        bootstrap: Some(Membership::of_voters([id])),
+    };
+    // The rate limit would make the virtual time long, not the work less.
+    let settings = ControlSettings {
+        membership: MembershipSettings {
+            registrations_per_second: 1_000,
+            ..MembershipSettings::default()
+        },
+        ..ControlSettings::default()
+    };
+    ControlNode::new(now, settings, identity, start)
+}
--- a/crates/petrellatch-core/examples/control_figures/main.rs
+++ b/crates/petrellatch-core/examples/control_figures/main.rs
@@ -18,8 +18,11 @@
 /// Agents that are replaced, one after another.
 const SAMPLE_REPLACEMENTS: u32 = 20;
 
-/// Virtual time without any input.
-const IDLE_TIME: Duration = Duration::from_secs(5);
+/// Seconds in which there are only heartbeats.
+const QUIET_SECONDS: usize = 10;
+
+/// Copies of a view whose mean size is printed.
+const VIEW_COPIES: usize = 3;
 
 fn main() {
     let arguments: Vec<u32> = std::env::args()
@@ -59,17 +62,19 @@
     let spent = leader.measure(|leader| leader.heartbeat_until_settled(services));
     print_mean("first placement of a service", spent, services);
 
+    let spent = leader.measure(Leader::restart);
+    print_mean("restart and election", spent, 1);
+
     measure_steady_work(&mut leader, &workload);
     measure_replacements(&mut leader, &workload);
     measure_bytes(&leader, &workload, resident);
 }
 
 fn measure_steady_work(leader: &mut Leader, workload: &Workload) {
-    let spent = leader.measure(|leader| leader.run_for(IDLE_TIME));
-    let seconds = usize::try_from(IDLE_TIME.as_secs()).expect("a small number");
-    print_mean("a second without input", spent, seconds);
+    leader.run_quietly(QUIET_SECONDS);
+    let spent = leader.measure(|leader| leader.run_quietly(QUIET_SECONDS));
+    print_mean("a second with one heartbeat of each", spent, QUIET_SECONDS);
 
-    leader.heartbeat_all();
     let count = workload.members().len();
     let spent = leader.measure(Leader::heartbeat_all);
     print_mean("heartbeat", spent, count);
@@ -94,28 +99,46 @@
 }
 
 fn measure_replacements(leader: &mut Leader, workload: &Workload) {
+    leader.run_quietly(QUIET_SECONDS);
     leader.heartbeat_until_settled(workload.service_count());
-    let mut deltas = 0;
+    let (placements, settled) = (leader.placements, leader.settled);
+    let mut versions = 0;
+    let mut bytes = 0;
     let mut spent = Measured::default();
     for number in 0..SAMPLE_REPLACEMENTS {
         let before = leader.version();
+        leader.subscribe();
         spent += leader.measure(|leader| leader.replace_agent(number));
-        deltas += leader.version() - before;
+        versions += leader.version() - before;
+        bytes += leader.delta_bytes;
     }
     print_mean("replaced agent", spent, SAMPLE_REPLACEMENTS as usize);
-    let per_agent = deltas as f64 / f64::from(SAMPLE_REPLACEMENTS);
-    println!("  versions of a replaced agent: {per_agent:.1}");
+    let of_agent = |count: u64| count as f64 / f64::from(SAMPLE_REPLACEMENTS);
+    println!(
+        "  of a replaced agent: {:.1} versions with {:.0} bytes, {:.1} placements set, {:.1} settled",
+        of_agent(versions),
+        of_agent(bytes as u64),
+        of_agent(leader.placements - placements),
+        of_agent(leader.settled - settled)
+    );
 }
 
 fn measure_bytes(leader: &Leader, workload: &Workload, resident: u64) {
     const MIB: f64 = (1 << 20) as f64;
     let all = resident_bytes().saturating_sub(resident);
     println!("  resident, log included: {:.1} MiB", all as f64 / MIB);
+    let mut copies = vec![leader.view().clone()];
+    // The first copies fill what was free before.
+    while copies.len() < VIEW_COPIES {
+        copies.push(leader.view().clone());
+    }
     let before = resident_bytes();
-    let view = leader.view().clone();
-    let bytes = resident_bytes().saturating_sub(before);
+    for _ in 0..VIEW_COPIES {
+        copies.push(leader.view().clone());
+    }
+    let bytes = resident_bytes().saturating_sub(before) / VIEW_COPIES as u64;
     println!("  one view: {:.1} MiB", bytes as f64 / MIB);
-    drop(view);
+    drop(copies);
     let started = Instant::now();
     let encoded = leader.encode_snapshot();
     let taken = started.elapsed();
@@ -129,9 +152,11 @@
 
 fn print_mean(what: &str, spent: Measured, count: usize) {
     let count = u32::try_from(count.max(1)).expect("a small number");
+    let mean = |time: Duration| time.as_secs_f64() * 1e6 / f64::from(count);
     println!(
-        "  {what}: {:.1} us ({count} measured, longest call {:.1?})",
-        spent.total.as_secs_f64() * 1e6 / f64::from(count),
+        "  {what}: {:.1} us, heartbeats {:.1} us ({count} measured, longest call {:.1?})",
+        mean(spent.total),
+        mean(spent.heartbeats),
         spent.longest
     );
 }
--- a/crates/petrellatch-core/src/control/control_node.rs
+++ b/crates/petrellatch-core/src/control/control_node.rs
@@ -197,6 +197,7 @@
             .iter()
             .filter_map(|entry| tracker.handle_heartbeat(now, entry, &self.state))
             .collect();
+        leadership.follow_members(&self.state);
         self.relay.handle_reply(&HeartbeatReply { answers });
     }
 
--- a/crates/petrellatch-core/src/control/control_node/leadership.rs
+++ b/crates/petrellatch-core/src/control/control_node/leadership.rs
@@ -23,18 +23,29 @@
 
 impl Leadership {
     pub(super) fn handle_applied(&mut self, now: Timestamp, delta: &Delta, state: &ControlState) {
-        self.tracker.handle_applied(now, state);
-        self.planner.handle_applied(now, delta, state.view());
+        self.tracker.handle_applied(now, delta, state);
+        self.planner.handle_applied(delta, state.view());
+        self.follow_members(state);
     }
 
     pub(super) fn handle_timeout(&mut self, now: Timestamp, state: &ControlState) {
         self.tracker.handle_timeout(now, state);
+        self.follow_members(state);
         self.planner
             .handle_timeout(now, state.view(), &self.tracker);
     }
 
+    /// Lets placements follow what members have reported.
+    pub(super) fn follow_members(&mut self, state: &ControlState) {
+        let changes = self.tracker.take_changes();
+        self.planner
+            .handle_members(&changes, state.view(), &self.tracker);
+    }
+
     pub(super) fn poll_timeout(&self) -> Timestamp {
-        self.tracker.poll_timeout().min(self.planner.poll_timeout())
+        let tracker = self.tracker.poll_timeout();
+        let planner = self.planner.poll_timeout();
+        planner.map_or(tracker, |at| at.min(tracker))
     }
 }
 
--- a/crates/petrellatch-core/src/control/mod.rs
+++ b/crates/petrellatch-core/src/control/mod.rs
@@ -75,10 +75,12 @@
 mod outcome;
 mod pending_requests;
 mod placement_planner;
+mod plan_queue;
 mod policy_cache;
 mod policy_check;
 mod request_window;
 mod service_input;
+mod service_plan;
 mod share_decision;
 mod status;
 mod validation;
@@ -96,4 +98,4 @@
     RecordCounts, ReplicaStatus,
 };
 pub use outcome::{AcceptedChange, Applied, ChangeAnswer, ChangeRefusal, CommandOutcome};
-pub use placement_planner::PLANNED_GENERATIONS;
+pub use service_plan::PLANNED_GENERATIONS;
--- a/crates/petrellatch-core/src/control/placement_planner.rs
+++ b/crates/petrellatch-core/src/control/placement_planner.rs
@@ -1,46 +1,43 @@
 //! Decides on placements while this replica leads.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use petrellatch_proto::command::{CommandKind, SetPlacement, SettlePlacement};
 use petrellatch_proto::dissemination::Delta;
-use petrellatch_proto::record::{
-    GenerationRecord, PlacementRecord, Record, ServiceRecord, ShareRecord,
-};
+use petrellatch_proto::record::{BackendRecord, PlacementRecord, Record, RecordKey, ServiceRecord};
 
 use crate::cluster::ClusterView;
-use crate::event::{Event, EventKind};
-use crate::identity::{Incarnation, NodeId, ServiceId};
-use crate::membership::MemberTracker;
+use crate::event::Event;
+use crate::identity::{BackendId, NodeId, ServiceId};
+use crate::membership::{MemberChange, MemberTracker};
 use crate::time::Timestamp;
 
-use super::limits::MAX_GENERATIONS;
+use super::plan_queue::PlanQueue;
 use super::policy_cache::PolicyCache;
-use super::service_input::{self, LoadMemory, ServiceInput};
+use super::service_input;
+use super::service_plan::{
+    NextStep, PROPOSAL_PATIENCE, ServicePlan, has_lost_owner, has_settled, is_recent,
+};
 use super::share_decision::{self, ShareDecision};
 
-/// Generations of one service that are listed before optional changes wait
-/// for the oldest to settle.
-pub const PLANNED_GENERATIONS: usize = 4;
+/// Least time between two passes over the services in line.
+const PASS_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time between two looks at the inputs.
-const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Services looked at in one pass. With [`PASS_INTERVAL`] it bounds the part
+/// of a processor that planning takes, and for how long it blocks the rest.
+const PLANS_OF_PASS: usize = 256;
 
-/// Least time between two placement changes of a service.
-const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at unsettled services.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Least time between two placement changes of a service for load reports or
-/// age alone.
-const LOAD_CHANGE_INTERVAL: Duration = Duration::from_secs(5);
+/// Unsettled services looked at in one go.
+const SETTLES_OF_PASS: usize = 4_096;
 
 /// A new leader changes placements only for the loss of a member in this time,
 /// until it has heard of the members' loads.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
-/// How long the outcome of a proposal is awaited before it is repeated.
-const PROPOSAL_PATIENCE: Duration = Duration::from_secs(1);
-
 /// Something for the leader to do.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum PlannerOutput {
@@ -50,30 +47,21 @@
     Event(Event),
 }
 
-/// What is remembered about one service.
-#[derive(Debug, Default)]
-struct ServicePlan {
-    loads: LoadMemory,
-    input: Option<ServiceInput>,
-    decision: ShareDecision,
-    /// The input of the last proposed generation.
-    placed_input: Option<ServiceInput>,
-    changed_at: Option<Timestamp>,
-    proposed_at: Option<Timestamp>,
-    settle_proposed_at: Option<Timestamp>,
-    /// The version that set the newest generation, or a later one.
-    placed_version: u64,
-    newest_generation: u64,
-    receives_nothing: bool,
-}
-
 /// Turns policies, members and loads into placement generations, and settles
-/// generations that have taken effect.
+/// generations that have taken effect. Only services of which something has
+/// changed are looked at, and only so many at a time.
 #[derive(Debug)]
 pub(super) struct PlacementPlanner {
     policies: PolicyCache,
     plans: BTreeMap<ServiceId, ServicePlan>,
-    next_plan: Timestamp,
+    service_of_backend: BTreeMap<BackendId, ServiceId>,
+    queue: PlanQueue,
+    next_pass: Timestamp,
+    /// Services with more than one generation.
+    unsettled: BTreeSet<ServiceId>,
+    /// Where the next look at the unsettled services begins.
+    settle_from: ServiceId,
+    next_settle: Timestamp,
     learned_at: Timestamp,
     outputs: VecDeque<PlannerOutput>,
 }
@@ -81,56 +69,102 @@
 impl PlacementPlanner {
     /// Starts when a replica became leader.
     pub(super) fn new(now: Timestamp, view: &ClusterView) -> Self {
+        let service_of =
+            |backend: &BackendRecord| (BackendId(backend.id), ServiceId(backend.service));
         let mut planner = PlacementPlanner {
             policies: PolicyCache::default(),
             plans: BTreeMap::new(),
-            next_plan: now,
+            service_of_backend: view.backends().map(service_of).collect(),
+            queue: PlanQueue::default(),
+            next_pass: now,
+            unsettled: BTreeSet::new(),
+            settle_from: ServiceId(0),
+            next_settle: now,
             learned_at: now + LEARNING_TIME,
             outputs: VecDeque::new(),
         };
         for placement in view.placements() {
             planner.note_placement(view.version(), placement);
         }
+        for service in view.services() {
+            planner.queue.push(ServiceId(service.id));
+        }
         planner
     }
 
     /// Follows a change of the replicated state.
-    pub(super) fn handle_applied(&mut self, now: Timestamp, delta: &Delta, view: &ClusterView) {
+    pub(super) fn handle_applied(&mut self, delta: &Delta, view: &ClusterView) {
         for change in &delta.changes {
-            if let Some(Record::Placement(placement)) = &change.put {
-                self.note_placement(delta.version, placement);
+            match (&change.put, change.key()) {
+                (Some(Record::Placement(placement)), _) => {
+                    self.note_placement(delta.version, placement);
+                    self.queue.push(ServiceId(placement.service));
+                }
+                (Some(Record::Backend(backend)), _) => {
+                    let service = ServiceId(backend.service);
+                    self.service_of_backend
+                        .insert(BackendId(backend.id), service);
+                    self.queue.push(service);
+                }
+                (_, Some(key)) => self.follow_key(&key, view),
+                (_, None) => {}
+            }
+        }
+    }
+
+    /// Follows changes at members that are not in the replicated state.
+    pub(super) fn handle_members(
+        &mut self,
+        changes: &BTreeMap<NodeId, MemberChange>,
+        view: &ClusterView,
+        tracker: &MemberTracker,
+    ) {
+        for (node, change) in changes {
+            for backend in view.backends_of_agent(*node) {
+                let service = ServiceId(backend.service);
+                let matters = match change {
+                    MemberChange::Readiness => true,
+                    MemberChange::Loads => self.has_other_level(*node, backend, tracker),
+                };
+                if matters {
+                    self.queue.push(service);
+                }
             }
         }
-        self.plans.retain(|id, _| view.service(*id).is_some());
-        self.next_plan = now;
     }
 
-    /// Looks at the inputs if that is due.
+    /// Looks at services if that is due.
     pub(super) fn handle_timeout(
         &mut self,
         now: Timestamp,
         view: &ClusterView,
         tracker: &MemberTracker,
     ) {
-        if now < self.next_plan {
-            return;
+        self.queue.wake(now);
+        if self.next_pass <= now && !self.queue.is_empty() {
+            self.next_pass = now + PASS_INTERVAL;
+            self.plan_next(now, view, tracker);
         }
-        self.next_plan = now + PLAN_INTERVAL;
-        for service in view.services() {
-            self.plan(now, service, view, tracker);
-            self.settle(now, ServiceId(service.id), view, tracker);
+        if self.next_settle <= now && !self.unsettled.is_empty() {
+            self.next_settle = now + SETTLE_INTERVAL;
+            self.settle_next(now, view, tracker);
         }
     }
 
-    pub(super) fn poll_timeout(&self) -> Timestamp {
-        self.next_plan
+    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+        let candidates = [
+            (!self.queue.is_empty()).then_some(self.next_pass),
+            self.queue.next_wakeup(),
+            (!self.unsettled.is_empty()).then_some(self.next_settle),
+        ];
+        candidates.into_iter().flatten().min()
     }
 
     pub(super) fn poll_output(&mut self) -> Option<PlannerOutput> {
         self.outputs.pop_front()
     }
 
-    /// Whether the newest generation of every service is the only one.
+    /// The services whose newest generation is not the only one.
     pub(super) fn unsettled_services(view: &ClusterView) -> Vec<ServiceId> {
         let listed = view.placements();
         listed
@@ -139,15 +173,81 @@
             .collect()
     }
 
+    fn follow_key(&mut self, key: &RecordKey, view: &ClusterView) {
+        match key {
+            RecordKey::Service(id) | RecordKey::Placement(id) => {
+                self.follow_service(ServiceId(*id), view);
+            }
+            RecordKey::Backend(id) => {
+                if let Some(service) = self.service_of_backend.remove(&BackendId(*id)) {
+                    self.queue.push(service);
+                }
+            }
+            RecordKey::Policy(name) => {
+                for service in view.services_of_policy(name) {
+                    self.queue.push(ServiceId(service.id));
+                }
+            }
+            RecordKey::Member(node) => {
+                for backend in view.backends_of_agent(NodeId(*node)) {
+                    self.queue.push(ServiceId(backend.service));
+                }
+            }
+        }
+    }
+
+    fn follow_service(&mut self, service: ServiceId, view: &ClusterView) {
+        if view.service(service).is_some() {
+            self.queue.push(service);
+            return;
+        }
+        self.plans.remove(&service);
+        self.unsettled.remove(&service);
+        self.queue.set_wakeup(service, None);
+    }
+
+    /// Whether a back end's reports would change the input of its service.
+    fn has_other_level(
+        &self,
+        node: NodeId,
+        backend: &BackendRecord,
+        tracker: &MemberTracker,
+    ) -> bool {
+        let id = BackendId(backend.id);
+        let Some(load) = tracker.load(node, id) else {
+            return false;
+        };
+        let plan = self.plans.get(&ServiceId(backend.service));
+        let known = plan.and_then(|plan| plan.loads.get(&id));
+        known.is_none_or(|levels| levels.follow(backend, load) != *levels)
+    }
+
     fn note_placement(&mut self, version: u64, placement: &PlacementRecord) {
+        let service = ServiceId(placement.service);
         let newest = placement.generations.last().map_or(0, |it| it.number);
-        let plan = self.plans.entry(ServiceId(placement.service)).or_default();
+        let plan = self.plans.entry(service).or_default();
         if newest != plan.newest_generation {
             plan.newest_generation = newest;
             plan.placed_version = version;
             plan.proposed_at = None;
         }
         plan.settle_proposed_at = None;
+        if placement.generations.len() > 1 {
+            self.unsettled.insert(service);
+        } else {
+            self.unsettled.remove(&service);
+        }
+    }
+
+    fn plan_next(&mut self, now: Timestamp, view: &ClusterView, tracker: &MemberTracker) {
+        for _ in 0..PLANS_OF_PASS {
+            let Some(service) = self.queue.pop() else {
+                return;
+            };
+            if let Some(service) = view.service(service) {
+                self.plan(now, service, view, tracker);
+            }
+        }
     }
 
     fn plan(
@@ -171,14 +271,53 @@
         if let Some(event) = plan.observe_emptiness(service, view) {
             self.outputs.push_back(PlannerOutput::Event(event));
         }
-        let placement = view.placement(id);
-        let is_learning = now < self.learned_at && !plan.knows_loads(tracker);
-        if let Some(generation) = plan.next_generation(now, is_learning, placement, view) {
-            let command = CommandKind::SetPlacement(SetPlacement {
-                service: service.id,
-                generation,
-            });
-            self.outputs.push_back(PlannerOutput::Propose(command));
+        let learned_at = if plan.knows_loads(tracker) {
+            now
+        } else {
+            self.learned_at
+        };
+        let step = plan.next_step(now, learned_at, view.placement(id), view);
+        let wakeup = self.take_step(now, id, step);
+        let age_change = service_input::next_age_change(now, id, view, tracker);
+        let wakeup = wakeup.into_iter().chain(age_change).min();
+        self.queue.set_wakeup(id, wakeup);
+    }
+
+    /// Returns when to look again.
+    fn take_step(
+        &mut self,
+        now: Timestamp,
+        service: ServiceId,
+        step: NextStep,
+    ) -> Option<Timestamp> {
+        match step {
+            NextStep::Nothing => None,
+            NextStep::WaitUntil(at) => Some(at),
+            NextStep::Propose(generation) => {
+                let command = CommandKind::SetPlacement(SetPlacement {
+                    service: service.0,
+                    generation,
+                });
+                self.outputs.push_back(PlannerOutput::Propose(command));
+                Some(now + PROPOSAL_PATIENCE)
+            }
+        }
+    }
+
+    /// Looks at unsettled services, so many at a time in turn.
+    fn settle_next(&mut self, now: Timestamp, view: &ClusterView, tracker: &MemberTracker) {
+        let later = self.unsettled.range(self.settle_from..);
+        let earlier = self.unsettled.range(..self.settle_from);
+        let services: Vec<ServiceId> = later
+            .chain(earlier)
+            .take(SETTLES_OF_PASS)
+            .copied()
+            .collect();
+        if let Some(last) = services.last() {
+            self.settle_from = ServiceId(last.0.saturating_add(1));
+        }
+        for service in services {
+            self.settle(now, service, view, tracker);
         }
     }
 
@@ -189,12 +328,13 @@
         view: &ClusterView,
         tracker: &MemberTracker,
     ) {
-        let Some(placement) = view.placement(service) else {
-            return;
-        };
-        let Some(plan) = self.plans.get_mut(&service) else {
+        let (Some(placement), Some(plan)) = (view.placement(service), self.plans.get_mut(&service))
+        else {
             return;
         };
+        if has_lost_owner(placement, view) && !is_recent(now, plan.proposed_at) {
+            self.queue.push(service);
+        }
         let is_waiting = is_recent(now, plan.settle_proposed_at);
         if is_waiting || !has_settled(placement, plan.placed_version, view, tracker) {
             return;
@@ -207,109 +347,3 @@
         self.outputs.push_back(PlannerOutput::Propose(command));
     }
 }
-
-impl ServicePlan {
-    /// Returns the generation to propose now, if one is needed and allowed.
-    fn next_generation(
-        &mut self,
-        now: Timestamp,
-        is_learning: bool,
-        placement: Option<&PlacementRecord>,
-        view: &ClusterView,
-    ) -> Option<GenerationRecord> {
-        let generations = placement.map_or(&[][..], |it| &it.generations);
-        let current = generations.last().map_or(&[][..], |it| &it.shares);
-        let is_needed = current != self.decision.shares;
-        if !is_needed || is_recent(now, self.proposed_at) {
-            return None;
-        }
-        let has_lost_member = current.iter().any(|share| !is_live(share, view));
-        let listed_limit = if has_lost_member {
-            MAX_GENERATIONS
-        } else {
-            PLANNED_GENERATIONS
-        };
-        let is_early = self.changed_at.is_some_and(|at| at + self.pause() > now);
-        let is_damped = is_early || is_learning;
-        if generations.len() >= listed_limit || (is_damped && !has_lost_member) {
-            return None;
-        }
-        self.proposed_at = Some(now);
-        self.changed_at = Some(now);
-        self.placed_input = self.input.clone();
-        Some(GenerationRecord {
-            number: self.newest_generation + 1,
-            shares: self.decision.shares.clone(),
-        })
-    }
-
-    /// Whether all agents concerned have reported to this leader.
-    fn knows_loads(&self, tracker: &MemberTracker) -> bool {
-        let candidates = self.input.iter().flat_map(|input| &input.candidates);
-        candidates
-            .map(|candidate| candidate.node)
-            .all(|node| tracker.has_reported_loads(node))
-    }
-
-    /// The least time since the last change, longer if only loads differ.
-    fn pause(&self) -> Duration {
-        let (Some(placed), Some(input)) = (&self.placed_input, &self.input) else {
-            return CHANGE_INTERVAL;
-        };
-        let same_policy = placed.policy == input.policy;
-        let same_places = placed.candidates.len() == input.candidates.len()
-            && placed
-                .candidates
-                .iter()
-                .zip(&input.candidates)
-                .all(|(left, right)| left.is_same_place(right));
-        if same_policy && same_places {
-            LOAD_CHANGE_INTERVAL
-        } else {
-            CHANGE_INTERVAL
-        }
-    }
-
-    /// Reports once that a service with back ends can't receive new flows.
-    fn observe_emptiness(&mut self, service: &ServiceRecord, view: &ClusterView) -> Option<Event> {
-        let has_backends = view.backends_of(ServiceId(service.id)).next().is_some();
-        let receives_nothing = has_backends && self.decision.shares.is_empty();
-        let is_news = receives_nothing && !self.receives_nothing;
-        self.receives_nothing = receives_nothing;
-        is_news.then(|| Event::new(EventKind::NoEligibleBackend, service.name.clone()))
-    }
-}
-
-/// Whether older generations can be forgotten: every owner of the newest
-/// generation is live, has it in force and has taken over its buckets, and
-/// every live owner of an older generation has the newest in force, so that it
-/// admits nothing by an older one any more.
-fn has_settled(
-    placement: &PlacementRecord,
-    placed_version: u64,
-    view: &ClusterView,
-    tracker: &MemberTracker,
-) -> bool {
-    let Some((newest, older)) = placement.generations.split_last() else {
-        return false;
-    };
-    let service = ServiceId(placement.service);
-    let owns = |share: &&ShareRecord| share.receives();
-    let owners_settled = newest.shares.iter().filter(owns).all(|share| {
-        is_live(share, view) && tracker.is_settled(NodeId(share.node), service, placed_version)
-    });
-    let former = older.iter().flat_map(|generation| &generation.shares);
-    let former_know = former.filter(|share| is_live(share, view)).all(|share| {
-        let version = tracker.reported_version(NodeId(share.node));
-        version.is_some_and(|version| version >= placed_version)
-    });
-    !older.is_empty() && owners_settled && former_know
-}
-
-fn is_live(share: &ShareRecord, view: &ClusterView) -> bool {
-    view.is_member(NodeId(share.node), Incarnation(share.incarnation))
-}
-
-fn is_recent(now: Timestamp, proposed_at: Option<Timestamp>) -> bool {
-    proposed_at.is_some_and(|at| at + PROPOSAL_PATIENCE > now)
-}
--- a/crates/petrellatch-core/src/control/service_input.rs
+++ b/crates/petrellatch-core/src/control/service_input.rs
@@ -185,6 +185,40 @@
     }
 }
 
+/// When the age or the ramp of a back end of a service next takes another
+/// step, if nothing else changes.
+pub(super) fn next_age_change(
+    now: Timestamp,
+    service: ServiceId,
+    view: &ClusterView,
+    tracker: &MemberTracker,
+) -> Option<Timestamp> {
+    let backends = view.backends_of(service);
+    let changes = backends.filter_map(|record| {
+        let member = find_agent(record, view, tracker).ok()?;
+        let appeared_at = tracker.appeared_at(NodeId(member.node))?;
+        let age = now.saturating_since(appeared_at).as_secs();
+        let next = next_age_step(age)
+            .into_iter()
+            .chain(next_warm_up_step(record, age));
+        Some(appeared_at + Duration::from_secs(next.min()?))
+    });
+    changes.min()
+}
+
+/// The age at which the next of [`AGE_STEPS`] begins, in seconds.
+fn next_age_step(age: u64) -> Option<u64> {
+    AGE_STEPS.into_iter().find(|step| *step > age)
+}
+
+/// The age at which the next of [`WARM_UP_STEPS`] begins, in seconds.
+fn next_warm_up_step(record: &BackendRecord, age: u64) -> Option<u64> {
+    let steps = u64::from(WARM_UP_STEPS);
+    let whole = u64::from(record.warm_up_seconds);
+    let next = (age * steps).checked_div(whole)? + 1;
+    (next < steps).then(|| (next * whole).div_ceil(steps))
+}
+
 fn age_step(age: Option<Duration>) -> Duration {
     let seconds = age.map_or(u64::MAX, |age| age.as_secs());
     let reached = AGE_STEPS.iter().rev().find(|step| **step <= seconds);
--- a/crates/petrellatch-core/src/membership/attachment.rs
+++ b/crates/petrellatch-core/src/membership/attachment.rs
@@ -1,6 +1,6 @@
 //! Which parents the daemons use.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -21,9 +21,17 @@
 /// An unchanged choice is repeated after this time.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Instructions given in one go at most, so that a new choice for all daemons
+/// is told over several checks.
+const MAX_INSTRUCTIONS: usize = 1_024;
+
+/// Relays by zone.
+type Relays = BTreeMap<String, Vec<Parent>>;
+
 /// The choice for one daemon and when it was last told.
 #[derive(Clone, Debug)]
 struct Assignment {
+    incarnation: u64,
     attach: Attach,
     told_at: Option<Timestamp>,
 }
@@ -31,7 +39,13 @@
 /// Chooses relays among the balancers and assigns daemons to them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Attachment {
+    relays: Relays,
+    relay_nodes: BTreeSet<u64>,
     assignments: BTreeMap<NodeId, Assignment>,
+    /// Daemons that are to be told, in the order of time; some may have left,
+    /// or been told, by now.
+    due: VecDeque<(Timestamp, NodeId)>,
+    news: BTreeSet<NodeId>,
 }
 
 /// A choice that a daemon is to be told.
@@ -42,68 +56,125 @@
 }
 
 impl Attachment {
-    /// Chooses anew. Suspected balancers are not chosen.
+    /// Chooses anew after these members came, left or changed. Suspected
+    /// balancers are not chosen.
     pub(super) fn update(
         &mut self,
         view: &ClusterView,
+        changed: &BTreeSet<NodeId>,
         suspected: &BTreeSet<NodeId>,
         fan_out: usize,
     ) {
-        let count = view.members().count();
-        let relays = if count > fan_out {
+        let relays = if view.member_count() > fan_out {
             choose_relays(view, suspected, fan_out)
         } else {
-            BTreeMap::new()
+            Relays::new()
         };
-        self.assignments
-            .retain(|node, _| view.member(*node).is_some());
-        for member in view.members() {
-            self.assign(member, &relays);
+        if relays != self.relays {
+            let nodes = relays.values().flatten().map(|relay| relay.node);
+            self.relay_nodes = nodes.collect();
+            self.relays = relays;
+            for member in view.members() {
+                self.assign(member);
+            }
+        }
+        for node in changed {
+            match view.member(*node) {
+                Some(member) => self.assign(member),
+                None => {
+                    self.assignments.remove(node);
+                }
+            }
         }
     }
 
-    /// Returns what is to be told now.
+    /// Returns what is to be told now, but not all at once.
     pub(super) fn instructions(&mut self, now: Timestamp, view: &ClusterView) -> Vec<Instruction> {
         let mut instructions = Vec::new();
-        for (node, assignment) in &mut self.assignments {
-            let is_due = match assignment.told_at {
-                Some(at) => at + REPEAT_INTERVAL <= now && !assignment.attach.parents.is_empty(),
-                None => true,
-            };
-            let Some(member) = view.member(*node).filter(|_| is_due) else {
-                continue;
-            };
-            assignment.told_at = Some(now);
-            instructions.push(Instruction {
-                member: member.clone(),
-                attach: assignment.attach.clone(),
-            });
+        while instructions.len() < MAX_INSTRUCTIONS
+            && let Some(node) = self.next_due(now)
+        {
+            instructions.extend(self.instruct(now, node, view));
         }
         instructions
     }
 
-    fn assign(&mut self, member: &MemberRecord, relays: &BTreeMap<String, Vec<Parent>>) {
-        let attach = attach_for(member, relays);
+    fn next_due(&mut self, now: Timestamp) -> Option<NodeId> {
+        if let Some(node) = self.news.pop_first() {
+            return Some(node);
+        }
+        while let Some((told_at, node)) = self.due.front().copied() {
+            if told_at + REPEAT_INTERVAL > now {
+                return None;
+            }
+            self.due.pop_front();
+            let assignment = self.assignments.get(&node);
+            if assignment.is_some_and(|it| it.told_at == Some(told_at)) {
+                return Some(node);
+            }
+        }
+        None
+    }
+
+    /// Choices with parents are told again later.
+    fn instruct(
+        &mut self,
+        now: Timestamp,
+        node: NodeId,
+        view: &ClusterView,
+    ) -> Option<Instruction> {
+        let assignment = self.assignments.get_mut(&node)?;
+        let member = view.member(node)?.clone();
+        assignment.told_at = Some(now);
+        if !assignment.attach.parents.is_empty() {
+            self.due.push_back((now, node));
+        }
+        Some(Instruction {
+            member,
+            attach: assignment.attach.clone(),
+        })
+    }
+
+    fn assign(&mut self, member: &MemberRecord) {
+        let attach = self.attach_for(member);
         let node = NodeId(member.node);
         let known = self.assignments.get(&node);
+        let known = known.filter(|known| known.incarnation == member.incarnation);
         if known.is_some_and(|known| known.attach == attach) {
             return;
         }
         // A daemon that never had relays as parents needs not be told so.
         let is_default = known.is_none() && attach.parents.is_empty();
-        let told_at = is_default.then_some(Timestamp::ZERO);
-        self.assignments
-            .insert(node, Assignment { attach, told_at });
+        if !is_default {
+            self.news.insert(node);
+        }
+        let assignment = Assignment {
+            incarnation: member.incarnation,
+            attach,
+            told_at: None,
+        };
+        self.assignments.insert(node, assignment);
+    }
+
+    /// Relays themselves use the control replicas, so that the tree has no
+    /// loop.
+    fn attach_for(&self, member: &MemberRecord) -> Attach {
+        let is_relay = self.relay_nodes.contains(&member.node);
+        let own_zone = self.relays.get(&member.zone);
+        let any_zone = || self.relays.values().next();
+        let mut parents = match own_zone.or_else(any_zone) {
+            Some(relays) if !is_relay => relays.clone(),
+            _ => Vec::new(),
+        };
+        parents.sort_by_cached_key(|parent| rank(parent.node, member.node));
+        parents.truncate(PARENTS_OF_DAEMON);
+        Attach { parents }
     }
 }
 
 /// Chooses the relays of each zone: the balancers that rank first by the hash
 /// of their node, so that a new balancer displaces few.
-fn choose_relays(
-    view: &ClusterView,
-    suspected: &BTreeSet<NodeId>,
-    fan_out: usize,
-) -> BTreeMap<String, Vec<Parent>> {
+fn choose_relays(view: &ClusterView, suspected: &BTreeSet<NodeId>, fan_out: usize) -> Relays {
     let mut daemons: BTreeMap<&str, usize> = BTreeMap::new();
     let mut candidates: BTreeMap<&str, Vec<Parent>> = BTreeMap::new();
     for member in view.members() {
@@ -115,33 +186,16 @@
                 .push(parent(member));
         }
     }
-    let mut relays = BTreeMap::new();
+    let mut relays = Relays::new();
     for (zone, mut parents) in candidates {
         let count = daemons.get(zone).copied().unwrap_or(0);
-        parents.sort_by_key(|parent| rank(parent.node, 0));
+        parents.sort_by_cached_key(|parent| rank(parent.node, 0));
         parents.truncate(count.div_ceil(fan_out.max(1)).max(MIN_RELAYS_OF_ZONE));
         relays.insert(zone.to_owned(), parents);
     }
     relays
 }
 
-/// Relays themselves use the control replicas, so that the tree has no loop.
-fn attach_for(member: &MemberRecord, relays: &BTreeMap<String, Vec<Parent>>) -> Attach {
-    let own_zone = relays.get(&member.zone);
-    let any_zone = || relays.values().next();
-    let mut parents = own_zone.or_else(any_zone).cloned().unwrap_or_default();
-    let is_relay = relays
-        .values()
-        .flatten()
-        .any(|relay| relay.node == member.node);
-    if is_relay {
-        parents.clear();
-    }
-    parents.sort_by_key(|parent| rank(parent.node, member.node));
-    parents.truncate(PARENTS_OF_DAEMON);
-    Attach { parents }
-}
-
 fn may_relay(member: &MemberRecord) -> bool {
     member.role == NodeRole::Balancer as i32 && member.state == MemberState::Live as i32
 }
--- a/crates/petrellatch-core/src/membership/member_tracker.rs
+++ b/crates/petrellatch-core/src/membership/member_tracker.rs
@@ -1,15 +1,18 @@
 //! The leader's knowledge of the members.
 
+mod queries;
+mod review;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use petrellatch_proto::command::{CommandKind, FenceMember, SetMemberState};
-use petrellatch_proto::dissemination::{Attach, BackendLoad, HeartbeatAnswer, HeartbeatEntry};
-use petrellatch_proto::record::{MemberRecord, MemberState, NodeRole};
+use petrellatch_proto::command::CommandKind;
+use petrellatch_proto::dissemination::{Attach, Delta, HeartbeatAnswer, HeartbeatEntry};
+use petrellatch_proto::record::{MemberRecord, NodeRole, RecordKey};
 
 use crate::control::{ControlState, Life};
-use crate::event::{Event, EventKind};
-use crate::identity::{BackendId, Incarnation, NodeId, ServiceId};
+use crate::event::Event;
+use crate::identity::{Incarnation, NodeId};
 use crate::time::Timestamp;
 
 use super::attachment::Attachment;
@@ -21,12 +24,6 @@
 /// Time between two searches for silent members.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How long the outcome of a proposal is awaited before it is repeated.
-const PROPOSAL_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Fewer members than this never count as mass silence.
-const MIN_MASS_SILENCE: usize = 4;
-
 /// Something for the leader to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TrackerOutput {
@@ -43,6 +40,15 @@
     Event(Event),
 }
 
+/// What placements may depend on and has changed at a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemberChange {
+    /// Only its reports of load and health.
+    Loads,
+    /// Whether it may be given new flows.
+    Readiness,
+}
+
 /// The term that a leader begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TermStart {
@@ -64,6 +70,11 @@
     platform: PlatformList,
     attachment: Attachment,
     suspected: BTreeSet<NodeId>,
+    /// Members whose parents must be chosen anew.
+    unattached: BTreeSet<NodeId>,
+    /// Whether the suspected balancers have changed since parents were chosen.
+    suspicion_changed: bool,
+    changes: BTreeMap<NodeId, MemberChange>,
     fences_without_waiting: bool,
     term: u64,
     mass_silence_since: Option<Timestamp>,
@@ -92,6 +103,9 @@
             platform: PlatformList::default(),
             attachment: Attachment::default(),
             suspected: BTreeSet::new(),
+            unattached: state.view().members().map(node_of).collect(),
+            suspicion_changed: false,
+            changes: BTreeMap::new(),
             fences_without_waiting: start.fences_without_waiting,
             term: start.term,
             mass_silence_since: None,
@@ -141,26 +155,26 @@
         self.platform.replace(machines);
     }
 
-    /// Follows a change of the replicated state.
-    pub fn handle_applied(&mut self, now: Timestamp, state: &ControlState) {
-        let view = state.view();
-        self.members
-            .retain(|node, member| view.is_member(*node, member.incarnation));
-        for member in view.members() {
-            self.track(now, member);
+    /// Follows a change of the replicated state. It costs as much as the
+    /// change, however many members there are.
+    pub fn handle_applied(&mut self, now: Timestamp, delta: &Delta, state: &ControlState) {
+        for change in &delta.changes {
+            if let Some(RecordKey::Member(node)) = change.key() {
+                self.follow_member(now, NodeId(node), state);
+            }
         }
-        self.registrations.remove_if(|record| {
-            let (node, incarnation) = (NodeId(record.node), Incarnation(record.incarnation));
-            let life = Life { node, incarnation };
-            view.is_member(node, incarnation) || state.is_fenced(life)
-        });
-        self.update_attachment(now, state);
-        self.propose_registrations(now, state);
+        self.propose_registrations(now);
+    }
+
+    /// Returns the members of which something has changed that placements may
+    /// depend on, since the last call.
+    pub fn take_changes(&mut self) -> BTreeMap<NodeId, MemberChange> {
+        std::mem::take(&mut self.changes)
     }
 
     /// Does what is due by now.
     pub fn handle_timeout(&mut self, now: Timestamp, state: &ControlState) {
-        self.propose_registrations(now, state);
+        self.propose_registrations(now);
         if now < self.next_check {
             return;
         }
@@ -168,8 +182,10 @@
         self.find_suspects(now);
         self.update_attachment(now, state);
         let is_mass_silence = self.observe_mass_silence(now);
-        let members: Vec<MemberRecord> = state.view().members().cloned().collect();
-        for member in &members {
+        let members = self.members.iter();
+        let noticed = members.filter(|(_, member)| member.needs_review(now));
+        let noticed: Vec<NodeId> = noticed.map(|(node, _)| *node).collect();
+        for member in noticed.iter().filter_map(|node| state.view().member(*node)) {
             self.review(now, member, is_mass_silence);
         }
     }
@@ -185,49 +201,6 @@
         self.outputs.pop_front()
     }
 
-    /// The version in force at a member; none if this leader has not heard of
-    /// its present life yet.
-    pub fn reported_version(&self, node: NodeId) -> Option<u64> {
-        self.members.get(&node)?.reported_version()
-    }
-
-    /// Whether a member has `version` in force and its buckets of the newest
-    /// generation of `service` are settled.
-    pub fn is_settled(&self, node: NodeId, service: ServiceId, version: u64) -> bool {
-        let Some(member) = self.members.get(&node) else {
-            return false;
-        };
-        let has_version = member.reported_version().is_some_and(|it| it >= version);
-        has_version && member.is_settled(service)
-    }
-
-    /// Whether a member has been silent for too long.
-    pub fn is_suspected(&self, node: NodeId) -> bool {
-        self.suspected.contains(&node)
-    }
-
-    /// Whether a member could admit new flows if it were given any.
-    pub fn is_ready(&self, node: NodeId) -> bool {
-        self.members.get(&node).is_some_and(TrackedMember::is_ready)
-    }
-
-    /// Whether this leader has heard of a member's loads.
-    pub fn has_reported_loads(&self, node: NodeId) -> bool {
-        let member = self.members.get(&node);
-        member.is_some_and(TrackedMember::has_reported_loads)
-    }
-
-    /// The load of a back end as the agent on `node` last reported it.
-    pub fn load(&self, node: NodeId, backend: BackendId) -> Option<&BackendLoad> {
-        self.members.get(&node)?.loads.get(&backend)
-    }
-
-    /// When the present life of a member appeared; none if that was before
-    /// this leader's term.
-    pub fn appeared_at(&self, node: NodeId) -> Option<Timestamp> {
-        self.members.get(&node)?.appeared_at
-    }
-
     /// Follows a member's heartbeat and returns the lease that it gets.
     fn observe_member(
         &mut self,
@@ -241,10 +214,14 @@
         let lease_end = self.settings.lease_end();
         let lag_limit = self.settings.version_lag_limit;
         let member = self.members.get_mut(&life.node)?;
+        let knew_loads = member.has_reported_loads();
+        let was_ready = member.is_ready();
         if !member.observe(now, entry, state.view().version()) {
             return None;
         }
-        self.suspected.remove(&life.node);
+        if self.suspected.remove(&life.node) {
+            self.suspicion_changed = true;
+        }
         let is_agent = record.role == NodeRole::Agent as i32;
         let knows_itself = state
             .registered_at(life.node)
@@ -256,6 +233,13 @@
             member.was_granted = true;
             member.lease_over_at = now + lease_end;
         }
+        let loads_changed = member.take_loads_changed();
+        if was_ready != member.is_ready() || knew_loads != member.has_reported_loads() {
+            self.changes.insert(life.node, MemberChange::Readiness);
+        } else if loads_changed {
+            let change = self.changes.entry(life.node);
+            change.or_insert(MemberChange::Loads);
+        }
         self.review(now, record, false);
         Some(if granted {
             self.settings.lease_milliseconds()
@@ -264,6 +248,26 @@
         })
     }
 
+    fn follow_member(&mut self, now: Timestamp, node: NodeId, state: &ControlState) {
+        let view = state.view();
+        self.unattached.insert(node);
+        match view.member(node) {
+            Some(record) => self.track(now, record),
+            None => {
+                self.members.remove(&node);
+                self.suspected.remove(&node);
+            }
+        }
+        self.registrations.remove_if(node, |record| {
+            let incarnation = Incarnation(record.incarnation);
+            let life = Life { node, incarnation };
+            view.is_member(node, incarnation) || state.is_fenced(life)
+        });
+        if view.member(node).is_none() {
+            self.registrations.unblock(node);
+        }
+    }
+
     fn track(&mut self, now: Timestamp, record: &MemberRecord) {
         let incarnation = Incarnation(record.incarnation);
         let node = NodeId(record.node);
@@ -284,103 +288,30 @@
         if !is_own {
             return;
         }
-        self.registrations.insert(record);
         // A balancer admits nothing, so its former life needs no waiting.
         let former = state.view().member(life.node);
+        self.registrations.insert(record, former.is_some());
         if let Some(former) = former.filter(|it| it.role == NodeRole::Balancer as i32) {
             self.propose_fence(now, former);
         }
-        self.propose_registrations(now, state);
+        self.propose_registrations(now);
     }
 
-    fn propose_registrations(&mut self, now: Timestamp, state: &ControlState) {
-        let view = state.view();
-        let is_free = |node| view.member(node).is_none();
-        while let Some(record) = self.registrations.next(now, is_free) {
+    fn propose_registrations(&mut self, now: Timestamp) {
+        while let Some(record) = self.registrations.next(now) {
             let command = CommandKind::RegisterMember(record);
             self.outputs.push_back(TrackerOutput::Propose(command));
         }
     }
 
-    fn find_suspects(&mut self, now: Timestamp) {
-        for (node, member) in &mut self.members {
-            let patience = if self.platform.doubts(*node) {
-                self.settings.hinted_suspicion_after
-            } else {
-                self.settings.suspicion_after
-            };
-            let is_silent = member.last_seen + patience <= now;
-            if is_silent && !member.is_suspected {
-                member.is_suspected = true;
-                self.suspected.insert(*node);
-                let event = Event::new(EventKind::MemberSuspected, node.to_string());
-                self.outputs.push_back(TrackerOutput::Event(event));
-            }
-        }
-        let members = &self.members;
-        self.suspected.retain(|node| members.contains_key(node));
-    }
-
-    /// Whether so many members are silent that the fault is likely elsewhere,
-    /// and patience with them has not run out.
-    fn observe_mass_silence(&mut self, now: Timestamp) -> bool {
-        let silent = self.suspected.len();
-        let is_mass = silent >= MIN_MASS_SILENCE && silent * 2 > self.members.len();
-        if !is_mass {
-            self.mass_silence_since = None;
-            return false;
-        }
-        let since = *self.mass_silence_since.get_or_insert(now);
-        now < since + self.settings.lease_end() + self.settings.mass_silence_grace
-    }
-
-    /// Proposes what a member's condition asks for.
-    fn review(&mut self, now: Timestamp, record: &MemberRecord, is_mass_silence: bool) {
-        let has_successor = self.registrations.contains(NodeId(record.node));
-        let Some(member) = self.members.get_mut(&NodeId(record.node)) else {
-            return;
-        };
-        let wants_to_leave = member.is_leaving && record.state == MemberState::Live as i32;
-        if wants_to_leave && may_propose(now, member.state_proposed_at) {
-            member.state_proposed_at = Some(now);
-            let command = CommandKind::SetMemberState(SetMemberState {
-                node: record.node,
-                incarnation: record.incarnation,
-                state: MemberState::Leaving as i32,
-            });
-            self.outputs.push_back(TrackerOutput::Propose(command));
-        }
-        let lease_is_over = member.lease_over_at <= now;
-        let is_silent = member.last_seen + self.settings.lease_end() <= now;
-        let is_behind = member.is_ready() && member.lag(now) >= self.settings.version_lag_limit;
-        let is_spared = is_mass_silence && !has_successor;
-        let is_lost = lease_is_over && !is_spared && (is_silent || is_behind);
-        let too_early = self.fences_without_waiting && member.is_suspected;
-        if member.is_stopped || is_lost || too_early {
-            self.propose_fence(now, record);
-        }
-    }
-
-    /// Once a fence was proposed, the life gets no lease any more.
-    fn propose_fence(&mut self, now: Timestamp, record: &MemberRecord) {
-        let Some(member) = self.members.get_mut(&NodeId(record.node)) else {
-            return;
-        };
-        if !may_propose(now, member.fence_proposed_at) {
-            return;
-        }
-        member.fence_proposed_at = Some(now);
-        let command = CommandKind::FenceMember(FenceMember {
-            node: record.node,
-            incarnation: record.incarnation,
-        });
-        self.outputs.push_back(TrackerOutput::Propose(command));
-    }
-
     fn update_attachment(&mut self, now: Timestamp, state: &ControlState) {
         let view = state.view();
-        self.attachment
-            .update(view, &self.suspected, self.settings.fan_out);
+        let changed = std::mem::take(&mut self.unattached);
+        if !changed.is_empty() || self.suspicion_changed {
+            self.suspicion_changed = false;
+            self.attachment
+                .update(view, &changed, &self.suspected, self.settings.fan_out);
+        }
         for instruction in self.attachment.instructions(now, view) {
             self.outputs.push_back(TrackerOutput::Attach {
                 member: instruction.member,
@@ -390,6 +321,6 @@
     }
 }
 
-fn may_propose(now: Timestamp, proposed_at: Option<Timestamp>) -> bool {
-    proposed_at.is_none_or(|at| at + PROPOSAL_PATIENCE <= now)
+fn node_of(member: &MemberRecord) -> NodeId {
+    NodeId(member.node)
 }
--- a/crates/petrellatch-core/src/membership/mod.rs
+++ b/crates/petrellatch-core/src/membership/mod.rs
@@ -63,8 +63,8 @@
 //! let answer = tracker.handle_heartbeat(now, &entry, &state).unwrap();
 //! assert!(!answer.registered);
 //! let Some(TrackerOutput::Propose(command)) = tracker.poll_output() else { panic!() };
-//! state.apply(&command.into());
-//! tracker.handle_applied(now, &state);
+//! let applied = state.apply(&command.into());
+//! tracker.handle_applied(now, &applied.delta.unwrap(), &state);
 //!
 //! entry.sequence = 2;
 //! entry.version = 1;
@@ -79,6 +79,6 @@
 mod settings;
 mod tracked_member;
 
-pub use member_tracker::{MemberTracker, TermStart, TrackerOutput};
+pub use member_tracker::{MemberChange, MemberTracker, TermStart, TrackerOutput};
 pub use platform_list::PlatformMachine;
 pub use settings::MembershipSettings;
--- a/crates/petrellatch-core/src/membership/registration_queue.rs
+++ b/crates/petrellatch-core/src/membership/registration_queue.rs
@@ -1,6 +1,6 @@
 //! Daemons that wait to be registered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use petrellatch_proto::record::MemberRecord;
@@ -17,25 +17,41 @@
 /// How long the outcome of a proposal is awaited before it is repeated.
 const PROPOSAL_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Where a waiting daemon stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// A former life of it is still a member.
+    Blocked,
+    /// It is in the line of those to be proposed.
+    Ready,
+    /// It was proposed at this time.
+    Proposed(Timestamp),
+}
+
 #[derive(Clone, Debug)]
 struct Waiting {
     record: MemberRecord,
-    proposed_at: Option<Timestamp>,
+    phase: Phase,
 }
 
-/// Registrations, proposed at a limited rate.
+/// Registrations, proposed at a limited rate in the order of arrival. No
+/// operation walks over all that wait.
 #[derive(Clone, Debug)]
 pub(super) struct RegistrationQueue {
     waiting: BTreeMap<NodeId, Waiting>,
+    /// May name daemons that are in another phase by now.
+    ready: VecDeque<NodeId>,
+    /// Proposals in the order of time; some may be over by now.
+    proposed: VecDeque<(Timestamp, NodeId)>,
     pacer: Pacer,
-    looked_at: Timestamp,
 }
 
 impl RegistrationQueue {
     pub(super) fn new(settings: &MembershipSettings) -> Self {
         RegistrationQueue {
             waiting: BTreeMap::new(),
-            looked_at: Timestamp::ZERO,
+            ready: VecDeque::new(),
+            proposed: VecDeque::new(),
             pacer: Pacer::new(
                 settings.registrations_per_second,
                 settings.registration_burst,
@@ -43,8 +59,10 @@
         }
     }
 
-    /// Adds a daemon, or replaces an earlier life of it that waits.
-    pub(super) fn insert(&mut self, record: &MemberRecord) {
+    /// Adds a daemon, or replaces an earlier life of it that waits. It is
+    /// blocked until [`RegistrationQueue::unblock`] while a former life of it
+    /// is a member.
+    pub(super) fn insert(&mut self, record: &MemberRecord, is_blocked: bool) {
         let node = NodeId(record.node);
         let known = self.waiting.get(&node);
         let is_same = known.is_some_and(|waiting| waiting.record == *record);
@@ -54,9 +72,22 @@
         }
         let waiting = Waiting {
             record: record.clone(),
-            proposed_at: None,
+            phase: Phase::Blocked,
         };
         self.waiting.insert(node, waiting);
+        if !is_blocked {
+            self.unblock(node);
+        }
+    }
+
+    /// No life of this node is a member any more.
+    pub(super) fn unblock(&mut self, node: NodeId) {
+        if let Some(waiting) = self.waiting.get_mut(&node)
+            && waiting.phase != Phase::Ready
+        {
+            waiting.phase = Phase::Ready;
+            self.ready.push_back(node);
+        }
     }
 
     /// Whether a new life of this node waits.
@@ -64,39 +95,50 @@
         self.waiting.contains_key(&node)
     }
 
-    /// Removes daemons for which `is_done` holds.
-    pub(super) fn remove_if(&mut self, is_done: impl Fn(&MemberRecord) -> bool) {
-        self.waiting.retain(|_, waiting| !is_done(&waiting.record));
+    /// Removes a daemon if `is_done` holds for it.
+    pub(super) fn remove_if(&mut self, node: NodeId, is_done: impl Fn(&MemberRecord) -> bool) {
+        let waiting = self.waiting.get(&node);
+        if waiting.is_some_and(|waiting| is_done(&waiting.record)) {
+            self.waiting.remove(&node);
+        }
     }
 
-    /// Returns the next daemon to be proposed now, of those for which `is_free`
-    /// holds.
-    pub(super) fn next(
-        &mut self,
-        now: Timestamp,
-        is_free: impl Fn(NodeId) -> bool,
-    ) -> Option<MemberRecord> {
-        self.looked_at = now;
+    /// Returns the next daemon to be proposed now.
+    pub(super) fn next(&mut self, now: Timestamp) -> Option<MemberRecord> {
+        self.repeat_lost_proposals(now);
         if !self.pacer.is_ready(now) {
             return None;
         }
-        let is_due = |waiting: &Waiting| {
-            let repeat_at = waiting.proposed_at.map(|at| at + PROPOSAL_PATIENCE);
-            repeat_at.is_none_or(|at| at <= now)
-        };
-        let (_, waiting) = self
-            .waiting
-            .iter_mut()
-            .find(|(node, waiting)| is_due(waiting) && is_free(**node))?;
-        waiting.proposed_at = Some(now);
-        self.pacer.take(now, 1);
-        Some(waiting.record.clone())
+        while let Some(node) = self.ready.pop_front() {
+            let Some(waiting) = self.waiting.get_mut(&node) else {
+                continue;
+            };
+            if waiting.phase == Phase::Ready {
+                waiting.phase = Phase::Proposed(now);
+                self.proposed.push_back((now, node));
+                self.pacer.take(now, 1);
+                return Some(waiting.record.clone());
+            }
+        }
+        None
     }
 
-    /// When the next daemon may be proposed, if only the rate holds it back.
+    /// When the next daemon may be proposed.
     pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
-        let ready_at = self.pacer.ready_at();
-        let is_held = ready_at > self.looked_at && !self.waiting.is_empty();
-        is_held.then_some(ready_at)
+        let is_waiting = !self.ready.is_empty();
+        is_waiting.then(|| self.pacer.ready_at())
+    }
+
+    fn repeat_lost_proposals(&mut self, now: Timestamp) {
+        while let Some((at, node)) = self.proposed.front().copied() {
+            if at + PROPOSAL_PATIENCE > now {
+                return;
+            }
+            self.proposed.pop_front();
+            let waiting = self.waiting.get(&node);
+            if waiting.is_some_and(|it| it.phase == Phase::Proposed(at)) {
+                self.unblock(node);
+            }
+        }
     }
 }
--- a/crates/petrellatch-core/src/membership/tracked_member.rs
+++ b/crates/petrellatch-core/src/membership/tracked_member.rs
@@ -35,6 +35,8 @@
     pub(super) fence_proposed_at: Option<Timestamp>,
     pub(super) state_proposed_at: Option<Timestamp>,
     pub(super) loads: BTreeMap<BackendId, BackendLoad>,
+    /// Whether reports of load and health have changed since last asked.
+    loads_changed: bool,
     sequence: u64,
     heartbeats: u32,
     version: u64,
@@ -61,6 +63,7 @@
             fence_proposed_at: None,
             state_proposed_at: None,
             loads: BTreeMap::new(),
+            loads_changed: false,
             sequence: 0,
             heartbeats: 0,
             version: 0,
@@ -103,6 +106,18 @@
         self.heartbeats >= NEEDED_HEARTBEATS
     }
 
+    /// Whether loads changed since this was last asked.
+    pub(super) fn take_loads_changed(&mut self) -> bool {
+        std::mem::take(&mut self.loads_changed)
+    }
+
+    /// Whether anything about this life might have to be proposed: it leaves,
+    /// stops, is silent or lags. The details are looked at only then.
+    pub(super) fn needs_review(&self, now: Timestamp) -> bool {
+        let is_regular = !self.is_leaving && !self.is_stopped && !self.is_suspected;
+        !is_regular || self.lease_over_at <= now || self.lag.is_some()
+    }
+
     /// Whether the newest generation that the member knows is settled there.
     pub(super) fn is_settled(&self, service: ServiceId) -> bool {
         !self.unsettled.contains(&service)
@@ -122,7 +137,10 @@
 
     fn take_load(&mut self, load: &BackendLoad) {
         let id = BackendId(load.backend);
-        if self.loads.len() < MAX_LOADS || self.loads.contains_key(&id) {
+        let known = self.loads.get(&id);
+        let fits = known.is_some() || self.loads.len() < MAX_LOADS;
+        if fits && known != Some(load) {
+            self.loads_changed = true;
             self.loads.insert(id, *load);
         }
     }
