--- a/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
+++ b/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
@@ -29,7 +29,7 @@
     ) {
         match body {
             Body::Update(update) => self.handle_update(now, update),
-            Body::SnapshotPart(part) => self.handle_snapshot_part(now, part),
+            Body::SnapshotPart(part) => self.handle_snapshot_part(now, from, part),
             Body::Attach(attach) => self.handle_attach(now, attach),
             Body::HeartbeatReply(reply) => self.handle_reply(now, from, reply),
             _ => self.handle_child(now, from, sender, body),
@@ -72,14 +72,15 @@
         self.after_change(now, outcome.keys);
     }
 
-    fn handle_snapshot_part(&mut self, now: Timestamp, part: &SnapshotPart) {
+    fn handle_snapshot_part(&mut self, now: Timestamp, from: SocketAddrV4, part: &SnapshotPart) {
         if !self.updater.wants_snapshot(part.version) {
             return;
         }
         self.newest_known = self.newest_known.max(part.version);
+        let parent = self.parents.current().map(|parent| parent.control);
         match &mut self.assembly {
-            Some(assembly) if assembly.version() >= part.version => assembly.insert(part),
-            _ => self.assembly = SnapshotAssembly::start(part),
+            Some(assembly) if !assembly.is_replaced_by(parent, from, part) => assembly.insert(part),
+            _ => self.assembly = SnapshotAssembly::start(from, part),
         }
         let complete = self.assembly.take_if(|assembly| assembly.is_complete());
         match complete {
--- a/crates/petrellatch-core/src/dissemination/snapshot_assembly.rs
+++ b/crates/petrellatch-core/src/dissemination/snapshot_assembly.rs
@@ -1,5 +1,7 @@
 //! Puts a snapshot together from its parts.
 
+use std::net::SocketAddrV4;
+
 use petrellatch_proto::dissemination::SnapshotPart;
 use petrellatch_proto::record::RecordChange;
 
@@ -12,6 +14,8 @@
 /// The parts of one snapshot that have arrived so far.
 #[derive(Clone, Debug)]
 pub(super) struct SnapshotAssembly {
+    /// Who sent the first part.
+    source: SocketAddrV4,
     version: u64,
     parts: Vec<Option<Vec<RecordChange>>>,
     missing: usize,
@@ -20,13 +24,14 @@
 impl SnapshotAssembly {
     /// Starts with the first part that arrived. Returns none if the part is
     /// not well formed.
-    pub(super) fn start(part: &SnapshotPart) -> Option<Self> {
+    pub(super) fn start(source: SocketAddrV4, part: &SnapshotPart) -> Option<Self> {
         let sound = part.parts <= MAX_SNAPSHOT_PARTS && part.part < part.parts;
         if !sound {
             return None;
         }
         let count = part.parts as usize;
         let mut assembly = SnapshotAssembly {
+            source,
             version: part.version,
             parts: vec![None; count],
             missing: count,
@@ -40,6 +45,20 @@
         self.version
     }
 
+    /// Whether a part of another snapshot takes the place of this one: it is
+    /// newer, or the parent in use has nothing newer and did not send what is
+    /// here. That parent is asked for the missing parts, but knows only its
+    /// own snapshots.
+    pub(super) fn is_replaced_by(
+        &self,
+        parent: Option<SocketAddrV4>,
+        from: SocketAddrV4,
+        part: &SnapshotPart,
+    ) -> bool {
+        let is_from_new_parent = parent == Some(from) && self.source != from;
+        part.version > self.version || (part.version < self.version && is_from_new_parent)
+    }
+
     /// Takes a part. Parts of other snapshots are ignored.
     pub(super) fn insert(&mut self, part: &SnapshotPart) {
         let same = part.version == self.version && part.parts as usize == self.parts.len();
--- a/crates/petrellatch-core/tests/dissemination/main.rs
+++ b/crates/petrellatch-core/tests/dissemination/main.rs
@@ -1,5 +1,6 @@
 //! Dissemination under loss, restarts and failing relays.
 
+mod catch_up;
 mod network;
 
 use std::time::Duration;
