--- a/crates/petrellatch-core/src/agent_node/open_flow.rs
+++ b/crates/petrellatch-core/src/agent_node/open_flow.rs
@@ -208,6 +208,11 @@
         self.side.finished_reading
     }
 
+    /// Returns whether the back end sent anything.
+    pub(super) fn is_answered(&self) -> bool {
+        self.answered
+    }
+
     /// Returns whether the caller may still be told that the flow did not run.
     pub(super) fn may_be_refused(&self) -> bool {
         self.dispatch.may_refuse_as_not_run() && !self.answered
@@ -222,6 +227,11 @@
         }
     }
 
+    /// Returns when the flow was admitted or, of a refused flow, refused.
+    pub(super) fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Returns whether the driver has a connection for the flow.
     pub(super) fn has_connection(&self) -> bool {
         !self.side.gone
