Hand leadership over before a planned stop

Ruled out: a transfer while the old leader goes on, because it would be sure of its quorum while the next one is elected; skipping the commit of what was proposed, because its proposers would not learn the outcome. Change: Replica::transfer_leadership refuses proposals, waits for a voter with the whole, committed log, steps down and asks it to take over; its votes are asked for with a mark that lets voters help at once. ControlNode::begin_stop and is_stopped. The fault lead_on_after_transfer is found by the checker.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -97,7 +97,7 @@
         term: Term,
         request: &VoteRequest,
     ) {
-        if self.hears_leader() {
+        if self.hears_leader() && !request.transferred {
             return;
         }
         self.observe_term(term);
@@ -179,7 +179,7 @@
     /// Moves on if a quorum agreed.
     fn evaluate_election(&mut self) {
         match &self.part {
-            Part::PreCandidate { granted } if self.is_quorum(granted) => self.start_election(),
+            Part::PreCandidate { granted } if self.is_quorum(granted) => self.start_election(false),
             Part::Candidate { granted } if self.is_quorum(granted) => self.become_leader(),
             _ => {}
         }
@@ -193,7 +193,9 @@
         count >= membership.quorum_size()
     }
 
-    fn start_election(&mut self) {
+    /// Asks for votes in the next term. `transferred` says that the leader of
+    /// this term has stepped down in favour of this replica.
+    pub(super) fn start_election(&mut self, transferred: bool) {
         self.hard_state = HardState {
             term: self.hard_state.term + 1,
             voted_for: Some(self.id),
@@ -207,6 +209,7 @@
         let request = VoteRequest {
             last_index: last.index,
             last_term: last.term,
+            transferred,
         };
         for voter in self.other_voters() {
             self.send_durably(voter, ConsensusBody::VoteRequest(request.clone()));
--- a/crates/petrellatch-core/src/consensus/leader.rs
+++ b/crates/petrellatch-core/src/consensus/leader.rs
@@ -25,7 +25,7 @@
         command: Vec<u8>,
     ) -> Result<LogPosition, ProposeError> {
         self.observe_clock(now);
-        if !matches!(self.part, Part::Leader(_)) {
+        if !matches!(self.part, Part::Leader(_)) || self.is_transferring() {
             return Err(self.not_leader().into());
         }
         if command.len() > MAX_COMMAND_BYTES {
@@ -137,6 +137,7 @@
         self.advance_commit();
         self.apply_committed();
         self.promote_if_caught_up(sender);
+        self.continue_transfer();
     }
 
     /// Moves the commit index to the last entry of this term that is durable
--- a/crates/petrellatch-core/src/consensus/leadership.rs
+++ b/crates/petrellatch-core/src/consensus/leadership.rs
@@ -28,6 +28,9 @@
     /// Whether a round must be started for waiting reads.
     pub(super) round_wanted: bool,
     pub(super) reads: VecDeque<PendingRead>,
+    /// Until when somebody may become ready to take over; none unless this
+    /// leader wants to hand over.
+    pub(super) transfer_deadline: Option<Timestamp>,
     waiting: BTreeMap<NodeId, Incarnation>,
 }
 
@@ -51,6 +54,7 @@
             round: 0,
             round_wanted: false,
             reads: VecDeque::new(),
+            transfer_deadline: None,
             waiting: BTreeMap::new(),
         }
     }
--- a/crates/petrellatch-core/src/consensus/mod.rs
+++ b/crates/petrellatch-core/src/consensus/mod.rs
@@ -114,6 +114,7 @@
 mod snapshot_assembly;
 mod snapshot_transfer;
 mod status;
+mod transfer;
 mod wire;
 mod write_queue;
 
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -173,6 +173,7 @@
                 self.handle_snapshot_chunk_response(sender, term, &response);
             }
             Some(ConsensusBody::JoinRequest(_)) => self.handle_join_request(sender),
+            Some(ConsensusBody::TransferRequest(_)) => self.handle_transfer_request(sender, term),
             None => {}
         }
     }
@@ -187,6 +188,7 @@
         if self.election_is_due() {
             self.start_pre_vote();
         }
+        self.continue_transfer();
         if self.join_is_due() {
             self.announce_join();
         }
@@ -202,6 +204,7 @@
         self.count_own_vote();
         self.advance_commit();
         self.apply_committed();
+        self.continue_transfer();
     }
 
     /// Returns the next thing to do. Messages with entries and disk writes are
@@ -221,8 +224,12 @@
             if self.settings.mutations.skip_quorum_check {
                 return Some(leadership.next_heartbeat);
             }
-            let step_down = self.step_down_deadline(leadership);
-            return Some(leadership.next_heartbeat.min(step_down));
+            let candidates = [
+                Some(leadership.next_heartbeat),
+                Some(self.step_down_deadline(leadership)),
+                leadership.transfer_deadline,
+            ];
+            return candidates.into_iter().flatten().min();
         }
         if self.may_campaign() {
             return Some(self.election_deadline);
--- a/crates/petrellatch-core/src/consensus/settings.rs
+++ b/crates/petrellatch-core/src/consensus/settings.rs
@@ -87,6 +87,8 @@
     /// Votes and acknowledgements of a node count whatever its incarnation,
     /// so that a replica with a lost disk counts as the one before.
     pub ignore_incarnation: bool,
+    /// A leader that has handed over goes on as if it led.
+    pub lead_on_after_transfer: bool,
 }
 
 /// What a replica starts from.
--- a/crates/petrellatch-core/src/control/control_node.rs
+++ b/crates/petrellatch-core/src/control/control_node.rs
@@ -3,6 +3,7 @@
 mod leadership;
 mod replica_outputs;
 mod requests;
+mod stop;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -26,6 +27,7 @@
 use super::operator::OperatorRequest;
 use super::pending_requests::{PendingRead, PendingRequests};
 use leadership::Leadership;
+use stop::StopPhase;
 
 /// One control process: a replica of the log, the state that it leads to, a
 /// relay to serve it, and while it leads, members and placements. See the
@@ -40,6 +42,7 @@
     platform: Vec<PlatformMachine>,
     requests: PendingRequests,
     ready_reads: Vec<PendingRead>,
+    stop: StopPhase,
     outputs: VecDeque<ControlOutput>,
 }
 
@@ -59,6 +62,7 @@
             platform: Vec::new(),
             requests: PendingRequests::new(settings.request_limit, settings.request_timeout),
             ready_reads: Vec::new(),
+            stop: StopPhase::Running,
             outputs: VecDeque::new(),
             settings,
             identity,
@@ -139,6 +143,7 @@
             self.relay.poll_timeout(),
             self.requests.poll_timeout(),
             leadership.map(Leadership::poll_timeout),
+            self.stop.deadline(),
         ];
         candidates.into_iter().flatten().min()
     }
@@ -212,6 +217,7 @@
                 break;
             }
         }
+        self.follow_stop(now);
         self.drain_relay();
     }
 
--- a/crates/petrellatch-core/tests/consensus/main.rs
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -7,3 +7,4 @@
 mod random_faults;
 mod recovery_time;
 mod scenarios;
+mod transfer;
--- a/crates/petrellatch-core/tests/consensus/mutations.rs
+++ b/crates/petrellatch-core/tests/consensus/mutations.rs
@@ -128,6 +128,7 @@
             body: Some(ConsensusBody::VoteRequest(VoteRequest {
                 last_index: 100,
                 last_term: TERM - 1,
+                transferred: false,
             })),
         };
         cluster.inject(NodeId(candidate), voter, request);
@@ -167,3 +168,21 @@
         loses_accepted,
     );
 }
+
+fn leader_handed_over(settings: &ReplicaSettings) -> Vec<Violation> {
+    let (mut cluster, old) = ready_cluster(3, 0, settings);
+    cluster.run_for(Duration::from_secs(1));
+    let begun = cluster.call(old, |replica, now| replica.transfer_leadership(now));
+    begun.expect("it leads");
+    // The request to take over is on its way already.
+    cluster.isolate(&[old]);
+    cluster.run_for(Duration::from_secs(1));
+    cluster.checker.violations
+}
+
+#[test]
+fn leading_on_after_a_transfer_is_found() {
+    let mutations = only(|mutations| &mut mutations.lead_on_after_transfer);
+    let two_sure = |violation: &Violation| *violation == Violation::TwoQuorumLeaders;
+    assert_breaks(leader_handed_over, mutations, two_sure);
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/transfer.rs
@@ -0,0 +1,104 @@
+//! Leadership that is handed over before a planned stop.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use petrellatch_core::consensus::{ProposeError, Role};
+use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage, TransferRequest};
+
+use crate::cluster::{Cluster, replica_id, test_settings};
+use crate::scenarios::{commit, others, ready_cluster};
+
+/// Hands over and returns the time until another leader has committed.
+fn time_to_next_commit(seed_delay: u64) -> Duration {
+    let (mut cluster, old) = ready_cluster(3, 0, &test_settings());
+    cluster.run_for(Duration::from_millis(500 + seed_delay));
+    let value = cluster.propose(old).expect("it leads");
+    let begun = cluster.call(old, |replica, now| replica.transfer_leadership(now));
+    assert_matches!(begun, Ok(()));
+    let start = cluster.now;
+    let new_leader = |cluster: &Cluster| cluster.leader().is_some_and(|node| node != old);
+    cluster.run_until("another leader", new_leader);
+    let new = cluster.leader().expect("just found");
+    commit(&mut cluster, new);
+    assert!(
+        cluster.checker.is_committed(value),
+        "nothing proposed is lost"
+    );
+    assert_eq!(cluster.checker.violations, []);
+    cluster.now.saturating_since(start)
+}
+
+#[test]
+fn handing_over_takes_a_few_round_trips() {
+    let times = (0..40).map(|run| time_to_next_commit(run * 7));
+    let longest = times.max().expect("runs");
+    println!("longest time from a planned stop to the next leader's commit: {longest:?}");
+    assert!(
+        longest < test_settings().election_timeout / 4,
+        "{longest:?}"
+    );
+}
+
+#[test]
+fn leader_refuses_proposals_while_it_hands_over_and_goes_on_if_nobody_is_ready() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let lagging = others(&cluster, leader);
+    cluster.run_for(Duration::from_secs(1));
+    // Both others live, but their disks are so slow that none is ready.
+    cluster.sync_micros = 2_000_000;
+    cluster.propose(leader).expect("it leads");
+    let begun = cluster.call(leader, |replica, now| replica.transfer_leadership(now));
+    assert_matches!(begun, Ok(()));
+    let refused = cluster.call(leader, |replica, now| replica.propose(now, vec![0; 8]));
+    assert_matches!(refused, Err(ProposeError::ProposalNotLeader { .. }));
+    cluster.run_for(test_settings().election_timeout * 2);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert!(cluster.propose(leader).is_some(), "it goes on leading");
+    let followers = lagging.iter().map(|node| cluster.replica(*node).role());
+    assert!(followers.eq([Role::Follower; 2]));
+    assert_eq!(cluster.checker.violations, []);
+}
+
+#[test]
+fn handing_over_under_cuts_and_losses_breaks_no_guarantee() {
+    for seed in 0..60 {
+        let mut cluster = Cluster::start(seed, 3, 0, &test_settings());
+        cluster.network.loss_percent = 10;
+        cluster.network.duplicate_percent = 10;
+        cluster.network.max_delay_micros = 20_000;
+        for round in 0..20 {
+            cluster.run_until("a leader", |cluster| cluster.leader().is_some());
+            let leader = cluster.leader().expect("just found");
+            cluster.propose(leader);
+            cluster.request_read(leader);
+            let _refused = cluster.call(leader, |replica, now| replica.transfer_leadership(now));
+            if round % 3 == 0 {
+                cluster.run_for(Duration::from_millis(seed % 40));
+                cluster.isolate(&[leader]);
+            }
+            cluster.run_for(Duration::from_millis(300));
+            cluster.heal();
+        }
+        assert_eq!(cluster.checker.violations, [], "seed {seed}");
+    }
+}
+
+#[test]
+fn late_transfer_request_has_no_effect() {
+    let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
+    let follower = others(&cluster, leader)[0];
+    let term = cluster.replica(leader).term();
+    let request = |from: u64, term: u64| ConsensusMessage {
+        from_incarnation: replica_id(from).incarnation.0,
+        to_incarnation: 0,
+        term,
+        body: Some(ConsensusBody::TransferRequest(TransferRequest {})),
+    };
+    cluster.inject(leader, follower, request(leader.0, term - 1));
+    let stranger = others(&cluster, leader)[1];
+    cluster.inject(stranger, follower, request(stranger.0, term));
+    cluster.run_for(Duration::from_secs(1));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replica(leader).term(), term);
+}
--- a/crates/petrellatch-core/tests/control/cluster.rs
+++ b/crates/petrellatch-core/tests/control/cluster.rs
@@ -174,6 +174,21 @@
         self.controls[index].node = None;
     }
 
+    /// Begins a planned stop and ends the process when it says so. Returns how
+    /// long that took.
+    pub fn stop(&mut self, index: usize) -> Duration {
+        let now = self.now;
+        let node = self.controls[index].node.as_mut().expect("running");
+        node.begin_stop(now);
+        self.flush_control(index);
+        let taken = self.run_until(Duration::from_secs(5), "the stop", |cluster| {
+            let node = cluster.controls[index].node.as_ref();
+            node.is_some_and(ControlNode::is_stopped)
+        });
+        self.crash(index);
+        taken
+    }
+
     pub fn add_daemon(&mut self, port: u16, name: &str, role: NodeRole) {
         let controls = (0..self.controls.len()).map(control_address).collect();
         let relay = (role == NodeRole::Balancer).then(RelaySettings::default);
--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -6,4 +6,5 @@
 mod fencing;
 mod operators;
 mod placements;
+mod planned_stop;
 mod scale;
--- a/crates/petrellatch-proto/src/consensus.rs
+++ b/crates/petrellatch-proto/src/consensus.rs
@@ -20,7 +20,7 @@
     #[prost(uint64, tag = "3")]
     pub term: u64,
     /// What is asked or answered.
-    #[prost(oneof = "ConsensusBody", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "ConsensusBody", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<ConsensusBody>,
 }
 
@@ -54,8 +54,16 @@
     /// Announces a replica that isn't a voter and hears from no leader.
     #[prost(message, tag = "12")]
     JoinRequest(JoinRequest),
+    /// Hands leadership over to the receiver.
+    #[prost(message, tag = "13")]
+    TransferRequest(TransferRequest),
 }
 
+/// The leader of the envelope's term has stepped down; the receiver, which has
+/// its whole log, is to start an election at once. Further fields may follow.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct TransferRequest {}
+
 /// Asks whether a vote would be granted in `proposed_term`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PreVoteRequest {
@@ -90,6 +98,10 @@
     /// Term of the candidate's last entry.
     #[prost(uint64, tag = "2")]
     pub last_term: u64,
+    /// The leader of the term before has stepped down in favour of the
+    /// sender, so that voters needn't wait until they have missed it.
+    #[prost(bool, tag = "3")]
+    pub transferred: bool,
 }
 
 /// Answers a [`VoteRequest`] in the envelope's term.
