Hand leadership over before a control replica stops

Cause: a planned stop of the leader left the group without one for an election timeout, and answers that were on their way were cut off. Change: SIGTERM calls ControlNode::begin_stop and the loop goes on until is_stopped; a closing HTTP server gives its last answers up to a second.

--- a/crates/petrellatch/src/http/server.rs
+++ b/crates/petrellatch/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 use petrellatch_core::ErrorKind;
 use tiny_http::{Header, Request, Response, Server};
@@ -13,6 +14,11 @@
 use super::message::{HttpRequest, HttpResponse};
 use crate::error::ProgramError;
 
+/// The longest that a closing server waits for its last answers to leave.
+const LAST_ANSWERS_LIMIT: Duration = Duration::from_secs(1);
+/// Between two looks at them.
+const LAST_ANSWERS_POLL: Duration = Duration::from_millis(2);
+
 /// Answers requests.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers one request. May be called by several threads at once.
@@ -30,10 +36,12 @@
     pub body_bytes: usize,
 }
 
-/// A running server. Dropping it closes the address.
+/// A running server. Dropping it closes the address, and gives the answers
+/// that are on their way a short time to leave.
 pub struct HttpServer {
     address: SocketAddrV4,
     server: Arc<Server>,
+    requests: Arc<AtomicUsize>,
     accepting: Option<JoinHandle<()>>,
 }
 
@@ -41,7 +49,7 @@
 struct Shared<H> {
     handler: Arc<H>,
     limits: HttpLimits,
-    requests: AtomicUsize,
+    requests: Arc<AtomicUsize>,
     queue: Mutex<Receiver<Request>>,
 }
 
@@ -61,10 +69,11 @@
                 message: error.to_string(),
             })?;
         let (sender, receiver) = channel();
+        let requests = Arc::new(AtomicUsize::new(0));
         let shared = Arc::new(Shared {
             handler,
             limits,
-            requests: AtomicUsize::new(0),
+            requests: Arc::clone(&requests),
             queue: Mutex::new(receiver),
         });
         for _ in 0..limits.workers {
@@ -77,6 +86,7 @@
         Ok(HttpServer {
             address,
             server,
+            requests,
             accepting: Some(accepting),
         })
     }
@@ -93,6 +103,10 @@
         if let Some(accepting) = self.accepting.take() {
             let _ = accepting.join();
         }
+        let deadline = Instant::now() + LAST_ANSWERS_LIMIT;
+        while self.requests.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
+            thread::sleep(LAST_ANSWERS_POLL);
+        }
     }
 }
 
--- a/crates/petrellatch/src/runtime/control/mod.rs
+++ b/crates/petrellatch/src/runtime/control/mod.rs
@@ -147,7 +147,6 @@
         admin,
         reported_at: Timestamp::ZERO,
         reported_rejected: 0,
-        is_stopped: false,
         process,
     };
     control.run(poll)
@@ -168,7 +167,6 @@
     metrics: ControlMetrics,
     reported_at: Timestamp,
     reported_rejected: u64,
-    is_stopped: bool,
 }
 
 /// An operator's request in progress.
@@ -185,7 +183,7 @@
         let mut events = Events::with_capacity(EVENTS);
         let mut more = false;
         self.work()?;
-        while !self.is_stopped {
+        while !self.node.is_stopped() {
             let wait = match more {
                 true => Duration::ZERO,
                 false => self.clock.until(self.node.poll_timeout(), REPORT_INTERVAL),
@@ -209,7 +207,7 @@
         if !self.admin.is_stopping() {
             self.process.log(EventKind::ProcessStopping, "control");
             self.admin.set_stopping();
-            self.is_stopped = true;
+            self.node.begin_stop(self.clock.now());
         }
     }
 
--- a/crates/petrellatch/tests/control_group.rs
+++ b/crates/petrellatch/tests/control_group.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use petrellatch::api::Configuration;
 use petrellatch::settings::Role;
 use support::{Cluster, DOCUMENT, policy, read_admin, wait_for};
@@ -85,6 +87,20 @@
     assert_eq!(policy_names(&cluster), ["first", "second"]);
 }
 
+#[test]
+fn a_planned_stop_of_the_leader_costs_no_election_timeout() {
+    let election = Duration::from_secs(4);
+    let mut cluster = Cluster::found_with(3, election);
+    cluster.apply(&policy("before"));
+    let leader = cluster.status().leader;
+    let stopping = Instant::now();
+    cluster.take(&leader).stop();
+    cluster.apply(&policy("after"));
+    let elapsed = stopping.elapsed();
+    assert!(elapsed < election, "no change was accepted for {elapsed:?}");
+    assert_ne!(cluster.status().leader, leader);
+}
+
 #[test]
 fn a_group_that_was_killed_keeps_what_it_accepted() {
     let mut cluster = Cluster::found(3);
--- a/crates/petrellatch/tests/support/mod.rs
+++ b/crates/petrellatch/tests/support/mod.rs
@@ -24,6 +24,8 @@
 
 /// The longest that anything in these tests may take.
 pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The usual shortest time without a leader before an election.
+const ELECTION: Duration = Duration::from_millis(500);
 /// Between two looks at something that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -87,6 +89,7 @@
 pub struct Cluster {
     /// Where control replicas and daemons listen.
     addresses: [Ipv4Addr; 2],
+    election: Duration,
     pub folder: TempDir,
     pub replicas: Vec<ReplicaAddress>,
     pub running: BTreeMap<String, Running>,
@@ -95,10 +98,17 @@
 impl Cluster {
     /// Founds a control group of so many replicas.
     pub fn found(replicas: usize) -> Cluster {
+        Cluster::found_with(replicas, ELECTION)
+    }
+
+    /// Founds a control group with this shortest time without a leader before
+    /// an election.
+    pub fn found_with(replicas: usize, election: Duration) -> Cluster {
         let folder = tempfile::tempdir().expect("a scratch folder");
         std::fs::write(folder.path().join("key"), KEY).expect("the key is written");
         let mut cluster = Cluster {
             addresses: draw_addresses(),
+            election,
             folder,
             replicas: Vec::new(),
             running: BTreeMap::new(),
@@ -238,7 +248,7 @@
         let mut file = SettingsFile::default();
         file.timing.heartbeat_milliseconds = Some(100);
         file.timing.lease_milliseconds = Some(1_000);
-        file.timing.election_milliseconds = Some(500);
+        file.timing.election_milliseconds = Some(self.election.as_millis() as u64);
         file.timing.stop_seconds = Some(20);
         resolve("test", file, &options, Some(role)).expect("sound settings")
     }
