--- /dev/null
+++ b/scripts/fleet_lib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of scripts/fleet."""
