--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -2,7 +2,9 @@
 
 mod changes;
 mod cluster;
+mod drafts;
 mod fencing;
 mod operators;
 mod placements;
+mod planned_stop;
 mod scale;
--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod backend;
 pub mod bench;
 pub mod caller;
+pub mod experiment;
 pub mod fabric;
+pub mod hollow;
 pub mod simulator;
 pub mod support;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -6,7 +6,9 @@
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
 use petrellatch_lab::bench::{self, BenchOptions};
+use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
+use petrellatch_lab::hollow::{self, HollowOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
 
@@ -30,8 +32,12 @@
     Backend(BackendOptions),
     /// Measure single roles on this machine.
     Bench(BenchOptions),
+    /// Compare the product with baselines under load and faults.
+    Experiment(ExperimentOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
+    /// Measure the capacity of control with hollow daemons.
+    Hollow(HollowOptions),
     /// Simulate whole fleets with faults and check what is promised.
     Sim(SimOptions),
 }
@@ -67,11 +73,19 @@
             bench::run(&options, &mut std::io::stdout().lock())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Experiment(options) => {
+            Ok(experiment::run(&options, &mut std::io::stdout().lock())?)
+        }
         Command::Fabric(options) => {
             let log = terminal_logger(options.verbose);
             fabric::run(&options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Hollow(options) => {
+            let log = terminal_logger(options.verbose);
+            hollow::run(&options, &log)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Sim(options) => Ok(sim::run(&options, &mut std::io::stdout().lock())?),
     }
 }
--- a/crates/petrellatch/src/ctl/mod.rs
+++ b/crates/petrellatch/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 mod edits;
 mod output;
 mod policy;
+mod replica;
 mod status;
 
 use std::time::{Duration, Instant};
@@ -18,8 +19,17 @@
 use crate::error::{ProgramError, UsageSnafu};
 use client::OperatorClient;
 
-/// Runs one operator command.
+/// Runs one operator command. With JSON output a failure of a request is
+/// printed as the same document that the operator API reports it with.
 pub fn run(options: &CtlOptions) -> Result<(), ProgramError> {
+    let result = run_command(options);
+    if let Err(ProgramError::Request { kind, message }) = &result {
+        output::print_failure(options.output, *kind, message);
+    }
+    result
+}
+
+fn run_command(options: &CtlOptions) -> Result<(), ProgramError> {
     ensure!(
         !options.server.is_empty(),
         UsageSnafu {
@@ -40,6 +50,7 @@
         CtlCommand::Undrain(arguments) => drain::run(&mut client, arguments, false, output),
         CtlCommand::Status(_) => status::run(&mut client, output),
         CtlCommand::Wait(arguments) => status::wait(&mut client, arguments, output),
+        CtlCommand::Replica(arguments) => replica::run(&mut client, arguments, output),
         CtlCommand::Policy(arguments) => policy::run(&mut client, arguments, output),
     }
 }
--- a/crates/petrellatch/src/http/server.rs
+++ b/crates/petrellatch/src/http/server.rs
@@ -1,11 +1,12 @@
 //! The server: one thread takes requests, a few answer them.
 
 use std::io::Read;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 use petrellatch_core::ErrorKind;
 use tiny_http::{Header, Request, Response, Server};
@@ -13,6 +14,11 @@
 use super::message::{HttpRequest, HttpResponse};
 use crate::error::ProgramError;
 
+/// The longest that a closing server waits for its last answers to leave.
+const LAST_ANSWERS_LIMIT: Duration = Duration::from_secs(1);
+/// Between two looks at them.
+const LAST_ANSWERS_POLL: Duration = Duration::from_millis(2);
+
 /// Answers requests.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers one request. May be called by several threads at once.
@@ -30,17 +36,20 @@
     pub body_bytes: usize,
 }
 
-/// A running server. It stops when the process ends.
-#[derive(Debug)]
+/// A running server. Dropping it closes the address, and gives the answers
+/// that are on their way a short time to leave.
 pub struct HttpServer {
     address: SocketAddrV4,
+    server: Arc<Server>,
+    requests: Arc<AtomicUsize>,
+    accepting: Option<JoinHandle<()>>,
 }
 
 /// What the threads of one server share.
 struct Shared<H> {
     handler: Arc<H>,
     limits: HttpLimits,
-    requests: AtomicUsize,
+    requests: Arc<AtomicUsize>,
     queue: Mutex<Receiver<Request>>,
 }
 
@@ -51,7 +60,8 @@
         limits: HttpLimits,
         handler: Arc<H>,
     ) -> Result<Self, ProgramError> {
-        let address = local_address(&listener);
+        let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        let address = local_address(&listener).unwrap_or(unknown);
         let server =
             Server::from_listener(listener, None).map_err(|error| ProgramError::BindHttp {
                 purpose: "HTTP",
@@ -59,18 +69,26 @@
                 message: error.to_string(),
             })?;
         let (sender, receiver) = channel();
+        let requests = Arc::new(AtomicUsize::new(0));
         let shared = Arc::new(Shared {
             handler,
             limits,
-            requests: AtomicUsize::new(0),
+            requests: Arc::clone(&requests),
             queue: Mutex::new(receiver),
         });
         for _ in 0..limits.workers {
             let shared = Arc::clone(&shared);
             spawn("http-worker", move || shared.work())?;
         }
-        spawn("http-server", move || shared.accept(&server, &sender))?;
-        Ok(HttpServer { address })
+        let server = Arc::new(server);
+        let accepted = Arc::clone(&server);
+        let accepting = spawn("http-server", move || shared.accept(&accepted, &sender))?;
+        Ok(HttpServer {
+            address,
+            server,
+            requests,
+            accepting: Some(accepting),
+        })
     }
 
     /// Returns the address that is served.
@@ -79,6 +97,19 @@
     }
 }
 
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(accepting) = self.accepting.take() {
+            let _ = accepting.join();
+        }
+        let deadline = Instant::now() + LAST_ANSWERS_LIMIT;
+        while self.requests.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
+            thread::sleep(LAST_ANSWERS_POLL);
+        }
+    }
+}
+
 impl<H: HttpHandler> Shared<H> {
     /// Takes requests and refuses those above the bounds.
     fn accept(&self, server: &Server, queue: &Sender<Request>) {
@@ -175,18 +206,18 @@
     })
 }
 
-fn local_address(listener: &TcpListener) -> SocketAddrV4 {
+/// Returns the address that a listener was opened on.
+pub fn local_address(listener: &TcpListener) -> Option<SocketAddrV4> {
     match listener.local_addr() {
-        Ok(SocketAddr::V4(address)) => address,
-        _ => SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+        Ok(SocketAddr::V4(address)) => Some(address),
+        _ => None,
     }
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, ProgramError> {
     thread::Builder::new()
         .name(name.to_string())
         .spawn(work)
-        .map(|_| ())
         .map_err(|source| ProgramError::System {
             action: "start a thread",
             source,
