Add the mutation of a leader that leads on

Cause: leadership transfer brought the switch lead_on_after_transfer; the lab's list of mutations did not have it. Ruled out: a default, which would leave the switch without a scenario. Change: Mutation::LeadOnAfterTransfer.

--- a/crates/petrellatch-lab/src/simulator/mutation.rs
+++ b/crates/petrellatch-lab/src/simulator/mutation.rs
@@ -57,6 +57,8 @@
     SkipCurrentCheck = "skip-current-check",
     /// Agents admit without a valid lease.
     IgnoreLease = "ignore-lease",
+    /// A leader that hands leadership over goes on leading.
+    LeadOnAfterTransfer = "lead-on-after-transfer",
     /// Agents admit before earlier owners have released a bucket.
     AdmitBeforeRelease = "admit-before-release",
     /// Reports name no flows, so that new owners know no redirects.
@@ -80,6 +82,7 @@
             skip_quorum_check: self == Mutation::SkipQuorumCheck,
             forget_vote_on_restart: self == Mutation::ForgetVoteOnRestart,
             ignore_incarnation: self == Mutation::IgnoreReplicaIncarnation,
+            lead_on_after_transfer: self == Mutation::LeadOnAfterTransfer,
         }
     }
 
