--- a/crates/petrellatch-core/src/agent_node/view_changes.rs
+++ b/crates/petrellatch-core/src/agent_node/view_changes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use petrellatch_proto::record::{BackendRecord, RecordKey};
+use petrellatch_proto::record::RecordKey;
 
 use crate::Timestamp;
 use crate::cluster::ClusterView;
@@ -18,7 +18,7 @@
         self.directory.refresh(now, self.link.view());
         let view = self.link.view();
         let known = self.backends.keys().copied();
-        let beside = view.backends().filter(|it| it.agent == self.identity.name);
+        let beside = view.backends_of_agent(self.identity.node);
         let beside = beside.map(|it| BackendId(it.id));
         let backends: BTreeSet<BackendId> = known.chain(beside).collect();
         let known = self.services.keys().copied();
@@ -110,16 +110,11 @@
     /// Returns the services of this agent for which the membership of a node
     /// matters.
     fn services_concerning(&self, node: NodeId) -> Vec<ServiceId> {
-        let view = self.link.view();
-        let is_concerned = |id: ServiceId, state: &ServiceState| {
-            let mut backends = view.backends_of(id);
-            state.admission.concerns(node) || backends.any(|it| is_beside(it, node))
-        };
+        let beside = self.link.view().backends_of_agent(node);
+        let beside = beside.map(|backend| ServiceId(backend.service));
         let services = self.services.iter();
-        services
-            .filter(|(id, state)| is_concerned(**id, state))
-            .map(|(id, _)| *id)
-            .collect()
+        let placed = services.filter(|(_, state)| state.admission.concerns(node));
+        placed.map(|(id, _)| *id).chain(beside).collect()
     }
 
     /// Returns the services that a back end belongs, or belonged, to.
@@ -147,7 +142,3 @@
         shares.any(|share| share.node == own) || backends.any(|it| it.agent == self.identity.name)
     }
 }
-
-fn is_beside(backend: &BackendRecord, node: NodeId) -> bool {
-    NodeId::from_name(&backend.agent) == node
-}
