--- a/crates/petrellatch-lab/src/hollow/hollow_view.rs
+++ b/crates/petrellatch-lab/src/hollow/hollow_view.rs
@@ -1,5 +1,6 @@
 //! The view of a hollow daemon.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -15,6 +16,14 @@
 pub struct SharedRecords {
     version: AtomicU64,
     view: Mutex<ClusterView>,
+    snapshots: Mutex<VecDeque<NamedSnapshot>>,
+}
+
+/// Records that were handed out as those of a version.
+#[derive(Debug)]
+struct NamedSnapshot {
+    version: u64,
+    records: Arc<Vec<RecordChange>>,
 }
 
 impl SharedRecords {
@@ -39,6 +48,29 @@
         }
     }
 
+    /// The newest records. Whoever asks for the same version gets the same
+    /// ones, since relays must cut a snapshot alike.
+    fn snapshot(&self, version: u64) -> Arc<Vec<RecordChange>> {
+        const KEPT_SNAPSHOTS: usize = 8;
+        let mut snapshots = self
+            .snapshots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let known = snapshots.iter().find(|it| it.version == version);
+        if let Some(known) = known {
+            return Arc::clone(&known.records);
+        }
+        let records = Arc::new(self.lock().records());
+        snapshots.push_back(NamedSnapshot {
+            version,
+            records: Arc::clone(&records),
+        });
+        if snapshots.len() > KEPT_SNAPSHOTS {
+            snapshots.pop_front();
+        }
+        records
+    }
+
     fn lock(&self) -> MutexGuard<'_, ClusterView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -90,7 +122,7 @@
     }
 
     fn records(&self) -> Vec<RecordChange> {
-        self.records.lock().records()
+        self.records.snapshot(self.version).as_ref().clone()
     }
 
     fn cleared(&self) -> Self {
