Reset no unknown flow without a lease

Ruled out: lost redirects; the flow was never known to that agent. Change: a packet of an unknown flow is dropped unless the agent may admit. Conclusion: the lease guards resets as it guards admission.

--- a/crates/petrellatch-core/src/agent_node/packets.rs
+++ b/crates/petrellatch-core/src/agent_node/packets.rs
@@ -289,6 +289,9 @@
         if !admission.knows_all_flows(now) {
             return Err(DropReason::Unsettled);
         }
+        // Without a lease another agent may have the bucket and the flow by
+        // now, and this one may not have heard of it.
+        self.may_admit(now)?;
         if let Some(reset) = reset_for(&packet.datagram.packet) {
             self.counters.resets += 1;
             self.outputs.push_back(AgentOutput::Packet(reset));
--- a/crates/petrellatch-core/src/agent_node/tests/failures.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/failures.rs
@@ -132,6 +132,35 @@
     assert_eq!(world.unanswered(30..31, ":one;"), []);
 }
 
+/// Resets that agent a answers packets of 20 unknown flows with.
+fn resets_of_unknown_flows(world: &mut World) -> u64 {
+    const TCP_FLAGS: usize = 20 + 13;
+    const ACK: u8 = 0x10;
+    let before = world.agents["a"].counters().resets;
+    for number in 40..60 {
+        let mut datagram = world.opening_datagram(number);
+        datagram.packet[TCP_FLAGS] = ACK;
+        let now = world.now;
+        let agent = world.agents.get_mut("a").unwrap();
+        datagram.incarnation = agent.link().identity().incarnation.0;
+        agent.handle_datagram(now, datagram);
+    }
+    world.agents["a"].counters().resets - before
+}
+
+#[test]
+fn an_agent_without_a_lease_resets_no_unknown_flow() {
+    let mut world = World::new(19, 2);
+    world.run(Duration::from_secs(5));
+    assert!(resets_of_unknown_flows(&mut world) > 0);
+    // Once it is cut off, others may admit flows in its buckets, and a
+    // balancer that lags still sends it packets of these.
+    world.cut_off.insert("a".to_owned());
+    world.run(Duration::from_secs(8));
+    assert_eq!(resets_of_unknown_flows(&mut world), 0);
+    assert!(world.agents["a"].counters().drops[&DropReason::NoLease] > 0);
+}
+
 #[test]
 fn lost_and_late_packets_change_no_answer() {
     for seed in 0..6 {
