Wait in tests for locks that a starting program still holds

Cause: refused_starts::a_folder_of_another_cluster_is_refused failed once with storage_failed in place of invalid_settings. A program that another test of the same process starts holds copies of all open files until it runs its own code, so a lock or port that was just closed may be held for another moment. Change: tests open again what was closed with a wait just for "in use"; a new test checks that a folder that really is in use is refused. Balancers and agents open their folder before the ready line is printed, as control replicas do, so that the line is not printed by a process that can't start.

--- a/crates/petrellatch/src/lib.rs
+++ b/crates/petrellatch/src/lib.rs
@@ -22,7 +22,7 @@
 use gumdrop::Options;
 use logging::make_logger;
 use runtime::control::{ControlSockets, open_replica_folder};
-use runtime::{DaemonSockets, Process, StopSignal, agent, balancer, control};
+use runtime::{DaemonSockets, DataFolder, Process, StopSignal, agent, balancer, control};
 use settings::{Role, Settings, SettingsFile, read_cluster_key};
 
 /// Runs the command that the process was started with.
@@ -70,12 +70,12 @@
     match role {
         Role::Control => run_control(process),
         Role::Balancer => {
-            let sockets = open_daemon(&process)?;
-            balancer::run(process, sockets)
+            let (sockets, folder) = open_daemon(&process)?;
+            balancer::run(process, sockets, folder)
         }
         Role::Agent => {
-            let sockets = open_daemon(&process)?;
-            agent::run(process, sockets)
+            let (sockets, folder) = open_daemon(&process)?;
+            agent::run(process, sockets, folder)
         }
     }
 }
@@ -88,10 +88,11 @@
     control::run(process, sockets, folder)
 }
 
-fn open_daemon(process: &Process) -> Result<DaemonSockets, ProgramError> {
+fn open_daemon(process: &Process) -> Result<(DaemonSockets, DataFolder), ProgramError> {
     let sockets = DaemonSockets::open(&process.settings)?;
+    let folder = DataFolder::open(&process.settings.data_folder)?;
     sockets.ready_line(&process.settings.name).print();
-    Ok(sockets)
+    Ok((sockets, folder))
 }
 
 fn settings_for(options: &DaemonOptions, role: Role) -> Result<Settings, ProgramError> {
--- a/crates/petrellatch/src/runtime/agent/mod.rs
+++ b/crates/petrellatch/src/runtime/agent/mod.rs
@@ -38,8 +38,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs an agent until it has stopped.
-pub fn run(process: Process, sockets: DaemonSockets) -> Result<(), ProgramError> {
-    let folder = DataFolder::open(&process.settings.data_folder)?;
+pub fn run(
+    process: Process,
+    sockets: DaemonSockets,
+    folder: DataFolder,
+) -> Result<(), ProgramError> {
     let stored = process.read_view(&folder)?;
     let identity = node_identity(&process.settings, &sockets, NodeRole::Agent);
     let settings = AgentSettings {
--- a/crates/petrellatch/src/runtime/data_folder.rs
+++ b/crates/petrellatch/src/runtime/data_folder.rs
@@ -37,7 +37,8 @@
                 _lock: lock,
             }),
             Err(TryLockError::WouldBlock) => {
-                let source = io::Error::other("another process uses this folder");
+                let message = "another process uses this folder";
+                let source = io::Error::new(io::ErrorKind::ResourceBusy, message);
                 Err(failure(path, source))
             }
             Err(TryLockError::Error(source)) => Err(failure(&lock_path, source)),
--- a/crates/petrellatch/tests/refused_starts.rs
+++ b/crates/petrellatch/tests/refused_starts.rs
@@ -8,9 +8,11 @@
 use std::process::{Command, Output, Stdio};
 use std::time::Instant;
 
+use petrellatch::error::ProgramError;
+use petrellatch::runtime::DataFolder;
 use petrellatch::runtime::control::open_replica_folder;
 use petrellatch::settings::{Role, read_cluster_key};
-use support::{Cluster, KEY, OTHER_KEY, PATIENCE, policy, read_admin, wait_for};
+use support::{Cluster, KEY, OTHER_KEY, PATIENCE, is_in_use, policy, read_admin, wait_for};
 
 /// A scratch folder with a key file.
 fn scratch() -> tempfile::TempDir {
@@ -35,6 +37,29 @@
     assert!(message.contains(part), "'{part}' is not in: {message}");
 }
 
+/// Returns why something that was just closed can't be opened.
+fn refusal<T>(mut open: impl FnMut() -> Result<T, ProgramError>) -> ProgramError {
+    let mut refusal = None;
+    wait_for("the lock of the former life is gone", || {
+        refusal = open().err();
+        !refusal.as_ref().is_some_and(is_in_use)
+    });
+    refusal.expect("it is refused")
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let mut cluster = Cluster::found(1);
+    cluster.start_daemon(Role::Balancer, "balancer-1");
+    let folder = cluster.data_folder("balancer-1");
+    let error = DataFolder::open(&folder).expect_err("it is refused");
+    assert!(is_in_use(&error), "{error}");
+    let settings = cluster.settings(Role::Control, "control-1", false);
+    let key = read_cluster_key(&settings.key_file).expect("a sound key");
+    let error = open_replica_folder(&settings, &key).expect_err("it is refused");
+    assert!(is_in_use(&error), "{error}");
+}
+
 #[test]
 fn an_address_in_use_is_named() {
     let folder = scratch();
@@ -72,7 +97,7 @@
     drop(open_replica_folder(&settings, &key).expect("it is formatted"));
     fs::write(cluster.folder.path().join("other"), OTHER_KEY).expect("it is written");
     let other = read_cluster_key(&cluster.folder.path().join("other")).expect("a sound key");
-    let error = open_replica_folder(&settings, &other).expect_err("it is refused");
+    let error = refusal(|| open_replica_folder(&settings, &other));
     assert_eq!(error.kind().answer().name, "invalid_settings");
     assert!(error.to_string().contains("belongs to cluster"), "{error}");
 }
@@ -84,7 +109,7 @@
     settings.data_folder = cluster.data_folder("formatted");
     let key = read_cluster_key(&settings.key_file).expect("a sound key");
     drop(open_replica_folder(&settings, &key).expect("it is formatted"));
-    let error = open_replica_folder(&settings, &key).expect_err("it is refused");
+    let error = refusal(|| open_replica_folder(&settings, &key));
     assert!(
         error.to_string().contains("already holds a replica"),
         "{error}"
--- a/crates/petrellatch/tests/support/mod.rs
+++ b/crates/petrellatch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -17,9 +18,10 @@
 use petrellatch::logging::{LogFormat, LogLevel, make_logger};
 use petrellatch::runtime::control::{ControlSockets, open_replica_folder};
 use petrellatch::runtime::{
-    DaemonSockets, Process, ReadyLine, StopHandle, StopSignal, agent, balancer, control,
+    DaemonSockets, DataFolder, Process, ReadyLine, StopHandle, StopSignal, agent, balancer, control,
 };
 use petrellatch::settings::{Role, Settings, SettingsFile, read_cluster_key, resolve};
+use petrellatch_storage::StorageError;
 use tempfile::TempDir;
 
 /// The longest that anything in these tests may take.
@@ -140,20 +142,14 @@
     /// Starts a control replica again on its folder and addresses.
     pub fn restart_control(&mut self, name: &str) {
         let settings = self.settings(Role::Control, name, false);
-        // A process that another test starts at this moment holds a copy of all
-        // sockets until it runs its own program.
-        let mut sockets = None;
-        wait_for("its ports are free again", || {
-            sockets = ControlSockets::open(&settings).ok();
-            sockets.is_some()
-        });
-        self.run_control(settings, sockets.expect("they are open"));
+        let sockets = open_when_free(|| ControlSockets::open(&settings));
+        self.run_control(settings, sockets);
     }
 
     fn run_control(&mut self, settings: Settings, sockets: ControlSockets) {
         let name = settings.name.clone();
         let (process, stop) = process(settings);
-        let folder = open_replica_folder(&process.settings, &process.key).expect("it opens");
+        let folder = open_when_free(|| open_replica_folder(&process.settings, &process.key));
         let ready = sockets.ready_line(&name, folder.incarnation);
         let thread = thread::spawn(move || control::run(process, sockets, folder));
         self.running.insert(
@@ -176,11 +172,12 @@
     pub fn start_daemon_with(&mut self, role: Role, settings: Settings) {
         let name = settings.name.clone();
         let sockets = DaemonSockets::open(&settings).expect("free ports");
+        let folder = open_when_free(|| DataFolder::open(&settings.data_folder));
         let ready = sockets.ready_line(&name);
         let (process, stop) = process(settings);
         let thread = thread::spawn(move || match role {
-            Role::Agent => agent::run(process, sockets),
-            _ => balancer::run(process, sockets),
+            Role::Agent => agent::run(process, sockets, folder),
+            _ => balancer::run(process, sockets, folder),
         });
         self.running.insert(
             name,
@@ -336,6 +333,34 @@
     (process, handle)
 }
 
+/// Opens what a former life of a process has closed.
+///
+/// A program that another test starts at this moment holds copies of all open
+/// files of this process, its sockets and locks included, until it runs its
+/// own code. So what was just closed may still be in use for a moment.
+pub fn open_when_free<T>(mut open: impl FnMut() -> Result<T, ProgramError>) -> T {
+    let mut opened = None;
+    wait_for("what was closed is free", || match open() {
+        Ok(value) => {
+            opened = Some(value);
+            true
+        }
+        Err(error) if is_in_use(&error) => false,
+        Err(error) => panic!("{error}"),
+    });
+    opened.expect("it was waited for")
+}
+
+/// Whether an address or a folder is used by another process.
+pub fn is_in_use(error: &ProgramError) -> bool {
+    match error {
+        ProgramError::Bind { source, .. } => source.kind() == ErrorKind::AddrInUse,
+        ProgramError::Storage { source } => matches!(source, StorageError::FolderInUse { .. }),
+        ProgramError::DataFolder { source, .. } => source.kind() == ErrorKind::ResourceBusy,
+        _ => false,
+    }
+}
+
 /// Waits until something holds.
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
