Take the word of back ends and of the platform, and count control bytes

Cause: a back end that begins to drain by itself was given new flows until it refused them; the platform's list of machines was not read; the bytes of control traffic could not be measured. Ruled out: reading health and load of the back ends' answers: both can lag or mislead, and the agent sees them for itself. Ruled out: a probe by default: a server behind a layer-4 balancer need not speak HTTP. Change: `backends.health_path` and `platform.list_url`, read by threads of their own with short timeouts; petrellatch_control_bytes_total by direction; the flags are put over the file in a module of their own (settings/flags.rs).

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -62,6 +62,8 @@
     ViewNotStored = 104, Warning;
     /// The stored copy of the cluster view is damaged and is not used.
     StoredViewIgnored = 105, Warning;
+    /// The platform's list of machines can't be read; the last one holds.
+    PlatformListMissing = 106, Warning;
     /// A control replica became leader.
     LeaderElected = 200, Info;
     /// A control replica stopped being leader.
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -77,6 +77,12 @@
     /// Where the fabric receives answer packets (UDP); agent only.
     #[options(meta = "IP:PORT", no_short)]
     pub fabric_address: Option<String>,
+    /// URL of the platform's list of machines; control only.
+    #[options(meta = "URL", no_short)]
+    pub platform_list_url: Option<String>,
+    /// Path at which back ends say whether they are draining; agent only.
+    #[options(meta = "PATH", no_short)]
+    pub health_path: Option<String>,
     /// Found the control group: format the empty data folder of a listed
     /// replica as one of its first voters. Once for each replica; control only.
     #[options(no_short)]
--- a/crates/petrellatch/src/runtime/agent/agent_metrics.rs
+++ b/crates/petrellatch/src/runtime/agent/agent_metrics.rs
@@ -3,8 +3,10 @@
 use petrellatch_core::agent_node::AgentNode;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
 
+use crate::runtime::ControlTraffic;
 use crate::runtime::metrics::{
-    counter, counters, drop_reason_name, gauge, raise, refusal_reason_name, set,
+    ControlTrafficMetrics, counter, counters, drop_reason_name, gauge, raise, refusal_reason_name,
+    set,
 };
 
 /// The metrics of an agent.
@@ -16,7 +18,7 @@
     refused: IntCounterVec,
     open_flows: IntGauge,
     connect_failures: IntCounter,
-    rejected: IntCounter,
+    traffic: ControlTrafficMetrics,
     version: IntGauge,
 }
 
@@ -62,11 +64,7 @@
                 "petrellatch_backend_connect_failures_total",
                 "Connections to back ends that did not come about.",
             ),
-            rejected: counter(
-                registry,
-                "petrellatch_rejected_datagrams_total",
-                "Datagrams whose seal or content was wrong.",
-            ),
+            traffic: ControlTrafficMetrics::new(registry),
             version: gauge(
                 registry,
                 "petrellatch_view_version",
@@ -76,7 +74,7 @@
     }
 
     /// Brings the metrics up to date.
-    pub(super) fn update(&self, node: &AgentNode, rejected: u64) {
+    pub(super) fn update(&self, node: &AgentNode, traffic: ControlTraffic, rejected_data: u64) {
         let counters = node.counters();
         raise(&self.packets, counters.packets);
         raise(&self.forwarded, counters.forwarded);
@@ -100,7 +98,7 @@
         }
         set(&self.open_flows, node.open_flows());
         raise(&self.connect_failures, counters.connect_failures);
-        raise(&self.rejected, rejected);
+        self.traffic.update(traffic, rejected_data);
         set(&self.version, node.link().view().version());
     }
 }
--- a/crates/petrellatch/src/runtime/agent/mod.rs
+++ b/crates/petrellatch/src/runtime/agent/mod.rs
@@ -3,12 +3,14 @@
 mod agent_metrics;
 mod backend_connection;
 mod backend_connections;
+mod health_prober;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use mio::{Events, Poll, Token};
+use mio::{Events, Poll, Token, Waker};
 use petrellatch_core::agent_node::{AgentNode, AgentOutput, AgentSettings};
+use petrellatch_core::identity::{BackendId, NodeId};
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::data::DataDatagram;
 use petrellatch_proto::record::NodeRole;
@@ -16,6 +18,7 @@
 
 use self::agent_metrics::AgentMetrics;
 use self::backend_connections::BackendConnections;
+use self::health_prober::{HealthProber, ProbedBackend};
 use super::admin::AdminState;
 use super::clock::ProcessClock;
 use super::data_folder::DataFolder;
@@ -29,6 +32,7 @@
 const CONTROL: Token = Token(0);
 const DATA: Token = Token(1);
 const STOP: Token = Token(2);
+const WAKE: Token = Token(3);
 /// Tokens from here on belong to connections to back ends.
 const FIRST_BACKEND_TOKEN: usize = 16;
 
@@ -54,6 +58,10 @@
     let admin = AdminState::new();
     let _admin_server = process.serve_admin(sockets.admin, &admin)?;
     let poll = open_poll()?;
+    let prober = match &process.settings.health_path {
+        Some(path) => Some(start_prober(path.clone(), &poll)?),
+        None => None,
+    };
     let mut agent = AgentLoop {
         clock,
         node,
@@ -62,6 +70,8 @@
         key: process.key.clone(),
         buffer: Vec::new(),
         backends: BackendConnections::new(&poll, FIRST_BACKEND_TOKEN)?,
+        prober,
+        probed: Vec::new(),
         views: ViewWriter::start(folder, process.logger.clone())?,
         metrics: AgentMetrics::new(admin.registry()),
         admin,
@@ -74,6 +84,14 @@
     agent.run(poll)
 }
 
+fn start_prober(path: String, poll: &Poll) -> Result<HealthProber, ProgramError> {
+    let waker = Waker::new(poll.registry(), WAKE).map_err(|source| ProgramError::System {
+        action: "watch for answers of back ends",
+        source,
+    })?;
+    HealthProber::start(path, Arc::new(waker))
+}
+
 struct AgentLoop {
     process: Process,
     clock: ProcessClock,
@@ -84,6 +102,9 @@
     /// The sealed datagram that is being sent.
     buffer: Vec<u8>,
     backends: BackendConnections,
+    prober: Option<HealthProber>,
+    /// The back ends that the prober asks.
+    probed: Vec<ProbedBackend>,
     views: ViewWriter,
     admin: Arc<AdminState>,
     metrics: AgentMetrics,
@@ -119,6 +140,7 @@
             }
             more = self.receive();
             self.serve_backends();
+            self.take_drain_reports();
             self.work();
             more |= self.backends.has_ready();
         }
@@ -181,6 +203,34 @@
         if now.saturating_since(self.reported_at) >= REPORT_INTERVAL {
             self.reported_at = now;
             self.report();
+            self.choose_probed();
+        }
+    }
+
+    fn take_drain_reports(&mut self) {
+        while let Some(report) = self.prober.as_ref().and_then(HealthProber::poll) {
+            let now = self.clock.now();
+            let (backend, draining) = (report.backend, report.draining);
+            self.node.set_backend_draining(now, backend, draining);
+        }
+    }
+
+    /// Lets the prober ask the back ends that are beside this agent now.
+    fn choose_probed(&mut self) {
+        let Some(prober) = &self.prober else {
+            return;
+        };
+        let own = NodeId::from_name(&self.process.settings.name);
+        let backends = self.node.link().view().backends_of_agent(own);
+        let present: Vec<ProbedBackend> = backends
+            .map(|record| ProbedBackend {
+                backend: BackendId(record.id),
+                server: record.server.into(),
+            })
+            .collect();
+        if present != self.probed {
+            prober.set_targets(present.clone());
+            self.probed = present;
         }
     }
 
@@ -208,12 +258,13 @@
     }
 
     fn report(&mut self) {
-        let rejected = self.rejected + self.control.rejected();
+        let rejected = self.rejected + self.control.traffic().rejected;
         if rejected > self.reported_rejected {
             let subject = format!("{rejected} since the start");
             self.process.log(EventKind::DatagramRejected, subject);
             self.reported_rejected = rejected;
         }
-        self.metrics.update(&self.node, rejected);
+        let traffic = self.control.traffic();
+        self.metrics.update(&self.node, traffic, self.rejected);
     }
 }
--- a/crates/petrellatch/src/runtime/balancer.rs
+++ b/crates/petrellatch/src/runtime/balancer.rs
@@ -15,9 +15,11 @@
 use super::clock::ProcessClock;
 use super::data_folder::DataFolder;
 use super::datagram_socket::{Batch, DatagramSocket};
-use super::metrics::{counter, counters, drop_reason_name, gauge, raise, set};
+use super::metrics::{
+    ControlTrafficMetrics, counter, counters, drop_reason_name, gauge, raise, set,
+};
 use super::process::{DaemonSockets, Process, link_settings, node_identity, open_poll, waited};
-use super::sealed_socket::SealedSocket;
+use super::sealed_socket::{ControlTraffic, SealedSocket};
 use super::stop_signal::StopWish;
 use super::view_writer::ViewWriter;
 use crate::error::ProgramError;
@@ -165,13 +167,13 @@
     }
 
     fn report(&mut self) {
-        let rejected = self.control.rejected();
+        let rejected = self.control.traffic().rejected;
         if rejected > self.reported_rejected {
             let subject = format!("{rejected} since the start");
             self.process.log(EventKind::DatagramRejected, subject);
             self.reported_rejected = rejected;
         }
-        self.metrics.update(&self.node, rejected);
+        self.metrics.update(&self.node, self.control.traffic());
     }
 }
 
@@ -179,7 +181,7 @@
     packets: IntCounter,
     forwarded: IntCounter,
     drops: IntCounterVec,
-    rejected: IntCounter,
+    traffic: ControlTrafficMetrics,
     version: IntGauge,
 }
 
@@ -202,11 +204,7 @@
                 "Packets that were dropped, by reason.",
                 "reason",
             ),
-            rejected: counter(
-                registry,
-                "petrellatch_rejected_datagrams_total",
-                "Control datagrams whose seal or content was wrong.",
-            ),
+            traffic: ControlTrafficMetrics::new(registry),
             version: gauge(
                 registry,
                 "petrellatch_view_version",
@@ -215,7 +213,7 @@
         }
     }
 
-    fn update(&self, node: &BalancerNode, rejected: u64) {
+    fn update(&self, node: &BalancerNode, traffic: ControlTraffic) {
         let counters = node.counters();
         raise(&self.packets, counters.packets);
         raise(&self.forwarded, counters.forwarded);
@@ -223,7 +221,7 @@
             let name = drop_reason_name(*reason);
             raise(&self.drops.with_label_values(&[name]), *total);
         }
-        raise(&self.rejected, rejected);
+        self.traffic.update(traffic, 0);
         set(&self.version, node.link().view().version());
     }
 }
--- a/crates/petrellatch/src/runtime/control/control_metrics.rs
+++ b/crates/petrellatch/src/runtime/control/control_metrics.rs
@@ -2,9 +2,10 @@
 
 use petrellatch_core::consensus::Role;
 use petrellatch_core::control::ControlNode;
-use prometheus::{IntCounter, IntGauge, Registry};
+use prometheus::{IntGauge, Registry};
 
-use crate::runtime::metrics::{counter, gauge, raise, set};
+use crate::runtime::ControlTraffic;
+use crate::runtime::metrics::{ControlTrafficMetrics, gauge, set};
 
 /// The metrics of a control replica.
 pub(super) struct ControlMetrics {
@@ -13,7 +14,7 @@
     commit_index: IntGauge,
     version: IntGauge,
     config_version: IntGauge,
-    rejected: IntCounter,
+    traffic: ControlTrafficMetrics,
 }
 
 impl ControlMetrics {
@@ -41,22 +42,18 @@
                 "petrellatch_configuration_version",
                 "Version of the last accepted change.",
             ),
-            rejected: counter(
-                registry,
-                "petrellatch_rejected_datagrams_total",
-                "Control datagrams whose seal or content was wrong.",
-            ),
+            traffic: ControlTrafficMetrics::new(registry),
         }
     }
 
     /// Brings the metrics up to date.
-    pub(super) fn update(&self, node: &ControlNode, rejected: u64) {
+    pub(super) fn update(&self, node: &ControlNode, traffic: ControlTraffic) {
         let replica = node.replica();
         self.is_leader.set((replica.role() == Role::Leader).into());
         set(&self.term, replica.term());
         set(&self.commit_index, replica.commit_index());
         set(&self.version, node.state().view().version());
         set(&self.config_version, node.state().config_version());
-        raise(&self.rejected, rejected);
+        self.traffic.update(traffic, 0);
     }
 }
--- a/crates/petrellatch/src/runtime/control/mod.rs
+++ b/crates/petrellatch/src/runtime/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_metrics;
 mod documents;
 mod operator_api;
+mod platform_poller;
 mod replica_folder;
 
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use self::control_metrics::ControlMetrics;
 use self::documents::{Directory, Shape};
 use self::operator_api::{Answer, AnswerSender, LoopRequest, OperatorApi, PendingRequest};
+use self::platform_poller::PlatformPoller;
 use super::admin::AdminState;
 use super::clock::ProcessClock;
 use super::datagram_socket::{Batch, DatagramSocket};
@@ -134,11 +136,19 @@
     let _operator_server = HttpServer::start(sockets.operator, limits, Arc::new(operator_api))?;
     let admin = AdminState::new();
     let _admin_server = process.serve_admin(sockets.admin, &admin)?;
+    let platform = match &settings.platform_list_url {
+        Some(url) => {
+            let (url, waker) = (url.clone(), Arc::clone(&waker));
+            Some(PlatformPoller::start(url, waker, process.logger.clone())?)
+        }
+        None => None,
+    };
     let mut control = ControlLoop {
         clock,
         node,
         control: SealedSocket::new(sockets.control, process.key.clone()),
         log: LogWriter::start(folder.store, waker)?,
+        platform,
         requests,
         waiting: BTreeMap::new(),
         next_token: 0,
@@ -158,6 +168,7 @@
     node: ControlNode,
     control: SealedSocket,
     log: LogWriter,
+    platform: Option<PlatformPoller>,
     requests: Receiver<PendingRequest>,
     /// Who waits for the answer to which request.
     waiting: BTreeMap<u64, Waiting>,
@@ -196,6 +207,7 @@
             }
             more = self.receive();
             self.take_requests();
+            self.take_platform_list();
             self.take_written()?;
             self.work()?;
         }
@@ -259,6 +271,13 @@
         self.ask_node(request, Shape::Whole, answer);
     }
 
+    fn take_platform_list(&mut self) {
+        let list = self.platform.as_ref().and_then(PlatformPoller::poll);
+        if let Some(machines) = list {
+            self.node.handle_platform_list(self.clock.now(), machines);
+        }
+    }
+
     fn take_written(&mut self) -> Result<(), ProgramError> {
         while let Some(written) = self.log.poll() {
             let ticket = written.map_err(|source| ProgramError::Storage { source })?;
@@ -312,13 +331,13 @@
     }
 
     fn report(&mut self) {
-        let rejected = self.control.rejected();
+        let rejected = self.control.traffic().rejected;
         if rejected > self.reported_rejected {
             let subject = format!("{rejected} since the start");
             self.process.log(EventKind::DatagramRejected, subject);
             self.reported_rejected = rejected;
         }
-        self.metrics.update(&self.node, rejected);
+        self.metrics.update(&self.node, self.control.traffic());
     }
 }
 
--- a/crates/petrellatch/src/runtime/metrics.rs
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -4,9 +4,46 @@
 use petrellatch_core::routing::DropReason;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use super::sealed_socket::ControlTraffic;
+
 /// A metric that can't be registered is a fault in the names here.
 const UNIQUE: &str = "names of metrics are valid and unique";
 
+/// What every role tells about its control socket.
+pub(super) struct ControlTrafficMetrics {
+    bytes: IntCounterVec,
+    rejected: IntCounter,
+}
+
+impl ControlTrafficMetrics {
+    /// Registers the metrics.
+    pub(super) fn new(registry: &Registry) -> Self {
+        ControlTrafficMetrics {
+            bytes: counters(
+                registry,
+                "petrellatch_control_bytes_total",
+                "Bytes of datagrams at the control socket, by direction.",
+                "direction",
+            ),
+            rejected: counter(
+                registry,
+                "petrellatch_rejected_datagrams_total",
+                "Datagrams whose seal or content was wrong.",
+            ),
+        }
+    }
+
+    /// Brings the metrics up to date. `rejected_data` datagrams were rejected
+    /// at the data socket.
+    pub(super) fn update(&self, traffic: ControlTraffic, rejected_data: u64) {
+        let received = self.bytes.with_label_values(&["in"]);
+        raise(&received, traffic.received_bytes);
+        let sent = self.bytes.with_label_values(&["out"]);
+        raise(&sent, traffic.sent_bytes);
+        raise(&self.rejected, traffic.rejected + rejected_data);
+    }
+}
+
 /// Registers a counter.
 pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let counter = IntCounter::new(name, help).expect(UNIQUE);
--- a/crates/petrellatch/src/runtime/mod.rs
+++ b/crates/petrellatch/src/runtime/mod.rs
@@ -24,6 +24,6 @@
 pub use log_writer::LogWriter;
 pub use process::{DaemonSockets, Process, link_settings, node_identity};
 pub use ready_line::ReadyLine;
-pub use sealed_socket::SealedSocket;
+pub use sealed_socket::{ControlTraffic, SealedSocket};
 pub use stop_signal::{StopHandle, StopSignal, StopWish};
 pub use view_writer::ViewWriter;
--- a/crates/petrellatch/src/runtime/sealed_socket.rs
+++ b/crates/petrellatch/src/runtime/sealed_socket.rs
@@ -15,7 +15,18 @@
     socket: DatagramSocket,
     key: ClusterKeyHolder,
     buffer: Vec<u8>,
-    rejected: u64,
+    traffic: ControlTraffic,
+}
+
+/// What went through a control socket since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ControlTraffic {
+    /// Bytes of all datagrams that arrived.
+    pub received_bytes: u64,
+    /// Bytes of all datagrams that were sent.
+    pub sent_bytes: u64,
+    /// Datagrams that were dropped because their seal or content was wrong.
+    pub rejected: u64,
 }
 
 /// Keeps the key out of debug output.
@@ -34,7 +45,7 @@
             socket,
             key: ClusterKeyHolder(key),
             buffer: Vec::new(),
-            rejected: 0,
+            traffic: ControlTraffic::default(),
         }
     }
 
@@ -53,24 +64,27 @@
         let SealedSocket {
             socket,
             key,
-            rejected,
+            traffic,
             ..
         } = self;
-        socket.receive_batch(|from, datagram| match key.0.open::<Envelope>(datagram) {
-            Ok(envelope) => handle(from, envelope),
-            Err(_) => *rejected += 1,
+        socket.receive_batch(|from, datagram| {
+            traffic.received_bytes += datagram.len() as u64;
+            match key.0.open::<Envelope>(datagram) {
+                Ok(envelope) => handle(from, envelope),
+                Err(_) => traffic.rejected += 1,
+            }
         })
     }
 
     /// Sends one message.
     pub fn send(&mut self, to: SocketAddrV4, envelope: &Envelope) {
         self.key.0.seal(envelope, &mut self.buffer);
+        self.traffic.sent_bytes += self.buffer.len() as u64;
         self.socket.send(to, &self.buffer);
     }
 
-    /// Returns how many datagrams were dropped because their seal or content
-    /// was wrong.
-    pub fn rejected(&self) -> u64 {
-        self.rejected
+    /// Returns what went through the socket.
+    pub fn traffic(&self) -> ControlTraffic {
+        self.traffic
     }
 }
--- a/crates/petrellatch/src/settings/keys.rs
+++ b/crates/petrellatch/src/settings/keys.rs
@@ -60,6 +60,8 @@
     key("addresses.admin", ADDRESS, "127.0.0.1:0"),
     key("addresses.operator", ADDRESS, "127.0.0.1:0"),
     key("addresses.fabric", ADDRESS, ""),
+    key("platform.list_url", "a URL that begins with http://", ""),
+    key("backends.health_path", "a path that begins with /", ""),
     key(
         "timing.heartbeat_milliseconds",
         "a whole number from 50 to 10000",
--- a/crates/petrellatch/src/settings/mod.rs
+++ b/crates/petrellatch/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! flags and defaults, with nothing missing for the role.
 
 mod cluster_key;
+mod flags;
 mod keys;
 mod load;
 mod problem;
--- a/crates/petrellatch/src/settings/resolve.rs
+++ b/crates/petrellatch/src/settings/resolve.rs
@@ -1,24 +1,18 @@
 //! Puts flags over the file, adds defaults, and checks what holds together.
 
-use std::fmt::Display;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::de::IntoDeserializer;
-use serde::de::value::{Error as ValueError, StrDeserializer};
-
+use super::flags::put_flags;
 use super::keys;
 use super::problem::SettingsProblem;
 use super::settings_file::{ReplicaSettings, SettingsFile};
 use crate::command_line::DaemonOptions;
 use crate::logging::{LogFormat, LogLevel};
 
-/// Where a problem of a flag is reported.
-const COMMAND_LINE: &str = "command line";
 /// The longest name of a node or zone, in characters.
 const MAX_NAME_CHARACTERS: usize = 64;
 /// The sizes that a control group may have.
@@ -91,6 +85,10 @@
     pub bootstrap: bool,
     /// The fabric; the unspecified address when there is none.
     pub fabric: SocketAddrV4,
+    /// Where the platform's list of machines is read, if anywhere.
+    pub platform_list_url: Option<String>,
+    /// The path at which back ends say whether they are draining, if they do.
+    pub health_path: Option<String>,
     /// Intervals and bounds.
     pub timing: Timing,
     /// Operator requests worked on or waiting at once.
@@ -127,126 +125,6 @@
     }
 }
 
-fn put_flags(file: &mut SettingsFile, flags: &DaemonOptions, problems: &mut Vec<SettingsProblem>) {
-    let node = &mut file.node;
-    put_flag(&mut node.name, "node.name", &flags.name, problems);
-    put_flag(&mut node.zone, "node.zone", &flags.zone, problems);
-    put_flag(
-        &mut node.data_folder,
-        "node.data_folder",
-        &flags.data_folder,
-        problems,
-    );
-    let key_file = &mut file.cluster.key_file;
-    put_flag(key_file, "cluster.key_file", &flags.key_file, problems);
-    let addresses = &mut file.addresses;
-    for (target, key, flag) in [
-        (
-            &mut addresses.control,
-            "addresses.control",
-            &flags.control_address,
-        ),
-        (&mut addresses.data, "addresses.data", &flags.data_address),
-        (
-            &mut addresses.admin,
-            "addresses.admin",
-            &flags.admin_address,
-        ),
-        (
-            &mut addresses.operator,
-            "addresses.operator",
-            &flags.operator_address,
-        ),
-        (
-            &mut addresses.fabric,
-            "addresses.fabric",
-            &flags.fabric_address,
-        ),
-    ] {
-        put_flag(target, key, flag, problems);
-    }
-    put_word(
-        &mut file.log.format,
-        "log.format",
-        &flags.log_format,
-        problems,
-    );
-    put_word(&mut file.log.level, "log.level", &flags.log_level, problems);
-    if !flags.replica.is_empty() {
-        file.cluster.replicas = flags
-            .replica
-            .iter()
-            .filter_map(|text| parse_replica(text, problems))
-            .collect();
-    }
-}
-
-fn put_flag<T>(
-    target: &mut Option<T>,
-    key: &str,
-    flag: &Option<String>,
-    problems: &mut Vec<SettingsProblem>,
-) where
-    T: FromStr,
-    T::Err: Display,
-{
-    let Some(text) = flag else { return };
-    match text.parse() {
-        Ok(value) => *target = Some(value),
-        Err(error) => problems.push(flag_problem(key, text, error.to_string())),
-    }
-}
-
-/// Like [`put_flag`], for values that are words of a closed list.
-fn put_word<T>(
-    target: &mut Option<T>,
-    key: &str,
-    flag: &Option<String>,
-    problems: &mut Vec<SettingsProblem>,
-) where
-    T: for<'a> Deserialize<'a>,
-{
-    let Some(text) = flag else { return };
-    let deserializer: StrDeserializer<'_, ValueError> = text.as_str().into_deserializer();
-    match T::deserialize(deserializer) {
-        Ok(value) => *target = Some(value),
-        Err(_) => problems.push(flag_problem(key, text, "is not allowed".to_string())),
-    }
-}
-
-fn parse_replica(text: &str, problems: &mut Vec<SettingsProblem>) -> Option<ReplicaSettings> {
-    let parsed = split_replica(text);
-    if parsed.is_none() {
-        let message = "expected NAME=CONTROL[,OPERATOR] with IPv4 addresses and ports";
-        problems.push(flag_problem("cluster.replicas", text, message.to_string()));
-    }
-    parsed
-}
-
-fn split_replica(text: &str) -> Option<ReplicaSettings> {
-    let (name, addresses) = text.split_once('=')?;
-    let (control, operator) = match addresses.split_once(',') {
-        Some((control, operator)) => (control, Some(operator.parse().ok()?)),
-        None => (addresses, None),
-    };
-    Some(ReplicaSettings {
-        name: name.to_string(),
-        control: control.parse().ok()?,
-        operator,
-    })
-}
-
-fn flag_problem(key: &str, value: &str, message: String) -> SettingsProblem {
-    SettingsProblem {
-        file: COMMAND_LINE.to_string(),
-        line: None,
-        key: key.to_string(),
-        value: format!("{value:?}"),
-        message,
-        allowed: keys::allowed(key).to_string(),
-    }
-}
-
 /// Takes values out of the file and notes what is wrong with them.
 struct Resolver<'a> {
     file_name: &'a str,
@@ -273,6 +151,16 @@
             operator: addresses.operator.or(own_operator).unwrap_or(any_port),
             bootstrap: false,
             fabric: self.fabric(addresses.fabric),
+            platform_list_url: self.beginning_with(
+                "platform.list_url",
+                &file.platform.list_url,
+                "http://",
+            ),
+            health_path: self.beginning_with(
+                "backends.health_path",
+                &file.backends.health_path,
+                "/",
+            ),
             timing: self.timing(file),
             operator_requests: self.number(
                 "limits.operator_requests",
@@ -387,6 +275,21 @@
         }
     }
 
+    fn beginning_with(
+        &mut self,
+        key: &str,
+        value: &Option<String>,
+        beginning: &str,
+    ) -> Option<String> {
+        if let Some(text) = value
+            && !text.starts_with(beginning)
+        {
+            let message = format!("does not begin with {beginning}");
+            self.wrong(key, format!("{text:?}"), message);
+        }
+        value.clone()
+    }
+
     fn fabric(&mut self, address: Option<SocketAddrV4>) -> SocketAddrV4 {
         if self.role == Some(Role::Agent) && address.is_none() {
             self.wrong("addresses.fabric", String::new(), "is missing".to_string());
--- a/crates/petrellatch/src/settings/settings_file.rs
+++ b/crates/petrellatch/src/settings/settings_file.rs
@@ -17,6 +17,10 @@
     pub cluster: ClusterSection,
     /// Where it listens and sends.
     pub addresses: AddressSection,
+    /// What the platform tells.
+    pub platform: PlatformSection,
+    /// What back ends tell.
+    pub backends: BackendSection,
     /// Intervals and bounds.
     pub timing: TimingSection,
     /// Bounds on what it takes on.
@@ -75,6 +79,22 @@
     pub fabric: Option<SocketAddrV4>,
 }
 
+/// What the platform tells.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlatformSection {
+    /// Where the list of live and leaving machines is read (HTTP).
+    pub list_url: Option<String>,
+}
+
+/// What back ends tell.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BackendSection {
+    /// The path at which each back end says whether it is draining (HTTP).
+    pub health_path: Option<String>,
+}
+
 /// Intervals and bounds.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/petrellatch/tests/settings_refusals.rs
+++ b/crates/petrellatch/tests/settings_refusals.rs
@@ -174,3 +174,11 @@
     let output = run_check(Path::new("no-such-settings.toml"));
     assert_refusal(&output, &["no-such-settings.toml: can't read"]);
 }
+
+#[test]
+fn an_address_that_is_no_http_address_is_refused() {
+    let content = format!("{GOOD}\n[platform]\nlist_url = \"ftp://here\"\n");
+    assert_refused(&content, &["platform.list_url", "ftp://here", "http://"]);
+    let content = format!("{GOOD}\n[backends]\nhealth_path = \"health\"\n");
+    assert_refused(&content, &["backends.health_path", "begins with /"]);
+}
--- a/crates/petrellatch/tests/support/mod.rs
+++ b/crates/petrellatch/tests/support/mod.rs
@@ -142,6 +142,11 @@
     /// Starts a control replica again on its folder and addresses.
     pub fn restart_control(&mut self, name: &str) {
         let settings = self.settings(Role::Control, name, false);
+        self.restart_control_with(settings);
+    }
+
+    /// Starts a control replica again with these settings.
+    pub fn restart_control_with(&mut self, settings: Settings) {
         let sockets = open_when_free(|| ControlSockets::open(&settings));
         self.run_control(settings, sockets);
     }
