Break each promise about leases on purpose and measure what outages cost

Cause: of the promises about leases, registrations and settling, only the wait before a fence had a fault that breaks it; what a control outage, a dead agent and a region that is cut off cost was not measured. Ruled out: a fault of its own for granting without a quorum, since the log's skip_quorum_check already is that fault.

--- a/crates/petrellatch-core/src/control/control_node/leadership.rs
+++ b/crates/petrellatch-core/src/control/control_node/leadership.rs
@@ -67,12 +67,12 @@
         let start = TermStart {
             term: self.replica.term(),
             election_timeout: self.settings.replica.election_timeout,
-            fences_without_waiting: self.settings.mutations.fence_without_waiting,
+            mutations: self.settings.mutations,
         };
         let settings = self.settings.membership.clone();
         let mut tracker = MemberTracker::new(now, settings, start, &self.state);
         tracker.handle_platform_list(&self.platform);
-        let planner = PlacementPlanner::new(now, self.state.view());
+        let planner = PlacementPlanner::new(now, self.state.view(), self.settings.mutations);
         self.leadership = Some(Leadership { tracker, planner });
     }
 
--- a/crates/petrellatch-core/src/control/control_state.rs
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -227,7 +227,12 @@
             Ok(NodeRole::Balancer | NodeRole::Agent)
         );
         let named = check_name("node", &member.name).is_ok();
-        if known || is_full || !is_daemon || !named || self.is_fenced(life) {
+        if known && !self.mutations.register_over_former_life
+            || is_full
+            || !is_daemon
+            || !named
+            || self.is_fenced(life)
+        {
             return ignored();
         }
         let drained = self.assignments.drained_nodes.contains(&member.name);
--- a/crates/petrellatch-core/src/control/placement_planner.rs
+++ b/crates/petrellatch-core/src/control/placement_planner.rs
@@ -13,6 +13,7 @@
 use crate::membership::{MemberChange, MemberTracker};
 use crate::time::Timestamp;
 
+use super::mutations::ControlMutations;
 use super::plan_queue::PlanQueue;
 use super::policy_cache::PolicyCache;
 use super::service_input;
@@ -63,12 +64,13 @@
     settle_from: ServiceId,
     next_settle: Timestamp,
     learned_at: Timestamp,
+    mutations: ControlMutations,
     outputs: VecDeque<PlannerOutput>,
 }
 
 impl PlacementPlanner {
     /// Starts when a replica became leader.
-    pub(super) fn new(now: Timestamp, view: &ClusterView) -> Self {
+    pub(super) fn new(now: Timestamp, view: &ClusterView, mutations: ControlMutations) -> Self {
         let service_of =
             |backend: &BackendRecord| (BackendId(backend.id), ServiceId(backend.service));
         let mut planner = PlacementPlanner {
@@ -81,6 +83,7 @@
             settle_from: ServiceId(0),
             next_settle: now,
             learned_at: now + LEARNING_TIME,
+            mutations,
             outputs: VecDeque::new(),
         };
         for placement in view.placements() {
@@ -336,7 +339,9 @@
             self.queue.push(service);
         }
         let is_waiting = is_recent(now, plan.settle_proposed_at);
-        if is_waiting || !has_settled(placement, plan.placed_version, view, tracker) {
+        let may_settle = self.mutations.settle_without_reports
+            || has_settled(placement, plan.placed_version, view, tracker);
+        if is_waiting || !may_settle {
             return;
         }
         plan.settle_proposed_at = Some(now);
--- a/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
+++ b/crates/petrellatch-core/src/dissemination/daemon_link/messages.rs
@@ -149,7 +149,17 @@
         self.required.get_or_insert(answer.version);
         if answer.fenced {
             self.report_fence();
-        } else if let Some(until) = self.lease.renew(now, sent_at, answer.lease_milliseconds) {
+        }
+        let counts_from = if self.settings.mutations.lease_from_arrival {
+            now
+        } else {
+            sent_at
+        };
+        if !answer.fenced
+            && let Some(until) = self
+                .lease
+                .renew(now, counts_from, answer.lease_milliseconds)
+        {
             self.outputs.push_back(LinkOutput::Lease(until));
         }
         let in_use = self.parents.current().map(|parent| parent.control);
--- a/crates/petrellatch-core/src/dissemination/link_settings.rs
+++ b/crates/petrellatch-core/src/dissemination/link_settings.rs
@@ -20,6 +20,9 @@
     pub apply_older_versions: bool,
     /// A daemon takes its stored or empty view for current at start.
     pub skip_current_check: bool,
+    /// A lease counts from the arrival of the answer, not from the sending of
+    /// the heartbeat.
+    pub lease_from_arrival: bool,
 }
 
 /// How a daemon keeps in touch with the control group.
--- a/crates/petrellatch-core/src/membership/member_tracker.rs
+++ b/crates/petrellatch-core/src/membership/member_tracker.rs
@@ -10,7 +10,7 @@
 use petrellatch_proto::dissemination::{Attach, Delta, HeartbeatAnswer, HeartbeatEntry};
 use petrellatch_proto::record::{MemberRecord, NodeRole, RecordKey};
 
-use crate::control::{ControlState, Life};
+use crate::control::{ControlMutations, ControlState, Life};
 use crate::event::Event;
 use crate::identity::{Incarnation, NodeId};
 use crate::time::Timestamp;
@@ -56,8 +56,8 @@
     pub term: u64,
     /// For so long former leaders can still have granted leases.
     pub election_timeout: Duration,
-    /// Silent agents are fenced at once (a fault for the lab).
-    pub fences_without_waiting: bool,
+    /// Deliberate faults for the lab.
+    pub mutations: ControlMutations,
 }
 
 /// Follows the members' heartbeats, grants leases and decides who is fenced.
@@ -75,7 +75,7 @@
     /// Whether the suspected balancers have changed since parents were chosen.
     suspicion_changed: bool,
     changes: BTreeMap<NodeId, MemberChange>,
-    fences_without_waiting: bool,
+    mutations: ControlMutations,
     term: u64,
     mass_silence_since: Option<Timestamp>,
     next_check: Timestamp,
@@ -92,9 +92,14 @@
         state: &ControlState,
     ) -> Self {
         let lease_over_at = now + start.election_timeout + settings.lease_end();
+        let forgets = start.mutations.forget_earlier_leases;
         let track = |member: &MemberRecord| {
             let incarnation = Incarnation(member.incarnation);
-            let tracked = TrackedMember::new(now, incarnation, lease_over_at, None);
+            let mut tracked = TrackedMember::new(now, incarnation, lease_over_at, None);
+            if forgets {
+                tracked.lease_over_at = now;
+                tracked.last_seen = now - settings.lease_end();
+            }
             (NodeId(member.node), tracked)
         };
         MemberTracker {
@@ -106,7 +111,7 @@
             unattached: state.view().members().map(node_of).collect(),
             suspicion_changed: false,
             changes: BTreeMap::new(),
-            fences_without_waiting: start.fences_without_waiting,
+            mutations: start.mutations,
             term: start.term,
             mass_silence_since: None,
             next_check: now + CHECK_INTERVAL,
@@ -290,7 +295,8 @@
         }
         // A balancer admits nothing, so its former life needs no waiting.
         let former = state.view().member(life.node);
-        self.registrations.insert(record, former.is_some());
+        let is_blocked = former.is_some() && !self.mutations.register_over_former_life;
+        self.registrations.insert(record, is_blocked);
         if let Some(former) = former.filter(|it| it.role == NodeRole::Balancer as i32) {
             self.propose_fence(now, former);
         }
--- a/crates/petrellatch-core/src/membership/member_tracker/review.rs
+++ b/crates/petrellatch-core/src/membership/member_tracker/review.rs
@@ -75,7 +75,7 @@
         let is_behind = member.is_ready() && member.lag(now) >= self.settings.version_lag_limit;
         let is_spared = is_mass_silence && !has_successor;
         let is_lost = lease_is_over && !is_spared && (is_silent || is_behind);
-        let too_early = self.fences_without_waiting && member.is_suspected;
+        let too_early = self.mutations.fence_without_waiting && member.is_suspected;
         if member.is_stopped || is_lost || too_early {
             self.propose_fence(now, record);
         }
--- a/crates/petrellatch-core/src/membership/mod.rs
+++ b/crates/petrellatch-core/src/membership/mod.rs
@@ -43,7 +43,7 @@
 //! let start = TermStart {
 //!     term: 1,
 //!     election_timeout: Duration::from_millis(500),
-//!     fences_without_waiting: false,
+//!     mutations: ControlMutations::default(),
 //! };
 //! let mut tracker = MemberTracker::new(now, settings, start, &state);
 //! let record = MemberRecord {
--- a/crates/petrellatch-core/tests/control/cluster.rs
+++ b/crates/petrellatch-core/tests/control/cluster.rs
@@ -14,7 +14,7 @@
     OperatorResponse,
 };
 use petrellatch_core::dissemination::{
-    AgentReport, DaemonLink, LinkOutput, LinkSettings, RelaySettings,
+    AgentReport, DaemonLink, DisseminationMutations, LinkOutput, LinkSettings, RelaySettings,
 };
 use petrellatch_core::identity::{Incarnation, NodeId};
 use petrellatch_core::node::NodeIdentity;
@@ -75,11 +75,17 @@
     pub daemons: BTreeMap<SocketAddrV4, Daemon>,
     pub responses: BTreeMap<u64, RequestResult>,
     pub cut: BTreeSet<SocketAddrV4>,
+    /// Ways, from and to, on which nothing gets through.
+    pub cut_pairs: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     pub faults: Faults,
+    /// How much later messages to an address arrive.
+    pub slow: BTreeMap<SocketAddrV4, Duration>,
     /// Lives that held a lease while they were no members any more.
     pub violations: Vec<String>,
     pub received_bytes: BTreeMap<SocketAddrV4, u64>,
     pub sent_bytes: BTreeMap<SocketAddrV4, u64>,
+    /// Faults of daemons that are added from now on.
+    pub link_mutations: DisseminationMutations,
     settings: ControlSettings,
     random: ChaCha8Rng,
     queue: BTreeMap<(Timestamp, u64), Event>,
@@ -127,10 +133,13 @@
             daemons: BTreeMap::new(),
             responses: BTreeMap::new(),
             cut: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             faults: Faults::default(),
+            slow: BTreeMap::new(),
             violations: Vec::new(),
             received_bytes: BTreeMap::new(),
             sent_bytes: BTreeMap::new(),
+            link_mutations: DisseminationMutations::default(),
             settings,
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
@@ -195,6 +204,7 @@
         let settings = LinkSettings {
             controls,
             relay,
+            mutations: self.link_mutations,
             ..LinkSettings::default()
         };
         let address = daemon_address(port);
@@ -338,7 +348,8 @@
     }
 
     fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, envelope: Envelope) {
-        if self.cut.contains(&from) || self.cut.contains(&to) {
+        let is_cut = self.cut.contains(&from) || self.cut.contains(&to);
+        if is_cut || self.cut_pairs.contains(&(from, to)) {
             return;
         }
         *self.received_bytes.entry(to).or_default() += envelope.encoded_len() as u64;
@@ -445,7 +456,8 @@
                 to,
                 envelope: envelope.clone(),
             };
-            self.schedule(Duration::from_micros(500 + jitter), event);
+            let slow = self.slow.get(&to).copied().unwrap_or_default();
+            self.schedule(slow + Duration::from_micros(500 + jitter), event);
         }
     }
 
--- a/crates/petrellatch-core/tests/dissemination/main.rs
+++ b/crates/petrellatch-core/tests/dissemination/main.rs
@@ -292,6 +292,7 @@
     let mutations = DisseminationMutations {
         apply_older_versions: true,
         skip_current_check: true,
+        ..DisseminationMutations::default()
     };
     let settings = LinkSettings {
         mutations,
