--- a/crates/petrellatch-core/tests/control/outages.rs
+++ b/crates/petrellatch-core/tests/control/outages.rs
@@ -155,11 +155,7 @@
     for port in FAR_AGENTS {
         cluster.cut.insert(daemon_address(port));
     }
-    let is_far = |node: &u64| {
-        FAR_AGENTS
-            .map(|port| self::node(port).0)
-            .any(|it| it == *node)
-    };
+    let is_far = |node: &u64| FAR_AGENTS.iter().any(|port| self::node(*port).0 == *node);
     let taken = cluster.run_until(LIMIT, "takeover", |it| {
         !owners(it).iter().any(is_far) && it.all_in_force()
     });
