Refuse new flows at once when no back end receives any

New flows hung until the caller's own timeout, and open flows on drained back ends lost their packets as well. Ruled out: resets by the balancer, which knows neither the open flows nor how the service refuses. Change: such a generation lists the back ends whose agents are there without weight. They own the buckets in equal parts, get the flow reports, pass packets of open flows on, and refuse new flows (503 not run with Retry-After, or reset). Control waits for these owners before it settles. A test that expected a placement without weight to have no owner now expects the refusing owner, and a placement without shares to have none. Figures: test with 30 open flows and 20 new ones on three weightless back ends: 20 refused within 200 ms, 30 of 30 open flows answered. Conclusion: only a service none of whose agents is there still drops packets.

--- a/crates/petrellatch-core/src/admission/backend_limits.rs
+++ b/crates/petrellatch-core/src/admission/backend_limits.rs
@@ -23,6 +23,8 @@
     RateLimit,
     /// It can't be reached.
     Unreachable,
+    /// No back end of the service receives new flows.
+    NoBackend,
 }
 
 /// What a back end is doing, as its agent counts it.
--- a/crates/petrellatch-core/src/admission/service_admission.rs
+++ b/crates/petrellatch-core/src/admission/service_admission.rs
@@ -137,6 +137,12 @@
         self.generations.last().map_or(0, PlacedGeneration::number)
     }
 
+    /// Returns whether any back end receives new flows by the newest
+    /// generation.
+    pub fn admits(&self) -> bool {
+        self.newest().is_some_and(PlacedGeneration::admits)
+    }
+
     /// Returns the newest generation.
     pub fn newest(&self) -> Option<&PlacedGeneration> {
         self.generations.last()
@@ -365,7 +371,7 @@
         let generation = self.generation();
         let older = self.generations.iter().rev().skip(1);
         self.unreleased = older
-            .flat_map(PlacedGeneration::receiving_lives)
+            .flat_map(PlacedGeneration::owning_lives)
             .filter(|life| *life != self.own)
             .filter(|life| view.is_member(life.node, life.incarnation))
             .filter(|life| !self.inbox.is_complete(*life, generation))
@@ -391,7 +397,7 @@
             return;
         };
         let recipients: BTreeSet<AgentLife> = newest
-            .receiving_lives()
+            .owning_lives()
             .filter(|life| *life != self.own)
             .filter(|life| view.is_member(life.node, life.incarnation))
             .collect();
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -168,6 +168,9 @@
         let Some(state) = self.services.get_mut(&packet.service) else {
             return Decision::Refuse(RefusalReason::Unreachable);
         };
+        if !state.admission.admits() {
+            return Decision::Refuse(RefusalReason::NoBackend);
+        }
         if asked.is_empty() && !state.rate.has_token(now) {
             return Decision::Refuse(RefusalReason::RateLimit);
         }
--- a/crates/petrellatch-core/src/agent_node/maintenance.rs
+++ b/crates/petrellatch-core/src/agent_node/maintenance.rs
@@ -272,7 +272,7 @@
         let own = self.own_life();
         let released = self.services.values().all(|state| {
             let newest = state.admission.newest();
-            let owns = newest.is_some_and(|it| it.receiving_lives().any(|life| life == own));
+            let owns = newest.is_some_and(|it| it.owning_lives().any(|life| life == own));
             !owns && state.admission.is_reported()
         });
         released && self.open_flows() == 0
--- a/crates/petrellatch-core/src/agent_node/tests/refusals.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/refusals.rs
@@ -121,3 +121,37 @@
     assert_eq!(world.unanswered(300..340, ":one;"), []);
     assert_eq!(refused(&world), before);
 }
+
+#[test]
+fn flows_are_refused_at_once_if_no_back_end_receives_any() {
+    let mut world = World::new(26, 3);
+    for number in 0..30 {
+        world.call(number, "one\n");
+        world.run(Duration::from_millis(25));
+    }
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.unanswered(0..30, ":one;"), []);
+    world.control.place(DESK, &[(1, 0), (2, 0), (3, 0)], 1);
+    world.publish();
+    world.run(Duration::from_millis(200));
+    for number in 100..120 {
+        world.call(number, "refused\n");
+    }
+    world.run(Duration::from_millis(200));
+    let not_run = "X-Petrellatch-Not-Run: 1";
+    assert_eq!(world.unanswered(100..120, not_run), []);
+    assert_eq!(world.unanswered(100..120, "Retry-After: "), []);
+    assert_eq!(world.requests_like("refused"), 0);
+    // Open flows go on.
+    for number in 0..30 {
+        world.say(number, "two\n");
+    }
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.unanswered(0..30, ":two;"), []);
+    world.control.place(DESK, &[(1, 1_000), (2, 0), (3, 0)], 1);
+    world.publish();
+    world.run(Duration::from_millis(200));
+    world.call(200, "again\n");
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.unanswered(200..201, ":again;"), []);
+}
--- a/crates/petrellatch-core/src/control/control_state.rs
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -316,9 +316,9 @@
         let in_order = shares.is_sorted_by(|left, right| left.backend < right.backend);
         let is_member =
             |node, incarnation| self.view.is_member(NodeId(node), Incarnation(incarnation));
-        let to_members = shares
-            .iter()
-            .all(|share| !share.receives() || is_member(share.node, share.incarnation));
+        let to_members = generation
+            .owners()
+            .all(|share| is_member(share.node, share.incarnation));
         in_order && to_members && shares.len() <= MAX_BACKENDS_OF_SERVICE
     }
 
--- a/crates/petrellatch-core/src/control/service_input.rs
+++ b/crates/petrellatch-core/src/control/service_input.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::record::{
-    BackendRecord, MemberRecord, MemberState, NodeRole, PolicyRecord, ServiceRecord,
+    BackendRecord, MemberRecord, MemberState, NodeRole, PolicyRecord, ServiceRecord, ShareRecord,
 };
 
 use crate::cluster::ClusterView;
@@ -40,6 +40,9 @@
     pub(super) service: ServiceView,
     pub(super) policy: PolicyRecord,
     pub(super) candidates: Vec<Candidate>,
+    /// Back ends whose agents are there, drained ones included, without
+    /// weight.
+    pub(super) refusers: Vec<ShareRecord>,
 }
 
 /// Loads of the back ends in levels, remembered between evaluations.
@@ -117,9 +120,29 @@
         service: service_view(service),
         policy: view.policy(&service.policy)?.clone(),
         candidates,
+        refusers: refusers(service, view, tracker),
     })
 }
 
+fn refusers(
+    service: &ServiceRecord,
+    view: &ClusterView,
+    tracker: &MemberTracker,
+) -> Vec<ShareRecord> {
+    let backends = view.backends_of(ServiceId(service.id));
+    backends
+        .filter_map(|record| {
+            let member = find_present_agent(record, view, tracker).ok()?;
+            Some(ShareRecord {
+                backend: record.id,
+                weight: 0,
+                node: member.node,
+                incarnation: member.incarnation,
+            })
+        })
+        .collect()
+}
+
 /// Returns the agent of a back end, or why the back end is no candidate.
 pub(super) fn find_agent<'view>(
     record: &BackendRecord,
@@ -129,6 +152,15 @@
     if record.draining {
         return Err(Exclusion::Draining);
     }
+    find_present_agent(record, view, tracker)
+}
+
+/// Returns the agent of a back end, whether that is drained or not.
+fn find_present_agent<'view>(
+    record: &BackendRecord,
+    view: &'view ClusterView,
+    tracker: &MemberTracker,
+) -> Result<&'view MemberRecord, Exclusion> {
     let node = NodeId::from_name(&record.agent);
     let member = view.member(node).ok_or(Exclusion::AgentAbsent)?;
     if member.role != NodeRole::Agent as i32 || !tracker.is_ready(node) {
--- a/crates/petrellatch-core/src/control/service_plan.rs
+++ b/crates/petrellatch-core/src/control/service_plan.rs
@@ -138,7 +138,7 @@
         view: &ClusterView,
     ) -> Option<Event> {
         let has_backends = view.backends_of(ServiceId(service.id)).next().is_some();
-        let receives_nothing = has_backends && self.decision.shares.is_empty();
+        let receives_nothing = has_backends && !self.decision.admits();
         let is_news = receives_nothing && !self.receives_nothing;
         self.receives_nothing = receives_nothing;
         is_news.then(|| Event::new(EventKind::NoEligibleBackend, service.name.clone()))
@@ -159,8 +159,7 @@
         return false;
     };
     let service = ServiceId(placement.service);
-    let owns = |share: &&ShareRecord| share.receives();
-    let owners_settled = newest.shares.iter().filter(owns).all(|share| {
+    let owners_settled = newest.owners().all(|share| {
         is_live(share, view) && tracker.is_settled(NodeId(share.node), service, placed_version)
     });
     let former = older.iter().flat_map(|generation| &generation.shares);
--- a/crates/petrellatch-core/src/control/share_decision.rs
+++ b/crates/petrellatch-core/src/control/share_decision.rs
@@ -15,10 +15,18 @@
 /// The outcome for one service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct ShareDecision {
-    /// Back ends that receive new flows, by identifier.
+    /// Back ends that receive new flows, by identifier. If none does, all
+    /// whose agents are there, with no weight: these refuse new flows.
     pub(super) shares: Vec<ShareRecord>,
 }
 
+impl ShareDecision {
+    /// Whether any back end receives new flows.
+    pub(super) fn admits(&self) -> bool {
+        self.shares.iter().any(ShareRecord::receives)
+    }
+}
+
 /// Evaluates the policy. Without one, nothing receives new flows.
 pub(super) fn decide(policy: Option<&Policy>, input: &ServiceInput) -> ShareDecision {
     let Some(policy) = policy else {
@@ -26,7 +34,7 @@
     };
     let weights = bounded_weights(policy, input);
     let candidates = input.candidates.iter().zip(weights);
-    let shares = candidates
+    let mut shares: Vec<ShareRecord> = candidates
         .map(|(candidate, weight)| ShareRecord {
             backend: candidate.reported.id.0,
             weight: candidate.ramp(weight),
@@ -35,6 +43,9 @@
         })
         .filter(ShareRecord::receives)
         .collect();
+    if shares.is_empty() {
+        shares.clone_from(&input.refusers);
+    }
     ShareDecision { shares }
 }
 
--- a/crates/petrellatch-core/src/routing/placed_generation.rs
+++ b/crates/petrellatch-core/src/routing/placed_generation.rs
@@ -31,19 +31,24 @@
     number: u64,
     /// In the order of back ends.
     shares: Box<[ShareRecord]>,
+    /// Whether any back end receives new flows.
+    admits: bool,
     table: BucketTable,
 }
 
 impl PlacedGeneration {
     /// Computes the table.
     pub fn compute(service: &ServiceRecord, generation: &GenerationRecord) -> Self {
-        let shares: Vec<Share> = generation.shares.iter().map(share_of).collect();
+        let admits = generation.admits();
+        let owners = generation.owners();
+        let shares: Vec<Share> = owners.map(|share| share_of(share, admits)).collect();
         let table = BucketTable::compute(ServiceId(service.id), service.buckets, &shares);
         let mut shares = generation.shares.clone();
         shares.sort_by_key(|share| share.backend);
         PlacedGeneration {
             number: generation.number,
             shares: shares.into(),
+            admits,
             table,
         }
     }
@@ -72,7 +77,13 @@
         self.table.bucket_count()
     }
 
-    /// Returns who admits the new flows of `bucket`.
+    /// Returns whether any back end receives new flows. If none does, the
+    /// owners of buckets refuse new flows.
+    pub fn admits(&self) -> bool {
+        self.admits
+    }
+
+    /// Returns who decides about the new flows of `bucket`.
     pub fn owner(&self, bucket: BucketIndex) -> Option<BucketOwner> {
         let share = &self.shares[self.owner_position(bucket)?];
         Some(BucketOwner {
@@ -97,11 +108,11 @@
         self.table.buckets()
     }
 
-    /// Returns the lives of the agents that receive new flows.
-    pub fn receiving_lives(&self) -> impl Iterator<Item = AgentLife> {
+    /// Returns the lives of the agents that own buckets.
+    pub fn owning_lives(&self) -> impl Iterator<Item = AgentLife> {
         self.shares
             .iter()
-            .filter(|share| share.receives())
+            .filter(|share| share.receives() || !self.admits)
             .map(life_of)
     }
 
@@ -120,10 +131,11 @@
     }
 }
 
-fn share_of(share: &ShareRecord) -> Share {
+/// Owners that admit nothing have equal parts.
+fn share_of(share: &ShareRecord, admits: bool) -> Share {
     Share {
         backend: BackendId(share.backend),
-        weight: share.weight,
+        weight: if admits { share.weight } else { 1 },
     }
 }
 
--- a/crates/petrellatch-core/src/routing/tests.rs
+++ b/crates/petrellatch-core/src/routing/tests.rs
@@ -108,9 +108,21 @@
     router.refresh(&view);
     let route = |router: &Router, address| router.route(&packet_to(address)).unwrap_err();
     assert_eq!(route(&router, "10.9.0.1"), DropReason::UnknownService);
-    place(&mut view, 1, 50, 0);
+    put(
+        &mut view,
+        Record::Placement(PlacementRecord {
+            service: DESK,
+            generations: vec![GenerationRecord::default()],
+        }),
+    );
     router.refresh(&view);
     assert_eq!(route(&router, "10.9.0.1"), DropReason::NoOwner);
+    // Without a back end that receives new flows, those without weight own the
+    // buckets and refuse.
+    place(&mut view, 1, 50, 0);
+    router.refresh(&view);
+    let (_, datagram) = router.route(&packet_to("10.9.0.1")).unwrap();
+    assert_eq!((datagram.backend, datagram.incarnation), (9, 50));
     assert_eq!(route(&router, "10.9.0.2"), DropReason::UnknownService);
     place(&mut view, 2, 49, 1_000);
     router.refresh(&view);
--- a/crates/petrellatch-core/tests/control/placements.rs
+++ b/crates/petrellatch-core/tests/control/placements.rs
@@ -186,3 +186,23 @@
     let text = explanations[1].to_string();
     assert!(text.contains("drained"), "{text}");
 }
+
+#[test]
+fn a_service_without_eligible_back_ends_has_owners_that_refuse() {
+    let mut cluster = start(6);
+    for number in 0..AGENTS {
+        let name = format!("backend-{number}");
+        submit_drain(&mut cluster, DrainTarget::Backend, &name, true);
+    }
+    cluster.run_until(LIMIT, "refusing owners", |it| {
+        let shares = newest_shares(it);
+        let refusing = !shares.iter().any(ShareRecord::receives);
+        refusing && shares.len() == usize::from(AGENTS) && it.all_in_force()
+    });
+    cluster.run_until(LIMIT, "settling", |it| generations(it).len() == 1);
+    submit_drain(&mut cluster, DrainTarget::Backend, "backend-1", false);
+    cluster.run_until(LIMIT, "one back end again", |it| {
+        let shares = newest_shares(it);
+        shares.len() == 1 && shares[0].receives()
+    });
+}
--- a/crates/petrellatch-proto/src/record.rs
+++ b/crates/petrellatch-proto/src/record.rs
@@ -180,6 +180,22 @@
     pub shares: Vec<ShareRecord>,
 }
 
+impl GenerationRecord {
+    /// Returns whether any back end receives new flows.
+    pub fn admits(&self) -> bool {
+        self.shares.iter().any(ShareRecord::receives)
+    }
+
+    /// Returns the shares that own buckets: those that receive new flows or,
+    /// if none does, all. The agents of the latter refuse new flows and pass
+    /// packets of open flows on to where these are.
+    pub fn owners(&self) -> impl Iterator<Item = &ShareRecord> {
+        let admits = self.admits();
+        let shares = self.shares.iter();
+        shares.filter(move |share| share.receives() || !admits)
+    }
+}
+
 /// The placement of a service: the newest generation last, before it the older
 /// ones whose owners may not all have released their buckets yet.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/petrellatch/src/runtime/metrics.rs
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -65,5 +65,6 @@
         RefusalReason::Slots => "slots",
         RefusalReason::RateLimit => "rate_limit",
         RefusalReason::Unreachable => "unreachable",
+        RefusalReason::NoBackend => "no_backend",
     }
 }
