--- a/crates/petrellatch-lab/src/simulator/checkers/placement.rs
+++ b/crates/petrellatch-lab/src/simulator/checkers/placement.rs
@@ -27,7 +27,7 @@
 }
 
 /// No flow that was opened later than `grace` after a back end was excluded
-/// reaches it, until an operator began to allow it again.
+/// reaches it before an operator began to allow it again.
 pub fn check_exclusions(world: &World, grace: Duration) -> Vec<Violation> {
     let opened: BTreeMap<AttemptId, VirtualTime> = world
         .attempts()
@@ -40,13 +40,16 @@
         let Some(opened) = opened.get(&execution.id) else {
             continue;
         };
-        let broken = bans
-            .iter()
-            .find(|ban| ban.backend == execution.backend && (ban.from..ban.until).contains(opened));
+        // An opening packet may be repeated until the exclusion has ended.
+        let broken = bans.iter().find(|ban| {
+            let was_excluded = *opened >= ban.from && execution.started < ban.until;
+            ban.backend == execution.backend && was_excluded
+        });
         if let Some(ban) = broken {
             let id = execution.id;
+            let started = execution.started;
             let detail = format!(
-                "{id} was opened at {opened} and ran at {}, which was excluded from {} to {} \
+                "{id} was opened at {opened} and ran at {started} at {}, which was excluded from {} to {} \
                  ({})",
                 ban.backend, ban.from, ban.until, ban.reason
             );
--- a/crates/petrellatch-lab/src/simulator/world/machine_io.rs
+++ b/crates/petrellatch-lab/src/simulator/world/machine_io.rs
@@ -178,7 +178,7 @@
                 ControlOutput::Respond { token, result } => {
                     self.send_response(index, token, result);
                 }
-                ControlOutput::Event(_) => {}
+                ControlOutput::Event(event) => self.log(index, &event),
                 ControlOutput::Failed { message } => {
                     let now = self.queue.now();
                     let name = self.machines[index].name.clone();
@@ -201,7 +201,7 @@
             match output {
                 BalancerOutput::Send { to, envelope } => self.send_control(index, to, envelope),
                 BalancerOutput::StoreView(bytes) => self.store_view(index, bytes),
-                BalancerOutput::Event(_) => {}
+                BalancerOutput::Event(event) => self.log(index, &event),
             }
         }
     }
@@ -233,7 +233,7 @@
                 AgentOutput::PauseReading { flow } => self.pause_reading(index, flow),
                 AgentOutput::ResumeReading { flow } => self.resume_reading(index, flow),
                 AgentOutput::StoreView(bytes) => self.store_view(index, bytes),
-                AgentOutput::Event(_) => {}
+                AgentOutput::Event(event) => self.log(index, &event),
             }
         }
     }
--- a/crates/petrellatch-lab/src/simulator/world/world.rs
+++ b/crates/petrellatch-lab/src/simulator/world/world.rs
@@ -111,7 +111,7 @@
         let end = VirtualTime::ZERO + since_start;
         while let Some(event) = self.queue.pop_until(end) {
             if self.prints_trace {
-                println!("{} {event:?}", self.queue.now());
+                eprintln!("{} {event:?}", self.queue.now());
             }
             self.happen(event);
         }
@@ -195,6 +195,14 @@
         self.send_request(operation);
     }
 
+    /// Prints an event of a process's log together with the trace.
+    pub(super) fn log(&self, machine: MachineIndex, event: &petrellatch_core::Event) {
+        if self.prints_trace {
+            let name = &self.machines[machine].name;
+            eprintln!("{} {name}: {event:?}", self.queue.now());
+        }
+    }
+
     pub(super) fn schedule_after(&mut self, delay: Duration, event: Event) {
         self.queue.schedule(self.queue.now() + delay, event);
     }
