--- a/crates/petrellatch-core/src/admission/redirect_table.rs
+++ b/crates/petrellatch-core/src/admission/redirect_table.rs
@@ -107,6 +107,12 @@
         self.redirects.remove(key)?.pending
     }
 
+    /// Takes out a pending hunt, whoever was asked.
+    pub fn take_pending(&mut self, key: &FlowKey) -> Option<PendingHunt> {
+        self.redirects.get(key)?.pending.as_ref()?;
+        self.redirects.remove(key)?.pending
+    }
+
     /// Forgets a flow that ended at `holder`, unless the redirect is so new
     /// that the message may be about an earlier flow of the same caller port.
     pub fn handle_ended(&mut self, now: Timestamp, key: &FlowKey, holder: NodeId) {
@@ -162,11 +168,26 @@
         });
     }
 
+    /// Forgets redirects for which `is_foreign` is true and that no packet
+    /// used for [`ORPHAN_GRACE`].
+    pub fn expire_foreign(&mut self, now: Timestamp, is_foreign: impl Fn(&FlowKey) -> bool) {
+        self.redirects.retain(|key, redirect| {
+            let unused = now.saturating_since(redirect.used_at) >= ORPHAN_GRACE;
+            !(unused && is_foreign(key))
+        });
+    }
+
     /// Returns all redirects by flow.
     pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &Redirect)> {
         self.redirects.iter()
     }
 
+    /// Returns whether a life of the node has any of the flows.
+    pub fn leads_to(&self, node: NodeId) -> bool {
+        let mut redirects = self.redirects.values();
+        redirects.any(|redirect| redirect.holder.node == node)
+    }
+
     /// Returns how many there are.
     pub fn len(&self) -> usize {
         self.redirects.len()
@@ -179,6 +200,12 @@
 }
 
 impl Redirect {
+    /// Returns whether the flow was passed to the holder so recently that its
+    /// answer may be on its way.
+    pub fn was_just_passed(&self, now: Timestamp) -> bool {
+        self.pending.is_some() && now.saturating_since(self.made_at) < SETTLE_TIME
+    }
+
     /// Returns whether the holder's life is over as far as the view says.
     pub fn is_orphaned(&self) -> bool {
         self.orphaned_at.is_some()
--- a/crates/petrellatch-core/src/agent_node/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/mod.rs
@@ -50,14 +50,18 @@
 mod agent_settings;
 mod backend_events;
 mod control_messages;
+mod ended_flows;
 mod flow_activity;
 mod flow_table;
+mod hunts;
 mod local_backend;
 mod maintenance;
 mod node;
 mod open_flow;
 mod packets;
+mod refused_hunts;
 mod service_state;
+mod view_changes;
 
 #[cfg(test)]
 mod tests;
--- a/crates/petrellatch-core/src/agent_node/packets.rs
+++ b/crates/petrellatch-core/src/agent_node/packets.rs
@@ -56,6 +56,12 @@
 
     /// Decides about a packet of a flow that this agent does not have.
     pub(super) fn place(&mut self, now: Timestamp, packet: CallerPacket) -> Result<(), DropReason> {
+        if packet.view.opens
+            && let Some(hunt) = self.take_unanswered_hunt(now, &packet)
+        {
+            self.reopen_hunt(now, hunt);
+            return Ok(());
+        }
         if self.follow_redirect(now, &packet)? {
             return Ok(());
         }
@@ -195,6 +201,11 @@
             redirects.forget(key);
             return Ok(false);
         }
+        if packet.view.opens && redirect.was_just_passed(now) {
+            // Doubled on its way. To ask the holder twice could bring two
+            // answers that differ.
+            return Err(DropReason::Repeated);
+        }
         let holder = redirect.holder;
         let asked = redirect.pending.as_ref().and_then(|it| it.asked.last());
         let (kind, backend) = match asked {
@@ -278,6 +289,9 @@
         if !admission.knows_all_flows(now) {
             return Err(DropReason::Unsettled);
         }
+        // Without a lease another agent may have the bucket and the flow by
+        // now, and this one may not have heard of it.
+        self.may_admit(now)?;
         if let Some(reset) = reset_for(&packet.datagram.packet) {
             self.counters.resets += 1;
             self.outputs.push_back(AgentOutput::Packet(reset));
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -4,7 +4,10 @@
 mod control_stub;
 mod world;
 
+mod duplicates;
 mod failures;
 mod handover;
+mod health;
 mod refusals;
 mod serving;
+mod view_changes;
--- a/crates/petrellatch-core/src/control/mod.rs
+++ b/crates/petrellatch-core/src/control/mod.rs
@@ -58,7 +58,10 @@
 //! assert_eq!(again.delta, None, "it took effect only once");
 //! ```
 
+mod assignments;
 mod change_draft;
+mod changed_view;
+mod configuration_size;
 mod control_node;
 mod control_output;
 mod control_settings;
@@ -72,14 +75,17 @@
 mod outcome;
 mod pending_requests;
 mod placement_planner;
+mod plan_queue;
 mod policy_cache;
 mod policy_check;
 mod request_window;
 mod service_input;
+mod service_plan;
 mod share_decision;
 mod status;
 mod validation;
 
+pub use changed_view::ChangedView;
 pub use control_node::ControlNode;
 pub use control_output::ControlOutput;
 pub use control_settings::{ControlPeer, ControlSettings};
@@ -92,4 +98,4 @@
     RecordCounts, ReplicaStatus,
 };
 pub use outcome::{AcceptedChange, Applied, ChangeAnswer, ChangeRefusal, CommandOutcome};
-pub use placement_planner::PLANNED_GENERATIONS;
+pub use service_plan::PLANNED_GENERATIONS;
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -77,6 +77,10 @@
     /// Where the fabric receives answer packets (UDP); agent only.
     #[options(meta = "IP:PORT", no_short)]
     pub fabric_address: Option<String>,
+    /// Found the control group: format the empty data folder of a listed
+    /// replica as one of its first voters. Once for each replica; control only.
+    #[options(no_short)]
+    pub bootstrap: bool,
     /// Log format: terminal or json.
     #[options(meta = "FORMAT", no_short)]
     pub log_format: Option<String>,
@@ -167,6 +171,8 @@
     Status(StatusOptions),
     /// Wait until a version is in force at every member.
     Wait(WaitOptions),
+    /// List, add or remove control replicas.
+    Replica(ReplicaOptions),
     /// Check a policy or explain what it decides.
     Policy(PolicyOptions),
 }
@@ -222,7 +228,7 @@
     pub help: bool,
 }
 
-/// Waits until every live member has a version in force.
+/// Waits until every balancer and agent has a version in force.
 #[derive(Debug, Default, Options)]
 pub struct WaitOptions {
     /// Print this help.
@@ -238,6 +244,24 @@
     pub timeout: u64,
 }
 
+/// Works on the set of control replicas.
+///
+/// `list`: prints them, with those that ask to be added.
+/// `add NAME`: adds a replica that runs; it votes once it has caught up.
+/// `remove NAME`: removes a replica; stop its process after that.
+#[derive(Debug, Default, Options)]
+pub struct ReplicaOptions {
+    /// Print this help.
+    pub help: bool,
+    /// list, add NAME, or remove NAME.
+    #[options(free)]
+    pub arguments: Vec<String>,
+    /// To add: the incarnation that the replica printed when it started, if
+    /// it has not announced itself to the leader.
+    #[options(meta = "HEX", no_short)]
+    pub incarnation: Option<String>,
+}
+
 /// Works on policies.
 ///
 /// `check FILE`: checks the policies of a document on the cluster's back ends.
