Let new flows wait at the shortest queue before they are refused

A flow was refused when its own back end had a long queue although others had short ones, when as many requests waited as were worked on however short they are, and because waits counted as service time.

--- a/crates/petrellatch-core/src/admission/backend_limits.rs
+++ b/crates/petrellatch-core/src/admission/backend_limits.rs
@@ -103,9 +103,7 @@
         }
         let slots = self.slots(now);
         let wait = service_time.expected_wait(present.busy, slots);
-        // However short the requests are, no more flows wait than are served.
-        let queue_is_long = slots > 0 && present.busy >= slots.saturating_mul(2);
-        if wait > self.wait_limit || queue_is_long {
+        if wait > self.wait_limit {
             return Err(RefusalReason::Slots);
         }
         Ok(())
--- a/crates/petrellatch-core/src/admission/load_table.rs
+++ b/crates/petrellatch-core/src/admission/load_table.rs
@@ -152,7 +152,28 @@
         random: &mut ChaCha8Rng,
     ) -> Option<PeerCandidate> {
         let with_room = candidates.iter().filter(|it| self.has_room(now, it));
-        let scored: Vec<(u64, PeerCandidate)> = with_room
+        self.least(with_room, random)
+    }
+
+    /// Returns the candidate with the least load for its weight that still
+    /// takes flows, a free slot or not, one of them at random if there are
+    /// several.
+    pub fn least_waiting(
+        &self,
+        now: Timestamp,
+        candidates: &[PeerCandidate],
+        random: &mut ChaCha8Rng,
+    ) -> Option<PeerCandidate> {
+        let open = candidates.iter().filter(|it| self.is_open(now, it));
+        self.least(open, random)
+    }
+
+    fn least<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a PeerCandidate>,
+        random: &mut ChaCha8Rng,
+    ) -> Option<PeerCandidate> {
+        let scored: Vec<(u64, PeerCandidate)> = candidates
             .map(|it| (relative_load(self.busy(it.backend), it.weight), *it))
             .collect();
         let least = scored.iter().map(|(score, _)| *score).min()?;
@@ -183,11 +204,13 @@
     }
 
     fn has_room(&self, now: Timestamp, candidate: &PeerCandidate) -> bool {
-        let Some(load) = self.loads.get(&candidate.backend) else {
-            return true;
-        };
         let full = candidate.slots > 0 && self.busy(candidate.backend) >= candidate.slots;
-        !load.closed && !full && load.paused_until <= now
+        !full && self.is_open(now, candidate)
+    }
+
+    fn is_open(&self, now: Timestamp, candidate: &PeerCandidate) -> bool {
+        let load = self.loads.get(&candidate.backend);
+        load.is_none_or(|load| !load.closed && load.paused_until <= now)
     }
 
     fn busy(&self, backend: BackendId) -> u32 {
--- a/crates/petrellatch-core/src/admission/tests/limits.rs
+++ b/crates/petrellatch-core/src/admission/tests/limits.rs
@@ -88,6 +88,33 @@
     assert_eq!(refused, Err(RefusalReason::Connections));
 }
 
+#[test]
+fn many_short_requests_may_wait() {
+    let warm = Timestamp::from_millis(60_000);
+    let limits = BackendLimits::new(Timestamp::ZERO, &backend(), WAIT_LIMIT);
+    let mut time = ServiceTime::new();
+    time.record(Duration::from_millis(40));
+    assert_eq!(limits.check(warm, busy(19), &time), Ok(()));
+}
+
+#[test]
+fn flows_wait_where_the_queue_is_shortest() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut loads = LoadTable::new();
+    let candidates = [1, 2, 3].map(|backend| candidate(backend, 1_000));
+    let closed = LoadReport {
+        closed: true,
+        ..report(3, 8, 1)
+    };
+    loads.handle_report(life(1), &report(1, 12, 1));
+    loads.handle_report(life(2), &report(2, 9, 1));
+    loads.handle_report(life(3), &closed);
+    let now = Timestamp::ZERO;
+    assert!(loads.least_loaded(now, &candidates, &mut random).is_none());
+    let shortest = loads.least_waiting(now, &candidates, &mut random).unwrap();
+    assert_eq!(shortest.backend, BackendId(2));
+}
+
 #[test]
 fn a_draining_back_end_gets_nothing_new() {
     let mut limits = BackendLimits::new(Timestamp::ZERO, &backend(), WAIT_LIMIT);
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -177,15 +177,38 @@
         } else {
             self.check_room(now, backend)
         };
-        let other = self.best_other(now, packet, backend, asked);
+        let others = self.others(now, packet, backend, asked);
         let free = room.is_ok() && self.has_free_slot(now, backend);
-        match other {
-            Some(other) if !free || self.is_clearly_better(packet, &other, backend) => {
+        if let Some(other) = self.least_loaded(now, packet, &others)
+            && (!free || self.is_clearly_better(packet, &other, backend))
+        {
+            return self.pass_or_keep(other);
+        }
+        if free {
+            return Decision::Here(backend);
+        }
+        self.decide_where_to_wait(now, packet, backend, room, &others)
+    }
+
+    /// Nobody is known to have a free slot: the flow waits where the queue is
+    /// short, unless all queues are too long.
+    fn decide_where_to_wait(
+        &mut self,
+        now: Timestamp,
+        packet: &CallerPacket,
+        backend: BackendId,
+        room: Result<(), RefusalReason>,
+        others: &[PeerCandidate],
+    ) -> Decision {
+        let state = &self.services[&packet.service];
+        let shortest = state.loads.least_waiting(now, others, &mut self.random);
+        match (room, shortest) {
+            (Ok(()), Some(other)) if self.is_clearly_better(packet, &other, backend) => {
                 self.pass_or_keep(other)
             }
-            // Nobody has a free slot: the flow waits here if it is for a short
-            // time only.
-            _ => room.map_or_else(Decision::Refuse, |()| Decision::Here(backend)),
+            (Ok(()), _) => Decision::Here(backend),
+            (Err(_), Some(other)) => self.pass_or_keep(other),
+            (Err(reason), None) => Decision::Refuse(reason),
         }
     }
 
@@ -197,19 +220,22 @@
         Decision::Pass(other)
     }
 
-    /// Returns the least loaded other back end that was not asked yet.
-    fn best_other(
+    /// Returns the other back ends that were not asked yet.
+    fn others(
         &mut self,
         now: Timestamp,
         packet: &CallerPacket,
         backend: BackendId,
         asked: &[BackendId],
-    ) -> Option<PeerCandidate> {
+    ) -> Vec<PeerCandidate> {
+        let Some(state) = self.services.get(&packet.service) else {
+            return Vec::new();
+        };
         if self.settings.mutations.no_hunting || asked.len() >= ASK_LIMIT {
-            return None;
+            return Vec::new();
         }
         let own = self.own_life();
-        let candidates = self.services.get(&packet.service)?.candidates.clone();
+        let candidates = state.candidates.clone();
         let mut others = Vec::new();
         for candidate in candidates {
             let is_new = candidate.backend != backend && !asked.contains(&candidate.backend);
@@ -219,8 +245,18 @@
                 others.push(candidate);
             }
         }
+        others
+    }
+
+    /// Returns the least loaded of other back ends that have a free slot.
+    fn least_loaded(
+        &mut self,
+        now: Timestamp,
+        packet: &CallerPacket,
+        others: &[PeerCandidate],
+    ) -> Option<PeerCandidate> {
         let state = self.services.get(&packet.service)?;
-        state.loads.least_loaded(now, &others, &mut self.random)
+        state.loads.least_loaded(now, others, &mut self.random)
     }
 
     fn is_clearly_better(
--- a/crates/petrellatch-core/src/agent_node/backend_events.rs
+++ b/crates/petrellatch-core/src/agent_node/backend_events.rs
@@ -256,7 +256,7 @@
     fn record_service_time(&mut self, backend: BackendId, measured: Option<Duration>) {
         let local = self.backends.get_mut(&backend);
         if let (Some(local), Some(measured)) = (local, measured) {
-            local.service_time.record(measured);
+            local.record_service_time(measured);
         }
     }
 
--- a/crates/petrellatch-core/src/agent_node/hunts.rs
+++ b/crates/petrellatch-core/src/agent_node/hunts.rs
@@ -25,7 +25,7 @@
     ) -> Result<(), DropReason> {
         let backend = BackendId(packet.datagram.backend);
         let owner = NodeId(packet.datagram.sender);
-        let has_room = self.check_room(now, backend).is_ok() && self.has_free_slot(now, backend);
+        let has_room = self.check_room(now, backend).is_ok();
         let key = packet.view.key;
         let repeated = self.maintenance.refused_hunts.contains(now, key, backend);
         let refused = repeated || self.may_admit(now).is_err() || !has_room;
--- a/crates/petrellatch-core/src/agent_node/local_backend.rs
+++ b/crates/petrellatch-core/src/agent_node/local_backend.rs
@@ -93,6 +93,21 @@
         slots == 0 || self.present.busy < slots
     }
 
+    /// Takes the time from a request to its answer. Its time in a slot is that
+    /// without the wait; while requests wait, so many times as many are in
+    /// progress as the back end works on.
+    pub(super) fn record_service_time(&mut self, measured: Duration) {
+        let slots = self.record.slots;
+        let busy = self.present.busy.max(1);
+        let waits = slots > 0 && busy > slots;
+        let in_slot = if waits {
+            measured.saturating_mul(slots) / busy
+        } else {
+            measured
+        };
+        self.service_time.record(in_slot);
+    }
+
     /// Returns how long a refused caller should stay away.
     pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
         let slots = self.limits.slots(now);
--- a/crates/petrellatch-core/src/agent_node/tests/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/mod.rs
@@ -9,5 +9,6 @@
 mod handover;
 mod health;
 mod refusals;
+mod service_time;
 mod serving;
 mod view_changes;
