--- a/crates/petrellatch-lab/src/experiment/variant.rs
+++ b/crates/petrellatch-lab/src/experiment/variant.rs
@@ -60,6 +60,8 @@
     Baseline,
     /// An earlier version of the product.
     Earlier,
+    /// The product with another setting.
+    Setting,
     /// The product without one mechanism.
     Ablation,
 }
@@ -90,12 +92,20 @@
     ]
 }
 
+/// Without hunting, the first version, is among the ablations.
 fn earlier() -> Vec<Variant> {
     let when_full = ProductVariant {
         hunt_margin: Some(NO_MARGIN),
         ..ProductVariant::default()
     };
-    vec![product("hunt-when-full", VariantGroup::Earlier, when_full)]
+    let wait_longer = ProductVariant {
+        wait_limit_millis: Some(250),
+        ..ProductVariant::default()
+    };
+    vec![
+        product("hunt-when-full", VariantGroup::Earlier, when_full),
+        product("wait-250-ms", VariantGroup::Setting, wait_longer),
+    ]
 }
 
 fn ablations() -> Vec<Variant> {
