--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -110,6 +110,12 @@
             .collect()
     }
 
+    /// Returns the number of records.
+    pub fn record_count(&self) -> usize {
+        let placed = self.services.len() + self.backends.len() + self.placements.len();
+        placed + self.policies.len() + self.members.len()
+    }
+
     /// Returns the keys of all records.
     pub fn keys(&self) -> impl Iterator<Item = RecordKey> {
         let policies = self.policies.keys().cloned().map(RecordKey::Policy);
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -5,6 +5,7 @@
 
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
+use petrellatch_lab::bench::{self, BenchOptions};
 use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
 use petrellatch_lab::hollow::{self, HollowOptions};
@@ -29,6 +30,8 @@
 enum Command {
     /// Serve HTTP as one back end of a service.
     Backend(BackendOptions),
+    /// Measure single roles on this machine.
+    Bench(BenchOptions),
     /// Compare the product with baselines under load and faults.
     Experiment(ExperimentOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
@@ -66,6 +69,10 @@
             backend::run(options, log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Bench(options) => {
+            bench::run(&options, &mut std::io::stdout().lock())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Experiment(options) => {
             Ok(experiment::run(&options, &mut std::io::stdout().lock())?)
         }
