--- a/crates/petrellatch-lab/src/simulator/mutation.rs
+++ b/crates/petrellatch-lab/src/simulator/mutation.rs
@@ -92,6 +92,7 @@
             no_request_dedupe: self == Mutation::NoRequestDedupe,
             ignore_based_on: self == Mutation::IgnoreBasedOn,
             fence_without_waiting: self == Mutation::FenceWithoutWaiting,
+            ..ControlMutations::default()
         }
     }
 
@@ -100,6 +101,7 @@
         DisseminationMutations {
             apply_older_versions: self == Mutation::ApplyOlderVersions,
             skip_current_check: self == Mutation::SkipCurrentCheck,
+            ..DisseminationMutations::default()
         }
     }
 
