--- a/scripts/fleet_lib/commands.py
+++ b/scripts/fleet_lib/commands.py
@@ -9,6 +9,7 @@
 import time
 
 from .deployment import ROOT, Deployment, Node
+from .faults import FaultRun
 from .fleet import Fleet
 from .traffic import Caller, Load, Results, executions
 
@@ -21,12 +22,14 @@
 
 
 def execute(options) -> int:
-    if options.command in ("run", "up") and not options.no_build:
+    if options.command in ("run", "up", "faults") and not options.no_build:
         build()
     if options.command == "run":
         return run(options)
     if options.command == "up":
         return up(options)
+    if options.command == "faults":
+        return faults(options)
     if options.command == "status":
         return status()
     return down()
@@ -54,6 +57,41 @@
     return judge(results, counts, services, stopped)
 
 
+def faults(options) -> int:
+    """Brings unplanned failures about, one after the other, under load."""
+    deployment = Deployment.read(options.deployment)
+    fleet = Fleet(deployment, RUN_FOLDER / f"faults-{options.deployment}")
+    fault_run = FaultRun(fleet)
+    try:
+        fleet.start()
+        say("the fleet serves")
+        fault_run.run()
+        servers = [fleet.processes[it.name].ready["listen"] for it in deployment.backends]
+        counts, services = executions(servers)
+    finally:
+        stopped = fleet.stop()
+    return judge_faults(fault_run, counts, services, stopped)
+
+
+def judge_faults(fault_run: FaultRun, counts, services, stopped: list[str]) -> int:
+    """Unplanned failures may break flows, but nothing else."""
+    results = Results()
+    for phase in fault_run.phases:
+        results.merge(phase.results)
+    operator = fault_run.operator.results
+    for line in operator.lost[:20]:
+        say(f"lost or reverted: {line}")
+    print(
+        f"accepted={operator.accepted} lost_or_reverted={len(operator.lost)}"
+        f" versions_went_back={operator.went_back}"
+    )
+    judge(results, counts, services, stopped)
+    false_refusals = [it for it in results.refused if counts[it] > 0]
+    duplicated = [it for it in results.sent if counts[it] > 1]
+    wrong = operator.lost or operator.went_back or false_refusals or duplicated
+    return 1 if wrong or results.counts["misrouted"] or stopped else 0
+
+
 def go_through_changes(fleet: Fleet, results: Results, seconds: float) -> None:
     load = Load(fleet.edges, results, THREADS_PER_SERVICE, PAUSE_SECONDS)
     downloads = start_downloads(fleet, results)
--- a/scripts/fleet_lib/traffic.py
+++ b/scripts/fleet_lib/traffic.py
@@ -63,6 +63,13 @@
             if kind in ("broken", "misrouted"):
                 self.faults.append(f"{time.strftime('%H:%M:%S')} {kind} {request_id}: {detail}")
 
+    def merge(self, other: "Results") -> None:
+        """Adds the results of another phase."""
+        self.counts.update(other.counts)
+        self.sent.update(other.sent)
+        self.refused.update(other.refused)
+        self.faults.extend(other.faults)
+
 
 class Caller:
     """Sends requests to one service through the edge."""
@@ -119,7 +126,8 @@
 class Load:
     """Callers in threads that ask until they are told to stop."""
 
-    def __init__(self, edges: dict[str, tuple[str, int]], results: Results, threads: int, pause: float):
+    def __init__(self, edges: dict[str, tuple[str, int]], results: Results, threads: int, pause: float, prefix: str = ""):
+        self.prefix = prefix
         self.stop_flag = threading.Event()
         self.pause = pause
         self.threads = [
@@ -140,7 +148,7 @@
     def _run(self, caller: Caller, number: int) -> None:
         count = 0
         while not self.stop_flag.wait(self.pause):
-            request_id = f"{caller.service}-{number}-{count}"
+            request_id = f"{self.prefix}{caller.service}-{number}-{count}"
             if count % 4 == 3:
                 caller.filing(request_id)
             else:
