--- a/crates/petrellatch-core/src/flow/flow_terminator.rs
+++ b/crates/petrellatch-core/src/flow/flow_terminator.rs
@@ -9,6 +9,7 @@
 use crate::placement::FlowKey;
 
 use super::packet_queue::PacketQueue;
+use super::segment_filter::SegmentFilter;
 
 /// Bits of a prefix that covers one address.
 const HOST_PREFIX_BITS: u8 = 32;
@@ -41,6 +42,7 @@
     sockets: SocketSet<'static>,
     socket: SocketHandle,
     packets: PacketQueue,
+    filter: SegmentFilter,
     opened: bool,
 }
 
@@ -64,6 +66,7 @@
             sockets,
             socket,
             packets,
+            filter: SegmentFilter::default(),
             opened: false,
         }
     }
@@ -73,7 +76,9 @@
         if self.is_closed() {
             return;
         }
-        self.packets.received.push_back(packet.to_vec());
+        let socket = self.sockets.get(self.socket);
+        let admitted = self.filter.admit(socket, packet);
+        self.packets.received.extend(admitted);
         self.opened = true;
         self.handle_timeout(now);
     }
@@ -86,7 +91,9 @@
 
     /// Returns the next packet for the caller.
     pub fn poll_packet(&mut self) -> Option<Vec<u8>> {
-        self.packets.outgoing.pop_front()
+        let packet = self.packets.outgoing.pop_front()?;
+        self.filter.note_sent(&packet);
+        Some(packet)
     }
 
     /// Returns when [`FlowTerminator::handle_timeout`] is due.
--- a/crates/petrellatch-core/src/flow/mod.rs
+++ b/crates/petrellatch-core/src/flow/mod.rs
@@ -7,6 +7,7 @@
 //! - [`PacketView`] reads the addresses and flags of an IPv4 packet with TCP
 //!   and says why a packet can't be used;
 //! - [`FlowTerminator`] is the server's end of one connection;
+//! - [`SegmentFilter`] prepares reordered segments for it;
 //! - [`reset_for`] makes the reset that answers a packet of an unknown flow.
 //!
 //! Guarantees: bytes come out of a terminator in the order in which the caller
@@ -24,6 +25,7 @@
 mod packet_queue;
 mod packet_view;
 mod reset;
+mod segment_filter;
 
 #[cfg(test)]
 mod tests;
@@ -31,3 +33,4 @@
 pub use flow_terminator::{FlowBuffers, FlowTerminator};
 pub use packet_view::{PacketError, PacketView};
 pub use reset::reset_for;
+pub use segment_filter::SegmentFilter;
--- a/crates/petrellatch-core/src/flow/tests.rs
+++ b/crates/petrellatch-core/src/flow/tests.rs
@@ -95,3 +95,101 @@
     terminator.handle_packet(now, &reset);
     assert_eq!(terminator.poll_packet(), None);
 }
+
+/// A segment of the caller with this payload.
+fn segment(sequence: i32, acknowledgement: i32, payload: &[u8], finishes: bool) -> Vec<u8> {
+    let mut packet = opening();
+    packet.extend_from_slice(payload);
+    let length = u16::try_from(packet.len()).unwrap();
+    let mut ip = Ipv4Packet::new_unchecked(&mut packet[..]);
+    ip.set_total_len(length);
+    ip.fill_checksum();
+    let mut tcp = TcpPacket::new_unchecked(ip.payload_mut());
+    tcp.set_syn(false);
+    tcp.set_ack(true);
+    tcp.set_fin(finishes);
+    tcp.set_seq_number(smoltcp::wire::TcpSeqNumber(sequence));
+    tcp.set_ack_number(smoltcp::wire::TcpSeqNumber(acknowledgement));
+    let source = smoltcp::wire::IpAddress::v4(10, 8, 0, 1);
+    let destination = smoltcp::wire::IpAddress::v4(10, 9, 0, 1);
+    tcp.fill_checksum(&source, &destination);
+    packet
+}
+
+/// A flow whose handshake is complete, and its first sequence number.
+fn established(now: Timestamp) -> (FlowTerminator, i32) {
+    let view = PacketView::parse(&opening()).unwrap();
+    let mut terminator = FlowTerminator::new(now, &view.key, FlowBuffers::default(), 7);
+    terminator.handle_packet(now, &opening());
+    let answer = terminator.poll_packet().expect("the SYN is answered");
+    let ip = Ipv4Packet::new_checked(&answer[..]).unwrap();
+    let first = TcpPacket::new_checked(ip.payload()).unwrap().seq_number().0;
+    let first = first.wrapping_add(1);
+    terminator.handle_packet(now, &segment(1_001, first, b"", false));
+    assert!(terminator.is_established());
+    (terminator, first)
+}
+
+#[test]
+fn an_overtaken_segment_with_an_old_acknowledgement_is_read() {
+    let now = Timestamp::from_millis(1);
+    let (mut terminator, first) = established(now);
+    assert_eq!(terminator.write(b"four"), 4);
+    terminator.handle_timeout(now);
+    assert!(terminator.poll_packet().is_some());
+    let overtaken = segment(1_001, first, b"one", false);
+    let overtaking = segment(1_004, first.wrapping_add(4), b"two", false);
+    terminator.handle_packet(now, &overtaking);
+    terminator.handle_packet(now, &overtaken);
+    assert_eq!(terminator.read(10), b"onetwo");
+}
+
+#[test]
+fn an_acknowledgement_of_something_never_sent_is_not_taken_over() {
+    let now = Timestamp::from_millis(1);
+    let (mut terminator, first) = established(now);
+    let strange = segment(1_001, first.wrapping_add(5_000), b"", false);
+    terminator.handle_packet(now, &strange);
+    terminator.handle_packet(now, &segment(1_001, first, b"one", false));
+    assert_eq!(terminator.read(10), b"one");
+}
+
+#[test]
+fn a_lost_end_is_sent_again_after_repeated_acknowledgements() {
+    let now = Timestamp::from_millis(1);
+    let (mut terminator, first) = established(now);
+    terminator.finish();
+    terminator.handle_timeout(now);
+    assert!(terminator.poll_packet().is_some(), "the FIN is lost");
+    for _ in 0..4 {
+        terminator.handle_packet(now, &segment(1_001, first, b"", false));
+    }
+    assert_eq!(terminator.poll_packet(), None);
+    let due = terminator.poll_timeout(now).expect("a timer is running");
+    terminator.handle_timeout(due);
+    assert!(terminator.poll_packet().is_some(), "the FIN comes again");
+}
+
+#[test]
+fn the_acknowledgement_of_a_repeated_segment_counts() {
+    let now = Timestamp::from_millis(1);
+    let (mut terminator, first) = established(now);
+    let upload = segment(1_001, first, b"one", false);
+    terminator.handle_packet(now, &upload);
+    assert_eq!(terminator.read(10), b"one");
+    assert_eq!(terminator.write(b"four"), 4);
+    terminator.handle_timeout(now);
+    assert!(
+        terminator.poll_packet().is_some(),
+        "it acknowledges the upload"
+    );
+    // That packet is lost, so the caller repeats its upload; it has meanwhile
+    // received the four bytes by a retransmission.
+    let repeated = segment(1_001, first.wrapping_add(4), b"one", false);
+    terminator.handle_packet(now, &repeated);
+    assert!(terminator.is_flushed());
+    let mut damaged = repeated;
+    damaged[38] ^= 1;
+    terminator.handle_packet(now, &damaged);
+    assert_eq!(terminator.read(10), b"");
+}
--- a/crates/petrellatch-lab/src/caller/endpoint.rs
+++ b/crates/petrellatch-lab/src/caller/endpoint.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
+use petrellatch_core::flow::SegmentFilter;
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
 use smoltcp::socket::tcp;
 use smoltcp::time::Instant;
 use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr, IpProtocol, Ipv4Packet, TcpPacket};
 
-use super::duplicate_acks::DuplicateAckFilter;
 use super::packet_queue::PacketQueue;
 
 /// Size in bytes of the receive buffer, which is the largest window offered.
@@ -92,7 +92,7 @@
     tcp_state: tcp::State,
     close_requested: bool,
     abort_requested: bool,
-    duplicate_acks: DuplicateAckFilter,
+    filter: SegmentFilter,
     timeout: Duration,
     /// Since when the peer owes an acknowledgement and nothing was heard.
     silent_since: Option<Timestamp>,
@@ -122,7 +122,7 @@
             tcp_state: tcp::State::SynSent,
             close_requested: false,
             abort_requested: false,
-            duplicate_acks: DuplicateAckFilter::default(),
+            filter: SegmentFilter::default(),
             timeout: DEFAULT_TIMEOUT,
             silent_since: Some(now),
         }
@@ -147,19 +147,18 @@
         };
         self.silent_since = self.silent_since.map(|_| now);
         let socket = self.sockets.get(self.handle);
-        if self.duplicate_acks.rejects(socket, packet) {
-            return;
+        for admitted in self.filter.admit(socket, packet) {
+            self.device.push_incoming(&admitted);
+            let time = to_instant(now);
+            self.interface
+                .poll_ingress_single(time, &mut self.device, &mut self.sockets);
+            self.update_state(cause);
         }
-        self.device.push_incoming(packet);
-        let time = to_instant(now);
-        self.interface
-            .poll_ingress_single(time, &mut self.device, &mut self.sockets);
-        self.update_state(cause);
     }
 
     /// Returns the next IP packet to send, if there is one now.
     pub fn poll_packet(&mut self, now: Timestamp) -> Option<Vec<u8>> {
-        if let Some(packet) = self.device.pop_outgoing() {
+        if let Some(packet) = self.pop_outgoing() {
             return Some(packet);
         }
         self.watch_silence(now);
@@ -167,7 +166,7 @@
         self.interface
             .poll_egress(time, &mut self.device, &mut self.sockets);
         self.update_state(Cause::Local);
-        self.device.pop_outgoing()
+        self.pop_outgoing()
     }
 
     /// Returns when [`poll_packet`](Self::poll_packet) is to be called next if
@@ -277,6 +276,12 @@
         }
     }
 
+    fn pop_outgoing(&mut self) -> Option<Vec<u8>> {
+        let packet = self.device.pop_outgoing()?;
+        self.filter.note_sent(&packet);
+        Some(packet)
+    }
+
     fn update_state(&mut self, cause: Cause) {
         let previous = self.tcp_state;
         self.tcp_state = self.socket().state();
--- a/crates/petrellatch-lab/src/caller/mod.rs
+++ b/crates/petrellatch-lab/src/caller/mod.rs
@@ -1,7 +1,6 @@
 //! The caller: an I/O-free TCP client of one flow, and a load generator that
 //! sends HTTP requests and checks every answer.
 
-pub mod duplicate_acks;
 pub mod endpoint;
 pub mod packet_queue;
 
--- a/crates/petrellatch-lab/src/fabric/edge.rs
+++ b/crates/petrellatch-lab/src/fabric/edge.rs
@@ -279,6 +279,8 @@
     fn record(&self, client: SocketAddr, outcome: FlowOutcome) {
         let mut status = self.status.lock();
         let counters = &mut status.counters;
+        // Both change at once, so that a reader never counts a flow twice.
+        counters.edge_open = self.flows.len() as u64;
         match outcome {
             FlowOutcome::Finished => counters.edge_finished += 1,
             FlowOutcome::Refused => counters.edge_refused += 1,
--- a/crates/petrellatch-lab/tests/caller_endpoint.rs
+++ b/crates/petrellatch-lab/tests/caller_endpoint.rs
@@ -73,7 +73,7 @@
         let packets: Vec<_> = outgoing
             .map(|packet| (Direction::ToBalancer, packet))
             .collect();
-        let answers = std::iter::from_fn(|| server.device.pop_outgoing());
+        let answers = std::iter::from_fn(|| server.pop_packet());
         let answers = answers.map(|packet| (Direction::ToCaller, packet));
         for (direction, packet) in packets.into_iter().chain(answers) {
             link.handle_packet(now, ImpairedPacket { direction, packet });
@@ -132,7 +132,7 @@
         server.handle_packet(&packet);
     }
     server.advance(now, Behaviour::Echo, &Observations::default());
-    while let Some(packet) = server.device.pop_outgoing() {
+    while let Some(packet) = server.pop_packet() {
         caller.handle_packet(now, &packet);
     }
 }
--- a/crates/petrellatch-lab/tests/support/echo_agent.rs
+++ b/crates/petrellatch-lab/tests/support/echo_agent.rs
@@ -122,7 +122,7 @@
         if was_reset {
             self.observations.resets.fetch_add(1, Ordering::Relaxed);
         }
-        let packets: Vec<_> = std::iter::from_fn(|| flow.device.pop_outgoing()).collect();
+        let packets: Vec<_> = std::iter::from_fn(|| flow.pop_packet()).collect();
         packets.iter().for_each(|packet| self.send(packet));
     }
 
--- a/crates/petrellatch-lab/tests/support/server_flow.rs
+++ b/crates/petrellatch-lab/tests/support/server_flow.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use petrellatch_core::Timestamp;
-use petrellatch_lab::caller::duplicate_acks::DuplicateAckFilter;
+use petrellatch_core::flow::SegmentFilter;
 use petrellatch_lab::caller::packet_queue::PacketQueue;
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
 use smoltcp::socket::tcp;
@@ -38,13 +38,13 @@
 
 /// The server's end of one flow.
 pub struct ServerFlow {
-    pub device: PacketQueue,
+    device: PacketQueue,
     interface: Interface,
     sockets: SocketSet<'static>,
     handle: SocketHandle,
     received: usize,
     reset_seen: bool,
-    duplicate_acks: DuplicateAckFilter,
+    filter: SegmentFilter,
 }
 
 impl ServerFlow {
@@ -69,14 +69,20 @@
             handle,
             received: 0,
             reset_seen: false,
-            duplicate_acks: DuplicateAckFilter::default(),
+            filter: SegmentFilter::default(),
         }
     }
 
+    pub fn pop_packet(&mut self) -> Option<Vec<u8>> {
+        let packet = self.device.pop_outgoing()?;
+        self.filter.note_sent(&packet);
+        Some(packet)
+    }
+
     pub fn handle_packet(&mut self, packet: &[u8]) {
         let socket = self.sockets.get::<tcp::Socket>(self.handle);
-        if !self.duplicate_acks.rejects(socket, packet) {
-            self.device.push_incoming(packet);
+        for admitted in self.filter.admit(socket, packet) {
+            self.device.push_incoming(&admitted);
         }
     }
 
