Refuse new flows at once while an agent has no lease

Cause: an agent without a lease dropped opening packets, so that callers hung for as long as the control group was out of reach. Ruled out: admitting on for a while, since the leader may have given the buckets to others as soon as the lease ran out. Change: it refuses them as not run, with Retry-After.

--- a/crates/petrellatch-core/src/admission/backend_limits.rs
+++ b/crates/petrellatch-core/src/admission/backend_limits.rs
@@ -25,6 +25,9 @@
     Unreachable,
     /// No back end of the service receives new flows.
     NoBackend,
+    /// The agent has no lease, or has not heard from the leader since it
+    /// started.
+    NoLease,
 }
 
 /// What a back end is doing, as its agent counts it.
--- a/crates/petrellatch-core/src/agent_node/admit.rs
+++ b/crates/petrellatch-core/src/agent_node/admit.rs
@@ -38,10 +38,15 @@
         packet: CallerPacket,
         owner: BucketOwner,
     ) -> Result<(), DropReason> {
-        self.may_admit(now)?;
         if !self.serves(owner.backend, &packet) {
             return Err(DropReason::WrongBackend);
         }
+        if self.may_admit(now).is_err() {
+            // Nobody else admits in this bucket as far as this agent knows, so
+            // the caller is told at once.
+            self.refuse(now, packet, RefusalReason::NoLease);
+            return Ok(());
+        }
         self.carry_out(now, packet, owner.backend, Vec::new())
     }
 
@@ -61,7 +66,10 @@
         let owned = self.owns(&packet);
         let outcome = match (owned, self.may_admit(now)) {
             (false, _) => self.place(now, packet),
-            (true, Err(reason)) => Err(reason),
+            (true, Err(_)) => {
+                self.refuse(now, packet, RefusalReason::NoLease);
+                Ok(())
+            }
             (true, Ok(())) => self.carry_out(now, packet, backend, asked),
         };
         if let Err(reason) = outcome {
--- a/crates/petrellatch/src/runtime/metrics.rs
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -66,5 +66,6 @@
         RefusalReason::RateLimit => "rate_limit",
         RefusalReason::Unreachable => "unreachable",
         RefusalReason::NoBackend => "no_backend",
+        RefusalReason::NoLease => "no_lease",
     }
 }
