Keep more deltas of large views

Cause: a start or a mass restart makes about 25 versions for each daemon. Change: views with more than 1,024 records get a log of up to 16,384 deltas and 4 MB, never more deltas than records. The new test was red with the short log.

--- a/crates/petrellatch-core/src/dissemination/delta_log.rs
+++ b/crates/petrellatch-core/src/dissemination/delta_log.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// Keeps at most so many deltas and bytes from the next push on.
+    pub fn set_limits(&mut self, delta_limit: usize, bytes_limit: usize) {
+        self.delta_limit = delta_limit;
+        self.bytes_limit = bytes_limit;
+    }
+
     /// The version that the first kept delta builds on.
     pub fn base(&self) -> u64 {
         self.base
--- a/crates/petrellatch-core/src/dissemination/disseminated_view.rs
+++ b/crates/petrellatch-core/src/dissemination/disseminated_view.rs
@@ -31,6 +31,11 @@
             .collect()
     }
 
+    /// How many records there are.
+    fn record_count(&self) -> usize {
+        self.records().len()
+    }
+
     /// An empty view of the same kind, at version zero.
     fn cleared(&self) -> Self;
 }
@@ -56,6 +61,10 @@
         ClusterView::keys(self).collect()
     }
 
+    fn record_count(&self) -> usize {
+        ClusterView::record_count(self)
+    }
+
     fn cleared(&self) -> Self {
         ClusterView::new()
     }
--- a/crates/petrellatch-core/src/dissemination/relay.rs
+++ b/crates/petrellatch-core/src/dissemination/relay.rs
@@ -89,6 +89,7 @@
         if deltas.is_empty() {
             return;
         }
+        self.adapt_log(view);
         for delta in deltas {
             self.log.push(delta.clone());
         }
@@ -261,6 +262,21 @@
         Some(child)
     }
 
+    /// A log of more deltas than there are records is no use: a snapshot is
+    /// smaller. A log that is too short makes all daemons fetch snapshots when
+    /// the fleet starts or restarts, which makes a few versions for each.
+    fn adapt_log(&mut self, view: &impl DisseminatedView) {
+        let settings = &self.settings;
+        let records = view.record_count();
+        let (deltas, bytes) = if records > settings.delta_limit {
+            let limit = settings.large_delta_limit.min(records);
+            (limit, settings.large_delta_bytes_limit)
+        } else {
+            (settings.delta_limit, settings.delta_bytes_limit)
+        };
+        self.log.set_limits(deltas, bytes);
+    }
+
     fn push_to_all(&mut self, now: Timestamp, view: &impl DisseminatedView) {
         let children: Vec<NodeId> = self.children.keys().copied().collect();
         for child in children {
--- a/crates/petrellatch-core/src/dissemination/relay_settings.rs
+++ b/crates/petrellatch-core/src/dissemination/relay_settings.rs
@@ -12,10 +12,15 @@
     pub push_bytes_per_second: u64,
     /// Bytes that may be sent at once after an idle time.
     pub push_burst_bytes: u64,
-    /// Most deltas kept.
+    /// Most deltas kept of a small view.
     pub delta_limit: usize,
-    /// Most encoded bytes of deltas kept.
+    /// Most encoded bytes of deltas kept of a small view.
     pub delta_bytes_limit: usize,
+    /// Most deltas kept of a view with more records than `delta_limit`; never
+    /// more than it has records, since a snapshot is smaller then.
+    pub large_delta_limit: usize,
+    /// Most encoded bytes of deltas kept of such a view.
+    pub large_delta_bytes_limit: usize,
     /// A child that sent nothing for so long is forgotten.
     pub child_silence_limit: Duration,
 }
@@ -28,6 +33,8 @@
             push_burst_bytes: 64_000,
             delta_limit: 1_024,
             delta_bytes_limit: 1_000_000,
+            large_delta_limit: 16_384,
+            large_delta_bytes_limit: 4_000_000,
             child_silence_limit: Duration::from_secs(10),
         }
     }
--- a/crates/petrellatch-core/tests/dissemination/catch_up.rs
+++ b/crates/petrellatch-core/tests/dissemination/catch_up.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
-use petrellatch_core::dissemination::{DaemonLink, LinkSettings};
-use petrellatch_proto::dissemination::SnapshotPart;
+use petrellatch_core::cluster::ClusterView;
+use petrellatch_core::dissemination::{
+    DaemonLink, LinkSettings, Relay, RelayOutput, RelaySettings,
+};
+use petrellatch_proto::dissemination::{Delta, SnapshotPart, Subscribe};
 use petrellatch_proto::envelope::Body;
-use petrellatch_proto::record::NodeRole;
+use petrellatch_proto::record::{MemberRecord, NodeRole, Record, RecordChange};
 
 use crate::network::{address, identity, policy_change};
 
@@ -85,3 +88,36 @@
     deliver_part(&mut link, now, first, 10, 1);
     assert_eq!(link.view().version(), 10);
 }
+
+fn member_change(node: u64) -> RecordChange {
+    let identity = identity(CHILD, NodeRole::Agent);
+    let record = MemberRecord {
+        node,
+        ..identity.member_record()
+    };
+    RecordChange {
+        put: Some(Record::Member(record)),
+        remove: None,
+    }
+}
+
+#[test]
+fn a_child_that_missed_a_start_of_the_fleet_gets_deltas() {
+    const VERSIONS: u64 = 10_000;
+    let now = Timestamp::from_millis(1_000);
+    let mut relay = Relay::new(RelaySettings::default());
+    let mut view = ClusterView::new();
+    for version in 1..=VERSIONS {
+        let changes = vec![member_change(version)];
+        let delta = Delta { version, changes };
+        view.apply(&delta).expect("versions are consecutive");
+        relay.publish(now, &[delta], &view);
+    }
+    let node = identity(CHILD, NodeRole::Agent).node;
+    let subscribe = Subscribe { version: 1 };
+    relay.handle_subscribe(now, address(CHILD), node, &subscribe, &view);
+    let Some(RelayOutput::Send { body, .. }) = relay.poll_output() else {
+        panic!("the subscription was not answered");
+    };
+    assert!(matches!(body, Body::Update(update) if update.base == 1));
+}
--- a/crates/petrellatch-lab/src/hollow/hollow_view.rs
+++ b/crates/petrellatch-lab/src/hollow/hollow_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use petrellatch_core::cluster::{ApplyError, ClusterView};
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct SharedRecords {
     version: AtomicU64,
+    count: AtomicUsize,
     view: Mutex<ClusterView>,
     snapshots: Mutex<VecDeque<NamedSnapshot>>,
 }
@@ -34,7 +35,7 @@
         let mut view = self.lock();
         // A daemon that is further ahead may have been faster.
         if view.apply(delta).is_ok() {
-            self.version.store(view.version(), Ordering::Release);
+            self.note(&view);
         }
     }
 
@@ -44,10 +45,15 @@
         }
         let mut view = self.lock();
         if view.replace(version, records).is_ok() {
-            self.version.store(view.version(), Ordering::Release);
+            self.note(&view);
         }
     }
 
+    fn note(&self, view: &ClusterView) {
+        self.count.store(view.record_count(), Ordering::Release);
+        self.version.store(view.version(), Ordering::Release);
+    }
+
     /// The newest records. Whoever asks for the same version gets the same
     /// ones, since relays must cut a snapshot alike.
     fn snapshot(&self, version: u64) -> Arc<Vec<RecordChange>> {
@@ -125,6 +131,10 @@
         self.records.snapshot(self.version).as_ref().clone()
     }
 
+    fn record_count(&self) -> usize {
+        self.records.count.load(Ordering::Acquire)
+    }
+
     fn cleared(&self) -> Self {
         HollowView::new(0, Arc::clone(&self.records))
     }
