--- a/crates/petrellatch-lab/src/experiment/command.rs
+++ b/crates/petrellatch-lab/src/experiment/command.rs
@@ -14,7 +14,7 @@
 
 use super::baseline::Baseline;
 use super::deployment::Deployment;
-use super::emulator::{Emulator, RunSettings};
+use super::emulator::{Emulator, OPENING_TIME, RunSettings};
 use super::measures::Measures;
 use super::product::Product;
 use super::report::plot::{self, PlotError};
@@ -127,6 +127,7 @@
         seed,
         load: f64::from(options.load) / 100.0,
         with_churn: !options.calm,
+        opening_time: OPENING_TIME,
     };
     let pool = rayon::ThreadPoolBuilder::new()
         .num_threads(options.threads)
--- a/crates/petrellatch-lab/src/experiment/emulator.rs
+++ b/crates/petrellatch-lab/src/experiment/emulator.rs
@@ -31,8 +31,9 @@
 /// Faults begin this long after the callers.
 const QUIET_TIME: Duration = Duration::from_secs(5);
 
-/// Callers open flows for so long.
-const OPENING_TIME: Duration = Duration::from_secs(110);
+/// For so long callers open flows, unless set otherwise; all faults come in
+/// this time.
+pub const OPENING_TIME: Duration = Duration::from_secs(110);
 
 /// Open flows have so much time to end after the last one was opened.
 const CLOSING_TIME: Duration = Duration::from_secs(25);
@@ -57,6 +58,8 @@
     pub load: f64,
     /// Whether anything happens besides the load.
     pub with_churn: bool,
+    /// For how long callers open flows.
+    pub opening_time: Duration,
 }
 
 #[derive(Debug)]
@@ -178,7 +181,7 @@
             policy_weight: vec![1_000; deployment.zones.len()],
             draining: vec![false; places.len()],
             measures: Measures::new(&deployment),
-            opening_ends: start + OPENING_TIME,
+            opening_ends: start + settings.opening_time,
             places,
             settings,
         }
@@ -203,7 +206,8 @@
         }
         self.measures.still_open = self.callers.len() as u64;
         self.measures.system = self.system.totals();
-        self.measures.seconds = (OPENING_TIME + CLOSING_TIME + START_UP).as_secs_f64();
+        let duration = START_UP + self.settings.opening_time + CLOSING_TIME;
+        self.measures.seconds = duration.as_secs_f64();
         self.measures
     }
 
--- a/crates/petrellatch-lab/src/experiment/flow.rs
+++ b/crates/petrellatch-lab/src/experiment/flow.rs
@@ -80,7 +80,7 @@
         };
         Some(Message {
             kind,
-            service: bytes[1],
+            service: *bytes.get(1)?,
             request: u64::from_be_bytes(bytes.get(8..16)?.try_into().ok()?),
             service_micros: u64::from_be_bytes(bytes.get(16..24)?.try_into().ok()?),
         })
--- a/crates/petrellatch-lab/src/experiment/measures.rs
+++ b/crates/petrellatch-lab/src/experiment/measures.rs
@@ -59,7 +59,7 @@
 /// How unevenly the busy slots of one service were spread. Loads are divided
 /// by the weight that the policy gives, and back ends that are down, cold or
 /// draining are left out.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Imbalance {
     window: Vec<f64>,
     window_samples: u32,
@@ -72,7 +72,7 @@
 }
 
 /// What one run showed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Measures {
     /// Flows that callers opened.
     pub opened: u64,
