Ask again for a window that only seemed closed

Cause: under reordering, an acknowledgement that closed the window arrived after the one that opened it. When the retransmission timer then ran out, smoltcp 0.14 turned it off and waited for the peer for ever.

Change: while bytes are unacknowledged, both the agent's and the test caller's end send a probe every 2 s of an idle timer; its answer tells the window.

Ruled out: a window update by sequence numbers only; two bare acknowledgements with the same numbers can't be told apart.

Figures: the new test of FlowTerminator failed before and passes now.

--- a/crates/petrellatch-core/src/flow/flow_terminator.rs
+++ b/crates/petrellatch-core/src/flow/flow_terminator.rs
@@ -2,7 +2,7 @@
 
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet, SocketStorage};
 use smoltcp::socket::tcp::{Socket, SocketBuffer, State};
-use smoltcp::time::Instant;
+use smoltcp::time::{Duration, Instant};
 use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr};
 
 use crate::Timestamp;
@@ -13,6 +13,14 @@
 /// Bits of a prefix that covers one address.
 const HOST_PREFIX_BITS: u8 = 32;
 
+/// How long nothing may happen on a connection with unacknowledged bytes until
+/// the caller is asked for its window.
+///
+/// `smoltcp` 0.14 stops to retransmit when the timer runs out while the window
+/// is closed, and it then waits for the caller. If the window had only seemed
+/// closed, by an acknowledgement that was overtaken, the caller waits too.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How many bytes a flow buffers in each direction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FlowBuffers {
@@ -80,6 +88,7 @@
 
     /// Sends what is due: acknowledgements, retransmissions, new bytes.
     pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.watch_unacknowledged();
         self.interface
             .poll(instant(now), &mut self.packets, &mut self.sockets);
     }
@@ -168,6 +177,15 @@
         }
     }
 
+    fn watch_unacknowledged(&mut self) {
+        let waits = !self.is_flushed();
+        let interval = waits.then_some(PROBE_INTERVAL);
+        let socket = self.socket_mut();
+        if socket.keep_alive() != interval {
+            socket.set_keep_alive(interval);
+        }
+    }
+
     fn socket(&self) -> &Socket<'static> {
         self.sockets.get(self.socket)
     }
--- a/crates/petrellatch-core/src/flow/tests.rs
+++ b/crates/petrellatch-core/src/flow/tests.rs
@@ -95,3 +95,54 @@
     terminator.handle_packet(now, &reset);
     assert_eq!(terminator.poll_packet(), None);
 }
+
+/// A bare acknowledgement from the caller of [`opening`].
+fn acknowledgement(number: i32, window: u16) -> Vec<u8> {
+    let mut packet = opening();
+    let mut ip = Ipv4Packet::new_unchecked(&mut packet[..]);
+    let mut tcp = TcpPacket::new_unchecked(ip.payload_mut());
+    tcp.set_syn(false);
+    tcp.set_ack(true);
+    tcp.set_seq_number(smoltcp::wire::TcpSeqNumber(1_001));
+    tcp.set_ack_number(smoltcp::wire::TcpSeqNumber(number));
+    tcp.set_window_len(window);
+    let source = smoltcp::wire::IpAddress::v4(10, 8, 0, 1);
+    let destination = smoltcp::wire::IpAddress::v4(10, 9, 0, 1);
+    tcp.fill_checksum(&source, &destination);
+    packet
+}
+
+/// Lets time pass and returns all packets that were sent.
+fn packets_within(terminator: &mut FlowTerminator, from: u64, until: u64) -> Vec<Vec<u8>> {
+    let mut packets = Vec::new();
+    for millis in (from..until).step_by(50) {
+        terminator.handle_timeout(Timestamp::from_millis(millis));
+        packets.extend(std::iter::from_fn(|| terminator.poll_packet()));
+    }
+    packets
+}
+
+#[test]
+fn a_late_closed_window_does_not_end_the_retransmissions() {
+    let now = Timestamp::from_millis(1);
+    let view = PacketView::parse(&opening()).unwrap();
+    let mut terminator = FlowTerminator::new(now, &view.key, FlowBuffers::default(), 7);
+    terminator.handle_packet(now, &opening());
+    let answer = terminator.poll_packet().expect("the SYN is answered");
+    let ip = Ipv4Packet::new_checked(&answer[..]).unwrap();
+    let first = TcpPacket::new_checked(ip.payload()).unwrap().seq_number().0 + 1;
+    terminator.handle_packet(now, &acknowledgement(first, 1_000));
+    assert!(terminator.is_established());
+    assert_eq!(terminator.write(b"lost on its way"), 15);
+    assert_eq!(packets_within(&mut terminator, 2, 100).len(), 1);
+    // It says that the window was closed before it was opened.
+    terminator.handle_packet(Timestamp::from_millis(100), &acknowledgement(first, 0));
+    let probes = packets_within(&mut terminator, 150, 20_000);
+    assert!(!probes.is_empty(), "the caller is never asked again");
+    let now = Timestamp::from_millis(20_000);
+    terminator.handle_packet(now, &acknowledgement(first, 1_000));
+    let sent = packets_within(&mut terminator, 20_000, 22_000);
+    let carries_data = |packet: &Vec<u8>| packet.ends_with(b"lost on its way");
+    assert!(sent.iter().any(carries_data));
+    assert!(!terminator.is_flushed());
+}
--- a/crates/petrellatch-lab/src/caller/endpoint.rs
+++ b/crates/petrellatch-lab/src/caller/endpoint.rs
@@ -18,6 +18,10 @@
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Default time for which a peer may owe an acknowledgement in silence.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long nothing may happen on a flow with unacknowledged bytes until the
+/// peer is asked for its window. Without it `smoltcp` 0.14 waits for ever when
+/// an overtaken acknowledgement made the window seem closed.
+const PROBE_INTERVAL: smoltcp::time::Duration = smoltcp::time::Duration::from_secs(2);
 /// Every destination is on-link, because the fabric is the only way out.
 const ON_LINK_PREFIX: u8 = 0;
 
@@ -163,6 +167,7 @@
             return Some(packet);
         }
         self.watch_silence(now);
+        self.watch_unacknowledged();
         let time = to_instant(now);
         self.interface
             .poll_egress(time, &mut self.device, &mut self.sockets);
@@ -260,6 +265,15 @@
         }
     }
 
+    fn watch_unacknowledged(&mut self) {
+        let waits = self.socket().send_queue() > 0;
+        let interval = waits.then_some(PROBE_INTERVAL);
+        let socket = self.socket_mut();
+        if socket.keep_alive() != interval {
+            socket.set_keep_alive(interval);
+        }
+    }
+
     fn awaits_acknowledgement(&self) -> bool {
         let socket = self.socket();
         let owes_control = matches!(
