--- a/crates/petrellatch-core/src/flow/flow_terminator.rs
+++ b/crates/petrellatch-core/src/flow/flow_terminator.rs
@@ -2,17 +2,26 @@
 
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet, SocketStorage};
 use smoltcp::socket::tcp::{Socket, SocketBuffer, State};
-use smoltcp::time::Instant;
+use smoltcp::time::{Duration, Instant};
 use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr};
 
 use crate::Timestamp;
 use crate::placement::FlowKey;
 
 use super::packet_queue::PacketQueue;
+use super::segment_filter::SegmentFilter;
 
 /// Bits of a prefix that covers one address.
 const HOST_PREFIX_BITS: u8 = 32;
 
+/// How long nothing may happen on a connection with unacknowledged bytes until
+/// the caller is asked for its window.
+///
+/// `smoltcp` 0.14 stops to retransmit when the timer runs out while the window
+/// is closed, and it then waits for the caller. If the window had only seemed
+/// closed, by an acknowledgement that was overtaken, the caller waits too.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How many bytes a flow buffers in each direction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FlowBuffers {
@@ -41,6 +50,7 @@
     sockets: SocketSet<'static>,
     socket: SocketHandle,
     packets: PacketQueue,
+    filter: SegmentFilter,
     opened: bool,
 }
 
@@ -64,6 +74,7 @@
             sockets,
             socket,
             packets,
+            filter: SegmentFilter::default(),
             opened: false,
         }
     }
@@ -73,20 +84,25 @@
         if self.is_closed() {
             return;
         }
-        self.packets.received.push_back(packet.to_vec());
+        let socket = self.sockets.get(self.socket);
+        let admitted = self.filter.admit(socket, packet);
+        self.packets.received.extend(admitted);
         self.opened = true;
         self.handle_timeout(now);
     }
 
     /// Sends what is due: acknowledgements, retransmissions, new bytes.
     pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.watch_unacknowledged();
         self.interface
             .poll(instant(now), &mut self.packets, &mut self.sockets);
     }
 
     /// Returns the next packet for the caller.
     pub fn poll_packet(&mut self) -> Option<Vec<u8>> {
-        self.packets.outgoing.pop_front()
+        let packet = self.packets.outgoing.pop_front()?;
+        self.filter.note_sent(&packet);
+        Some(packet)
     }
 
     /// Returns when [`FlowTerminator::handle_timeout`] is due.
@@ -168,6 +184,15 @@
         }
     }
 
+    fn watch_unacknowledged(&mut self) {
+        let waits = !self.is_flushed();
+        let interval = waits.then_some(PROBE_INTERVAL);
+        let socket = self.socket_mut();
+        if socket.keep_alive() != interval {
+            socket.set_keep_alive(interval);
+        }
+    }
+
     fn socket(&self) -> &Socket<'static> {
         self.sockets.get(self.socket)
     }
