Leave a silent control replica sooner in ctl

Cause: in a trial of scripts/fleet faults with the leader frozen, changes by ctl were in force after 15.4 s at most: each attempt waited 5 s for the frozen replica, and followers went on to name it as leader. Ruled out: asking all replicas at once: every command would cost the group three times the requests, most of all when it is overloaded. Change: with several servers the first wait is 1 s and doubles with each answer that does not come; a silent server is left alone for 5 s, also when others name it as leader; the server that answered stays the one that is asked. The fleet's fault run was not repeated. Conclusion: one frozen replica costs a command about a second.

--- a/crates/petrellatch/src/ctl/client.rs
+++ b/crates/petrellatch/src/ctl/client.rs
@@ -1,5 +1,6 @@
 //! Sends requests to the operator API until the answer is known.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,9 +16,14 @@
 use crate::api::{ErrorBody, ErrorDocument, kind_by_name};
 use crate::error::ProgramError;
 
-/// The longest wait for one answer, so that a silent server is left for
-/// another one in time.
-const ATTEMPT_LIMIT: Duration = Duration::from_secs(5);
+/// The wait for the first answer when there are other servers to ask, so that
+/// a silent one costs little. It doubles with each answer that did not come.
+const FIRST_ATTEMPT_LIMIT: Duration = Duration::from_secs(1);
+/// The longest wait for one answer.
+const LAST_ATTEMPT_LIMIT: Duration = Duration::from_secs(5);
+/// A server that did not answer is not asked again for so long, unless there
+/// is no other.
+const SILENCE_MEMORY: Duration = Duration::from_secs(5);
 /// How many leader hints are followed in a row without a wait.
 const MAX_HINTS_IN_A_ROW: u32 = 3;
 
@@ -28,6 +34,8 @@
     pub kind: ErrorKind,
     /// What the server said.
     pub body: ErrorBody,
+    /// Whether the server said nothing.
+    pub is_silence: bool,
 }
 
 /// A client of the control replicas.
@@ -35,8 +43,11 @@
 pub struct OperatorClient {
     agent: Agent,
     servers: Vec<String>,
-    /// The server that is asked next.
+    /// The server that is asked next: the one that answered last.
     current: usize,
+    /// Until when servers that did not answer are left alone.
+    silent: BTreeMap<usize, Instant>,
+    attempt_limit: Duration,
     backoff: Backoff,
     deadline: Instant,
 }
@@ -52,6 +63,11 @@
             agent,
             servers: servers.to_vec(),
             current: 0,
+            silent: BTreeMap::new(),
+            attempt_limit: match servers.len() {
+                1 => LAST_ATTEMPT_LIMIT,
+                _ => FIRST_ATTEMPT_LIMIT,
+            },
             backoff: Backoff::new(retries),
             deadline,
         }
@@ -93,18 +109,41 @@
             if !failure.kind.answer().retryable {
                 return Err(failure);
             }
+            if failure.is_silence {
+                self.note_silence();
+            }
             let hinted = hints < MAX_HINTS_IN_A_ROW && self.follow_hint(&failure);
             if hinted {
                 hints += 1;
                 continue;
             }
             hints = 0;
-            self.current = (self.current + 1) % self.servers.len();
+            self.take_next_server();
             self.wait_before_retry(failure)?;
         }
     }
 
-    /// Makes the leader that the failure names the next server.
+    fn note_silence(&mut self) {
+        let until = Instant::now() + SILENCE_MEMORY;
+        self.silent.insert(self.current, until);
+        self.attempt_limit = (self.attempt_limit * 2).min(LAST_ATTEMPT_LIMIT);
+    }
+
+    fn is_silent(&self, server: usize) -> bool {
+        let until = self.silent.get(&server);
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
+    /// Takes the next server in turn, if possible one that is not silent.
+    fn take_next_server(&mut self) {
+        let count = self.servers.len();
+        let mut others = (1..=count).map(|step| (self.current + step) % count);
+        let next = others.find(|server| !self.is_silent(*server));
+        self.current = next.unwrap_or((self.current + 1) % count);
+    }
+
+    /// Makes the leader that the failure names the next server, unless it did
+    /// not answer just now.
     fn follow_hint(&mut self, failure: &Failure) -> bool {
         let Some(leader) = &failure.body.leader else {
             return false;
@@ -113,10 +152,14 @@
             return false;
         }
         let known = self.servers.iter().position(|server| server == leader);
-        self.current = known.unwrap_or_else(|| {
+        let server = known.unwrap_or_else(|| {
             self.servers.push(leader.clone());
             self.servers.len() - 1
         });
+        if self.is_silent(server) {
+            return false;
+        }
+        self.current = server;
         true
     }
 
@@ -139,7 +182,7 @@
     fn attempt<T: DeserializeOwned>(&self, path: &str, body: Option<&[u8]>) -> Result<T, Failure> {
         let server = &self.servers[self.current];
         let url = format!("http://{server}{path}");
-        let limit = Some(self.time_left().min(ATTEMPT_LIMIT));
+        let limit = Some(self.time_left().min(self.attempt_limit));
         let sent = match body {
             Some(body) => self
                 .agent
@@ -176,6 +219,7 @@
     Err(Failure {
         kind,
         body: reported.error,
+        is_silence: false,
     })
 }
 
@@ -183,6 +227,7 @@
     let mut failure = Failure::new(ErrorKind::Unavailable, format!("{server}: {error}"));
     // Another server may answer at once; the backoff alone decides.
     failure.body.retry_after_ms = None;
+    failure.is_silence = true;
     failure
 }
 
@@ -192,6 +237,7 @@
         Failure {
             kind,
             body: ErrorDocument::new(kind, message).error,
+            is_silence: false,
         }
     }
 }
