Serve the platform's lagging list of machines

Cause: control reads a list of live and leaving machines; nothing stood in for it. Ruled out: a POST to change the list: a file that scripts write is enough, as for the fabric's balancers. Change: petrellatch-lab platform: GET /machines as the file was some time ago. The lag is a state machine without input or output. The two small HTTP servers of the lab share their answers. Conclusion: fleets can give control its lagging list.

--- a/crates/petrellatch-lab/src/fabric/admin.rs
+++ b/crates/petrellatch-lab/src/fabric/admin.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tiny_http::{Header, Response, Server};
+use tiny_http::{Response, Server};
 
 use super::counters::FabricCounters;
 use super::outcomes::{FlowOutcome, OutcomeLog};
+use crate::support::http_server::{json_response, not_found};
 use crate::support::process::StopFlag;
 
 /// How often the endpoint looks whether it is to stop.
@@ -98,13 +99,6 @@
         Some(client) => json_response(&OutcomeAnswer {
             outcome: status.lock().outcomes.find(client),
         }),
-        None => json_response(&"there is no such path").with_status_code(404),
+        None => not_found(),
     }
 }
-
-fn json_response<T: Serialize>(value: &T) -> Response<io::Cursor<Vec<u8>>> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let content_type =
-        Header::from_bytes("Content-Type", "application/json").expect("the header is well-formed");
-    Response::from_data(body).with_header(content_type)
-}
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -9,6 +9,7 @@
 use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
 use petrellatch_lab::hollow::{self, HollowOptions};
+use petrellatch_lab::platform::{self, PlatformOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
 
@@ -38,6 +39,8 @@
     Fabric(FabricOptions),
     /// Measure the capacity of control with hollow daemons.
     Hollow(HollowOptions),
+    /// Serve the platform's lagging list of machines.
+    Platform(PlatformOptions),
     /// Simulate whole fleets with faults and check what is promised.
     Sim(SimOptions),
 }
@@ -86,6 +89,11 @@
             hollow::run(&options, &log)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Platform(options) => {
+            let log = terminal_logger(options.verbose);
+            platform::run(options, &log)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Sim(options) => Ok(sim::run(&options, &mut std::io::stdout().lock())?),
     }
 }
--- a/crates/petrellatch-lab/src/support/mod.rs
+++ b/crates/petrellatch-lab/src/support/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod content;
 pub mod http;
+pub mod http_server;
 pub mod logging;
 pub mod process;
