Keep the view and the bucket tables in less memory

Cause: at 67,000 services the view alone took 127 MB, and a balancer 173 MB, of the 128 MB that a daemon may use. Ruled out: leaving records out of the view, because any balancer may be a relay and has to serve them. Change: names are indexed by hash and compared with the record; records are boxed; back ends of services and agents are flat sets; buckets take as few bits as their largest position needs.

--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -39,10 +39,11 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClusterView {
     version: u64,
-    services: BTreeMap<ServiceId, ServiceRecord>,
-    backends: BTreeMap<BackendId, BackendRecord>,
+    // Records are boxed, since half of the room in a tree's nodes is empty.
+    services: BTreeMap<ServiceId, Box<ServiceRecord>>,
+    backends: BTreeMap<BackendId, Box<BackendRecord>>,
     policies: BTreeMap<String, PolicyRecord>,
-    members: BTreeMap<NodeId, MemberRecord>,
+    members: BTreeMap<NodeId, Box<MemberRecord>>,
     placements: BTreeMap<ServiceId, PlacementRecord>,
     index: RecordIndex,
 }
@@ -94,9 +95,9 @@
     /// Returns all records as puts, in a fixed order.
     pub fn records(&self) -> Vec<RecordChange> {
         let policies = self.policies.values().cloned().map(Record::Policy);
-        let services = self.services.values().cloned().map(Record::Service);
-        let backends = self.backends.values().cloned().map(Record::Backend);
-        let members = self.members.values().cloned().map(Record::Member);
+        let services = self.services().cloned().map(Record::Service);
+        let backends = self.backends().cloned().map(Record::Backend);
+        let members = self.members().cloned().map(Record::Member);
         let placements = self.placements.values().cloned().map(Record::Placement);
         policies
             .chain(services)
@@ -132,24 +133,25 @@
 
     /// Returns a service.
     pub fn service(&self, id: ServiceId) -> Option<&ServiceRecord> {
-        self.services.get(&id)
+        self.services.get(&id).map(Box::as_ref)
     }
 
     /// Returns a service by the operator's name for it.
     pub fn service_by_name(&self, name: &str) -> Option<&ServiceRecord> {
-        let id = self.index.service_by_name(name)?;
-        self.services.get(&id)
+        let ids = self.index.services_named_like(name);
+        let mut found = ids.filter_map(|id| self.service(id));
+        found.find(|service| service.name == name)
     }
 
     /// Returns the service that callers reach at this address.
     pub fn service_by_address(&self, address: SocketAddrV4) -> Option<&ServiceRecord> {
         let id = self.index.service_by_address(address.into())?;
-        self.services.get(&id)
+        self.service(id)
     }
 
     /// Returns all services by identifier.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRecord> {
-        self.services.values()
+        self.services.values().map(Box::as_ref)
     }
 
     /// Returns how many services there are.
@@ -160,23 +162,24 @@
     /// Returns the services that use a policy, by identifier.
     pub fn services_of_policy(&self, policy: &str) -> impl Iterator<Item = &ServiceRecord> {
         let ids = self.index.services_of_policy(policy);
-        ids.filter_map(|id| self.services.get(&id))
+        ids.filter_map(|id| self.service(id))
     }
 
     /// Returns a back end.
     pub fn backend(&self, id: BackendId) -> Option<&BackendRecord> {
-        self.backends.get(&id)
+        self.backends.get(&id).map(Box::as_ref)
     }
 
     /// Returns a back end by the operator's name for it.
     pub fn backend_by_name(&self, name: &str) -> Option<&BackendRecord> {
-        let id = self.index.backend_by_name(name)?;
-        self.backends.get(&id)
+        let ids = self.index.backends_named_like(name);
+        let mut found = ids.filter_map(|id| self.backend(id));
+        found.find(|backend| backend.name == name)
     }
 
     /// Returns all back ends by identifier.
     pub fn backends(&self) -> impl Iterator<Item = &BackendRecord> {
-        self.backends.values()
+        self.backends.values().map(Box::as_ref)
     }
 
     /// Returns how many back ends there are.
@@ -187,13 +190,13 @@
     /// Returns the back ends beside one agent by identifier.
     pub fn backends_of_agent(&self, agent: NodeId) -> impl Iterator<Item = &BackendRecord> {
         let ids = self.index.backends_of_agent(agent);
-        ids.filter_map(|id| self.backends.get(&id))
+        ids.filter_map(|id| self.backend(id))
     }
 
     /// Returns the back ends of one service by identifier.
     pub fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = &BackendRecord> {
         let ids = self.index.backends_of(service);
-        ids.filter_map(|id| self.backends.get(&id))
+        ids.filter_map(|id| self.backend(id))
     }
 
     /// Returns a policy.
@@ -213,7 +216,7 @@
 
     /// Returns a member.
     pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
-        self.members.get(&node)
+        self.members.get(&node).map(Box::as_ref)
     }
 
     /// Returns whether this life of a node is a member. A life that is not one
@@ -226,7 +229,7 @@
 
     /// Returns all members by node.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.values()
+        self.members.values().map(Box::as_ref)
     }
 
     /// Returns how many members there are.
@@ -258,18 +261,18 @@
             Record::Service(service) => {
                 self.remove_service(ServiceId(service.id));
                 self.index.insert_service(&service);
-                self.services.insert(ServiceId(service.id), service);
+                self.services.insert(ServiceId(service.id), service.into());
             }
             Record::Backend(backend) => {
                 self.remove_backend(BackendId(backend.id));
                 self.index.insert_backend(&backend);
-                self.backends.insert(BackendId(backend.id), backend);
+                self.backends.insert(BackendId(backend.id), backend.into());
             }
             Record::Policy(policy) => {
                 self.policies.insert(policy.name.clone(), policy);
             }
             Record::Member(member) => {
-                self.members.insert(NodeId(member.node), member);
+                self.members.insert(NodeId(member.node), member.into());
             }
             Record::Placement(placement) => {
                 self.placements
--- a/crates/petrellatch-core/src/cluster/record_index.rs
+++ b/crates/petrellatch-core/src/cluster/record_index.rs
@@ -1,29 +1,48 @@
 //! Finds records by what operators and callers know of them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+use std::ops::RangeInclusive;
 
 use petrellatch_proto::endpoint::Endpoint;
 use petrellatch_proto::record::{BackendRecord, ServiceRecord};
+use siphasher::sip::SipHasher13;
 
 use crate::identity::{BackendId, NodeId, ServiceId};
 
 /// Identifiers of records by their other properties, so that no lookup walks
 /// over all records. Follows from the records alone.
+///
+/// Names are kept as hashes, which take a third of the room; who looks a name
+/// up compares it with the records found.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct RecordIndex {
-    services_by_name: BTreeMap<String, ServiceId>,
+    services_by_name: BTreeSet<(NameHash, ServiceId)>,
     services_by_address: BTreeMap<Endpoint, ServiceId>,
     services_by_policy: BTreeMap<String, BTreeSet<ServiceId>>,
-    backends_by_name: BTreeMap<String, BackendId>,
-    /// Back ends of each service, in ascending order.
-    backends_by_service: BTreeMap<ServiceId, Vec<BackendId>>,
-    /// Back ends beside each agent, in ascending order.
-    backends_by_agent: BTreeMap<NodeId, Vec<BackendId>>,
+    backends_by_name: BTreeSet<(NameHash, BackendId)>,
+    backends_by_service: BTreeSet<(ServiceId, BackendId)>,
+    backends_by_agent: BTreeSet<(NodeId, BackendId)>,
+}
+
+/// The hash of an operator's name for a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct NameHash(u64);
+
+impl NameHash {
+    fn of(name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        NameHash(hasher.finish())
+    }
 }
 
 impl RecordIndex {
-    pub(super) fn service_by_name(&self, name: &str) -> Option<ServiceId> {
-        self.services_by_name.get(name).copied()
+    /// Returns the services whose names have the hash of `name`.
+    pub(super) fn services_named_like(&self, name: &str) -> impl Iterator<Item = ServiceId> {
+        let hash = NameHash::of(name);
+        let all = (hash, ServiceId(0))..=(hash, ServiceId(u32::MAX));
+        self.services_by_name.range(all).map(|(_, id)| *id)
     }
 
     pub(super) fn service_by_address(&self, address: Endpoint) -> Option<ServiceId> {
@@ -35,34 +54,38 @@
         ids.into_iter().flatten().copied()
     }
 
-    pub(super) fn backend_by_name(&self, name: &str) -> Option<BackendId> {
-        self.backends_by_name.get(name).copied()
+    /// Returns the back ends whose names have the hash of `name`.
+    pub(super) fn backends_named_like(&self, name: &str) -> impl Iterator<Item = BackendId> {
+        let all = with_any_backend(NameHash::of(name));
+        self.backends_by_name.range(all).map(|(_, id)| *id)
     }
 
+    /// Returns the back ends of a service in ascending order.
     pub(super) fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = BackendId> {
-        let ids = self.backends_by_service.get(&service);
-        ids.into_iter().flatten().copied()
+        let all = with_any_backend(service);
+        self.backends_by_service.range(all).map(|(_, id)| *id)
     }
 
+    /// Returns the back ends beside an agent in ascending order.
     pub(super) fn backends_of_agent(&self, agent: NodeId) -> impl Iterator<Item = BackendId> {
-        let ids = self.backends_by_agent.get(&agent);
-        ids.into_iter().flatten().copied()
+        let all = with_any_backend(agent);
+        self.backends_by_agent.range(all).map(|(_, id)| *id)
     }
 
     pub(super) fn insert_service(&mut self, service: &ServiceRecord) {
         let id = ServiceId(service.id);
-        self.services_by_name.insert(service.name.clone(), id);
+        let name = NameHash::of(&service.name);
+        self.services_by_name.insert((name, id));
         self.services_by_address.insert(service.address, id);
         let of_policy = self.services_by_policy.entry(service.policy.clone());
         of_policy.or_default().insert(id);
     }
 
-    /// Entries that another service has taken over in the meantime stay.
+    /// An address that another service has taken over in the meantime stays.
     pub(super) fn remove_service(&mut self, service: &ServiceRecord) {
         let id = ServiceId(service.id);
-        if self.service_by_name(&service.name) == Some(id) {
-            self.services_by_name.remove(&service.name);
-        }
+        let name = NameHash::of(&service.name);
+        self.services_by_name.remove(&(name, id));
         if self.service_by_address(service.address) == Some(id) {
             self.services_by_address.remove(&service.address);
         }
@@ -76,27 +99,20 @@
 
     pub(super) fn insert_backend(&mut self, backend: &BackendRecord) {
         let id = BackendId(backend.id);
-        self.backends_by_name.insert(backend.name.clone(), id);
-        insert_sorted(
-            &mut self.backends_by_service,
-            ServiceId(backend.service),
-            id,
-        );
-        insert_sorted(&mut self.backends_by_agent, agent_of(backend), id);
+        let name = NameHash::of(&backend.name);
+        self.backends_by_name.insert((name, id));
+        let service = ServiceId(backend.service);
+        self.backends_by_service.insert((service, id));
+        self.backends_by_agent.insert((agent_of(backend), id));
     }
 
-    /// An entry that another back end has taken over in the meantime stays.
     pub(super) fn remove_backend(&mut self, backend: &BackendRecord) {
         let id = BackendId(backend.id);
-        if self.backend_by_name(&backend.name) == Some(id) {
-            self.backends_by_name.remove(&backend.name);
-        }
-        remove_sorted(
-            &mut self.backends_by_service,
-            ServiceId(backend.service),
-            id,
-        );
-        remove_sorted(&mut self.backends_by_agent, agent_of(backend), id);
+        let name = NameHash::of(&backend.name);
+        self.backends_by_name.remove(&(name, id));
+        let service = ServiceId(backend.service);
+        self.backends_by_service.remove(&(service, id));
+        self.backends_by_agent.remove(&(agent_of(backend), id));
     }
 }
 
@@ -104,29 +120,7 @@
     NodeId::from_name(&backend.agent)
 }
 
-fn insert_sorted<Key: Ord>(
-    lists: &mut BTreeMap<Key, Vec<BackendId>>,
-    key: Key,
-    backend: BackendId,
-) {
-    let list = lists.entry(key).or_default();
-    if let Err(position) = list.binary_search(&backend) {
-        list.insert(position, backend);
-    }
-}
-
-fn remove_sorted<Key: Ord>(
-    lists: &mut BTreeMap<Key, Vec<BackendId>>,
-    key: Key,
-    backend: BackendId,
-) {
-    let Some(list) = lists.get_mut(&key) else {
-        return;
-    };
-    if let Ok(position) = list.binary_search(&backend) {
-        list.remove(position);
-    }
-    if list.is_empty() {
-        lists.remove(&key);
-    }
+/// Returns the range of all entries under one key.
+fn with_any_backend<Key: Copy>(key: Key) -> RangeInclusive<(Key, BackendId)> {
+    (key, BackendId(0))..=(key, BackendId(u64::MAX))
 }
--- a/crates/petrellatch-core/src/placement/bucket_table.rs
+++ b/crates/petrellatch-core/src/placement/bucket_table.rs
@@ -3,6 +3,7 @@
 use crate::identity::{BackendId, BucketIndex, ServiceId};
 
 use super::assignment::{self, Candidate};
+use super::packed_positions::PackedPositions;
 use super::quota;
 use super::rendezvous::BackendSeed;
 use super::share::Share;
@@ -14,47 +15,17 @@
 /// The largest number of buckets in a table; a larger count is cut to this.
 pub const MAXIMUM_BUCKETS: u32 = 1 << 16;
 
-/// Positions of back ends, one for each bucket.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Positions {
-    /// None is above 255.
-    Narrow(Box<[u8]>),
-    /// Some are.
-    Wide(Box<[u16]>),
-}
-
-impl Positions {
-    fn new(positions: Box<[u16]>) -> Self {
-        let narrow: Result<Box<[u8]>, _> = positions.iter().map(|&it| u8::try_from(it)).collect();
-        narrow.map_or(Positions::Wide(positions), Positions::Narrow)
-    }
-
-    fn get(&self, bucket: usize) -> Option<u16> {
-        match self {
-            Positions::Narrow(positions) => positions.get(bucket).copied().map(u16::from),
-            Positions::Wide(positions) => positions.get(bucket).copied(),
-        }
-    }
-
-    fn heap_bytes(&self) -> usize {
-        match self {
-            Positions::Narrow(positions) => size_of_val(&**positions),
-            Positions::Wide(positions) => size_of_val(&**positions),
-        }
-    }
-}
-
 /// Names for each bucket of a service the back ends that receive new flows.
 ///
-/// It takes a byte a bucket, two beyond 256 back ends, and 24 bytes a back
-/// end.
+/// It takes 24 bytes a back end and, for each bucket, the bits of one position:
+/// two for up to four back ends, a byte for up to 256.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BucketTable {
     service: ServiceId,
     /// The back ends of positive weight, in the order of their identifiers.
     candidates: Box<[Candidate]>,
     /// For each bucket a position in `candidates`; empty without candidates.
-    primaries: Positions,
+    primaries: PackedPositions,
     bucket_count: u32,
 }
 
@@ -65,7 +36,7 @@
     pub fn compute(service: ServiceId, bucket_count: u32, shares: &[Share]) -> BucketTable {
         let bucket_count = bucket_count.clamp(1, MAXIMUM_BUCKETS);
         let candidates = select_candidates(service, shares);
-        let primaries = Positions::new(assign_primaries(bucket_count, &candidates));
+        let primaries = PackedPositions::new(&assign_primaries(bucket_count, &candidates));
         BucketTable {
             service,
             candidates,
--- a/crates/petrellatch-core/src/placement/mod.rs
+++ b/crates/petrellatch-core/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod assignment;
 mod bucket_table;
 mod flow_key;
+mod packed_positions;
 mod quota;
 pub mod rendezvous;
 mod share;
--- a/crates/petrellatch-core/src/placement/tests.rs
+++ b/crates/petrellatch-core/src/placement/tests.rs
@@ -7,6 +7,7 @@
 
 use crate::identity::{BackendId, BucketIndex, ServiceId};
 
+use super::packed_positions::PackedPositions;
 use super::*;
 
 const SERVICE: ServiceId = ServiceId(7);
@@ -183,3 +184,17 @@
         }
     }
 }
+
+#[test]
+fn packed_positions_are_read_back() {
+    for largest in [0_u16, 1, 2, 3, 4, 15, 16, 255, 256, 4_095, u16::MAX] {
+        let positions: Vec<u16> = (0..1_000_u32)
+            .map(|index| (index * 7_919 % (u32::from(largest) + 1)) as u16)
+            .chain([largest])
+            .collect();
+        let packed = PackedPositions::new(&positions);
+        let read: Vec<u16> = (0..).map_while(|index| packed.get(index)).collect();
+        assert_eq!(read, positions);
+    }
+    assert_eq!(PackedPositions::new(&[]).get(0), None);
+}
