Add scenarios for what fails and for combinations

Change: balancers that die and join, differing views, control cut off, racing operators, a second lost disk, restarts after hundreds of changes, planned stops of the leader, a lying platform list with drifting clocks; generated combinations, also twice, with smaller failing schedules; switches of the new mutations of the control state.

--- a/crates/petrellatch-lab/src/simulator/mutation.rs
+++ b/crates/petrellatch-lab/src/simulator/mutation.rs
@@ -51,6 +51,12 @@
     IgnoreBasedOn = "ignore-based-on",
     /// A silent agent is fenced before its lease can have run out.
     FenceWithoutWaiting = "fence-without-waiting",
+    /// A new leader forgets the leases that earlier leaders granted.
+    ForgetEarlierLeases = "forget-earlier-leases",
+    /// A new life of an agent is registered while the former may still admit.
+    RegisterOverFormerLife = "register-over-former-life",
+    /// Placements are settled although former owners may not have reported.
+    SettleWithoutReports = "settle-without-reports",
     /// Daemons apply updates of older versions too.
     ApplyOlderVersions = "apply-older-versions",
     /// A restarted daemon acts on its stored view.
@@ -92,7 +98,9 @@
             no_request_dedupe: self == Mutation::NoRequestDedupe,
             ignore_based_on: self == Mutation::IgnoreBasedOn,
             fence_without_waiting: self == Mutation::FenceWithoutWaiting,
-            ..ControlMutations::default()
+            forget_earlier_leases: self == Mutation::ForgetEarlierLeases,
+            register_over_former_life: self == Mutation::RegisterOverFormerLife,
+            settle_without_reports: self == Mutation::SettleWithoutReports,
         }
     }
 
--- a/crates/petrellatch-lab/src/simulator/scenarios/fleet_scenario.rs
+++ b/crates/petrellatch-lab/src/simulator/scenarios/fleet_scenario.rs
@@ -54,7 +54,11 @@
     /// Makes the schedule of a seed; it ends with everything allowed again.
     pub fn schedule_of(&self, seed: u64) -> Schedule {
         let mut random = random::stream(seed, self.name);
-        let schedule = (self.schedule)(&mut random);
+        self.restore_after((self.schedule)(&mut random))
+    }
+
+    /// Ends a schedule with everything allowed again.
+    pub fn restore_after(&self, schedule: Schedule) -> Schedule {
         schedule.operator(self.disturbed_until, OperatorStep::Restore)
     }
 
--- a/crates/petrellatch-lab/src/simulator/scenarios/promises.rs
+++ b/crates/petrellatch-lab/src/simulator/scenarios/promises.rs
@@ -5,23 +5,15 @@
 use rand::RngExt;
 
 use super::fleet_scenario::{Breakage, FleetScenario};
+use super::steps::{SPARE_BALANCER, at, parity, rough, seconds};
 use crate::simulator::engine::disk::CrashOutcome;
-use crate::simulator::engine::network::Disturbance;
 use crate::simulator::engine::random::Random;
 use crate::simulator::scenario::Promise;
-use crate::simulator::schedule::action::Parity;
 use crate::simulator::schedule::{
     CutDirection, Fault, OperatorStep, PlannedWork, Schedule, Target,
 };
 use crate::simulator::world::FleetPlan;
 
-const fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
-
-/// The balancer that does not run from the start.
-const SPARE_BALANCER: Target = Target::Balancer(3);
-
 /// The scenarios.
 pub const SCENARIOS: &[FleetScenario] = &[
     FleetScenario {
@@ -153,14 +145,6 @@
     }
 }
 
-fn at(random: &mut Random, from: u64, until: u64) -> Duration {
-    Duration::from_millis(random.random_range(from * 1_000..until * 1_000))
-}
-
-fn parity(random: &mut Random) -> Parity {
-    [Parity::All, Parity::Even, Parity::Odd][random.random_range(0..3)]
-}
-
 fn planned_changes(random: &mut Random) -> Schedule {
     let mut schedule = Schedule::default()
         .planned(
@@ -189,18 +173,6 @@
     schedule
 }
 
-fn rough(random: &mut Random) -> Fault {
-    Fault::Disturb {
-        disturbance: Disturbance {
-            loss_ppm: random.random_range(0..30_000),
-            duplicate_ppm: random.random_range(10_000..100_000),
-            late_ppm: random.random_range(10_000..100_000),
-            late_by: Duration::from_millis(random.random_range(10..800)),
-        },
-        duration: seconds(25),
-    }
-}
-
 fn reused_addresses(random: &mut Random) -> Schedule {
     let mut schedule = Schedule::default().fault(at(random, 8, 12), rough(random));
     for _ in 0..2 {
--- a/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
+++ b/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
@@ -113,7 +113,8 @@
         match &mut machine.process {
             Process::Balancer(node) => node.begin_stop(local),
             Process::Agent(node) => node.begin_stop(local),
-            Process::Control(_) | Process::Down => return,
+            Process::Control(node) => node.begin_stop(local),
+            Process::Down => return,
         }
         machine.stopping = Some(down);
         self.settle(index);
--- a/crates/petrellatch-lab/src/simulator/world/lifecycle.rs
+++ b/crates/petrellatch-lab/src/simulator/world/lifecycle.rs
@@ -291,9 +291,9 @@
         let down = machine.stopping.take().unwrap_or_default();
         machine.process = Process::Down;
         machine.wake_at = None;
-        machine
-            .view_disk
-            .crash(CrashOutcome::KeepsWrites, &mut self.random);
+        let outcome = CrashOutcome::KeepsWrites;
+        machine.view_disk.crash(outcome, &mut self.random);
+        machine.control_disk.crash(outcome, &mut self.random);
         self.schedule_restart(index, down);
     }
 
--- a/crates/petrellatch-lab/src/simulator/world/machine.rs
+++ b/crates/petrellatch-lab/src/simulator/world/machine.rs
@@ -133,9 +133,10 @@
     /// Returns whether a planned stop is complete.
     pub fn is_stopped(&self) -> bool {
         match &self.process {
+            Process::Down => false,
+            Process::Control(node) => node.is_stopped(),
             Process::Balancer(node) => node.is_stopped(),
             Process::Agent(node) => node.is_stopped(),
-            _ => false,
         }
     }
 
