Start hollow daemons before the configuration and pace its creation

Cause: with 1,500 daemons the start alone overloaded the relays (37,729 versions, 1,512 fences in 30 s, no agent current), so that no steady state could be measured. Ruled out: waiting longer; the overload feeds itself, because agents that lag for 10 s are fenced and registered again, which makes more versions.

--- a/crates/petrellatch-lab/src/hollow/operator.rs
+++ b/crates/petrellatch-lab/src/hollow/operator.rs
@@ -62,8 +62,8 @@
     }
 
     /// Submits many edits in as few changes as the limits allow. Returns how
-    /// many changes that took.
-    pub fn create(&mut self, edits: Vec<EditKind>) -> Result<usize, SubmitError> {
+    /// many changes that took. `pace` is called before each change.
+    pub fn create(&mut self, edits: Vec<EditKind>, pace: impl Fn()) -> Result<usize, SubmitError> {
         let mut changes = 0;
         let mut batch = Vec::new();
         let mut bytes = 0;
@@ -71,6 +71,7 @@
             let edit = Edit { kind: Some(kind) };
             let size = edit.encoded_len();
             if batch.len() >= EDITS_OF_CHANGE || bytes + size > BYTES_OF_CHANGE {
+                pace();
                 self.submit(std::mem::take(&mut batch))?;
                 changes += 1;
                 bytes = 0;
--- a/crates/petrellatch-lab/src/hollow/report.rs
+++ b/crates/petrellatch-lab/src/hollow/report.rs
@@ -38,9 +38,10 @@
     /// Seconds until all of them were accepted.
     pub configuration_seconds: f64,
     /// Seconds from the first start of a daemon until all were registered,
-    /// current, and served; none if that did not happen.
+    /// current, and served, before there was a configuration; none if that
+    /// did not happen.
     pub serving_seconds: Option<f64>,
-    /// Seconds from then until the newest version, with all placements, was
+    /// Seconds from the last change until the newest version, with all placements, was
     /// in force at all daemons; none if that did not happen.
     pub quiet_seconds: Option<f64>,
     /// Versions made until the measurement began.
@@ -178,10 +179,10 @@
 pub struct Memory {
     /// Before anything.
     pub at_start: u64,
-    /// With the configuration at all replicas.
-    pub with_configuration: u64,
-    /// With all daemons and placements.
+    /// With all daemons registered.
     pub with_daemons: u64,
+    /// With the configuration and all placements.
+    pub with_configuration: u64,
     /// After the steady state.
     pub after_steady: u64,
     /// At the end.
