--- a/crates/petrellatch-core/src/admission/backend_limits.rs
+++ b/crates/petrellatch-core/src/admission/backend_limits.rs
@@ -23,6 +23,11 @@
     RateLimit,
     /// It can't be reached.
     Unreachable,
+    /// No back end of the service receives new flows.
+    NoBackend,
+    /// The agent has no lease, or has not heard from the leader since it
+    /// started.
+    NoLease,
 }
 
 /// What a back end is doing, as its agent counts it.
--- a/crates/petrellatch-core/src/control/control_state.rs
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -227,7 +227,12 @@
             Ok(NodeRole::Balancer | NodeRole::Agent)
         );
         let named = check_name("node", &member.name).is_ok();
-        if known || is_full || !is_daemon || !named || self.is_fenced(life) {
+        if known && !self.mutations.register_over_former_life
+            || is_full
+            || !is_daemon
+            || !named
+            || self.is_fenced(life)
+        {
             return ignored();
         }
         let drained = self.assignments.drained_nodes.contains(&member.name);
@@ -316,9 +321,9 @@
         let in_order = shares.is_sorted_by(|left, right| left.backend < right.backend);
         let is_member =
             |node, incarnation| self.view.is_member(NodeId(node), Incarnation(incarnation));
-        let to_members = shares
-            .iter()
-            .all(|share| !share.receives() || is_member(share.node, share.incarnation));
+        let to_members = generation
+            .owners()
+            .all(|share| is_member(share.node, share.incarnation));
         in_order && to_members && shares.len() <= MAX_BACKENDS_OF_SERVICE
     }
 
--- a/crates/petrellatch-lab/src/caller/endpoint.rs
+++ b/crates/petrellatch-lab/src/caller/endpoint.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
+use petrellatch_core::flow::SegmentFilter;
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
 use smoltcp::socket::tcp;
 use smoltcp::time::Instant;
 use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr, IpProtocol, Ipv4Packet, TcpPacket};
 
-use super::duplicate_acks::DuplicateAckFilter;
 use super::packet_queue::PacketQueue;
 
 /// Size in bytes of the receive buffer, which is the largest window offered.
@@ -18,6 +18,10 @@
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Default time for which a peer may owe an acknowledgement in silence.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long nothing may happen on a flow with unacknowledged bytes until the
+/// peer is asked for its window. Without it `smoltcp` 0.14 waits for ever when
+/// an overtaken acknowledgement made the window seem closed.
+const PROBE_INTERVAL: smoltcp::time::Duration = smoltcp::time::Duration::from_secs(2);
 /// Every destination is on-link, because the fabric is the only way out.
 const ON_LINK_PREFIX: u8 = 0;
 
@@ -92,7 +96,7 @@
     tcp_state: tcp::State,
     close_requested: bool,
     abort_requested: bool,
-    duplicate_acks: DuplicateAckFilter,
+    filter: SegmentFilter,
     timeout: Duration,
     /// Since when the peer owes an acknowledgement and nothing was heard.
     silent_since: Option<Timestamp>,
@@ -122,7 +126,7 @@
             tcp_state: tcp::State::SynSent,
             close_requested: false,
             abort_requested: false,
-            duplicate_acks: DuplicateAckFilter::default(),
+            filter: SegmentFilter::default(),
             timeout: DEFAULT_TIMEOUT,
             silent_since: Some(now),
         }
@@ -147,27 +151,27 @@
         };
         self.silent_since = self.silent_since.map(|_| now);
         let socket = self.sockets.get(self.handle);
-        if self.duplicate_acks.rejects(socket, packet) {
-            return;
+        for admitted in self.filter.admit(socket, packet) {
+            self.device.push_incoming(&admitted);
+            let time = to_instant(now);
+            self.interface
+                .poll_ingress_single(time, &mut self.device, &mut self.sockets);
+            self.update_state(cause);
         }
-        self.device.push_incoming(packet);
-        let time = to_instant(now);
-        self.interface
-            .poll_ingress_single(time, &mut self.device, &mut self.sockets);
-        self.update_state(cause);
     }
 
     /// Returns the next IP packet to send, if there is one now.
     pub fn poll_packet(&mut self, now: Timestamp) -> Option<Vec<u8>> {
-        if let Some(packet) = self.device.pop_outgoing() {
+        if let Some(packet) = self.pop_outgoing() {
             return Some(packet);
         }
         self.watch_silence(now);
+        self.watch_unacknowledged();
         let time = to_instant(now);
         self.interface
             .poll_egress(time, &mut self.device, &mut self.sockets);
         self.update_state(Cause::Local);
-        self.device.pop_outgoing()
+        self.pop_outgoing()
     }
 
     /// Returns when [`poll_packet`](Self::poll_packet) is to be called next if
@@ -260,6 +264,15 @@
         }
     }
 
+    fn watch_unacknowledged(&mut self) {
+        let waits = self.socket().send_queue() > 0;
+        let interval = waits.then_some(PROBE_INTERVAL);
+        let socket = self.socket_mut();
+        if socket.keep_alive() != interval {
+            socket.set_keep_alive(interval);
+        }
+    }
+
     fn awaits_acknowledgement(&self) -> bool {
         let socket = self.socket();
         let owes_control = matches!(
@@ -277,6 +290,12 @@
         }
     }
 
+    fn pop_outgoing(&mut self) -> Option<Vec<u8>> {
+        let packet = self.device.pop_outgoing()?;
+        self.filter.note_sent(&packet);
+        Some(packet)
+    }
+
     fn update_state(&mut self, cause: Cause) {
         let previous = self.tcp_state;
         self.tcp_state = self.socket().state();
