Keep downloads open while failures happen in the fleet

Cause: the load of scripts/fleet faults was of short requests only, which a failure of one process rarely meets. Ruled out: nothing. Change: each phase starts four downloads of 12 s a service.

--- a/scripts/fleet_lib/commands.py
+++ b/scripts/fleet_lib/commands.py
@@ -5,18 +5,18 @@
 import signal
 import subprocess
 import sys
-import threading
 import time
 
 from .deployment import ROOT, Deployment, Node
 from .faults import FaultRun
 from .fleet import Fleet
-from .traffic import Caller, Load, Results, executions
+from .traffic import Load, Results, executions, start_downloads
 
 RUN_FOLDER = ROOT / "run"
 STATE_FILE = RUN_FOLDER / "up.json"
 LONG_DOWNLOAD_SECONDS = 12
 LONG_DOWNLOAD_RATE = 50_000
+DOWNLOADS_PER_SERVICE = 4
 THREADS_PER_SERVICE = 6
 PAUSE_SECONDS = 0.02
 
@@ -94,7 +94,9 @@
 
 def go_through_changes(fleet: Fleet, results: Results, seconds: float) -> None:
     load = Load(fleet.edges, results, THREADS_PER_SERVICE, PAUSE_SECONDS)
-    downloads = start_downloads(fleet, results)
+    downloads = start_downloads(
+        fleet.edges, results, "", DOWNLOADS_PER_SERVICE, LONG_DOWNLOAD_SECONDS, LONG_DOWNLOAD_RATE
+    )
     load.start()
     started = time.monotonic()
     try:
@@ -108,20 +110,6 @@
             download.join()
 
 
-def start_downloads(fleet: Fleet, results: Results) -> list[threading.Thread]:
-    """Downloads that last longer than every change, several a service."""
-    length = LONG_DOWNLOAD_SECONDS * LONG_DOWNLOAD_RATE
-    threads = []
-    for service, edge in fleet.edges.items():
-        for number in range(4):
-            caller = Caller(service, edge, results)
-            arguments = (f"{service}-long-{number}", length, LONG_DOWNLOAD_RATE)
-            threads.append(threading.Thread(target=caller.download, args=arguments))
-    for thread in threads:
-        thread.start()
-    return threads
-
-
 def drain_a_backend(fleet: Fleet) -> None:
     backend = fleet.deployment.backends[0].name
     fleet.ctl("drain", "backend", backend)
--- a/scripts/fleet_lib/faults.py
+++ b/scripts/fleet_lib/faults.py
@@ -10,13 +10,16 @@
 from .fleet import Fleet
 from .operators import Operator
 from .process import Process
-from .traffic import Load, Results
+from .traffic import Load, Results, start_downloads
 
 HEALTH_INTERVAL = 0.5
 RECOVERY_SECONDS = 12.0
 FREEZE_SECONDS = 60.0
 THREADS_PER_SERVICE = 4
 PAUSE_SECONDS = 0.05
+DOWNLOADS_PER_SERVICE = 4
+DOWNLOAD_RATE = 30_000
+DOWNLOAD_SECONDS = 12
 CONTROL_BYTES = "petrellatch_control_bytes_total"
 
 
@@ -98,7 +101,11 @@
     def _phase(self, name: str, fault) -> None:
         self.operator.take_times()
         results = Results()
-        load = Load(self.fleet.edges, results, THREADS_PER_SERVICE, PAUSE_SECONDS, name.replace(" ", "-"))
+        prefix = name.replace(" ", "-") + "-"
+        load = Load(self.fleet.edges, results, THREADS_PER_SERVICE, PAUSE_SECONDS, prefix)
+        downloads = start_downloads(
+            self.fleet.edges, results, prefix, DOWNLOADS_PER_SERVICE, DOWNLOAD_SECONDS, DOWNLOAD_RATE
+        )
         before = self._control_bytes()
         started = time.monotonic()
         load.start()
@@ -106,6 +113,8 @@
             fault()
         finally:
             load.stop()
+            for download in downloads:
+                download.join()
         rate = highest_rate(before, self._control_bytes(), time.monotonic() - started)
         phase = Phase(name, results, self.operator.take_times(), rate)
         self.phases.append(phase)
--- a/scripts/fleet_lib/traffic.py
+++ b/scripts/fleet_lib/traffic.py
@@ -156,6 +156,21 @@
             count += 1
 
 
+def start_downloads(
+    edges: dict[str, tuple[str, int]], results: Results, prefix: str, count: int, seconds: int, rate: int
+) -> list[threading.Thread]:
+    """Starts downloads of each service that last for so many seconds."""
+    threads = []
+    for service, edge in edges.items():
+        for number in range(count):
+            caller = Caller(service, edge, results)
+            arguments = (f"{prefix}{service}-long-{number}", seconds * rate, rate)
+            threads.append(threading.Thread(target=caller.download, args=arguments))
+    for thread in threads:
+        thread.start()
+    return threads
+
+
 def executions(addresses: list[str]) -> tuple[Counter, dict[str, set[str]]]:
     """Asks the back ends how often each request ran, and for which services."""
     counts: Counter = Counter()
