Add the caller stand-in: HTTP requests that are checked byte by byte

Cause: fleets were loaded from Python, whose threads share one core, and no program judged requests by itself. Ruled out: an HTTP client library for the load: it retries and reuses connections by itself, which hides cut flows. One line and the exit code give the verdict. Conclusion: one command judges a running fleet.

--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -6,6 +6,7 @@
 use gumdrop::Options;
 use petrellatch_lab::backend::{self, BackendOptions};
 use petrellatch_lab::bench::{self, BenchOptions};
+use petrellatch_lab::caller::{self, CallerOptions};
 use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
 use petrellatch_lab::hollow::{self, HollowOptions};
@@ -35,6 +36,8 @@
     Bench(BenchOptions),
     /// Compare the product with baselines under load and faults.
     Experiment(ExperimentOptions),
+    /// Send HTTP requests and check every answer.
+    Caller(CallerOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
     /// Measure the capacity of control with hollow daemons.
@@ -79,6 +82,16 @@
         Command::Experiment(options) => {
             Ok(experiment::run(&options, &mut std::io::stdout().lock())?)
         }
+        Command::Caller(options) => {
+            let log = terminal_logger(options.verbose);
+            let verdict = caller::load::run(&options, &log)?;
+            println!("{verdict}");
+            Ok(if verdict.is_clean() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
+        }
         Command::Fabric(options) => {
             let log = terminal_logger(options.verbose);
             fabric::run(&options, log)?;
