Make one version of many placements, settlings, registrations and fences

Change: CommandKind::Batch; the leader's first command after a quiet time goes at once, further ones wait until 200 ms after the last batch; a batch and its delta stay within 32,000 bytes, and the state leaves out what would exceed a message. Member records are at most 256 bytes. Entries may be large now, so the log is compacted by bytes too. The test cluster's check of leases looked at the newest view of *running* control nodes: a leader that was lost right after it had granted a lease was the only one to know its commit, and members seemed to be none (leader_changes_fence_no_one). It now remembers the newest view that any node applied, which is at least as new as before.

--- a/crates/petrellatch-core/examples/control_figures/leader.rs
+++ b/crates/petrellatch-core/examples/control_figures/leader.rs
@@ -311,13 +311,24 @@
             };
             let command = Command::decode(bytes.as_slice()).expect("a command");
             match &command.kind {
-                Some(CommandKind::SetPlacement(_)) => self.placements += 1,
-                Some(CommandKind::SettlePlacement(_)) => self.settled += 1,
-                _ => {}
+                Some(CommandKind::Batch(batch)) => {
+                    let kinds = batch.commands.iter().filter_map(|it| it.kind.as_ref());
+                    kinds.for_each(|kind| self.count_command(kind));
+                }
+                Some(kind) => self.count_command(kind),
+                None => {}
             }
         }
     }
 
+    fn count_command(&mut self, kind: &CommandKind) {
+        match kind {
+            CommandKind::SetPlacement(_) => self.placements += 1,
+            CommandKind::SettlePlacement(_) => self.settled += 1,
+            _ => {}
+        }
+    }
+
     fn note(&mut self, started: Instant) {
         let elapsed = started.elapsed();
         self.spent.total += elapsed;
--- a/crates/petrellatch-core/src/cluster/cluster_view.rs
+++ b/crates/petrellatch-core/src/cluster/cluster_view.rs
@@ -68,10 +68,20 @@
             }
         );
         self.version = delta.version;
-        for change in &delta.changes {
+        self.amend(&delta.changes);
+        Ok(())
+    }
+
+    /// Adds changes to the version in force, while it is still being made.
+    pub(crate) fn amend(&mut self, changes: &[RecordChange]) {
+        for change in changes {
             self.apply_change(change);
         }
-        Ok(())
+    }
+
+    /// Begins the next version.
+    pub(crate) fn begin_version(&mut self) {
+        self.version += 1;
     }
 
     /// Replaces the whole content by a snapshot of a newer version.
--- a/crates/petrellatch-core/src/consensus/apply.rs
+++ b/crates/petrellatch-core/src/consensus/apply.rs
@@ -170,7 +170,8 @@
     fn request_snapshot_if_due(&mut self) {
         let threshold = self.settings.compaction_threshold;
         let newest = self.snapshot_index().max(self.snapshot_wanted_at);
-        if self.applied_index.saturating_sub(newest) < threshold {
+        let is_long = self.applied_index.saturating_sub(newest) >= threshold;
+        if !is_long && self.applied_bytes_after(newest) < self.compaction_bytes() {
             return;
         }
         self.snapshot_wanted_at = self.applied_index;
@@ -178,6 +179,18 @@
         self.emit(ReplicaOutput::SnapshotWanted { index });
     }
 
+    /// The size of the applied entries after `index`.
+    fn applied_bytes_after(&self, index: LogIndex) -> usize {
+        let all = self.log.bytes_after(index);
+        all - self.log.bytes_after(self.applied_index).min(all)
+    }
+
+    fn compaction_bytes(&self) -> usize {
+        let snapshot = self.snapshot.as_ref();
+        let last_size = snapshot.map_or(0, |snapshot| snapshot.data.len());
+        self.settings.compaction_bytes.max(last_size)
+    }
+
     /// Takes note of another membership in effect.
     fn follow_membership(&mut self) {
         let membership = self.memberships.current().clone();
--- a/crates/petrellatch-core/src/consensus/settings.rs
+++ b/crates/petrellatch-core/src/consensus/settings.rs
@@ -31,6 +31,10 @@
     pub snapshot_chunk_bytes: usize,
     /// The application is asked for a snapshot after this many entries.
     pub compaction_threshold: u64,
+    /// It is also asked for one after entries of this size in bytes, or of the
+    /// size of the last snapshot if that is larger, so that neither the log
+    /// nor the work for snapshots grows out of proportion.
+    pub compaction_bytes: usize,
     /// Greatest difference of the rates of two clocks, in thousandths. A
     /// leader counts on its quorum for so much less than
     /// `election_timeout`.
@@ -47,6 +51,7 @@
             max_batch_bytes: 32 * 1024,
             snapshot_chunk_bytes: 32 * 1024,
             compaction_threshold: 4096,
+            compaction_bytes: 4 * 1024 * 1024,
             clock_drift_margin_per_mille: 50,
             mutations: ConsensusMutations::default(),
         }
--- a/crates/petrellatch-core/src/control/control_node/leadership.rs
+++ b/crates/petrellatch-core/src/control/control_node/leadership.rs
@@ -3,6 +3,7 @@
 use petrellatch_proto::command::{Command, CommandKind};
 use petrellatch_proto::dissemination::Delta;
 use petrellatch_proto::envelope::Body;
+use petrellatch_proto::record::{RecordChange, RecordKey};
 use prost::Message;
 
 use crate::consensus::Role;
@@ -11,6 +12,7 @@
 use crate::membership::{MemberTracker, TermStart, TrackerOutput};
 use crate::time::Timestamp;
 
+use super::super::command_batcher::CommandBatcher;
 use super::super::control_state::ControlState;
 use super::super::placement_planner::{PlacementPlanner, PlannerOutput};
 use super::ControlNode;
@@ -19,6 +21,7 @@
 pub(super) struct Leadership {
     pub(super) tracker: MemberTracker,
     pub(super) planner: PlacementPlanner,
+    batcher: CommandBatcher,
 }
 
 impl Leadership {
@@ -45,7 +48,11 @@
     pub(super) fn poll_timeout(&self) -> Timestamp {
         let tracker = self.tracker.poll_timeout();
         let planner = self.planner.poll_timeout();
-        planner.map_or(tracker, |at| at.min(tracker))
+        let batch = self.batcher.poll_timeout();
+        planner
+            .into_iter()
+            .chain(batch)
+            .fold(tracker, Timestamp::min)
     }
 }
 
@@ -73,16 +80,23 @@
         let mut tracker = MemberTracker::new(now, settings, start, &self.state);
         tracker.handle_platform_list(&self.platform);
         let planner = PlacementPlanner::new(now, self.state.view(), self.settings.mutations);
-        self.leadership = Some(Leadership { tracker, planner });
+        self.leadership = Some(Leadership {
+            tracker,
+            planner,
+            batcher: CommandBatcher::default(),
+        });
     }
 
     /// Proposes what members and placements ask for. Returns whether anything
     /// was proposed.
     pub(super) fn drain_leadership(&mut self, now: Timestamp) -> bool {
-        let mut proposed = false;
         while let Some(output) = self.next_leader_output() {
             match output {
-                LeaderOutput::Propose(command) => proposed |= self.propose(now, command),
+                LeaderOutput::Propose(command) => {
+                    if let Some(leadership) = &mut self.leadership {
+                        leadership.batcher.push(command);
+                    }
+                }
                 LeaderOutput::Send { to, body } => {
                     let address = to.control.into();
                     self.send(address, NodeId(to.node), body);
@@ -90,6 +104,18 @@
                 LeaderOutput::Event(event) => self.emit_event(event),
             }
         }
+        self.propose_batches(now)
+    }
+
+    fn propose_batches(&mut self, now: Timestamp) -> bool {
+        let Some(leadership) = &mut self.leadership else {
+            return false;
+        };
+        let batches = leadership.batcher.take_due(now, self.state.view());
+        let mut proposed = false;
+        for batch in batches {
+            proposed |= self.propose(now, batch);
+        }
         proposed
     }
 
@@ -124,15 +150,24 @@
         }
     }
 
-    /// Reports a command of the leader that took effect.
-    pub(super) fn report_command(&mut self, command: &CommandKind) {
+    /// Reports members that a version of the leader's commands changed.
+    pub(super) fn report_command(&mut self, command: &CommandKind, delta: &Delta) {
+        let concerns = |node| {
+            let mut keys = delta.changes.iter().filter_map(RecordChange::key);
+            keys.any(|key| key == RecordKey::Member(node))
+        };
         let event = match command {
-            CommandKind::RegisterMember(member) => {
+            CommandKind::RegisterMember(member) if concerns(member.node) => {
                 Event::new(EventKind::MemberRegistered, member.name.clone())
             }
-            CommandKind::FenceMember(fence) => {
+            CommandKind::FenceMember(fence) if concerns(fence.node) => {
                 Event::new(EventKind::MemberFenced, NodeId(fence.node).to_string())
             }
+            CommandKind::Batch(batch) => {
+                let kinds = batch.commands.iter().filter_map(|it| it.kind.as_ref());
+                kinds.for_each(|kind| self.report_command(kind, delta));
+                return;
+            }
             _ => return,
         };
         self.emit_event(event);
--- a/crates/petrellatch-core/src/control/control_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/control/control_node/replica_outputs.rs
@@ -85,8 +85,8 @@
         match applied.outcome {
             CommandOutcome::Change(answer) => self.finish_change(position, answer),
             CommandOutcome::Done if self.leadership.is_some() => {
-                if let Some(kind) = &command.kind {
-                    self.report_command(kind);
+                if let (Some(kind), Some(delta)) = (&command.kind, &applied.delta) {
+                    self.report_command(kind, delta);
                 }
             }
             CommandOutcome::Done | CommandOutcome::Ignored => {}
--- a/crates/petrellatch-core/src/control/control_state.rs
+++ b/crates/petrellatch-core/src/control/control_state.rs
@@ -2,20 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use petrellatch_proto::command::{
-    Command, CommandKind, FenceMember, OperatorChange, RefuseChange, SetMemberState, SetPlacement,
-    SettlePlacement,
-};
+use petrellatch_proto::command::{Command, CommandKind, OperatorChange, RefuseChange};
 use petrellatch_proto::dissemination::Delta;
-use petrellatch_proto::record::{
-    GenerationRecord, MemberRecord, MemberState, NodeRole, PlacementRecord, Record, RecordChange,
-    RecordKey,
-};
+use petrellatch_proto::record::RecordChange;
 use prost::Message;
 
 use crate::cluster::ClusterView;
 use crate::error_kind::ErrorKind;
-use crate::identity::{Incarnation, NodeId, ServiceId};
+use crate::identity::NodeId;
 
 use super::assignments::Assignments;
 use super::change_draft::{ChangeDraft, FinishedDraft};
@@ -23,13 +17,12 @@
 use super::configuration_size;
 use super::fenced_lives::{FencedLives, Life};
 use super::limits::{
-    MAX_BACKENDS_OF_SERVICE, MAX_CHANGE_BYTES, MAX_CONFIGURATION_BYTES, MAX_DELTA_BYTES, MAX_EDITS,
-    MAX_GENERATIONS, MAX_MEMBERS, MAX_REQUEST_ID_BYTES,
+    MAX_CHANGE_BYTES, MAX_CONFIGURATION_BYTES, MAX_DELTA_BYTES, MAX_EDITS, MAX_REQUEST_ID_BYTES,
 };
 use super::mutations::ControlMutations;
 use super::outcome::{AcceptedChange, Applied, ChangeAnswer, ChangeRefusal, CommandOutcome};
 use super::request_window::{DecidedRequest, RequestWindow, content_hash};
-use super::validation::{EditError, check_name, require};
+use super::validation::{EditError, require};
 
 /// The state that all control replicas derive from the same log. Applying a
 /// command is deterministic: it depends on the state and the command alone.
@@ -107,11 +100,11 @@
         match &command.kind {
             Some(CommandKind::Change(change)) => self.apply_change(change),
             Some(CommandKind::RefuseChange(refuse)) => self.apply_refusal(refuse),
-            Some(CommandKind::RegisterMember(member)) => self.register_member(member),
-            Some(CommandKind::FenceMember(fence)) => self.fence_member(*fence),
-            Some(CommandKind::SetMemberState(set)) => self.set_member_state(*set),
-            Some(CommandKind::SetPlacement(set)) => self.set_placement(set),
-            Some(CommandKind::SettlePlacement(settle)) => self.settle_placement(*settle),
+            Some(CommandKind::Batch(batch)) => {
+                let kinds = batch.commands.iter().filter_map(|it| it.kind.as_ref());
+                self.apply_leader_commands(kinds)
+            }
+            Some(kind) => self.apply_leader_commands(std::iter::once(kind)),
             None => ignored(),
         }
     }
@@ -215,133 +208,6 @@
         }
     }
 
-    fn register_member(&mut self, member: &MemberRecord) -> Applied {
-        let life = Life {
-            node: NodeId(member.node),
-            incarnation: Incarnation(member.incarnation),
-        };
-        let known = self.view.member(life.node).is_some();
-        let is_full = self.view.member_count() >= MAX_MEMBERS;
-        let is_daemon = matches!(
-            NodeRole::try_from(member.role),
-            Ok(NodeRole::Balancer | NodeRole::Agent)
-        );
-        let named = check_name("node", &member.name).is_ok();
-        if known && !self.mutations.register_over_former_life
-            || is_full
-            || !is_daemon
-            || !named
-            || self.is_fenced(life)
-        {
-            return ignored();
-        }
-        let drained = self.assignments.drained_nodes.contains(&member.name);
-        let state = if drained {
-            MemberState::Leaving
-        } else {
-            MemberState::Live
-        };
-        let record = MemberRecord {
-            state: state as i32,
-            ..member.clone()
-        };
-        let applied = self.commit_records(vec![put(Record::Member(record))]);
-        self.registrations.insert(life.node, self.view.version());
-        applied
-    }
-
-    fn fence_member(&mut self, fence: FenceMember) -> Applied {
-        let life = Life {
-            node: NodeId(fence.node),
-            incarnation: Incarnation(fence.incarnation),
-        };
-        if !self.view.is_member(life.node, life.incarnation) {
-            return ignored();
-        }
-        self.fenced.insert(life);
-        self.registrations.remove(&life.node);
-        self.commit_records(vec![removal(RecordKey::Member(fence.node))])
-    }
-
-    fn set_member_state(&mut self, set: SetMemberState) -> Applied {
-        let life = (NodeId(set.node), Incarnation(set.incarnation));
-        let is_member = self.view.is_member(life.0, life.1);
-        let member = self.view.member(life.0).filter(|_| is_member);
-        let Some(member) = member.filter(|member| member.state != set.state) else {
-            return ignored();
-        };
-        let drained = self.assignments.drained_nodes.contains(&member.name);
-        let is_leaving = set.state == MemberState::Leaving as i32;
-        if drained && !is_leaving || MemberState::try_from(set.state).is_err() {
-            return ignored();
-        }
-        let record = MemberRecord {
-            state: set.state,
-            ..member.clone()
-        };
-        self.commit_records(vec![put(Record::Member(record))])
-    }
-
-    fn set_placement(&mut self, set: &SetPlacement) -> Applied {
-        let service = ServiceId(set.service);
-        let mut generations = match self.view.placement(service) {
-            Some(placement) => placement.generations.clone(),
-            None => Vec::new(),
-        };
-        let newest = generations.last().map_or(0, |newest| newest.number);
-        let fits = self.view.service(service).is_some()
-            && set.generation.number == newest + 1
-            && generations.len() < MAX_GENERATIONS
-            && self.are_sound_shares(&set.generation);
-        if !fits {
-            return ignored();
-        }
-        generations.push(set.generation.clone());
-        self.put_placement(set.service, generations)
-    }
-
-    fn settle_placement(&mut self, settle: SettlePlacement) -> Applied {
-        let Some(placement) = self.view.placement(ServiceId(settle.service)) else {
-            return ignored();
-        };
-        let numbers = placement.generations.iter().map(|it| it.number);
-        let Some(position) = numbers.clone().position(|it| it == settle.generation) else {
-            return ignored();
-        };
-        if position == 0 {
-            return ignored();
-        }
-        let kept = placement.generations[position..].to_vec();
-        self.put_placement(settle.service, kept)
-    }
-
-    /// Shares must be in order, not too many, and only to members.
-    fn are_sound_shares(&self, generation: &GenerationRecord) -> bool {
-        let shares = &generation.shares;
-        let in_order = shares.is_sorted_by(|left, right| left.backend < right.backend);
-        let is_member =
-            |node, incarnation| self.view.is_member(NodeId(node), Incarnation(incarnation));
-        let to_members = shares
-            .iter()
-            .all(|share| !share.receives() || is_member(share.node, share.incarnation));
-        in_order && to_members && shares.len() <= MAX_BACKENDS_OF_SERVICE
-    }
-
-    fn put_placement(&mut self, service: u32, generations: Vec<GenerationRecord>) -> Applied {
-        let record = PlacementRecord {
-            service,
-            generations,
-        };
-        self.commit_records(vec![put(Record::Placement(record))])
-    }
-
-    fn commit_records(&mut self, changes: Vec<RecordChange>) -> Applied {
-        Applied {
-            outcome: CommandOutcome::Done,
-            delta: Some(self.commit(changes)),
-        }
-    }
-
     fn commit(&mut self, changes: Vec<RecordChange>) -> Delta {
         let delta = self.next_delta(changes);
         self.view
@@ -379,7 +245,7 @@
     Ok(())
 }
 
-fn ignored() -> Applied {
+pub(super) fn ignored() -> Applied {
     Applied {
         outcome: CommandOutcome::Ignored,
         delta: None,
@@ -392,17 +258,3 @@
         delta,
     }
 }
-
-fn put(record: Record) -> RecordChange {
-    RecordChange {
-        put: Some(record),
-        remove: None,
-    }
-}
-
-fn removal(key: RecordKey) -> RecordChange {
-    RecordChange {
-        put: None,
-        remove: Some(key),
-    }
-}
--- a/crates/petrellatch-core/src/control/limits.rs
+++ b/crates/petrellatch-core/src/control/limits.rs
@@ -34,6 +34,13 @@
 /// Most policies.
 pub const MAX_POLICIES: usize = 256;
 
+/// Largest member record, in encoded bytes: two names and fixed fields.
+pub const MAX_MEMBER_BYTES: usize = 256;
+
+/// Largest batch of the leader's commands and of the records that it changes,
+/// in encoded bytes.
+pub const MAX_BATCH_BYTES: usize = 32_000;
+
 /// Most balancers and agents: nearly twice the 18,000 daemons of the largest
 /// deployment.
 pub const MAX_MEMBERS: usize = 32_768;
--- a/crates/petrellatch-core/src/control/mod.rs
+++ b/crates/petrellatch-core/src/control/mod.rs
@@ -61,6 +61,7 @@
 mod assignments;
 mod change_draft;
 mod changed_view;
+mod command_batcher;
 mod configuration_size;
 mod control_node;
 mod control_output;
@@ -68,6 +69,7 @@
 mod control_snapshot;
 mod control_state;
 mod fenced_lives;
+mod leader_commands;
 pub mod limits;
 mod load_level;
 mod mutations;
--- a/crates/petrellatch-core/tests/consensus/scenarios.rs
+++ b/crates/petrellatch-core/tests/consensus/scenarios.rs
@@ -139,6 +139,24 @@
     assert_clean(&cluster);
 }
 
+#[test]
+fn few_large_entries_are_compacted_too() {
+    let settings = ReplicaSettings {
+        compaction_threshold: 1_000_000,
+        compaction_bytes: 2_000,
+        ..test_settings()
+    };
+    let (mut cluster, leader) = ready_cluster(3, 0, &settings);
+    for _ in 0..300 {
+        commit(&mut cluster, leader);
+    }
+    let snapshot = cluster.nodes[&leader].disk.snapshot.clone();
+    assert!(snapshot.is_some_and(|it| it.position.index > 100));
+    let kept = cluster.nodes[&leader].disk.entries.len();
+    assert!(kept < 250, "{kept}");
+    assert_clean(&cluster);
+}
+
 #[test]
 fn retired_replica_is_not_taken_back() {
     let (mut cluster, leader) = ready_cluster(3, 0, &test_settings());
--- a/crates/petrellatch-core/tests/control/cluster.rs
+++ b/crates/petrellatch-core/tests/control/cluster.rs
@@ -82,6 +82,9 @@
     pub slow: BTreeMap<SocketAddrV4, Duration>,
     /// Lives that held a lease while they were no members any more.
     pub violations: Vec<String>,
+    /// The newest view that any control node has ever applied. It is committed
+    /// also if that node was lost and the others don't know it yet.
+    newest_view: ClusterView,
     pub received_bytes: BTreeMap<SocketAddrV4, u64>,
     pub sent_bytes: BTreeMap<SocketAddrV4, u64>,
     /// Faults of daemons that are added from now on.
@@ -137,6 +140,7 @@
             faults: Faults::default(),
             slow: BTreeMap::new(),
             violations: Vec::new(),
+            newest_view: ClusterView::new(),
             received_bytes: BTreeMap::new(),
             sent_bytes: BTreeMap::new(),
             link_mutations: DisseminationMutations::default(),
@@ -468,7 +472,10 @@
 
     /// Whoever holds a valid lease must be a member in the newest view.
     fn check_leases(&mut self) {
-        let view = self.view();
+        if self.view().version() > self.newest_view.version() {
+            self.newest_view = self.view().clone();
+        }
+        let view = &self.newest_view;
         let mut found = Vec::new();
         for daemon in self.daemons.values() {
             let identity = daemon.link.identity();
--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! The control group with its daemons under faults.
 
+mod batches;
 mod changes;
 mod cluster;
 mod drafts;
--- a/crates/petrellatch-proto/src/command.rs
+++ b/crates/petrellatch-proto/src/command.rs
@@ -184,13 +184,25 @@
     /// An operator's change was refused.
     #[prost(message, tag = "7")]
     RefuseChange(RefuseChange),
+    /// Several commands of the leader that make one version together.
+    #[prost(message, tag = "8")]
+    Batch(Batch),
+}
+
+/// Commands of the leader about members and placements, carried out one after
+/// another. One without effect doesn't hinder the others.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Batch {
+    /// The commands.
+    #[prost(message, repeated, tag = "1")]
+    pub commands: Vec<Command>,
 }
 
 /// A [`CommandKind`] as a message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
     /// The command.
-    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<CommandKind>,
 }
 
