--- a/crates/petrellatch-core/src/agent_node/service_state.rs
+++ b/crates/petrellatch-core/src/agent_node/service_state.rs
@@ -6,10 +6,10 @@
 
 use crate::Timestamp;
 use crate::admission::{
-    AdmissionMutations, LoadTable, PeerCandidate, ServiceAdmission, TokenBucket,
+    AdmissionMutations, LoadTable, PeerCandidate, ServiceAdmission, Standing, TokenBucket,
 };
 use crate::cluster::ClusterView;
-use crate::identity::{BackendId, Incarnation, NodeId};
+use crate::identity::{BackendId, BucketIndex, Incarnation, NodeId};
 use crate::routing::AgentLife;
 
 /// The idle limit of a service that sets none.
@@ -50,18 +50,22 @@
         }
     }
 
-    /// Takes over the changed record and finds the candidates anew.
-    pub(super) fn refresh(&mut self, view: &ClusterView, record: &ServiceRecord) {
+    /// Takes over the changed record and finds the candidates anew. Returns
+    /// whether they changed.
+    pub(super) fn refresh(&mut self, view: &ClusterView, record: &ServiceRecord) -> bool {
         self.record = record.clone();
         self.rate.set_limit(record.new_flows_per_second);
         let newest = self.admission.newest();
         let shares = newest.map_or(&[][..], |newest| newest.shares());
         let receiving = shares.iter().filter(|share| share.receives());
-        self.candidates = receiving
+        let candidates: Vec<PeerCandidate> = receiving
             .filter_map(|share| candidate(view, share))
             .collect();
         self.loads
             .retain(|life| view.is_member(life.node, life.incarnation));
+        let changed = candidates != self.candidates;
+        self.candidates = candidates;
+        changed
     }
 
     /// Returns the placement weight of a back end.
@@ -71,6 +75,13 @@
         found.map_or(0, |it| it.weight)
     }
 
+    /// Returns the buckets that this agent owns and that are settled.
+    pub(super) fn admitted_buckets(&self) -> impl Iterator<Item = BucketIndex> + '_ {
+        let newest = self.admission.newest().into_iter();
+        let buckets = newest.flat_map(|newest| newest.buckets());
+        buckets.filter(|bucket| matches!(self.admission.standing(*bucket), Standing::Owner(_)))
+    }
+
     /// Returns how long a flow may be idle.
     pub(super) fn idle(&self) -> Duration {
         match self.record.idle_seconds {
--- a/crates/petrellatch-core/src/routing/placed_generation.rs
+++ b/crates/petrellatch-core/src/routing/placed_generation.rs
@@ -1,7 +1,5 @@
 //! One placement generation, ready for lookups.
 
-use std::collections::BTreeMap;
-
 use petrellatch_proto::record::{GenerationRecord, ServiceRecord, ShareRecord};
 
 use crate::identity::{BackendId, BucketIndex, Incarnation, NodeId, ServiceId};
@@ -31,26 +29,27 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacedGeneration {
     number: u64,
-    shares: Vec<ShareRecord>,
+    /// In the order of back ends.
+    shares: Box<[ShareRecord]>,
+    /// Whether any back end receives new flows.
+    admits: bool,
     table: BucketTable,
-    lives: BTreeMap<BackendId, AgentLife>,
 }
 
 impl PlacedGeneration {
     /// Computes the table.
     pub fn compute(service: &ServiceRecord, generation: &GenerationRecord) -> Self {
-        let shares: Vec<Share> = generation.shares.iter().map(share_of).collect();
+        let admits = generation.admits();
+        let owners = generation.owners();
+        let shares: Vec<Share> = owners.map(|share| share_of(share, admits)).collect();
         let table = BucketTable::compute(ServiceId(service.id), service.buckets, &shares);
-        let lives = generation
-            .shares
-            .iter()
-            .map(|share| (BackendId(share.backend), life_of(share)))
-            .collect();
+        let mut shares = generation.shares.clone();
+        shares.sort_by_key(|share| share.backend);
         PlacedGeneration {
             number: generation.number,
-            shares: generation.shares.clone(),
+            shares: shares.into(),
+            admits,
             table,
-            lives,
         }
     }
 
@@ -58,8 +57,8 @@
     pub fn is_computed_from(&self, service: &ServiceRecord, generation: &GenerationRecord) -> bool {
         self.table.service() == ServiceId(service.id)
             && self.number == generation.number
-            && self.shares == generation.shares
             && self.table.bucket_count() == service.buckets
+            && self.has_shares(&generation.shares)
     }
 
     /// Returns the number of the generation.
@@ -67,7 +66,8 @@
         self.number
     }
 
-    /// Returns the shares of the generation, those without weight included.
+    /// Returns the shares of the generation in the order of back ends, those
+    /// without weight included.
     pub fn shares(&self) -> &[ShareRecord] {
         &self.shares
     }
@@ -77,27 +77,42 @@
         self.table.bucket_count()
     }
 
-    /// Returns who admits the new flows of `bucket`.
+    /// Returns whether any back end receives new flows. If none does, the
+    /// owners of buckets refuse new flows.
+    pub fn admits(&self) -> bool {
+        self.admits
+    }
+
+    /// Returns who decides about the new flows of `bucket`.
     pub fn owner(&self, bucket: BucketIndex) -> Option<BucketOwner> {
-        let backend = self.table.primary(bucket)?;
-        let agent = *self.lives.get(&backend)?;
+        let share = &self.shares[self.owner_position(bucket)?];
         Some(BucketOwner {
-            backend,
-            agent,
+            backend: BackendId(share.backend),
+            agent: life_of(share),
             generation: self.number,
         })
     }
 
+    /// Returns the position among [`PlacedGeneration::shares`] of the back end
+    /// that gets the new flows of `bucket`.
+    pub fn owner_position(&self, bucket: BucketIndex) -> Option<usize> {
+        let backend = self.table.primary(bucket)?;
+        let found = self
+            .shares
+            .binary_search_by_key(&backend.0, |it| it.backend);
+        found.ok()
+    }
+
     /// Returns all buckets.
     pub fn buckets(&self) -> impl Iterator<Item = BucketIndex> + use<> {
         self.table.buckets()
     }
 
-    /// Returns the lives of the agents that receive new flows.
-    pub fn receiving_lives(&self) -> impl Iterator<Item = AgentLife> {
+    /// Returns the lives of the agents that own buckets.
+    pub fn owning_lives(&self) -> impl Iterator<Item = AgentLife> {
         self.shares
             .iter()
-            .filter(|share| share.receives())
+            .filter(|share| share.receives() || !self.admits)
             .map(life_of)
     }
 
@@ -105,12 +120,22 @@
     pub fn lives(&self) -> impl Iterator<Item = AgentLife> {
         self.shares.iter().map(life_of)
     }
+
+    fn has_shares(&self, shares: &[ShareRecord]) -> bool {
+        if *self.shares == *shares {
+            return true;
+        }
+        let mut sorted = shares.to_vec();
+        sorted.sort_by_key(|share| share.backend);
+        *self.shares == *sorted
+    }
 }
 
-fn share_of(share: &ShareRecord) -> Share {
+/// Owners that admit nothing have equal parts.
+fn share_of(share: &ShareRecord, admits: bool) -> Share {
     Share {
         backend: BackendId(share.backend),
-        weight: share.weight,
+        weight: if admits { share.weight } else { 1 },
     }
 }
 
--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -5,7 +5,10 @@
 //! free of input and output (see [`caller::CallerEndpoint`]), the simulator.
 
 pub mod backend;
+pub mod bench;
 pub mod caller;
+pub mod experiment;
 pub mod fabric;
+pub mod hollow;
 pub mod simulator;
 pub mod support;
