--- a/crates/petrellatch-lab/src/simulator/scenarios/combinations.rs
+++ b/crates/petrellatch-lab/src/simulator/scenarios/combinations.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::fleet_scenario::{Breakage, FleetScenario};
+use super::steps::small_logs;
 use crate::simulator::scenario::{Promise, RunReport, RunSettings, Scenario};
 use crate::simulator::schedule::Schedule;
 use crate::simulator::schedule::generator::{GeneratedSchedule, GeneratorSettings};
@@ -54,7 +55,7 @@
     combination(
         "many-failures",
         "up to ten generated failures and changes on a small log",
-        small_logs,
+        lossy_small_logs,
         GeneratorSettings {
             seconds: (8, 32),
             steps: (5, 10),
@@ -78,11 +79,10 @@
 /// After this time the failures of `twice` come again.
 const AGAIN_AFTER: Duration = Duration::from_secs(14);
 
-fn small_logs() -> FleetPlan {
+fn lossy_small_logs() -> FleetPlan {
     FleetPlan {
-        compacts_often: true,
         answer_loss_ppm: 50_000,
-        ..FleetPlan::small()
+        ..small_logs()
     }
 }
 
--- a/crates/petrellatch-lab/src/simulator/scenarios/steps.rs
+++ b/crates/petrellatch-lab/src/simulator/scenarios/steps.rs
@@ -8,6 +8,7 @@
 use crate::simulator::engine::random::Random;
 use crate::simulator::schedule::action::Parity;
 use crate::simulator::schedule::{Fault, Target};
+use crate::simulator::world::FleetPlan;
 
 /// The balancer of a small fleet that does not run from the start.
 pub const SPARE_BALANCER: Target = Target::Balancer(3);
@@ -39,3 +40,11 @@
         duration: seconds(25),
     }
 }
+
+/// A fleet whose control replicas keep few entries, so that they need snapshots.
+pub fn small_logs() -> FleetPlan {
+    FleetPlan {
+        compacts_often: true,
+        ..FleetPlan::small()
+    }
+}
--- a/crates/petrellatch-lab/src/simulator/schedule/action.rs
+++ b/crates/petrellatch-lab/src/simulator/schedule/action.rs
@@ -15,6 +15,9 @@
     Leader,
     /// A control replica that does not lead when the step happens.
     Follower,
+    /// The control replica that is neither the leader nor
+    /// [`Follower`](Target::Follower) when the step happens.
+    OtherFollower,
     /// A balancer.
     Balancer(usize),
     /// The machine of an agent and its back end.
--- a/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
+++ b/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
@@ -232,6 +232,10 @@
                 let leader = self.leader().unwrap_or(0);
                 vec![(leader + 1) % controls]
             }
+            Target::OtherFollower => {
+                let leader = self.leader().unwrap_or(0);
+                vec![(leader + 2) % controls]
+            }
             Target::Balancer(number) => vec![controls + number % balancers],
             Target::Agent(number) => vec![self.agent_machine(number)],
             Target::Zone(zone) => (0..self.machines.len())
