Let the tool choose who serves the daemons, and describe it

Cause: relays among the balancers carry ten times the bytes that a daemon may spend on control; the control machines set aside may serve all daemons.

--- a/crates/petrellatch-lab/src/hollow/control_replica.rs
+++ b/crates/petrellatch-lab/src/hollow/control_replica.rs
@@ -25,6 +25,7 @@
 
 use crate::support::process::ProcessClock;
 
+use super::options::HollowOptions;
 use super::process_figures::thread_processor_time;
 use super::traffic::Traffic;
 use super::udp::{LoopbackSocket, MAX_DATAGRAM_BYTES};
@@ -95,14 +96,13 @@
 /// Starts a group of replicas in empty folders below `folder`.
 pub fn spawn_group(
     clock: ProcessClock,
-    count: usize,
+    options: &HollowOptions,
     folder: &std::path::Path,
     key: &ClusterKey,
-    seed: u64,
 ) -> Result<Vec<ControlReplica>, Box<dyn Error>> {
     let mut sockets = Vec::new();
     let mut plans = Vec::new();
-    for index in 0..count {
+    for index in 0..options.controls {
         let socket = LoopbackSocket::open(RECEIVE_BUFFER_BYTES)?;
         let name = format!("control-{index}");
         let identity = NodeIdentity {
@@ -120,8 +120,7 @@
     }
     let mut replicas = Vec::new();
     for (index, socket) in sockets.into_iter().enumerate() {
-        let seed = seed + index as u64;
-        replicas.push(spawn(clock, index, &plans, socket, key.clone(), seed)?);
+        replicas.push(spawn(clock, index, &plans, socket, key.clone(), options)?);
     }
     Ok(replicas)
 }
@@ -132,7 +131,7 @@
     plans: &[ReplicaPlan],
     socket: LoopbackSocket,
     key: ClusterKey,
-    seed: u64,
+    options: &HollowOptions,
 ) -> Result<ControlReplica, Box<dyn Error>> {
     let plan = plans[index].clone();
     let address = socket.address();
@@ -153,7 +152,7 @@
     let start = ReplicaStart {
         id: plan.identity.node,
         incarnation: plan.identity.incarnation,
-        seed,
+        seed: options.seed + index as u64,
         persisted: opened.state,
         bootstrap: Some(Membership::of_voters(voters)),
     };
@@ -161,10 +160,12 @@
         node: plan.identity.node,
         control: plan.identity.control,
     });
-    let settings = ControlSettings {
+    let mut settings = ControlSettings {
         peers: peers.collect(),
         ..ControlSettings::default()
     };
+    settings.membership.fan_out = options.fan_out;
+    settings.relay.push_bytes_per_second = options.control_push;
     let mut driver = Driver {
         node: ControlNode::new(clock.now(), settings, plan.identity, start),
         store: opened.store,
--- a/crates/petrellatch-lab/src/hollow/measurement.rs
+++ b/crates/petrellatch-lab/src/hollow/measurement.rs
@@ -55,7 +55,7 @@
     let clock = ProcessClock::start();
     let key = ClusterKey::new([1; KEY_BYTES]);
     let at_start = resident_bytes();
-    let replicas = spawn_group(clock, options.controls, folder, &key, options.seed)?;
+    let replicas = spawn_group(clock, options, folder, &key)?;
     let surroundings = Surroundings {
         controls: replicas.iter().map(ControlReplica::address).collect(),
         key,
--- a/crates/petrellatch-lab/src/hollow/options.rs
+++ b/crates/petrellatch-lab/src/hollow/options.rs
@@ -31,6 +31,13 @@
     /// Control replicas, all of them voters.
     #[options(no_short, default = "3", meta = "N")]
     pub controls: usize,
+    /// Children of a relay among the balancers; if it exceeds the number of
+    /// daemons, the control replicas serve all of them.
+    #[options(no_short, default = "32", meta = "N")]
+    pub fan_out: usize,
+    /// Bytes a second that a control replica pushes to its children.
+    #[options(no_short, default = "1000000", meta = "BYTES")]
+    pub control_push: u64,
     /// Operator changes a second.
     #[options(no_short, default = "0.61", meta = "RATE")]
     pub changes_per_second: f64,
