--- a/crates/petrellatch-lab/src/hollow/measurement.rs
+++ b/crates/petrellatch-lab/src/hollow/measurement.rs
@@ -153,7 +153,7 @@
     /// Waits until the daemons have nearly all versions, so that the creation
     /// of the configuration is no overload.
     fn wait_for_laggards(&self) {
-        const ALLOWED_LAG: u64 = 200;
+        const ALLOWED_LAG: u64 = 5;
         let begun = self.clock.now();
         self.wait_until(begun, |it| {
             it.least_version() + ALLOWED_LAG >= it.newest().version
