Probe back ends that no flow tries any more

Cause: a back end whose process had crashed for five seconds, or had refused connections for four, never came back when the policy tests its health: health 0, hence no share, hence no flow that could show that it works. Ruled out: letting the health rise with time alone; a policy may ask for any value, and a dead back end would get flows. Change: an agent opens a connection of its own to a back end that is closed or of low health and that nothing has tried for a second. The new test was red without the probes. Conclusion: recovery no longer depends on the policy.

--- a/crates/petrellatch-core/src/admission/backend_health.rs
+++ b/crates/petrellatch-core/src/admission/backend_health.rs
@@ -28,6 +28,12 @@
 /// flow.
 const HEALTH_STEP: u32 = 100;
 
+/// A back end whose score is lower is tried by its agent if no flow does.
+const SOUND_SCORE: u32 = 900;
+
+/// A back end that no flow has tried for so long is tried by its agent.
+const IDLE_PROBE: Duration = Duration::from_secs(1);
+
 /// What a flow asks of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendStage {
@@ -48,6 +54,8 @@
     reopened_at: Option<Timestamp>,
     probe_interval: Duration,
     score: u32,
+    /// When a flow or the agent tried the back end last.
+    tried_at: Timestamp,
 }
 
 /// Why and until when a back end is closed.
@@ -67,12 +75,14 @@
             reopened_at: None,
             probe_interval: FIRST_PROBE,
             score: FULL_HEALTH,
+            tried_at: Timestamp::ZERO,
         }
     }
 
     /// Notes that a flow got what it asked for. Returns whether the back end
     /// was closed before and is open now.
     pub fn record_success(&mut self, now: Timestamp, stage: BackendStage) -> bool {
+        self.tried_at = now;
         *self.failures(stage) = 0;
         self.score += (FULL_HEALTH - self.score).div_ceil(8);
         let opens = self.closed.is_some_and(|closure| {
@@ -88,6 +98,7 @@
     /// Notes that a flow did not get what it asked for. Returns whether the
     /// back end has just been closed.
     pub fn record_failure(&mut self, now: Timestamp, stage: BackendStage) -> bool {
+        self.tried_at = now;
         self.forget_recovery(now);
         let flapping = self.reopened_at.is_some();
         let limit = if flapping {
@@ -124,11 +135,34 @@
     /// Notes that a flow is used to try a closed back end; there is one such
     /// flow at a time.
     pub fn begin_probe(&mut self, now: Timestamp) {
+        self.tried_at = now;
         if let Some(closure) = &mut self.closed {
             closure.until = now + self.probe_interval;
         }
     }
 
+    /// Returns whether the agent should try the back end itself: it is closed
+    /// or its health is low, and no flow has tried it lately. A policy may
+    /// give such a back end no flow, so that nothing else would show that it
+    /// works again.
+    pub fn wants_probe(&self, now: Timestamp) -> bool {
+        let is_unsound = self.closed.is_some() || self.score < SOUND_SCORE;
+        let is_idle = now.saturating_since(self.tried_at) >= IDLE_PROBE;
+        is_unsound && is_idle && self.closed_by(now).is_none()
+    }
+
+    /// Notes that the agent's own trial came about. It opens a back end that
+    /// was closed for its answers too, as only flows can show these. Returns
+    /// whether the back end was closed before.
+    pub fn record_probe_success(&mut self, now: Timestamp) -> bool {
+        let opened = self.record_success(now, BackendStage::Connect);
+        if self.closed.take().is_none() {
+            return opened;
+        }
+        self.reopened_at = Some(now);
+        true
+    }
+
     /// Returns the health from 0, closed, to 1,000.
     pub fn health(&self) -> u32 {
         if self.closed.is_some() {
--- a/crates/petrellatch-core/src/agent_node/backend_events.rs
+++ b/crates/petrellatch-core/src/agent_node/backend_events.rs
@@ -24,6 +24,7 @@
     /// of flows that are over are ignored.
     pub fn handle_backend(&mut self, now: Timestamp, id: FlowId, event: BackendEvent) {
         if self.flows.get(id).is_none() {
+            self.handle_probe_event(now, id, &event);
             return;
         }
         match event {
@@ -275,7 +276,7 @@
         }
     }
 
-    fn record_fails(&mut self, now: Timestamp, backend: BackendId, stage: BackendStage) {
+    pub(super) fn record_fails(&mut self, now: Timestamp, backend: BackendId, stage: BackendStage) {
         let Some(local) = self.backends.get_mut(&backend) else {
             return;
         };
--- a/crates/petrellatch-core/src/agent_node/flow_table.rs
+++ b/crates/petrellatch-core/src/agent_node/flow_table.rs
@@ -21,10 +21,16 @@
 }
 
 impl FlowTable {
-    /// Takes in a flow whose addresses are not in the table.
-    pub(super) fn insert(&mut self, flow: OpenFlow) -> FlowId {
+    /// Returns an identifier that no flow gets.
+    pub(super) fn reserve(&mut self) -> FlowId {
         let id = FlowId(self.next);
         self.next += 1;
+        id
+    }
+
+    /// Takes in a flow whose addresses are not in the table.
+    pub(super) fn insert(&mut self, flow: OpenFlow) -> FlowId {
+        let id = self.reserve();
         self.by_key.insert(flow.key, id);
         self.flows.insert(id, flow);
         id
--- a/crates/petrellatch-core/src/agent_node/maintenance.rs
+++ b/crates/petrellatch-core/src/agent_node/maintenance.rs
@@ -113,6 +113,7 @@
         self.retry_held_openings(now);
         self.send_ended_flows(now);
         self.maintenance.refused_hunts.expire(now);
+        self.probe_backends(now);
         let backends: Vec<BackendId> = self.backends.keys().copied().collect();
         for backend in backends {
             self.report_load(now, backend);
--- a/crates/petrellatch-core/src/agent_node/mod.rs
+++ b/crates/petrellatch-core/src/agent_node/mod.rs
@@ -59,6 +59,7 @@
 mod node;
 mod open_flow;
 mod packets;
+mod probes;
 mod refused_hunts;
 mod service_state;
 mod view_changes;
--- a/crates/petrellatch-core/src/agent_node/node.rs
+++ b/crates/petrellatch-core/src/agent_node/node.rs
@@ -23,6 +23,7 @@
 use super::flow_table::FlowTable;
 use super::local_backend::LocalBackend;
 use super::maintenance::Maintenance;
+use super::probes::Probes;
 use super::service_state::ServiceState;
 
 /// How far a planned stop has come.
@@ -53,6 +54,7 @@
     /// How many of them are refused ones.
     pub(super) refusing: usize,
     pub(super) maintenance: Maintenance,
+    pub(super) probes: Probes,
     pub(super) random: ChaCha8Rng,
     pub(super) outputs: VecDeque<AgentOutput>,
     pub(super) counters: AgentCounters,
@@ -82,6 +84,7 @@
             flows: FlowTable::default(),
             refusing: 0,
             maintenance: Maintenance::new(now),
+            probes: Probes::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             outputs: VecDeque::new(),
             counters: AgentCounters::default(),
--- a/crates/petrellatch-core/src/agent_node/tests/health.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/health.rs
@@ -5,7 +5,7 @@
 use crate::identity::BackendId;
 
 use super::super::BackendEvent;
-use super::world::{World, source};
+use super::world::{DESK, World, source};
 
 const NAMES: [(&str, u64); 4] = [("a", 1), ("b", 2), ("c", 3), ("d", 4)];
 
@@ -79,3 +79,26 @@
     assert!(admitted(&world, "a") > before + 5);
     assert!(world.callers.contains_key(&source(0)));
 }
+
+/// The health of back end 1 by its agent.
+fn health(world: &World) -> u32 {
+    world.agents["a"].backends[&BackendId(1)].health.health()
+}
+
+#[test]
+fn a_back_end_without_flows_is_found_to_work_again() {
+    let mut world = World::new(57, 4);
+    world.dead_servers.insert(8_001);
+    call_slowly(&mut world, 0..60);
+    assert_eq!(health(&world), 0);
+    // The policy gives it nothing, so that no flow tries it any more.
+    let others = [(1, 0), (2, 1_000), (3, 1_000), (4, 1_000)];
+    world.control.place(DESK, &others, 1);
+    world.publish();
+    world.run(Duration::from_secs(20));
+    assert_eq!(health(&world), 0);
+    world.dead_servers.clear();
+    world.run(Duration::from_secs(40));
+    assert!(health(&world) >= 800);
+    assert_eq!(admitted(&world, "a"), 0);
+}
