Keep slow refused clients from holding up all operators

Cause: answering a refused request reads what is left of its body (tiny_http does so), and the thread that takes all requests did it. One client that announced a large body and kept it back stopped the whole operator API. Ruled out: a timeout: tiny_http offers none for the sockets it accepts. Change: refused requests whose body has not been read are answered by four threads of their own; all others are still refused at once. Conclusion: more than four such clients can only delay each other's refusals; a slow client below the limit still holds one of the bounded requests.

--- a/crates/petrellatch/src/http/server.rs
+++ b/crates/petrellatch/src/http/server.rs
@@ -14,6 +14,10 @@
 use super::message::{HttpRequest, HttpResponse};
 use crate::error::ProgramError;
 
+/// Threads that answer refused requests with large bodies.
+const REFUSERS: usize = 4;
+/// A body of at most so many bytes has been read when its request arrives.
+const READ_AHEAD_BYTES: usize = 1_024;
 /// The longest that a closing server waits for its last answers to leave.
 const LAST_ANSWERS_LIMIT: Duration = Duration::from_secs(1);
 /// Between two looks at them.
@@ -45,6 +49,12 @@
     accepting: Option<JoinHandle<()>>,
 }
 
+/// A request that is refused, with its answer.
+struct Refusal {
+    request: Request,
+    response: HttpResponse,
+}
+
 /// What the threads of one server share.
 struct Shared<H> {
     handler: Arc<H>,
@@ -82,7 +92,10 @@
         }
         let server = Arc::new(server);
         let accepted = Arc::clone(&server);
-        let accepting = spawn("http-server", move || shared.accept(&accepted, &sender))?;
+        let refusals = start_refusers()?;
+        let accepting = spawn("http-server", move || {
+            shared.accept(&accepted, &sender, &refusals);
+        })?;
         Ok(HttpServer {
             address,
             server,
@@ -112,20 +125,18 @@
 
 impl<H: HttpHandler> Shared<H> {
     /// Takes requests and refuses those above the bounds.
-    fn accept(&self, server: &Server, queue: &Sender<Request>) {
+    fn accept(&self, server: &Server, queue: &Sender<Request>, refusals: &Sender<Refusal>) {
         for request in server.incoming_requests() {
             let length = request.body_length().unwrap_or(0);
             if length > self.limits.body_bytes {
-                answer(request, &too_large(self.limits.body_bytes));
+                refuse(request, too_large(self.limits.body_bytes), refusals);
                 continue;
             }
             if self.requests.fetch_add(1, Ordering::AcqRel) >= self.limits.requests {
                 self.requests.fetch_sub(1, Ordering::AcqRel);
                 let message = "too many requests at once; this one did not run";
-                answer(
-                    request,
-                    &HttpResponse::error(ErrorKind::Overloaded, message),
-                );
+                let response = HttpResponse::error(ErrorKind::Overloaded, message);
+                refuse(request, response, refusals);
                 continue;
             }
             if queue.send(request).is_err() {
@@ -152,6 +163,41 @@
     }
 }
 
+/// Starts the threads that answer refused requests with large bodies. They end
+/// when the returned end is dropped.
+fn start_refusers() -> Result<Sender<Refusal>, ProgramError> {
+    let (sender, receiver) = channel::<Refusal>();
+    let receiver = Arc::new(Mutex::new(receiver));
+    for _ in 0..REFUSERS {
+        let receiver = Arc::clone(&receiver);
+        spawn("http-refuser", move || {
+            loop {
+                let next = receiver
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .recv();
+                let Ok(refusal) = next else { return };
+                answer(refusal.request, &refusal.response);
+            }
+        })?;
+    }
+    Ok(sender)
+}
+
+/// Refuses a request. Answering one reads what is left of its body, for which
+/// a slow client can take any time, so that is left to other threads. Small
+/// bodies have been read before.
+fn refuse(request: Request, response: HttpResponse, refusals: &Sender<Refusal>) {
+    let is_read = request
+        .body_length()
+        .is_none_or(|length| length <= READ_AHEAD_BYTES);
+    if is_read {
+        answer(request, &response);
+    } else {
+        let _ = refusals.send(Refusal { request, response });
+    }
+}
+
 fn read(request: &mut Request, body_bytes: usize) -> Result<HttpRequest, HttpResponse> {
     let mut body = Vec::new();
     let mut reader = request.as_reader().take(body_bytes as u64 + 1);
