Give fleets the platform's list and the back ends' health

Cause: control can read the platform's lagging list and agents the back ends' health; the fleets gave them neither. Change: scripts/fleet starts petrellatch-lab platform, keeps its file of live and leaving machines, and both deployments set platform.list_url and backends.health_path.

--- a/scripts/fleet_lib/commands.py
+++ b/scripts/fleet_lib/commands.py
@@ -142,6 +142,7 @@
 def kill_a_balancer(fleet: Fleet) -> None:
     victim = fleet.processes.pop(fleet.deployment.balancers[0].name)
     victim.kill()
+    fleet.refresh_machines()
     fleet.refresh_balancers()
     say(f"killed {victim.name}")
     time.sleep(2.0)
@@ -153,6 +154,7 @@
     process.wait_ready()
     while not fleet.is_ready(process):
         time.sleep(0.05)
+    fleet.refresh_machines()
     fleet.refresh_balancers()
     say(f"{node.name} joined")
     time.sleep(1.0)
@@ -162,8 +164,12 @@
     """A planned stop of an agent, and a new process in its place."""
     node = fleet.deployment.agents[1]
     old = fleet.processes[node.name]
+    fleet.leaving.add(node.name)
+    fleet.refresh_machines()
     code = old.stop()
+    fleet.leaving.discard(node.name)
     fleet.start_agent(node).wait_ready()
+    fleet.refresh_machines()
     say(f"replaced {node.name}; the old process ended with {code}")
     time.sleep(2.0)
 
--- a/scripts/fleet_lib/deployment.py
+++ b/scripts/fleet_lib/deployment.py
@@ -90,7 +90,7 @@
     return addresses
 
 
-def write_settings(deployment: Deployment, path: Path, key_file: Path) -> list[str]:
+def write_settings(deployment: Deployment, path: Path, key_file: Path, list_url: str) -> list[str]:
     """Writes the settings file for loopback; returns the operator addresses."""
     names = [node.name for node in deployment.controls]
     controls = free_addresses(socket.SOCK_DGRAM, len(names))
@@ -105,7 +105,8 @@
             f"control = {json.dumps(control)}",
             f"operator = {json.dumps(operator)}",
         ]
-    for table in ("timing", "log"):
+    settings["platform"]["list_url"] = list_url
+    for table in ("timing", "platform", "backends", "log"):
         lines.append(f"[{table}]")
         lines += [f"{key} = {json.dumps(value)}" for key, value in settings[table].items()]
     path.write_text("\n".join(lines) + "\n")
--- a/scripts/fleet_lib/faults.py
+++ b/scripts/fleet_lib/faults.py
@@ -21,7 +21,8 @@
 
 
 class HealthCheck(threading.Thread):
-    """Tells the fabric again and again which balancers are ready."""
+    """Tells the fabric again and again which balancers are ready, and the
+    platform which machines live."""
 
     def __init__(self, fleet: Fleet):
         super().__init__()
@@ -30,6 +31,7 @@
 
     def run(self) -> None:
         while not self.stop_flag.wait(HEALTH_INTERVAL):
+            self.fleet.refresh_machines()
             self.fleet.refresh_balancers()
 
     def stop(self) -> None:
--- a/scripts/fleet_lib/fleet.py
+++ b/scripts/fleet_lib/fleet.py
@@ -28,12 +28,15 @@
         self.edges: dict[str, tuple[str, int]] = {}
         self.operators: list[str] = []
         self.balancers_file = folder / "balancers"
+        self.machines_file = folder / "machines"
+        self.leaving: set[str] = set()
 
     def start(self) -> None:
         """Starts everything and waits until the configuration is in force."""
         shutil.rmtree(self.folder, ignore_errors=True)
         for name in ("data", "logs"):
             (self.folder / name).mkdir(parents=True)
+        self._start_platform()
         self._write_settings()
         self._start_backends()
         self._start_fabric()
@@ -44,6 +47,7 @@
         for node in self.deployment.balancers:
             self.start_balancer(node)
         self._wait_all_ready()
+        self.refresh_machines()
         self.refresh_balancers()
         self.apply(self.document_path)
         self.wait_in_force()
@@ -85,9 +89,13 @@
             is_balancer = process.arguments[1] == "balancer"
             if is_balancer and process.child.poll() is None and self.is_ready(process):
                 ready.append(process.ready["data"])
-        new = self.balancers_file.with_suffix(".new")
-        new.write_text("".join(f"{address}\n" for address in ready))
-        new.replace(self.balancers_file)
+        replace_lines(self.balancers_file, ready)
+
+    def refresh_machines(self) -> None:
+        """Tells the platform which machines live and which of them leave."""
+        daemons = [it for it in list(self.processes.values()) if it.arguments[0] == str(PRODUCT)]
+        living = [it.name for it in daemons if it.child.poll() is None]
+        replace_lines(self.machines_file, [f"{it} leaving" if it in self.leaving else it for it in living])
 
     def is_ready(self, process: Process) -> bool:
         """Asks the health address."""
@@ -133,7 +141,14 @@
         key = self.folder / "cluster.key"
         key.write_text(secrets.token_hex(16) + "\n")
         settings = self.folder / "settings.toml"
-        self.operators = write_settings(self.deployment, settings, key)
+        list_url = self.processes["platform"].ready["list_url"]
+        self.operators = write_settings(self.deployment, settings, key, list_url)
+
+    def _start_platform(self) -> None:
+        self.machines_file.write_text("")
+        arguments = [str(LAB), "platform", "--listen", "127.0.0.1:0"]
+        arguments += ["--machines-file", str(self.machines_file)]
+        self._start("platform", arguments).wait_ready()
 
     def _start_backends(self) -> None:
         for index, backend in enumerate(self.deployment.backends):
@@ -183,3 +198,10 @@
             if time.monotonic() > deadline:
                 raise RuntimeError("the balancers are not ready")
             time.sleep(0.1)
+
+
+def replace_lines(path: Path, lines: list[str]) -> None:
+    """Replaces a file at once, so that nobody reads half of it."""
+    new = path.with_suffix(".new")
+    new.write_text("".join(f"{line}\n" for line in lines))
+    new.replace(path)
