--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod drafts;
 mod fencing;
 mod lease_mutations;
+mod mass_restart;
 mod operators;
 mod outages;
 mod placements;
