--- a/crates/petrellatch-core/src/admission/mod.rs
+++ b/crates/petrellatch-core/src/admission/mod.rs
@@ -49,7 +49,7 @@
 pub use dispatch_state::DispatchState;
 pub use load_table::{LoadTable, PeerCandidate};
 pub use mutations::AdmissionMutations;
-pub use redirect_table::{PendingHunt, Redirect, RedirectTable};
+pub use redirect_table::{HUNT_PATIENCE, PendingHunt, Redirect, RedirectTable};
 pub use refusal::{NOT_RUN_HEADER, Refusal};
 pub use report_inbox::ReportInbox;
 pub use report_outbox::{OutgoingReport, ReportOutbox};
--- a/crates/petrellatch-core/src/admission/redirect_table.rs
+++ b/crates/petrellatch-core/src/admission/redirect_table.rs
@@ -17,6 +17,11 @@
 /// holder that it does not have the flow: the word may be older.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
+/// How long the answer to a hunt is awaited. A caller's TCP repeats its opening
+/// packet after a second at the earliest (RFC 6298), so that what comes sooner
+/// was doubled on its way.
+pub const HUNT_PATIENCE: Duration = Duration::from_millis(900);
+
 /// A flow that another agent has.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Redirect {
@@ -203,7 +208,7 @@
     /// Returns whether the flow was passed to the holder so recently that its
     /// answer may be on its way.
     pub fn was_just_passed(&self, now: Timestamp) -> bool {
-        self.pending.is_some() && now.saturating_since(self.made_at) < SETTLE_TIME
+        self.pending.is_some() && now.saturating_since(self.made_at) < HUNT_PATIENCE
     }
 
     /// Returns whether the holder's life is over as far as the view says.
--- a/crates/petrellatch-core/src/agent_node/refused_hunts.rs
+++ b/crates/petrellatch-core/src/agent_node/refused_hunts.rs
@@ -1,16 +1,12 @@
 //! Hunted flows that were refused a moment ago.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::Timestamp;
+use crate::admission::HUNT_PATIENCE;
 use crate::identity::BackendId;
 use crate::placement::FlowKey;
 
-/// How long a refusal is remembered. A caller repeats its opening packet after
-/// about a second, so what comes earlier was doubled on its way.
-const MEMORY: Duration = Duration::from_millis(500);
-
 /// How many refusals are remembered at a time.
 const LIMIT: usize = 4_096;
 
@@ -26,7 +22,7 @@
     /// Notes a refusal.
     pub(super) fn insert(&mut self, now: Timestamp, key: FlowKey, backend: BackendId) {
         if self.refused.len() < LIMIT {
-            self.refused.insert((key, backend), now + MEMORY);
+            self.refused.insert((key, backend), now + HUNT_PATIENCE);
         }
     }
 
--- a/crates/petrellatch-core/src/agent_node/tests/duplicates.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/duplicates.rs
@@ -116,8 +116,16 @@
     agent.handle_datagram(now, datagram.clone());
     agent.handle_datagram(now, datagram.clone());
     assert_eq!(hunted_forwards(&mut world, "a").len(), 1);
-    // What the caller sends again later is passed on again: the first one may
-    // be lost.
+    // A double that took long decides nothing either, even if nothing was
+    // heard of the asked agent.
+    let late = now + Duration::from_millis(600);
+    let admitted = world.agents["a"].counters().admitted;
+    let agent = world.agents.get_mut("a").unwrap();
+    agent.handle_datagram(late, datagram.clone());
+    assert_eq!(hunted_forwards(&mut world, "a").len(), 0);
+    assert_eq!(world.agents["a"].counters().admitted, admitted);
+    // What the caller sends again after a second is passed on again: the first
+    // one may be lost.
     let later = now + Duration::from_secs(1);
     let agent = world.agents.get_mut("a").unwrap();
     agent.handle_datagram(later, datagram);
