Let new flows wait up to 250 ms before they are refused

Cause: a refused caller is told to come back after a second at least, so a wait of a quarter of it is better for the caller. Change: the default of the wait limit is 250 ms instead of 100. Two tests that count refusals set the former limit themselves and are as strict as before. Conclusion: the longer limit.

--- a/crates/petrellatch-core/src/agent_node/agent_settings.rs
+++ b/crates/petrellatch-core/src/agent_node/agent_settings.rs
@@ -31,7 +31,7 @@
         AgentSettings {
             link: LinkSettings::default(),
             buffers: FlowBuffers::default(),
-            wait_limit: Duration::from_millis(100),
+            wait_limit: Duration::from_millis(250),
             hunt_margin: 1_000,
             connect_timeout: Duration::from_secs(1),
             mutations: AdmissionMutations::default(),
--- a/crates/petrellatch-core/src/agent_node/tests/refusals.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/refusals.rs
@@ -10,6 +10,14 @@
     agents.flat_map(|it| it.counters().refused.values()).sum()
 }
 
+/// Flows wait only if a slot is expected to be free in a tenth of a second.
+fn short_wait() -> AgentSettings {
+    AgentSettings {
+        wait_limit: Duration::from_millis(100),
+        ..AgentSettings::default()
+    }
+}
+
 fn hunted(world: &World) -> u64 {
     world.agents.values().map(|it| it.counters().hunted).sum()
 }
@@ -34,7 +42,7 @@
 
 #[test]
 fn without_hunting_flows_are_refused_beside_free_slots() {
-    let mut settings = AgentSettings::default();
+    let mut settings = short_wait();
     settings.mutations.no_hunting = true;
     let mut world = World::with_settings(21, 3, settings);
     world.control.place(DESK, &[(1, 1_000), (2, 1), (3, 1)], 1);
@@ -51,7 +59,7 @@
 
 #[test]
 fn a_refused_request_did_not_run_and_is_told_when_to_come_back() {
-    let mut world = World::new(22, 1);
+    let mut world = World::with_settings(22, 1, short_wait());
     world.service_time = Duration::from_secs(3);
     for number in 0..30 {
         world.call(number, &format!("request-{number}\n"));
--- a/crates/petrellatch-lab/src/experiment/variant.rs
+++ b/crates/petrellatch-lab/src/experiment/variant.rs
@@ -98,13 +98,13 @@
         hunt_margin: Some(NO_MARGIN),
         ..ProductVariant::default()
     };
-    let wait_longer = ProductVariant {
-        wait_limit_millis: Some(250),
+    let wait_shorter = ProductVariant {
+        wait_limit_millis: Some(100),
         ..ProductVariant::default()
     };
     vec![
         product("hunt-when-full", VariantGroup::Earlier, when_full),
-        product("wait-250-ms", VariantGroup::Setting, wait_longer),
+        product("wait-100-ms", VariantGroup::Setting, wait_shorter),
     ]
 }
 
