--- a/crates/petrellatch-lab/src/hollow/mod.rs
+++ b/crates/petrellatch-lab/src/hollow/mod.rs
@@ -23,6 +23,8 @@
 mod options;
 mod process_figures;
 mod report;
+#[cfg(test)]
+mod tests;
 mod traffic;
 mod udp;
 mod worker;
