Wait for a replica that lost its disk by its new incarnation

Cause: scripts/fleet faults ended with a KeyError when a replica had not been heard of in the present term, and could take the lost folder's voter, heard of less than a second ago, for the new one ("voted again after 0.0 s"). Ruled out: a default for the missing field, which keeps the second fault. Change: a replica votes again when the status lists its present incarnation, which its ready line names, as a voter.

--- a/scripts/fleet_lib/faults.py
+++ b/scripts/fleet_lib/faults.py
@@ -170,9 +170,10 @@
         return next(name for name in names if name != leader)
 
     def _is_voter(self, name: str) -> bool:
+        """Whether it votes with its present folder, not with the lost one."""
+        incarnation = self.fleet.processes[name].ready["incarnation"]
         replicas = self.fleet.ctl("status")["replicas"]
-        voters = [it for it in replicas if it["name"] == name and it["role"] == "voter"]
-        return any(it["silent_ms"] < 1_000 for it in voters)
+        return any(it["incarnation"] == incarnation and it["role"] == "voter" for it in replicas)
 
     def _control_bytes(self) -> dict[int, float]:
         """Bytes of control messages, in and out, of each balancer and agent."""
