--- a/crates/petrellatch-lab/src/simulator/mutation.rs
+++ b/crates/petrellatch-lab/src/simulator/mutation.rs
@@ -77,6 +77,16 @@
     NoHunting = "no-hunting",
     /// A flow whose back end failed late is refused as not run.
     RefuseSentAsNotRun = "refuse-sent-as-not-run",
+    /// A few bytes of answers are altered between back end and agent.
+    AlterAnswers = "alter-answers",
+    /// The last back end serves the first service in place of its own.
+    CrossServices = "cross-services",
+    /// A planned stop ends the process at once.
+    StopAtOnce = "stop-at-once",
+    /// A flow that is reset late counts as refused as not run.
+    ResetsCountAsNotRun = "resets-count-as-not-run",
+    /// Drains and policies are accepted and have no effect.
+    LosePlacementEdits = "lose-placement-edits",
 }
 
 impl Mutation {
--- a/crates/petrellatch-lab/src/simulator/world/callers.rs
+++ b/crates/petrellatch-lab/src/simulator/world/callers.rs
@@ -85,6 +85,7 @@
     records: Vec<AttemptRecord>,
     opened: u64,
     random: Random,
+    resets_are_refusals: bool,
 }
 
 impl AttemptRecord {
@@ -111,9 +112,15 @@
             records: Vec::new(),
             opened: 0,
             random,
+            resets_are_refusals: false,
         }
     }
 
+    /// Takes late resets for refusals from now on.
+    pub fn take_resets_for_refusals(&mut self) {
+        self.resets_are_refusals = true;
+    }
+
     /// Returns all tries that ended.
     pub fn records(&self) -> &[AttemptRecord] {
         &self.records
@@ -199,7 +206,10 @@
     /// after which time its request is tried again.
     pub fn settle(&mut self, now: VirtualTime, caller: SocketAddrV4) -> Option<(u64, Duration)> {
         let flow = self.flows.get_mut(&caller)?;
-        let outcome = flow.outcome.clone()?;
+        let mut outcome = flow.outcome.clone()?;
+        if self.resets_are_refusals && outcome == AttemptOutcome::Broken(CallerState::Reset) {
+            outcome = AttemptOutcome::NotRun { retry_after: None };
+        }
         let is_new = !std::mem::replace(&mut flow.is_noted, true);
         let id = flow.id;
         let record = AttemptRecord {
--- a/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
+++ b/crates/petrellatch-lab/src/simulator/world/fault_steps.rs
@@ -8,6 +8,8 @@
 use super::operators::Intent;
 use super::transport::OPERATORS;
 use super::world::World;
+use crate::simulator::engine::disk::CrashOutcome;
+use crate::simulator::mutation::Mutation;
 use crate::simulator::schedule::action::{
     Action, CutDirection, Fault, OperatorStep, PlannedWork, Target,
 };
@@ -109,6 +111,10 @@
         if machine.stopping.is_some() || !machine.is_working() {
             return;
         }
+        if self.mutation == Some(Mutation::StopAtOnce) {
+            self.kill(index, down, CrashOutcome::KeepsWrites);
+            return;
+        }
         let local = machine.local(now);
         match &mut machine.process {
             Process::Balancer(node) => node.begin_stop(local),
--- a/crates/petrellatch-lab/src/simulator/world/lifecycle.rs
+++ b/crates/petrellatch-lab/src/simulator/world/lifecycle.rs
@@ -24,6 +24,7 @@
 use crate::simulator::engine::disk::{CrashOutcome, SimulatedDisk};
 use crate::simulator::engine::network::SiteIndex;
 use crate::simulator::engine::random;
+use crate::simulator::mutation::Mutation;
 use crate::simulator::workload::backend::{BackendPlan, SimulatedBackend};
 
 /// Greatest time that a machine's clock shows at its start, in microseconds.
@@ -62,7 +63,8 @@
         }
         for (index, place) in places(&self.plan).into_iter().enumerate() {
             let machine = self.add_machine(agent_name(index), NodeRole::Agent, index);
-            let plan = backend_plan(&self.plan, index, place.0);
+            let service = self.served_service(index, place.0);
+            let plan = backend_plan(&self.plan, index, service);
             let stream = random::stream(seed, &plan.name);
             let backend = SimulatedBackend::new(plan, stream);
             self.machines[machine].server = Some(Server::new(backend));
@@ -75,6 +77,14 @@
         }
     }
 
+    fn served_service(&self, agent: usize, service: usize) -> usize {
+        let is_last = agent + 1 == self.plan.agents();
+        if is_last && self.mutation == Some(Mutation::CrossServices) {
+            return 0;
+        }
+        service
+    }
+
     fn is_spare(&self, machine: MachineIndex) -> bool {
         let first = self.plan.controls + self.plan.balancers;
         (first..first + self.plan.spare_balancers).contains(&machine)
--- a/crates/petrellatch-lab/src/simulator/world/machine_io.rs
+++ b/crates/petrellatch-lab/src/simulator/world/machine_io.rs
@@ -6,12 +6,14 @@
 use petrellatch_core::balancer_node::BalancerOutput;
 use petrellatch_core::control::ControlOutput;
 use petrellatch_core::membership::PlatformMachine;
+use rand::RngExt;
 
 use super::event::{Event, MachineIndex, ProcessInput, ServerInput};
 use super::machine::Process;
 use super::server::{connection_id, flow_of};
 use super::world::World;
 use crate::simulator::engine::VirtualTime;
+use crate::simulator::mutation::Mutation;
 use crate::simulator::workload::backend::ConnectionId;
 
 /// How long anything takes between an agent and its back end.
@@ -329,12 +331,24 @@
         machine: MachineIndex,
         life: u64,
         flow: FlowId,
-        event: BackendEvent,
+        mut event: BackendEvent,
     ) {
+        if self.mutation == Some(Mutation::AlterAnswers) {
+            self.alter(&mut event);
+        }
         let input = ProcessInput::Backend { life, flow, event };
         self.schedule_after(LOCAL_DELAY, Event::Input { machine, input });
     }
 
+    fn alter(&mut self, event: &mut BackendEvent) {
+        if let BackendEvent::Data(bytes) = event
+            && self.random.random_ratio(1, 50)
+            && let Some(last) = bytes.last_mut()
+        {
+            *last = !*last;
+        }
+    }
+
     fn pause_reading(&mut self, index: MachineIndex, flow: FlowId) {
         let machine = &mut self.machines[index];
         let connection = connection_id(machine.life, flow);
--- a/crates/petrellatch-lab/src/simulator/world/operators.rs
+++ b/crates/petrellatch-lab/src/simulator/world/operators.rs
@@ -150,6 +150,7 @@
     changes: Vec<ChangeRecord>,
     reads: Vec<AnsweredRead>,
     bursts: u64,
+    loses_placement_edits: bool,
 }
 
 impl Operators {
@@ -162,9 +163,15 @@
             changes: Vec::new(),
             reads: Vec::new(),
             bursts: 0,
+            loses_placement_edits: false,
         }
     }
 
+    /// Leaves drains and policies out of changes from now on.
+    pub fn lose_placement_edits(&mut self) {
+        self.loses_placement_edits = true;
+    }
+
     /// Returns all changes that were sent.
     pub fn changes(&self) -> &[ChangeRecord] {
         &self.changes
@@ -383,7 +390,10 @@
 
     fn change(&self, index: usize) -> OperatorChange {
         let record = &self.changes[index];
-        let kinds = operator_steps::edits(&self.plan, record);
+        let mut kinds = operator_steps::edits(&self.plan, record);
+        if self.loses_placement_edits && record.intent != Intent::Setup {
+            kinds.drain(..kinds.len() - 1);
+        }
         let edits = kinds.into_iter().map(|kind| Edit { kind: Some(kind) });
         OperatorChange {
             request_id: record.request_id.clone(),
--- a/crates/petrellatch-lab/src/simulator/world/world.rs
+++ b/crates/petrellatch-lab/src/simulator/world/world.rs
@@ -96,6 +96,12 @@
             prints_trace: false,
             plan,
         };
+        if mutation == Some(Mutation::LosePlacementEdits) {
+            world.operators.lose_placement_edits();
+        }
+        if mutation == Some(Mutation::ResetsCountAsNotRun) {
+            world.callers.take_resets_for_refusals();
+        }
         world.add_machines(seed);
         world.schedule_start();
         world
