--- a/crates/petrellatch-lab/src/hollow/measurement.rs
+++ b/crates/petrellatch-lab/src/hollow/measurement.rs
@@ -18,12 +18,13 @@
 use super::hollow_daemon::Surroundings;
 use super::operator::Operator;
 use super::options::HollowOptions;
+use super::orders::{Order, WorkerReport};
 use super::process_figures::resident_bytes;
 use super::report::{
     ControlFigures, DaemonFigures, HollowReport, MassRestart, Memory, Sizes, StartUp, Steady,
     ThreadFigures, TrafficRate, milliseconds, percent_of,
 };
-use super::worker::{Order, Worker, WorkerReport};
+use super::worker::Worker;
 
 /// Time between two looks at the progress.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/petrellatch-lab/src/hollow/mod.rs
+++ b/crates/petrellatch-lab/src/hollow/mod.rs
@@ -4,8 +4,8 @@
 //! with a UDP socket of its own: it registers, sends heartbeats with loads,
 //! follows the replicated state and, as a balancer, relays it. It has no data
 //! path, and it keeps the version of the view only; the records are held once
-//! for the whole process (see [`HollowView`](hollow_view::HollowView)). What a
-//! full copy costs a daemon is measured by [`full_copy`].
+//! for the whole process (see `HollowView`). What a
+//! full copy costs a daemon is measured by `full_copy`.
 //!
 //! The control replicas are
 //! [`ControlNode`](petrellatch_core::control::ControlNode)s with data folders
@@ -21,6 +21,7 @@
 mod measurement;
 mod operator;
 mod options;
+mod orders;
 mod process_figures;
 mod report;
 #[cfg(test)]
--- a/crates/petrellatch-lab/src/hollow/report.rs
+++ b/crates/petrellatch-lab/src/hollow/report.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use super::arrivals::{InForce, quantile_ms};
+use super::orders::{DaemonReport, WorkerReport};
 use super::traffic::{Traffic, Volume};
-use super::worker::{DaemonReport, WorkerReport};
 
 const KILOBYTE: f64 = 1_000.0;
 const PERCENT: f64 = 100.0;
