Check policies for many services in pieces

Cause: the leader checked a changed policy for all services that use it in the one call that took the request, and `policy check` without a service for all services of the cluster. With 1,000 hollow daemons, 8,888 back ends and 3,722 addresses a change of a policy was one step of 358.0 ms, 356.8 ms of it processor time and 357.2 ms in handle_request. The election timeout is 500 ms.

A wait for a processor was not the cause either (see above). Fewer edge cases or services would weaken the check.

Change: PolicyCheck holds what is left of a check, PendingChecks lets at most 16 services be checked each 25 ms, all waiting checks together. The first piece is checked at once. A change that another one has overtaken is not checked on, the log refuses it. Checks count for the limit of requests, have no time limit of their own, and are answered with "not leader" when the leadership ends. PolicyCheck::of_policy does the same for `policy check` without a service.

--- a/crates/petrellatch-core/src/control/changed_view.rs
+++ b/crates/petrellatch-core/src/control/changed_view.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Returns a service.
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceRecord> {
+        if self.hides(&RecordKey::Service(id.0)) {
+            self.top.service(id)
+        } else {
+            self.base.service(id)
+        }
+    }
+
     /// Returns a service by the operator's name for it.
     pub fn service_by_name(&self, name: &str) -> Option<&ServiceRecord> {
         let base = self.base.service_by_name(name);
--- a/crates/petrellatch-core/src/control/control_node.rs
+++ b/crates/petrellatch-core/src/control/control_node.rs
@@ -25,6 +25,7 @@
 use super::control_settings::ControlSettings;
 use super::control_state::ControlState;
 use super::operator::OperatorRequest;
+use super::pending_checks::PendingChecks;
 use super::pending_requests::{PendingRead, PendingRequests};
 use leadership::Leadership;
 use stop::StopPhase;
@@ -41,6 +42,7 @@
     leadership: Option<Leadership>,
     platform: Vec<PlatformMachine>,
     requests: PendingRequests,
+    checks: PendingChecks,
     ready_reads: Vec<PendingRead>,
     stop: StopPhase,
     outputs: VecDeque<ControlOutput>,
@@ -61,6 +63,7 @@
             leadership: None,
             platform: Vec::new(),
             requests: PendingRequests::new(settings.request_limit, settings.request_timeout),
+            checks: PendingChecks::default(),
             ready_reads: Vec::new(),
             stop: StopPhase::Running,
             outputs: VecDeque::new(),
@@ -129,6 +132,7 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.handle_timeout(now, &self.state);
         }
+        self.continue_checks(now);
         for token in self.requests.take_expired(now) {
             self.respond_unknown(token);
         }
@@ -142,6 +146,7 @@
             self.replica.poll_timeout(),
             self.relay.poll_timeout(),
             self.requests.poll_timeout(),
+            self.checks.poll_timeout(),
             leadership.map(Leadership::poll_timeout),
             self.stop.deadline(),
         ];
--- a/crates/petrellatch-core/src/control/control_node/leadership.rs
+++ b/crates/petrellatch-core/src/control/control_node/leadership.rs
@@ -148,6 +148,7 @@
         for token in self.requests.take_all() {
             self.respond_unknown(token);
         }
+        self.give_up_checks();
     }
 
     /// Reports members that a version of the leader's commands changed.
--- a/crates/petrellatch-core/src/control/mod.rs
+++ b/crates/petrellatch-core/src/control/mod.rs
@@ -75,6 +75,7 @@
 mod mutations;
 mod operator;
 mod outcome;
+mod pending_checks;
 mod pending_requests;
 mod placement_planner;
 mod plan_queue;
--- a/crates/petrellatch-core/src/control/pending_requests.rs
+++ b/crates/petrellatch-core/src/control/pending_requests.rs
@@ -42,9 +42,10 @@
         }
     }
 
-    /// Whether no further request may be taken.
-    pub(super) fn is_full(&self) -> bool {
-        self.changes.len() + self.reads.len() >= self.limit
+    /// Whether no further request may be taken, with so many others that wait
+    /// for checks.
+    pub(super) fn is_full(&self, in_check: usize) -> bool {
+        self.changes.len() + self.reads.len() + in_check >= self.limit
     }
 
     /// Remembers which request a proposal belongs to.
--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -11,4 +11,5 @@
 mod outages;
 mod placements;
 mod planned_stop;
+mod policy_checks;
 mod scale;
