Let the fault of a false not-run reach the caller

Cause: with the mutation refuse_sent_as_not_run the false answer waited for further bytes of the caller, so that fleets saw a reset and no check could notice the fault. Ruled out: nothing else. Change: a flow whose request was passed on gets the answer at once; without the mutation no such flow is refused. The test asks for it without a second request of the caller, within 100 ms.

--- a/crates/petrellatch-core/src/agent_node/open_flow.rs
+++ b/crates/petrellatch-core/src/agent_node/open_flow.rs
@@ -278,8 +278,10 @@
         let Some(mut terminator) = self.terminator.take() else {
             return;
         };
+        // Only a deliberate fault refuses a flow whose request was passed on.
+        let asked = self.dispatch == DispatchState::Sent;
         match &mut self.phase {
-            FlowPhase::Refusing { answer } => pump_refusal(&mut terminator, answer),
+            FlowPhase::Refusing { answer } => pump_refusal(&mut terminator, answer, asked),
             _ => {
                 self.pump_request(now, id, &mut terminator, outputs);
                 self.pump_answer(id, &mut terminator, outputs);
@@ -381,8 +383,8 @@
 }
 
 /// Drops what the caller sends, and answers its first bytes.
-fn pump_refusal(terminator: &mut FlowTerminator, answer: &mut Option<Vec<u8>>) {
-    let mut asked = terminator.is_read_finished();
+fn pump_refusal(terminator: &mut FlowTerminator, answer: &mut Option<Vec<u8>>, asked_before: bool) {
+    let mut asked = asked_before || terminator.is_read_finished();
     while !terminator.read(WRITE_LIMIT).is_empty() {
         asked = true;
     }
--- a/crates/petrellatch-core/src/agent_node/tests/failures.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/failures.rs
@@ -234,8 +234,6 @@
     let flow = world.connections_of("a")[0];
     world.backend_event("a", flow, BackendEvent::Reset);
     world.run(Duration::from_millis(100));
-    world.say(1, "more\n");
-    world.run(Duration::from_secs(2));
     assert!(world.caller(1).text().contains("X-Petrellatch-Not-Run"));
     assert_eq!(world.requests_like("one"), 1, "although it ran");
 }
