--- a/crates/petrellatch-core/tests/control/main.rs
+++ b/crates/petrellatch-core/tests/control/main.rs
@@ -1,10 +1,12 @@
 //! The control group with its daemons under faults.
 
+mod batches;
 mod changes;
 mod cluster;
 mod drafts;
 mod fencing;
 mod lease_mutations;
+mod mass_restart;
 mod operators;
 mod outages;
 mod placements;
--- a/crates/petrellatch-lab/src/hollow/measurement.rs
+++ b/crates/petrellatch-lab/src/hollow/measurement.rs
@@ -18,12 +18,13 @@
 use super::hollow_daemon::Surroundings;
 use super::operator::Operator;
 use super::options::HollowOptions;
+use super::orders::{Order, WorkerReport};
 use super::process_figures::resident_bytes;
 use super::report::{
     ControlFigures, DaemonFigures, HollowReport, MassRestart, Memory, Sizes, StartUp, Steady,
     ThreadFigures, TrafficRate, milliseconds, percent_of,
 };
-use super::worker::{Order, Worker, WorkerReport};
+use super::worker::Worker;
 
 /// Time between two looks at the progress.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,7 +56,7 @@
     let clock = ProcessClock::start();
     let key = ClusterKey::new([1; KEY_BYTES]);
     let at_start = resident_bytes();
-    let replicas = spawn_group(clock, options.controls, folder, &key, options.seed)?;
+    let replicas = spawn_group(clock, options, folder, &key)?;
     let surroundings = Surroundings {
         controls: replicas.iter().map(ControlReplica::address).collect(),
         key,
@@ -153,7 +154,7 @@
     /// Waits until the daemons have nearly all versions, so that the creation
     /// of the configuration is no overload.
     fn wait_for_laggards(&self) {
-        const ALLOWED_LAG: u64 = 200;
+        const ALLOWED_LAG: u64 = 5;
         let begun = self.clock.now();
         self.wait_until(begun, |it| {
             it.least_version() + ALLOWED_LAG >= it.newest().version
--- a/scripts/fleet_lib/faults.py
+++ b/scripts/fleet_lib/faults.py
@@ -24,7 +24,8 @@
 
 
 class HealthCheck(threading.Thread):
-    """Tells the fabric again and again which balancers are ready."""
+    """Tells the fabric again and again which balancers are ready, and the
+    platform which machines live."""
 
     def __init__(self, fleet: Fleet):
         super().__init__()
@@ -33,6 +34,7 @@
 
     def run(self) -> None:
         while not self.stop_flag.wait(HEALTH_INTERVAL):
+            self.fleet.refresh_machines()
             self.fleet.refresh_balancers()
 
     def stop(self) -> None:
@@ -168,9 +170,10 @@
         return next(name for name in names if name != leader)
 
     def _is_voter(self, name: str) -> bool:
+        """Whether it votes with its present folder, not with the lost one."""
+        incarnation = self.fleet.processes[name].ready["incarnation"]
         replicas = self.fleet.ctl("status")["replicas"]
-        voters = [it for it in replicas if it["name"] == name and it["role"] == "voter"]
-        return any(it["silent_ms"] < 1_000 for it in voters)
+        return any(it["incarnation"] == incarnation and it["role"] == "voter" for it in replicas)
 
     def _control_bytes(self) -> dict[int, float]:
         """Bytes of control messages, in and out, of each balancer and agent."""
