End the planned stop of an agent that no leader hears

Cause: a leaving agent waited for a newer generation without its buckets; with the whole control group gone it waited for ever (seen for 25 minutes with no open flow). Ruled out: ending as soon as no flow is open, since its buckets would wait for the fence although a hand-over takes milliseconds; a limit in the driver only, which exists (timing.stop_seconds) and has to be long for long flows. Change: with no open flow, and six seconds after the lease ran out, it stops. It can admit nothing then, and holders report the flows that it had passed on. Conclusion: a planned stop always ends once the flows have.

--- a/crates/petrellatch-core/src/agent_node/maintenance.rs
+++ b/crates/petrellatch-core/src/agent_node/maintenance.rs
@@ -43,6 +43,11 @@
 /// does not confirm it: its lease has then run out.
 const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// A leaving agent without open flows stops so long after its lease ran out,
+/// although nobody took over its buckets: the leader, if there is one, fences
+/// it by then, and other agents report the flows that it passed to them.
+const UNHEARD_STOP_DELAY: Duration = Duration::from_secs(6);
+
 /// The opening packet of a flow whose bucket is not settled.
 #[derive(Clone, Debug)]
 struct HeldOpening {
@@ -256,7 +261,7 @@
     /// Takes the next step of a planned stop when it is due.
     fn advance_stop(&mut self, now: Timestamp) {
         match self.stop {
-            StopPhase::Leaving if self.has_nothing_left() => {
+            StopPhase::Leaving if self.has_nothing_left() || self.is_given_up(now) => {
                 self.stop = StopPhase::GaveUp(now);
                 self.report_upward(now);
             }
@@ -267,6 +272,14 @@
         }
     }
 
+    /// Returns whether no flow is open and the lease has been over for long,
+    /// so that waiting for the control group serves nobody.
+    fn is_given_up(&self, now: Timestamp) -> bool {
+        let lease_end = self.link.lease_until().unwrap_or(Timestamp::ZERO);
+        let is_over = now.saturating_since(lease_end) >= UNHEARD_STOP_DELAY;
+        is_over && self.open_flows() == 0
+    }
+
     /// Returns whether no flow is open, no bucket is owned, and every new
     /// owner knows what this agent knew.
     fn has_nothing_left(&self) -> bool {
--- a/crates/petrellatch-core/src/agent_node/tests/handover.rs
+++ b/crates/petrellatch-core/src/agent_node/tests/handover.rs
@@ -195,3 +195,22 @@
     world.run(Duration::from_secs(5));
     assert!(world.agents["a"].is_stopped());
 }
+
+#[test]
+fn a_planned_stop_ends_although_no_lease_is_granted_any_more() {
+    let mut world = World::new(9, 3);
+    world.call(1, "one\n");
+    world.run(Duration::from_secs(1));
+    world.control.refuses_leases = true;
+    let now = world.now;
+    world.agents.get_mut("a").unwrap().begin_stop(now);
+    world.run(Duration::from_secs(5));
+    assert!(
+        !world.agents["a"].is_stopped(),
+        "its lease is hardly over, and it still owns buckets"
+    );
+    world.caller(1).finish();
+    world.say(1, "");
+    world.run(Duration::from_secs(20));
+    assert!(world.agents["a"].is_stopped());
+}
