Take a late setup for what it is in the placement checker

The checker took only policy changes and restores for lifting an exclusion. Ruled out: a lost change (the replicas kept versions 5 to 9 in order and the placement followed within 20 ms each time); a longer grace. Change: a setup lifts exclusions too, since it writes every policy. The checker is as strict for all other changes. Conclusion: no fault of the product.

--- a/crates/petrellatch-lab/src/simulator/checkers/placement.rs
+++ b/crates/petrellatch-lab/src/simulator/checkers/placement.rs
@@ -127,7 +127,8 @@
 fn concerns_policy(change: &ChangeRecord, of: usize) -> bool {
     match change.intent {
         Intent::Policy { service, .. } => service == of,
-        Intent::Restore => true,
+        // A setup whose answer was late writes all policies once more.
+        Intent::Restore | Intent::Setup => true,
         _ => false,
     }
 }
--- a/crates/petrellatch-lab/tests/simulator_scenarios.rs
+++ b/crates/petrellatch-lab/tests/simulator_scenarios.rs
@@ -110,6 +110,16 @@
     }
 }
 
+/// A second setup lifts exclusions; the checker once took it for none.
+#[test]
+fn a_late_setup_is_no_reverted_change() {
+    let name = "accepted-stays-in-force";
+    for result in run(name, 130..=130, RunSettings::default()) {
+        let violations = &result.report.violations;
+        assert!(result.passed(), "{violations:?}");
+    }
+}
+
 #[test]
 fn a_seed_determines_the_trace_on_any_number_of_threads() {
     let chosen = [scenario("many-failures"), scenario("own-service")];
