--- a/crates/petrellatch-core/src/consensus/membership_change.rs
+++ b/crates/petrellatch-core/src/consensus/membership_change.rs
@@ -33,6 +33,13 @@
         Ok(self.append_membership(membership))
     }
 
+    /// Replaces the nodes that this replica announces itself to, besides the
+    /// members that it knows.
+    pub fn set_contacts(&mut self, nodes: impl IntoIterator<Item = NodeId>) {
+        let own = self.id.node;
+        self.configured_peers = nodes.into_iter().filter(|node| *node != own).collect();
+    }
+
     pub(super) fn join_is_due(&self) -> bool {
         let leads = matches!(self.part, Part::Leader(_));
         !leads && !self.may_campaign() && self.now >= self.join_deadline
@@ -64,6 +71,7 @@
     /// with another incarnation, its disk is lost: the old replica is removed
     /// and the new one becomes a learner, in one committed change.
     pub(super) fn handle_join_request(&mut self, sender: ReplicaId) {
+        let readmits = self.settings.readmit_retired;
         let membership = self.membership();
         let is_member = membership.contains(sender);
         let is_retired = membership.is_retired(sender);
@@ -71,7 +79,7 @@
         let Part::Leader(leadership) = &mut self.part else {
             return;
         };
-        if is_member || is_retired {
+        if is_member || (is_retired && !readmits) {
             return;
         }
         let Some(former) = former else {
--- a/crates/petrellatch-core/src/consensus/settings.rs
+++ b/crates/petrellatch-core/src/consensus/settings.rs
@@ -39,6 +39,9 @@
     /// leader counts on its quorum for so much less than
     /// `election_timeout`.
     pub clock_drift_margin_per_mille: u32,
+    /// Whether a replica that was removed may announce itself again, for
+    /// groups that remove silent members by themselves.
+    pub readmit_retired: bool,
     /// Deliberate faults for the lab; all off in production.
     pub mutations: ConsensusMutations,
 }
@@ -53,6 +56,7 @@
             compaction_threshold: 4096,
             compaction_bytes: 4 * 1024 * 1024,
             clock_drift_margin_per_mille: 50,
+            readmit_retired: false,
             mutations: ConsensusMutations::default(),
         }
     }
--- a/crates/petrellatch-core/src/consensus/status.rs
+++ b/crates/petrellatch-core/src/consensus/status.rs
@@ -54,6 +54,11 @@
         self.memberships.current()
     }
 
+    /// Index of the entry that set the membership in effect; it only grows.
+    pub fn membership_index(&self) -> LogIndex {
+        self.memberships.current_index()
+    }
+
     /// What this leader knows of the other members; empty if it doesn't lead.
     pub fn peer_progress(&self) -> Vec<PeerProgress> {
         match &self.part {
--- a/crates/petrellatch-core/src/consensus/transfer.rs
+++ b/crates/petrellatch-core/src/consensus/transfer.rs
@@ -29,6 +29,17 @@
         Ok(())
     }
 
+    /// Stops leading without a successor, for example because the own disk
+    /// does not answer. The other voters elect one of them once they miss the
+    /// heartbeats.
+    pub fn resign(&mut self, now: Timestamp) {
+        self.observe_clock(now);
+        if matches!(self.part, Part::Leader(_)) {
+            self.become_follower();
+            self.leader = None;
+        }
+    }
+
     /// Whether this leader waits for somebody to hand over to.
     pub fn is_transferring(&self) -> bool {
         match &self.part {
--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -104,6 +104,44 @@
     BackendReachable = 405, Info;
     /// A service has no eligible back end.
     NoEligibleBackend = 406, Error;
+    /// A new flow was offered to an agent that passes packets through.
+    FlowPlaced = 500, Info;
+    /// A new flow was refused because no agent takes it.
+    FlowRefused = 501, Info;
+    /// A packet belongs to a flow whose agent is not known; agents are asked.
+    FlowSought = 502, Info;
+    /// An agent did not answer an opening packet in time.
+    AgentSuspected = 503, Warning;
+    /// A suspected agent answered again.
+    AgentReturned = 504, Info;
+    /// An agent declined a new flow.
+    FlowDeclined = 505, Info;
+    /// A back end returned a packet of a flow that it does not have.
+    PacketReturned = 506, Info;
+    /// A back end registered itself at its agent.
+    BackendRegistered = 510, Info;
+    /// A back end said that it leaves.
+    BackendLeaving = 511, Info;
+    /// A back end has been silent for too long.
+    BackendSilent = 512, Warning;
+    /// A balancer has a newer configuration in force.
+    ConfigurationApplied = 520, Info;
+    /// The configuration was replaced under a newer version.
+    ConfigurationReplaced = 521, Info;
+    /// A replacement of the configuration was not accepted.
+    ReplacementRefused = 522, Info;
+    /// The process became ready for traffic.
+    BecameReady = 530, Info;
+    /// The process is not ready for traffic any more.
+    BecameUnready = 531, Info;
+    /// The settings were read again.
+    SettingsReloaded = 532, Info;
+    /// Changed settings can't be used; the former ones hold.
+    SettingsIgnored = 533, Warning;
+    /// A write to the data folder failed and is tried again.
+    WriteFailed = 534, Error;
+    /// Entries were left out to keep the log's volume bounded.
+    EntriesLeftOut = 535, Warning;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/lib.rs
+++ b/crates/petrellatch-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod identity;
 pub mod membership;
 pub mod node;
+pub mod pass_through;
 pub mod placement;
 pub mod policy;
 pub mod routing;
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -0,0 +1,231 @@
+//! The agents as a balancer knows them, and the choice among them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::{AgentState, Directory, LoadMessage, Report, unpack_address};
+
+use crate::time::Timestamp;
+
+use super::digest::{flow_digest, service_digest};
+use super::packet::FlowId;
+
+/// A load figure loses half of its weight in this time, since the requests
+/// behind it come to their ends.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(120);
+/// What an agent of another zone costs, in requests a slot.
+const OTHER_ZONE_COST: f64 = 0.3;
+/// What a suspected agent costs: it comes after all others.
+const SUSPECT_COST: f64 = 1_000.0;
+/// How much slower a back end is that still warms up.
+const COLD_FACTOR: f64 = 1.6;
+/// Spreads flows over agents of the same cost.
+const TIE_COST: f64 = 0.05;
+/// The first time that an agent is avoided after it missed an opening packet;
+/// it doubles with each further one up to the limit.
+const FIRST_SUSPICION: Duration = Duration::from_millis(250);
+const MAX_SUSPICION: Duration = Duration::from_secs(2);
+/// An agent that no replica heard from for so long is forgotten, as long as
+/// replicas are heard.
+const SILENCE_LIMIT: Duration = Duration::from_secs(8);
+
+/// One agent.
+#[derive(Debug)]
+pub(super) struct KnownAgent {
+    pub(super) service: u64,
+    pub(super) state: AgentState,
+    pub(super) complete: bool,
+    same_zone: bool,
+    incarnation: u64,
+    sequence: u64,
+    heard_at: Timestamp,
+    load: LoadMessage,
+    load_at: Timestamp,
+    /// Opening packets sent since the load was told.
+    sent_since: u32,
+    misses: u32,
+    suspect_until: Timestamp,
+}
+
+/// All agents that a balancer knows.
+#[derive(Debug, Default)]
+pub(super) struct AgentDirectory {
+    zone: String,
+    agents: BTreeMap<SocketAddrV4, KnownAgent>,
+}
+
+impl AgentDirectory {
+    pub(super) fn new(zone: String) -> Self {
+        AgentDirectory {
+            zone,
+            agents: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn get(&self, address: SocketAddrV4) -> Option<&KnownAgent> {
+        self.agents.get(&address)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Addresses of all agents, or of those of one service.
+    pub(super) fn addresses(&self, service: Option<u64>) -> Vec<(SocketAddrV4, u64)> {
+        let wanted = |agent: &KnownAgent| service.is_none_or(|it| it == agent.service);
+        let agents = self.agents.iter().filter(|(_, agent)| wanted(agent));
+        agents
+            .map(|(address, agent)| (*address, agent.service))
+            .collect()
+    }
+
+    /// Takes what a replica knows.
+    pub(super) fn handle_directory(&mut self, now: Timestamp, directory: &Directory) {
+        for entry in &directory.agents {
+            let heard_at = now - Duration::from_millis(u64::from(entry.age_millis));
+            self.handle_report(heard_at, &entry.report);
+        }
+        self.agents
+            .retain(|_, agent| now.saturating_since(agent.heard_at) < SILENCE_LIMIT);
+    }
+
+    fn handle_report(&mut self, heard_at: Timestamp, report: &Report) {
+        let address = unpack_address(report.address);
+        let known = self.agents.get(&address);
+        if let Some(known) = known {
+            let same_life = known.incarnation == report.incarnation;
+            let older = same_life && report.sequence < known.sequence;
+            if older || (!same_life && heard_at < known.heard_at) {
+                return;
+            }
+        }
+        let same_life = known.is_some_and(|known| known.incarnation == report.incarnation);
+        if !same_life {
+            let agent = KnownAgent {
+                service: service_digest(&report.service),
+                state: report.state(),
+                complete: report.complete,
+                same_zone: report.zone == self.zone,
+                incarnation: report.incarnation,
+                sequence: report.sequence,
+                heard_at,
+                load: report.load,
+                load_at: heard_at,
+                sent_since: 0,
+                misses: 0,
+                suspect_until: Timestamp::ZERO,
+            };
+            self.agents.insert(address, agent);
+            return;
+        }
+        let Some(known) = self.agents.get_mut(&address) else {
+            return;
+        };
+        known.state = report.state();
+        known.complete = report.complete;
+        known.heard_at = known.heard_at.max(heard_at);
+        if report.sequence > known.sequence {
+            known.sequence = report.sequence;
+            if heard_at > known.load_at {
+                known.note_load(heard_at, report.load);
+            }
+        }
+    }
+
+    /// Notes a message that an agent sent itself. Returns whether it had been
+    /// suspected.
+    pub(super) fn note_heard(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddrV4,
+        load: Option<LoadMessage>,
+    ) -> bool {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return false;
+        };
+        let was_suspected = now < agent.suspect_until;
+        agent.heard_at = now;
+        agent.misses = 0;
+        agent.suspect_until = Timestamp::ZERO;
+        if let Some(load) = load {
+            agent.note_load(now, load);
+        }
+        was_suspected
+    }
+
+    /// Notes that an agent takes nothing new, until it reports otherwise.
+    pub(super) fn note_state(&mut self, address: SocketAddrV4, state: AgentState) {
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.state = state;
+        }
+    }
+
+    pub(super) fn note_sent(&mut self, address: SocketAddrV4) {
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.sent_since += 1;
+        }
+    }
+
+    /// Notes that an agent did not answer an opening packet in time. Returns
+    /// whether that is news.
+    pub(super) fn note_missed(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return false;
+        };
+        let was_suspected = now < agent.suspect_until;
+        let factor = 1 << agent.misses.min(3);
+        agent.misses += 1;
+        agent.suspect_until = now + (FIRST_SUSPICION * factor).min(MAX_SUSPICION);
+        !was_suspected
+    }
+
+    /// The agent of a service that is the best for a new flow.
+    pub(super) fn choose(
+        &self,
+        now: Timestamp,
+        service: u64,
+        flow: FlowId,
+        is_excluded: impl Fn(SocketAddrV4) -> bool,
+    ) -> Option<SocketAddrV4> {
+        let fits = |(address, agent): &(&SocketAddrV4, &KnownAgent)| {
+            agent.service == service && agent.state == AgentState::Ready && !is_excluded(**address)
+        };
+        let cost = |(address, agent): &(&SocketAddrV4, &KnownAgent)| {
+            let salt = petrellatch_proto::pass_through::pack_address(**address);
+            let tie = flow_digest(flow, salt) as f64 / u64::MAX as f64;
+            agent.cost(now) + tie * TIE_COST
+        };
+        let agents = self.agents.iter().filter(fits);
+        let best = agents.min_by(|left, right| cost(left).total_cmp(&cost(right)));
+        best.map(|(address, _)| *address)
+    }
+}
+
+impl KnownAgent {
+    fn note_load(&mut self, now: Timestamp, load: LoadMessage) {
+        self.load = load;
+        self.load_at = now;
+        self.sent_since = 0;
+    }
+
+    /// Expected requests for each slot, with what speaks against the agent.
+    fn cost(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_since(self.load_at);
+        let half_lives = age.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        let told = f64::from(self.load.busy) * 0.5_f64.powf(half_lives);
+        let busy = told + f64::from(self.sent_since) * 0.5_f64.powf(half_lives);
+        let capacity = f64::from(self.load.capacity.max(1));
+        let mut cost = busy / capacity;
+        if self.load.cold {
+            cost = (cost + 1.0 / capacity) * COLD_FACTOR;
+        }
+        if !self.same_zone {
+            cost += OTHER_ZONE_COST;
+        }
+        if now < self.suspect_until {
+            cost += SUSPECT_COST;
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/change_assembly.rs
@@ -0,0 +1,50 @@
+//! Changes that travel in parts.
+
+use std::collections::BTreeMap;
+
+/// Parts of one encoded message, as they arrive, in any order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartAssembly {
+    key: u64,
+    parts: u32,
+    received: BTreeMap<u32, Vec<u8>>,
+}
+
+/// Most parts that one message may have.
+const MAX_PARTS: u32 = 4096;
+
+impl PartAssembly {
+    /// Takes a part of the message that `key` names; parts of another message
+    /// are given up. Returns the message once all parts are there.
+    pub fn add(&mut self, key: u64, part: u32, parts: u32, bytes: Vec<u8>) -> Option<Vec<u8>> {
+        if parts == 0 || parts > MAX_PARTS || part >= parts {
+            return None;
+        }
+        if self.key != key || self.parts != parts {
+            *self = PartAssembly {
+                key,
+                parts,
+                received: BTreeMap::new(),
+            };
+        }
+        self.received.insert(part, bytes);
+        if self.received.len() < parts as usize {
+            return None;
+        }
+        let complete = std::mem::take(self);
+        Some(complete.received.into_values().flatten().collect())
+    }
+
+    /// Whether a message is under way.
+    pub fn is_partial(&self) -> bool {
+        !self.received.is_empty()
+    }
+}
+
+/// Splits an encoded message into parts of at most `limit` bytes, at least one.
+pub fn split(bytes: &[u8], limit: usize) -> Vec<&[u8]> {
+    if bytes.is_empty() {
+        return vec![bytes];
+    }
+    bytes.chunks(limit.max(1)).collect()
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/configuration.rs
@@ -0,0 +1,126 @@
+//! The configuration as a whole: routes under a version that is chosen
+//! outside.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use petrellatch_proto::pass_through::{ConfigurationChange, RouteRecord};
+use snafu::Snafu;
+
+/// Routes and what the operator's interface keeps with them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Configuration {
+    /// The version; zero before the first configuration.
+    pub version: u64,
+    /// The routes by packed address.
+    pub routes: BTreeMap<u64, RouteRecord>,
+    /// Kept for the operator's interface, which alone knows what it means.
+    pub annotation: Vec<u8>,
+}
+
+/// Why a configuration is refused as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ConfigurationError {
+    /// The version is zero.
+    #[snafu(display("the version must be greater than zero"))]
+    NoVersion,
+    /// Two routes have one address.
+    #[snafu(display("two routes have the address {address}"))]
+    SameAddress {
+        /// The address.
+        address: std::net::SocketAddrV4,
+    },
+    /// A route leads to a service that the configuration does not have.
+    #[snafu(display("the route {address} names the unknown service {service}"))]
+    UnknownService {
+        /// The route.
+        address: std::net::SocketAddrV4,
+        /// The service.
+        service: String,
+    },
+    /// The weights of a route add up to nothing.
+    #[snafu(display("the route {address} has no weight"))]
+    NoWeight {
+        /// The route.
+        address: std::net::SocketAddrV4,
+    },
+}
+
+impl Configuration {
+    /// Makes a configuration, if it is valid.
+    pub fn new(
+        version: u64,
+        routes: Vec<RouteRecord>,
+        services: &BTreeSet<String>,
+        annotation: Vec<u8>,
+    ) -> Result<Configuration, ConfigurationError> {
+        if version == 0 {
+            return NoVersionSnafu.fail();
+        }
+        let mut by_address = BTreeMap::new();
+        for (position, mut route) in routes.into_iter().enumerate() {
+            let address = petrellatch_proto::pass_through::unpack_address(route.address);
+            let unknown = route
+                .shares
+                .iter()
+                .find(|share| !services.contains(&share.service));
+            if let Some(share) = unknown {
+                let service = share.service.clone();
+                return UnknownServiceSnafu { address, service }.fail();
+            }
+            let weight: u64 = route.shares.iter().map(|it| u64::from(it.weight)).sum();
+            if weight == 0 {
+                return NoWeightSnafu { address }.fail();
+            }
+            route.position = position as u32;
+            if by_address.insert(route.address, route).is_some() {
+                return SameAddressSnafu { address }.fail();
+            }
+        }
+        Ok(Configuration {
+            version,
+            routes: by_address,
+            annotation,
+        })
+    }
+
+    /// The records in which `next` differs from this configuration.
+    pub fn change_to(&self, next: &Configuration) -> ConfigurationChange {
+        let differs = |route: &&RouteRecord| self.routes.get(&route.address) != Some(*route);
+        let is_gone = |address: &&u64| !next.routes.contains_key(*address);
+        let annotation = (self.annotation != next.annotation).then(|| next.annotation.clone());
+        ConfigurationChange {
+            base_version: self.version,
+            version: next.version,
+            put: next.routes.values().filter(differs).cloned().collect(),
+            removed: self.routes.keys().filter(is_gone).copied().collect(),
+            annotation,
+        }
+    }
+
+    /// Applies a change. One that is based on another version, or doesn't
+    /// raise the version, has no effect. Returns whether it had one.
+    pub fn apply(&mut self, change: &ConfigurationChange) -> bool {
+        if change.base_version != self.version || change.version <= self.version {
+            return false;
+        }
+        for address in &change.removed {
+            self.routes.remove(address);
+        }
+        for route in &change.put {
+            self.routes.insert(route.address, route.clone());
+        }
+        if let Some(annotation) = &change.annotation {
+            self.annotation = annotation.clone();
+        }
+        self.version = change.version;
+        true
+    }
+
+    /// The routes in the order of the operator's list.
+    pub fn ordered_routes(&self) -> Vec<&RouteRecord> {
+        let mut routes: Vec<&RouteRecord> = self.routes.values().collect();
+        routes.sort_by_key(|route| route.position);
+        routes
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/contacts.rs
@@ -0,0 +1,43 @@
+//! Where a daemon finds the replicas of the control group.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+use petrellatch_proto::pass_through::{Group, unpack_address};
+
+/// The addresses that the settings name, and those that the group told.
+#[derive(Clone, Debug, Default)]
+pub struct Contacts {
+    seeds: Vec<SocketAddrV4>,
+    group: Vec<SocketAddrV4>,
+    group_index: u64,
+}
+
+impl Contacts {
+    /// Starts from the addresses in the settings.
+    pub fn new(seeds: Vec<SocketAddrV4>) -> Self {
+        Contacts {
+            seeds,
+            ..Contacts::default()
+        }
+    }
+
+    /// Replaces the addresses of the settings.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes what a replica told, unless something newer is known.
+    pub fn handle_group(&mut self, group: &Group) {
+        if group.index < self.group_index || group.replicas.is_empty() {
+            return;
+        }
+        self.group_index = group.index;
+        self.group = group.replicas.iter().copied().map(unpack_address).collect();
+    }
+
+    /// All known replicas, each once.
+    pub fn all(&self) -> BTreeSet<SocketAddrV4> {
+        self.seeds.iter().chain(&self.group).copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/digest.rs
@@ -0,0 +1,34 @@
+//! Digests that all processes compute alike.
+
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
+use super::packet::FlowId;
+
+/// The number that stands for a service in packets between processes.
+pub fn service_digest(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0, 1);
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
+/// A number that depends on a flow and on `salt`, evenly spread.
+pub fn flow_digest(flow: FlowId, salt: u64) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(salt, 2);
+    hasher.write_u32(u32::from(*flow.caller.ip()));
+    hasher.write_u16(flow.caller.port());
+    hasher.write_u32(u32::from(*flow.route.ip()));
+    hasher.write_u16(flow.route.port());
+    hasher.finish()
+}
+
+/// Of how many ordinary flows one is logged.
+const SAMPLE_ONE_OF: u64 = 64;
+const SAMPLE_SALT: u64 = 0x4c4f_4721;
+
+/// Whether the ordinary steps of a flow are logged. All processes choose the
+/// same flows.
+pub fn is_sampled(flow: FlowId) -> bool {
+    flow_digest(flow, SAMPLE_SALT).is_multiple_of(SAMPLE_ONE_OF)
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -0,0 +1,143 @@
+//! What a balancer remembers of flows: hints that may be lost.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+use super::packet::FlowId;
+
+/// How far a caller's acknowledgement may be ahead of the first sequence
+/// number of the back end that it belongs to.
+const SEQUENCE_WINDOW: u32 = 1 << 22;
+/// A flow that its caller has ended is forgotten after this.
+const ENDED_LIMIT: Duration = Duration::from_secs(3);
+
+/// How an agent answered the opening packet of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CandidateState {
+    Asked,
+    Late,
+    Accepted { sequence: u32 },
+    Declined,
+}
+
+/// An agent that was asked to take a flow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) agent: SocketAddrV4,
+    pub(super) state: CandidateState,
+}
+
+/// What is known of one flow.
+#[derive(Debug)]
+pub(super) struct FlowHint {
+    pub(super) service: u64,
+    pub(super) candidates: Vec<Candidate>,
+    /// The opening packet, as long as nobody has accepted it.
+    pub(super) opening: Option<Vec<u8>>,
+    pub(super) owner: Option<SocketAddrV4>,
+    /// When agents were last asked for the flow, and when one was last told
+    /// to ask its back end.
+    pub(super) sought_at: Option<Timestamp>,
+    pub(super) offered_at: Option<Timestamp>,
+    /// Whether full agents were asked to queue it.
+    pub(super) queued: bool,
+    pub(super) ended: bool,
+    pub(super) used_at: Timestamp,
+}
+
+impl FlowHint {
+    pub(super) fn new(now: Timestamp, service: u64) -> Self {
+        FlowHint {
+            service,
+            candidates: Vec::new(),
+            opening: None,
+            owner: None,
+            sought_at: None,
+            offered_at: None,
+            queued: false,
+            ended: false,
+            used_at: now,
+        }
+    }
+
+    pub(super) fn candidate_mut(&mut self, agent: SocketAddrV4) -> Option<&mut Candidate> {
+        self.candidates.iter_mut().find(|it| it.agent == agent)
+    }
+
+    pub(super) fn was_asked(&self, agent: SocketAddrV4) -> bool {
+        self.candidates.iter().any(|it| it.agent == agent)
+    }
+
+    pub(super) fn accepted(&self) -> Option<SocketAddrV4> {
+        let accepted = |it: &&Candidate| matches!(it.state, CandidateState::Accepted { .. });
+        self.candidates.iter().find(accepted).map(|it| it.agent)
+    }
+
+    /// Whether somebody may still answer the opening packet.
+    pub(super) fn is_awaited(&self) -> bool {
+        let awaited =
+            |it: &Candidate| matches!(it.state, CandidateState::Asked | CandidateState::Late);
+        self.candidates.iter().any(awaited)
+    }
+
+    /// The agent whose back end's sequence numbers the caller acknowledges.
+    pub(super) fn acknowledged(&self, acknowledged: u32) -> Option<SocketAddrV4> {
+        let matches = |it: &&Candidate| match it.state {
+            CandidateState::Accepted { sequence } => {
+                acknowledged.wrapping_sub(sequence) < SEQUENCE_WINDOW
+            }
+            _ => false,
+        };
+        self.candidates.iter().find(matches).map(|it| it.agent)
+    }
+
+    /// The only agent that can have the flow, if there is only one.
+    pub(super) fn sole_candidate(&self) -> Option<SocketAddrV4> {
+        let mut possible = self
+            .candidates
+            .iter()
+            .filter(|it| it.state != CandidateState::Declined);
+        let first = possible.next()?;
+        possible.next().is_none().then_some(first.agent)
+    }
+}
+
+/// All hints of a balancer.
+#[derive(Debug, Default)]
+pub(super) struct FlowHints {
+    hints: HashMap<FlowId, FlowHint>,
+}
+
+impl FlowHints {
+    pub(super) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowHint> {
+        self.hints.get_mut(&flow)
+    }
+
+    pub(super) fn entry(&mut self, now: Timestamp, flow: FlowId, service: u64) -> &mut FlowHint {
+        let hint = self.hints.entry(flow);
+        hint.or_insert_with(|| FlowHint::new(now, service))
+    }
+
+    pub(super) fn insert(&mut self, flow: FlowId, hint: FlowHint) {
+        self.hints.insert(flow, hint);
+    }
+
+    pub(super) fn remove(&mut self, flow: FlowId) {
+        self.hints.remove(&flow);
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Forgets flows that are over, or that rested for `idle_limit`.
+    pub(super) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
+        self.hints.retain(|_, hint| {
+            let rest = now.saturating_since(hint.used_at);
+            rest < if hint.ended { ENDED_LIMIT } else { idle_limit }
+        });
+    }
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -0,0 +1,48 @@
+//! Flows that are passed through: balancers and agents hand the packets of a
+//! flow to a back end that ends the flow itself, and its answers go straight
+//! to the caller.
+//!
+//! Beside the tier that ends callers' flows (`agent_node`), this one needs no
+//! leases: a flow opens only at the back end whose sequence number the caller
+//! acknowledges, so two back ends that answer one opening packet are harmless,
+//! and the back end itself knows which flows it has.
+//!
+//! * A [`PassThroughBalancer`] chooses the agent of a new flow and remembers
+//!   it as a hint that may be lost.
+//! * A [`PassThroughAgent`] admits to the back end beside it, by its exact
+//!   load and by what the back end said of itself.
+//! * A [`ConfigurationNode`] is a replica of the group that holds the
+//!   configuration, and passes on which agents there are.
+
+mod agent;
+mod agent_directory;
+mod agent_flows;
+mod balancer;
+mod change_assembly;
+mod configuration;
+mod configuration_node;
+mod configuration_state;
+mod contacts;
+mod digest;
+mod flow_hints;
+mod followers;
+mod group_keeper;
+mod output;
+mod packet;
+mod registration;
+mod replacements;
+mod route_table;
+
+pub use agent::{PassThroughAgent, PassThroughAgentSettings};
+pub use balancer::{PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerSettings};
+pub use configuration::{Configuration, ConfigurationError};
+pub use configuration_node::{
+    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, ConfigurationRequest,
+    ConfigurationResponse, node_address, node_at,
+};
+pub use contacts::Contacts;
+pub use digest::service_digest;
+pub use output::PassThroughOutput;
+pub use packet::{FlowId, PacketCodec, PacketView};
+pub use registration::Registration;
+pub use route_table::RouteTable;
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -0,0 +1,128 @@
+//! Back ends that register themselves at the agent beside them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::AgentState;
+
+use crate::time::Timestamp;
+
+/// How many departed back ends are remembered, so that a late call of one of
+/// them does not bring it back.
+const MAX_DEPARTED: usize = 16;
+
+/// One call of a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// The life of the back end.
+    pub id: String,
+    /// Rises with each call of a life.
+    pub call_number: u64,
+    /// Requests that it works on at once.
+    pub capacity: u32,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// What an agent knows of its back end from the calls.
+#[derive(Debug, Default)]
+pub struct RegistrationState {
+    current: Option<Current>,
+    departed: VecDeque<String>,
+}
+
+#[derive(Debug)]
+struct Current {
+    id: String,
+    call_number: u64,
+    capacity: u32,
+    draining: bool,
+    cold_until: Timestamp,
+    heard_at: Timestamp,
+}
+
+impl RegistrationState {
+    /// Takes a call. Returns whether it changed what the agent offers.
+    pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) -> bool {
+        if self.departed.contains(&call.id) {
+            return false;
+        }
+        let before = self.offer();
+        if let Some(current) = &mut self.current
+            && current.id == call.id
+        {
+            if call.call_number < current.call_number {
+                return false;
+            }
+        } else if let Some(former) = self.current.take() {
+            self.note_departed(former.id);
+        }
+        self.current = Some(Current {
+            id: call.id.clone(),
+            call_number: call.call_number,
+            capacity: call.capacity.max(1),
+            draining: call.draining,
+            cold_until: now + call.cold,
+            heard_at: now,
+        });
+        before != self.offer()
+    }
+
+    /// Takes the goodbye of a back end. It keeps the flows that it has, and
+    /// nothing that it says later counts. Returns whether that changed what
+    /// the agent offers.
+    pub fn handle_withdrawal(&mut self, id: &str) -> bool {
+        let before = self.offer();
+        if !self.departed.iter().any(|departed| departed == id) {
+            self.note_departed(id.to_owned());
+        }
+        if let Some(current) = &mut self.current
+            && current.id == id
+        {
+            current.draining = true;
+        }
+        before != self.offer()
+    }
+
+    /// Notes that the back end gave another sign of life.
+    pub fn note_alive(&mut self, now: Timestamp) {
+        if let Some(current) = &mut self.current {
+            current.heard_at = now;
+        }
+    }
+
+    /// What the back end offers; one that was silent for longer than `limit`
+    /// counts as gone.
+    pub fn state(&self, now: Timestamp, limit: Duration) -> AgentState {
+        match &self.current {
+            Some(current) if current.draining => AgentState::Draining,
+            Some(current) if now.saturating_since(current.heard_at) < limit => AgentState::Ready,
+            Some(_) | None => AgentState::Empty,
+        }
+    }
+
+    /// Requests that the back end works on at once.
+    pub fn capacity(&self) -> u32 {
+        self.current.as_ref().map_or(0, |current| current.capacity)
+    }
+
+    /// Whether the back end still warms up.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        let cold = |current: &Current| now < current.cold_until;
+        self.current.as_ref().is_some_and(cold)
+    }
+
+    fn offer(&self) -> Option<(String, bool)> {
+        let current = self.current.as_ref()?;
+        Some((current.id.clone(), current.draining))
+    }
+
+    fn note_departed(&mut self, id: String) {
+        self.departed.push_back(id);
+        if self.departed.len() > MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+    }
+}
--- a/crates/petrellatch-proto/src/lib.rs
+++ b/crates/petrellatch-proto/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dissemination;
 pub mod endpoint;
 pub mod envelope;
+pub mod pass_through;
 pub mod record;
 pub mod seal;
 
--- /dev/null
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -0,0 +1,391 @@
+//! Messages of the pass-through tier: balancers, agents and configuration
+//! replicas that hand on the packets of flows without ending them.
+//!
+//! [`PassThroughMessage`] is the frame of every datagram between them.
+
+/// Encoded messages stay below this size, in bytes, so that they rarely need
+/// more than a few fragments. Log entries of other replicas are the exception.
+pub const MAX_PART_BYTES: usize = 8 * 1024;
+
+/// A flow, by its two ends as the caller sees them.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct FlowMessage {
+    /// The caller's address and port, see [`pack_address`].
+    #[prost(fixed64, tag = "1")]
+    pub caller: u64,
+    /// The route's address and port.
+    #[prost(fixed64, tag = "2")]
+    pub route: u64,
+}
+
+/// The frame of every datagram.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PassThroughMessage {
+    /// The message.
+    #[prost(
+        oneof = "PassThroughBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+    )]
+    pub body: Option<PassThroughBody>,
+}
+
+/// The kinds of message.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum PassThroughBody {
+    /// Between replicas: the replicated log, already encoded.
+    #[prost(bytes, tag = "1")]
+    Consensus(Vec<u8>),
+    /// Balancer to agent: a caller's packet.
+    #[prost(message, tag = "2")]
+    Carry(Carry),
+    /// Agent to balancer: the back end answered an opening packet.
+    #[prost(message, tag = "3")]
+    Accepted(Accepted),
+    /// Agent to balancer: an opening packet was not taken.
+    #[prost(message, tag = "4")]
+    Declined(Declined),
+    /// Agent to balancer: the flows that its back end has.
+    #[prost(message, tag = "5")]
+    Holds(Holds),
+    /// Agent to replica: what it serves.
+    #[prost(message, tag = "6")]
+    Report(Report),
+    /// Balancer to replica: asks for news.
+    #[prost(message, tag = "7")]
+    Follow(Follow),
+    /// Replica to daemon: the replicas of the group.
+    #[prost(message, tag = "8")]
+    Group(Group),
+    /// Replica to balancer: the agents.
+    #[prost(message, tag = "9")]
+    Directory(Directory),
+    /// Replica to balancer: a part of a configuration or of a change to it.
+    #[prost(message, tag = "10")]
+    Configuration(ConfigurationPart),
+    /// Replica to balancer: the newest version at a time after the question.
+    #[prost(message, tag = "11")]
+    Confirmed(Confirmed),
+    /// Agent to balancer: the back end does not have the flow.
+    #[prost(message, tag = "12")]
+    NotHeld(NotHeld),
+}
+
+/// Why a balancer hands a packet to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum CarryReason {
+    /// Not given; dropped.
+    Unspecified = 0,
+    /// An opening packet, for an agent with room.
+    Open = 1,
+    /// An opening packet that others declined: a full agent may queue it.
+    OpenQueued = 2,
+    /// A packet of a flow that the agent is known to have.
+    Deliver = 3,
+    /// A packet of a flow with an unknown agent: only for the one that has it.
+    Locate = 4,
+    /// The same, where no agent knew the flow: one that lost its memory may
+    /// ask its back end.
+    Offer = 5,
+}
+
+/// A caller's packet on its way to an agent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Carry {
+    /// Digest of the service's name; the agent must serve it.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// A [`CarryReason`].
+    #[prost(enumeration = "CarryReason", tag = "2")]
+    pub reason: i32,
+    /// The packet as it came.
+    #[prost(bytes = "vec", tag = "3")]
+    pub packet: Vec<u8>,
+}
+
+/// How busy an agent's back end is.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LoadMessage {
+    /// Requests that wait for their answers.
+    #[prost(uint32, tag = "1")]
+    pub busy: u32,
+    /// Requests that the back end works on at once.
+    #[prost(uint32, tag = "2")]
+    pub capacity: u32,
+    /// Whether the back end still warms up.
+    #[prost(bool, tag = "3")]
+    pub cold: bool,
+}
+
+/// The back end answered an opening packet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accepted {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+    /// First sequence number of the back end.
+    #[prost(fixed32, tag = "2")]
+    pub sequence: u32,
+    /// The load with this flow.
+    #[prost(message, required, tag = "3")]
+    pub load: LoadMessage,
+}
+
+/// Why an opening packet was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum DeclineReason {
+    /// Not given.
+    Unspecified = 0,
+    /// All slots are taken.
+    Full = 1,
+    /// The back end leaves.
+    Draining = 2,
+    /// No back end has registered, or it is silent.
+    NoBackend = 3,
+    /// The agent serves another service.
+    WrongService = 4,
+    /// The back end returned the packet.
+    Returned = 5,
+}
+
+/// An opening packet was not taken; nothing of it ran.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Declined {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+    /// A [`DeclineReason`].
+    #[prost(enumeration = "DeclineReason", tag = "2")]
+    pub reason: i32,
+    /// The load.
+    #[prost(message, required, tag = "3")]
+    pub load: LoadMessage,
+}
+
+/// One flow that an agent's back end has.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HeldFlow {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+    /// First sequence number of the back end, if it is known.
+    #[prost(fixed32, optional, tag = "2")]
+    pub sequence: Option<u32>,
+}
+
+/// Flows that an agent's back end has. An answer to [`CarryReason::Locate`],
+/// or what an agent leaves behind when it stops.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Holds {
+    /// The flows.
+    #[prost(message, repeated, tag = "1")]
+    pub flows: Vec<HeldFlow>,
+}
+
+/// The back end returned a packet of a flow.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NotHeld {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+}
+
+/// State of the back end beside an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum AgentState {
+    /// No back end has registered in this life of the agent, or it is silent.
+    Empty = 0,
+    /// New flows are welcome.
+    Ready = 1,
+    /// No new flows; open ones stay.
+    Draining = 2,
+}
+
+/// What an agent serves.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    /// Where balancers send packets.
+    #[prost(fixed64, tag = "1")]
+    pub address: u64,
+    /// Life of the agent.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Rises with each report of a life.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// The service's name.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// The agent's zone.
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    /// An [`AgentState`].
+    #[prost(enumeration = "AgentState", tag = "6")]
+    pub state: i32,
+    /// The load.
+    #[prost(message, required, tag = "7")]
+    pub load: LoadMessage,
+    /// Whether this life of the agent has seen all flows of its back end. If
+    /// not, the back end may have flows that the agent doesn't know.
+    #[prost(bool, tag = "8")]
+    pub complete: bool,
+}
+
+/// A balancer asks for news.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Follow {
+    /// Life of the balancer.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The configuration that it has; zero for none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// If not zero, asks the leader for a [`Confirmed`] with this number.
+    #[prost(uint64, tag = "3")]
+    pub confirm: u64,
+    /// The balancer leaves and wants no more news.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+}
+
+/// The replicas of the group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Group {
+    /// Their addresses.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub replicas: Vec<u64>,
+    /// Index of the membership, which only grows.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+}
+
+/// One agent of a [`Directory`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DirectoryEntry {
+    /// What it reported last.
+    #[prost(message, required, tag = "1")]
+    pub report: Report,
+    /// How long ago that was, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_millis: u32,
+}
+
+/// The agents that a replica hears from.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Directory {
+    /// The agents.
+    #[prost(message, repeated, tag = "1")]
+    pub agents: Vec<DirectoryEntry>,
+}
+
+/// A service's share of a route's new flows.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ShareRecord {
+    /// The service's name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Its weight among the shares of the route.
+    #[prost(uint32, tag = "2")]
+    pub weight: u32,
+}
+
+/// Where new flows of one address go.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RouteRecord {
+    /// The address and port that callers name.
+    #[prost(fixed64, tag = "1")]
+    pub address: u64,
+    /// The services.
+    #[prost(message, repeated, tag = "2")]
+    pub shares: Vec<ShareRecord>,
+    /// What the operator's interface keeps with the route. Balancers don't
+    /// get it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub annotation: Vec<u8>,
+    /// Place in the operator's list.
+    #[prost(uint32, tag = "4")]
+    pub position: u32,
+}
+
+/// A replacement of the configuration, as records that differ from the one
+/// with `base_version`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigurationChange {
+    /// The version that it is based on; zero for the empty configuration.
+    #[prost(uint64, tag = "1")]
+    pub base_version: u64,
+    /// The version that it makes.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Routes that are new or differ.
+    #[prost(message, repeated, tag = "3")]
+    pub put: Vec<RouteRecord>,
+    /// Addresses of routes that are gone.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub removed: Vec<u64>,
+    /// What the operator's interface keeps with the configuration as a whole,
+    /// if it differs.
+    #[prost(bytes, optional, tag = "5")]
+    pub annotation: Option<Vec<u8>>,
+}
+
+/// One command of the log: a part of an encoded [`ConfigurationChange`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReplaceCommand {
+    /// Same for all parts of a change, and drawn at random for it.
+    #[prost(fixed64, tag = "1")]
+    pub change: u64,
+    /// Number of this part, from zero.
+    #[prost(uint32, tag = "2")]
+    pub part: u32,
+    /// How many parts there are.
+    #[prost(uint32, tag = "3")]
+    pub parts: u32,
+    /// The bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub bytes: Vec<u8>,
+}
+
+/// A part of an encoded [`ConfigurationChange`] for balancers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigurationPart {
+    /// The version that the change is based on.
+    #[prost(uint64, tag = "1")]
+    pub base_version: u64,
+    /// The version that it makes.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Number of this part, from zero.
+    #[prost(uint32, tag = "3")]
+    pub part: u32,
+    /// How many parts there are.
+    #[prost(uint32, tag = "4")]
+    pub parts: u32,
+    /// The bytes.
+    #[prost(bytes = "vec", tag = "5")]
+    pub bytes: Vec<u8>,
+}
+
+/// A quorum confirmed that this was the newest version after the question.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Confirmed {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub confirm: u64,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// Puts an IPv4 address and a port into one number.
+pub fn pack_address(address: std::net::SocketAddrV4) -> u64 {
+    (u64::from(u32::from(*address.ip())) << 16) | u64::from(address.port())
+}
+
+/// Takes apart what [`pack_address`] made.
+pub fn unpack_address(packed: u64) -> std::net::SocketAddrV4 {
+    let ip = std::net::Ipv4Addr::from((packed >> 16) as u32);
+    std::net::SocketAddrV4::new(ip, packed as u16)
+}
--- a/crates/petrellatch/src/http/message.rs
+++ b/crates/petrellatch/src/http/message.rs
@@ -47,6 +47,8 @@
     pub content_type: &'static str,
     /// How long the client waits before it asks again.
     pub retry_after: Option<Duration>,
+    /// Where to ask instead.
+    pub location: Option<String>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -58,6 +60,7 @@
             status,
             content_type: "application/json",
             retry_after: None,
+            location: None,
             body: body.into_bytes(),
         }
     }
@@ -68,6 +71,7 @@
             status,
             content_type: "text/plain; version=0.0.4",
             retry_after: None,
+            location: None,
             body,
         }
     }
--- a/crates/petrellatch/src/runtime/mod.rs
+++ b/crates/petrellatch/src/runtime/mod.rs
@@ -11,6 +11,7 @@
 mod datagram_socket;
 mod log_writer;
 mod metrics;
+pub mod pass_through;
 mod process;
 mod ready_line;
 mod sealed_socket;
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -0,0 +1,149 @@
+//! The process of an agent.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, PacketCodec, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
+};
+use petrellatch_core::{EventKind, Timestamp};
+
+use crate::error::ProgramError;
+use crate::http::EventServer;
+use crate::runtime::datagram_socket::{Batch, DatagramSocket};
+
+use super::event_loop::{
+    EventLoop, FIRST_CONNECTION, FIRST_SECOND_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS,
+    SECOND_HTTP, serve_requests,
+};
+use super::interface::{Call, CallAnswer, Interface};
+use super::message_socket::MessageSocket;
+use super::settings::{AgentAddresses, PassThroughSettings};
+use super::settings_watcher::SettingsWatcher;
+
+/// Between two reports to the control group.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// A back end that missed so many registrations gets no new flows.
+const MISSED_REGISTRATIONS: u32 = 5;
+/// A full agent queues so many requests for each slot, if all others are full.
+const QUEUE_FACTOR: u32 = 3;
+/// How long a stopping agent waits for its flows, at most half of the stop
+/// limit.
+const STOP_WAIT: Duration = Duration::from_millis(2_500);
+/// Receive buffer of the system for packets, in bytes.
+const PACKET_BUFFER_BYTES: usize = 1024 * 1024;
+/// Largest body of a request.
+const BODY_BYTES: usize = 16 * 1024;
+
+pub(super) fn run<C: PacketCodec, I: Interface>(
+    watcher: SettingsWatcher,
+    settings: PassThroughSettings,
+    addresses: &AgentAddresses,
+    codec: C,
+    interface: I,
+) -> Result<(), ProgramError> {
+    let mut event_loop = EventLoop::new(watcher, &settings.name)?;
+    let registry = event_loop.poll.registry();
+    let mut messages = MessageSocket::open(settings.messages, registry, MESSAGES)?;
+    let from_backend = addresses.from_backend;
+    let mut packets = DatagramSocket::open(from_backend, "packets", PACKET_BUFFER_BYTES)?;
+    packets.register(registry, PACKETS)?;
+    let open_http = |address, token, first| {
+        EventServer::open(address, registry, token, first, MAX_CONNECTIONS, BODY_BYTES)
+    };
+    let mut http = vec![open_http(addresses.registrations, HTTP, FIRST_CONNECTION)?];
+    if let Some(readiness) = addresses.readiness {
+        http.push(open_http(readiness, SECOND_HTTP, FIRST_SECOND_CONNECTION)?);
+    }
+    let now = event_loop.clock.now();
+    let mut agent = PassThroughAgent::new(
+        now,
+        agent_settings(&settings, addresses),
+        codec,
+        Incarnation(rand::random()),
+        Contacts::new(settings.seeds.clone()),
+    );
+    event_loop.log.note(now, EventKind::ProcessStarted, "agent");
+    let mut more = false;
+    while !agent.is_stopped() {
+        let wakeup = event_loop.wait(agent.poll_timeout(), more)?;
+        let now = event_loop.clock.now();
+        if let Some(settings) = wakeup.settings {
+            agent.contacts_mut().set_seeds(settings.seeds);
+        }
+        for token in wakeup.tokens {
+            for http in &mut http {
+                let received = http.handle_event(now, event_loop.poll.registry(), token);
+                serve_requests(now, http, &interface, received, |_, call| {
+                    Some(answer(now, &mut agent, call))
+                });
+            }
+        }
+        if wakeup.begin_stop {
+            agent.begin_stop(now);
+        }
+        let from_messages = messages.receive(|from, body| agent.handle_message(now, from, body));
+        let from_packets =
+            packets.receive_batch(|_, packet| agent.handle_backend_packet(now, packet));
+        more = from_messages == Batch::Full || from_packets == Batch::Full;
+        if wakeup.expire {
+            http.iter_mut().for_each(|http| http.expire(now));
+        }
+        if agent.poll_timeout() <= now {
+            agent.handle_timeout(now);
+        }
+        while let Some(output) = agent.poll_output() {
+            match output {
+                PassThroughOutput::Send { to, body } => messages.send(to, body),
+                PassThroughOutput::ToBackend(packet) => {
+                    packets.send(addresses.backend, &packet);
+                }
+                PassThroughOutput::ToCaller { address, packet } => {
+                    packets.send(SocketAddrV4::new(address, addresses.caller_port), &packet);
+                }
+                PassThroughOutput::Event(event) => event_loop.log.write(now, &event),
+            }
+        }
+    }
+    let now = event_loop.clock.now();
+    event_loop.log.note(now, EventKind::ProcessStopped, "agent");
+    Ok(())
+}
+
+fn answer<C: PacketCodec>(
+    now: Timestamp,
+    agent: &mut PassThroughAgent<C>,
+    call: Call,
+) -> CallAnswer {
+    match call {
+        Call::Readiness => CallAnswer::Readiness {
+            ready: agent.is_ready(),
+        },
+        Call::Register(registration) => {
+            agent.handle_registration(now, &registration);
+            CallAnswer::Registered
+        }
+        Call::Withdraw { id } => {
+            agent.handle_withdrawal(now, &id);
+            CallAnswer::Registered
+        }
+        Call::Replace(_) | Call::Read => CallAnswer::NotServed,
+    }
+}
+
+fn agent_settings(
+    settings: &PassThroughSettings,
+    addresses: &AgentAddresses,
+) -> PassThroughAgentSettings {
+    PassThroughAgentSettings {
+        address: settings.messages,
+        zone: settings.zone.clone(),
+        service: addresses.service.clone(),
+        report_interval: REPORT_INTERVAL,
+        silence_limit: addresses.registration_interval * MISSED_REGISTRATIONS,
+        flow_lifetime: settings.flow_lifetime,
+        queue_factor: QUEUE_FACTOR,
+        stop_limit: STOP_WAIT.min(settings.stop_limit / 2),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
@@ -0,0 +1,132 @@
+//! The process of a balancer.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::EventKind;
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, PacketCodec, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
+};
+use std::time::Duration;
+
+use crate::error::ProgramError;
+use crate::http::EventServer;
+use crate::runtime::datagram_socket::{Batch, DatagramSocket};
+
+use super::event_loop::{
+    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS, serve_requests,
+};
+use super::interface::{Call, CallAnswer, Interface};
+use super::message_socket::MessageSocket;
+use super::settings::{BalancerAddresses, PassThroughSettings};
+use super::settings_watcher::SettingsWatcher;
+
+/// Between two questions for news.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a stopping balancer goes on, at most half of the stop limit.
+const STOP_DELAY: Duration = Duration::from_millis(2_300);
+/// Receive buffer of the system for packets, in bytes.
+const PACKET_BUFFER_BYTES: usize = 1024 * 1024;
+/// Largest body of a request.
+const BODY_BYTES: usize = 4 * 1024;
+
+pub(super) fn run<C: PacketCodec, I: Interface>(
+    watcher: SettingsWatcher,
+    settings: PassThroughSettings,
+    addresses: &BalancerAddresses,
+    codec: C,
+    interface: I,
+) -> Result<(), ProgramError> {
+    let mut event_loop = EventLoop::new(watcher, &settings.name)?;
+    let registry = event_loop.poll.registry();
+    let mut messages = MessageSocket::open(settings.messages, registry, MESSAGES)?;
+    let mut packets = DatagramSocket::open(addresses.packets, "packets", PACKET_BUFFER_BYTES)?;
+    packets.register(registry, PACKETS)?;
+    let mut http = EventServer::open(
+        addresses.readiness,
+        registry,
+        HTTP,
+        FIRST_CONNECTION,
+        MAX_CONNECTIONS,
+        BODY_BYTES,
+    )?;
+    let now = event_loop.clock.now();
+    let mut balancer = PassThroughBalancer::new(
+        now,
+        balancer_settings(&settings),
+        codec,
+        Incarnation(rand::random()),
+        Contacts::new(settings.seeds.clone()),
+    );
+    event_loop
+        .log
+        .note(now, EventKind::ProcessStarted, "balancer");
+    let mut more = false;
+    while !balancer.is_stopped() {
+        let wakeup = event_loop.wait(balancer.poll_timeout(), more)?;
+        let now = event_loop.clock.now();
+        if wakeup.begin_stop {
+            balancer.begin_stop(now);
+        }
+        if let Some(settings) = wakeup.settings {
+            balancer.contacts_mut().set_seeds(settings.seeds);
+        }
+        let from_messages = messages.receive(|from, body| balancer.handle_message(now, from, body));
+        let from_packets = packets.receive_batch(|_, packet| balancer.handle_packet(now, packet));
+        more = from_messages == Batch::Full || from_packets == Batch::Full;
+        for token in wakeup.tokens {
+            let received = http.handle_event(now, event_loop.poll.registry(), token);
+            serve_requests(now, &mut http, &interface, received, |_, call| {
+                Some(answer(&balancer, &call))
+            });
+        }
+        if wakeup.expire {
+            http.expire(now);
+        }
+        if balancer.poll_timeout() <= now {
+            balancer.handle_timeout(now);
+        }
+        while let Some(output) = balancer.poll_output() {
+            match output {
+                PassThroughOutput::Send { to, body } => messages.send(to, body),
+                PassThroughOutput::ToCaller { address, packet } => {
+                    let port = addresses.packets.port();
+                    packets.send(SocketAddrV4::new(address, port), &packet);
+                }
+                PassThroughOutput::Event(event) => event_loop.log.write(now, &event),
+                PassThroughOutput::ToBackend(_) => {}
+            }
+        }
+        event_loop.note_ready(balancer.is_ready(), || {
+            format!("version={}", balancer.version())
+        });
+    }
+    let counters = format!(
+        "{:?} malformed={}",
+        balancer.counters(),
+        messages.malformed()
+    );
+    let now = event_loop.clock.now();
+    event_loop
+        .log
+        .note(now, EventKind::ProcessStopped, counters);
+    Ok(())
+}
+
+fn answer<C: PacketCodec>(balancer: &PassThroughBalancer<C>, call: &Call) -> CallAnswer {
+    match call {
+        Call::Readiness => CallAnswer::Readiness {
+            ready: balancer.is_ready(),
+        },
+        _ => CallAnswer::NotServed,
+    }
+}
+
+fn balancer_settings(settings: &PassThroughSettings) -> PassThroughBalancerSettings {
+    PassThroughBalancerSettings {
+        zone: settings.zone.clone(),
+        follow_interval: FOLLOW_INTERVAL,
+        flow_lifetime: settings.flow_lifetime,
+        stop_delay: STOP_DELAY.min(settings.stop_limit / 2),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/bounded_log.rs
@@ -0,0 +1,130 @@
+//! A log of bounded volume that never holds up its process: lines of JSON on
+//! standard output, within a budget a second, and only if the pipe has room.
+
+use std::cell::RefCell;
+use std::io;
+
+use petrellatch_core::event::Severity;
+use petrellatch_core::{Event, EventKind, Timestamp};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
+
+use crate::logging::log_event;
+
+/// Lines a second for what is not a warning.
+const LINES_PER_SECOND: u64 = 30;
+/// Lines that may come at once.
+const BURST_LINES: u64 = 120;
+
+/// The log of one process.
+pub(super) struct BoundedLog {
+    logger: Logger,
+    budget: u64,
+    refilled_at: Timestamp,
+    left_out: u64,
+}
+
+impl BoundedLog {
+    pub(super) fn new(name: &str) -> Self {
+        let drain = PipeDrain {
+            json: slog_json::Json::default(NeverBlocking),
+        };
+        BoundedLog {
+            logger: Logger::root(
+                std::sync::Mutex::new(drain).fuse(),
+                o!("node" => name.to_string()),
+            ),
+            budget: BURST_LINES,
+            refilled_at: Timestamp::ZERO,
+            left_out: 0,
+        }
+    }
+
+    /// Writes an event, unless the budget is spent. Warnings and errors are
+    /// always written.
+    pub(super) fn write(&mut self, now: Timestamp, event: &Event) {
+        self.refill(now);
+        let severity = event.kind.severity();
+        let is_urgent = severity >= Severity::Warning;
+        if self.budget == 0 && !is_urgent {
+            self.left_out += 1;
+            return;
+        }
+        self.budget = self.budget.saturating_sub(1);
+        log_event(&self.logger, event);
+    }
+
+    /// Writes an event of the process itself.
+    pub(super) fn note(&mut self, now: Timestamp, kind: EventKind, subject: impl Into<String>) {
+        self.write(now, &Event::new(kind, subject));
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let elapsed = now.saturating_since(self.refilled_at).as_millis() as u64;
+        let lines = elapsed * LINES_PER_SECOND / 1_000;
+        if lines == 0 {
+            return;
+        }
+        self.refilled_at = now;
+        self.budget = (self.budget + lines).min(BURST_LINES);
+        if self.left_out > 0 {
+            let subject = format!("{} entries", self.left_out);
+            self.left_out = 0;
+            log_event(
+                &self.logger,
+                &Event::new(EventKind::EntriesLeftOut, subject),
+            );
+        }
+    }
+}
+
+/// Writes records as JSON; a record that finds no room is dropped.
+struct PipeDrain {
+    json: slog_json::Json<NeverBlocking>,
+}
+
+impl Drain for PipeDrain {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        if record.level().is_at_least(Level::Info) {
+            let _ = self.json.log(record, values);
+        }
+        Ok(())
+    }
+}
+
+/// Gathers one line and writes it if standard output takes it at once.
+struct NeverBlocking;
+
+thread_local! {
+    static LINE: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
+impl io::Write for NeverBlocking {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        LINE.with_borrow_mut(|line| {
+            line.extend_from_slice(bytes);
+            if line.ends_with(b"\n") {
+                write_if_ready(line);
+                line.clear();
+            }
+        });
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A pipe that is ready takes a line of less than a page at once.
+fn write_if_ready(line: &[u8]) {
+    let stdout = rustix::stdio::stdout();
+    let mut descriptors = [PollFd::new(&stdout, PollFlags::OUT)];
+    let at_once = Timespec::default();
+    if matches!(poll(&mut descriptors, Some(&at_once)), Ok(1)) {
+        let _ = rustix::io::write(stdout, line);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -0,0 +1,157 @@
+//! What the event loops of all roles have in common.
+
+use std::time::Duration;
+
+use mio::event::Event as ReadyEvent;
+use mio::{Events, Poll, Token};
+use petrellatch_core::{EventKind, Timestamp};
+
+use crate::error::ProgramError;
+use crate::http::{EventServer, HttpResponse, ReceivedRequest};
+use crate::runtime::clock::ProcessClock;
+use crate::runtime::process::{open_poll, waited};
+
+use super::bounded_log::BoundedLog;
+use super::interface::{Call, CallAnswer, Interface};
+use super::settings::PassThroughSettings;
+use super::settings_watcher::SettingsWatcher;
+use super::signals::Signals;
+
+/// Tokens of what a loop waits for; connections come after them.
+pub(super) const MESSAGES: Token = Token(0);
+pub(super) const PACKETS: Token = Token(1);
+pub(super) const HTTP: Token = Token(2);
+pub(super) const SECOND_HTTP: Token = Token(3);
+pub(super) const WAKE: Token = Token(4);
+pub(super) const FIRST_CONNECTION: usize = 1 << 8;
+pub(super) const FIRST_SECOND_CONNECTION: usize = 1 << 40;
+
+/// The longest wait; a signal to another thread is noticed by then.
+const MAX_WAIT: Duration = Duration::from_millis(250);
+/// Most events taken in one go.
+const EVENTS: usize = 64;
+/// Connections of one HTTP address.
+pub(super) const MAX_CONNECTIONS: usize = 128;
+/// Between two looks at idle connections.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Clock, selector, log, signals and settings of a process.
+pub(super) struct EventLoop {
+    pub(super) clock: ProcessClock,
+    pub(super) poll: Poll,
+    pub(super) log: BoundedLog,
+    events: Events,
+    signals: Signals,
+    watcher: SettingsWatcher,
+    stopping: bool,
+    was_ready: bool,
+    expire_at: Timestamp,
+}
+
+/// What a loop has to do after a wait.
+#[derive(Debug, Default)]
+pub(super) struct Wakeup {
+    /// Tokens with something to read or write.
+    pub(super) tokens: Vec<Token>,
+    /// A planned stop was asked for just now.
+    pub(super) begin_stop: bool,
+    /// Settings that were read again.
+    pub(super) settings: Option<PassThroughSettings>,
+    /// Idle connections are to be closed.
+    pub(super) expire: bool,
+}
+
+impl EventLoop {
+    pub(super) fn new(watcher: SettingsWatcher, name: &str) -> Result<Self, ProgramError> {
+        Ok(EventLoop {
+            clock: ProcessClock::start(),
+            poll: open_poll()?,
+            log: BoundedLog::new(name),
+            events: Events::with_capacity(EVENTS),
+            signals: Signals::register()?,
+            watcher,
+            stopping: false,
+            was_ready: false,
+            expire_at: Timestamp::ZERO,
+        })
+    }
+
+    /// Waits until something happens, or until `deadline`.
+    pub(super) fn wait(&mut self, deadline: Timestamp, more: bool) -> Result<Wakeup, ProgramError> {
+        let wait = match more || (self.signals.stop_wanted() && !self.stopping) {
+            true => Duration::ZERO,
+            false => self.clock.until(Some(deadline), MAX_WAIT),
+        };
+        waited(self.poll.poll(&mut self.events, Some(wait)))?;
+        let now = self.clock.now();
+        let begin_stop = self.signals.stop_wanted() && !self.stopping;
+        if begin_stop {
+            self.stopping = true;
+            self.log
+                .note(now, EventKind::ProcessStopping, "asked to stop");
+        }
+        let expire = now >= self.expire_at;
+        if expire {
+            self.expire_at = now + EXPIRE_INTERVAL;
+        }
+        Ok(Wakeup {
+            tokens: self.events.iter().map(ReadyEvent::token).collect(),
+            begin_stop,
+            settings: self.reload(now),
+            expire,
+        })
+    }
+
+    /// Logs a change of readiness.
+    pub(super) fn note_ready(&mut self, ready: bool, subject: impl FnOnce() -> String) {
+        if ready == self.was_ready {
+            return;
+        }
+        self.was_ready = ready;
+        let kind = match ready {
+            true => EventKind::BecameReady,
+            false => EventKind::BecameUnready,
+        };
+        self.log.note(self.clock.now(), kind, subject());
+    }
+
+    fn reload(&mut self, now: Timestamp) -> Option<PassThroughSettings> {
+        let asked = self.signals.take_reload();
+        match self.watcher.poll(now, asked)? {
+            Ok(settings) => {
+                let seeds = settings.seeds.len();
+                let subject = format!("{seeds} seeds");
+                self.log.note(now, EventKind::SettingsReloaded, subject);
+                Some(settings)
+            }
+            Err(message) => {
+                self.log.note(now, EventKind::SettingsIgnored, message);
+                None
+            }
+        }
+    }
+}
+
+/// Answers the requests of one event. `handle` answers a call at once, or
+/// returns `None` if it will be answered later.
+pub(super) fn serve_requests<I: Interface>(
+    now: Timestamp,
+    server: &mut EventServer,
+    interface: &I,
+    received: Vec<ReceivedRequest>,
+    mut handle: impl FnMut(&ReceivedRequest, Call) -> Option<CallAnswer>,
+) {
+    let mut queue = received;
+    while let Some(received) = queue.pop() {
+        let response: Option<HttpResponse> = match interface.call(&received.request) {
+            Err(refusal) => Some(refusal),
+            Ok(call) => {
+                let answer = handle(&received, call);
+                answer.map(|answer| interface.answer(&received.request, &answer))
+            }
+        };
+        if let Some(response) = response {
+            queue.extend(server.respond(now, received.connection, &response));
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/interface.rs
@@ -0,0 +1,62 @@
+//! What HTTP calls mean: the edge between formats of callers and the product.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::pass_through::{Configuration, Registration};
+
+use crate::http::{HttpRequest, HttpResponse};
+
+/// A call, translated.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Whether traffic may come.
+    Readiness,
+    /// A back end registers itself.
+    Register(Registration),
+    /// A back end takes its leave.
+    Withdraw {
+        /// The life of the back end.
+        id: String,
+    },
+    /// Replace the configuration.
+    Replace(Configuration),
+    /// Read the configuration.
+    Read,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallAnswer {
+    /// Whether traffic may come.
+    Readiness {
+        /// Whether it may.
+        ready: bool,
+    },
+    /// The back end's call holds from now on.
+    Registered,
+    /// The version, or a higher one, is accepted for good.
+    Accepted {
+        /// The version that is held.
+        version: u64,
+    },
+    /// The newest configuration.
+    Configuration(Configuration),
+    /// Another replica leads.
+    Elsewhere {
+        /// Its address for operators.
+        operators: SocketAddrV4,
+    },
+    /// The outcome is not known; ask again.
+    Unavailable,
+    /// This process does not serve such calls.
+    NotServed,
+}
+
+/// Translates calls and answers. It decides nothing and remembers nothing.
+pub trait Interface {
+    /// Translates a request, or refuses it as it can't be understood.
+    fn call(&self, request: &HttpRequest) -> Result<Call, HttpResponse>;
+
+    /// Translates an answer.
+    fn answer(&self, request: &HttpRequest, answer: &CallAnswer) -> HttpResponse;
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/mod.rs
@@ -0,0 +1,49 @@
+//! The processes of the pass-through tier: balancer, agent and configuration
+//! replica, each an event loop of one thread; a replica has a second one that
+//! writes its log.
+//!
+//! The packet format is a [`PacketCodec`], the operator's and back ends' HTTP
+//! calls are an [`Interface`], so that a program with other formats only
+//! translates.
+
+mod agent_loop;
+mod balancer_loop;
+mod bounded_log;
+mod event_loop;
+mod interface;
+mod message_socket;
+mod replica_loop;
+mod retrying_log_writer;
+mod settings;
+mod settings_watcher;
+mod signals;
+
+use petrellatch_core::pass_through::PacketCodec;
+
+use crate::error::ProgramError;
+
+pub use self::interface::{Call, CallAnswer, Interface};
+pub use self::settings::{
+    AgentAddresses, BalancerAddresses, PassThroughRole, PassThroughSettings, ReplicaAddresses,
+};
+pub use self::settings_watcher::{SettingsReader, SettingsWatcher};
+
+/// Runs a process of the tier until it is asked to stop.
+pub fn run<C: PacketCodec, I: Interface>(
+    watcher: SettingsWatcher,
+    settings: PassThroughSettings,
+    codec: C,
+    interface: I,
+) -> Result<(), ProgramError> {
+    match settings.role.clone() {
+        PassThroughRole::Balancer(addresses) => {
+            balancer_loop::run(watcher, settings, &addresses, codec, interface)
+        }
+        PassThroughRole::Agent(addresses) => {
+            agent_loop::run(watcher, settings, &addresses, codec, interface)
+        }
+        PassThroughRole::Replica(addresses) => {
+            replica_loop::run(watcher, settings, &addresses, interface)
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -0,0 +1,243 @@
+//! The process of a configuration replica.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mio::Waker;
+use petrellatch_core::consensus::{Membership, ReplicaId, ReplicaStart};
+use petrellatch_core::identity::{Incarnation, NodeId};
+use petrellatch_core::pass_through::{
+    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, ConfigurationRequest,
+    ConfigurationResponse, node_at,
+};
+use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_storage::{FolderIdentity, LogStore, OpenedStore, StorageError};
+
+use crate::error::ProgramError;
+use crate::http::{ConnectionId, EventServer, HttpRequest, ReceivedRequest};
+use crate::runtime::datagram_socket::Batch;
+
+use super::event_loop::{
+    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, WAKE, serve_requests,
+};
+use super::interface::{Call, CallAnswer, Interface};
+use super::message_socket::MessageSocket;
+use super::retrying_log_writer::{RetryingLogWriter, WriteOutcome};
+use super::settings::{PassThroughSettings, ReplicaAddresses};
+use super::settings_watcher::SettingsWatcher;
+
+/// Largest body of a request, in bytes.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Between two tries to open the data folder.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The cluster that a folder belongs to, where no key tells them apart.
+const CLUSTER: u64 = 1;
+
+/// A request that waits for the group.
+struct Waiting {
+    connection: ConnectionId,
+    request: HttpRequest,
+}
+
+pub(super) fn run<I: Interface>(
+    watcher: SettingsWatcher,
+    settings: PassThroughSettings,
+    addresses: &ReplicaAddresses,
+    interface: I,
+) -> Result<(), ProgramError> {
+    let mut event_loop = EventLoop::new(watcher, &settings.name)?;
+    let registry = event_loop.poll.registry();
+    let mut messages = MessageSocket::open(settings.messages, registry, MESSAGES)?;
+    let mut http = EventServer::open(
+        addresses.operators,
+        registry,
+        HTTP,
+        FIRST_CONNECTION,
+        MAX_CONNECTIONS,
+        BODY_BYTES,
+    )?;
+    let waker = Waker::new(registry, WAKE).map_err(|source| ProgramError::System {
+        action: "watch for writes",
+        source,
+    })?;
+    let opened = open_folder(&mut event_loop, &settings, addresses);
+    let start = replica_start(&settings, &opened);
+    let writer =
+        RetryingLogWriter::start(addresses.data_folder.clone(), opened.store, Arc::new(waker))?;
+    let now = event_loop.clock.now();
+    let mut node = ConfigurationNode::new(now, node_settings(addresses), start);
+    event_loop
+        .log
+        .note(now, EventKind::ProcessStarted, "replica");
+    let mut waiting: BTreeMap<u64, Waiting> = BTreeMap::new();
+    let mut next_token = 0;
+    let mut more = false;
+    while !node.is_stopped() {
+        let wakeup = event_loop.wait(node.poll_timeout(), more)?;
+        let now = event_loop.clock.now();
+        if wakeup.begin_stop {
+            node.begin_stop(now);
+        }
+        if let Some(settings) = wakeup.settings {
+            node.set_seeds(&settings.seeds);
+        }
+        while let Some(outcome) = writer.poll() {
+            match outcome {
+                WriteOutcome::Done(ticket) => node.handle_persisted(now, ticket),
+                WriteOutcome::Failed(error) => {
+                    let message = error.to_string();
+                    event_loop.log.note(now, EventKind::WriteFailed, message);
+                }
+            }
+        }
+        more = messages.receive(|from, body| node.handle_message(now, from, body)) == Batch::Full;
+        for token in wakeup.tokens {
+            let received = http.handle_event(now, event_loop.poll.registry(), token);
+            serve_requests(now, &mut http, &interface, received, |received, call| {
+                let request = match call {
+                    Call::Replace(configuration) => ConfigurationRequest::Replace(configuration),
+                    Call::Read => ConfigurationRequest::Read,
+                    Call::Readiness => return Some(readiness(&node)),
+                    Call::Register(_) | Call::Withdraw { .. } => {
+                        return Some(CallAnswer::NotServed);
+                    }
+                };
+                next_token += 1;
+                waiting.insert(next_token, wait_for(received));
+                node.handle_request(now, next_token, request);
+                None
+            });
+        }
+        if wakeup.expire {
+            http.expire(now);
+        }
+        if node.poll_timeout() <= now {
+            node.handle_timeout(now);
+        }
+        while let Some(output) = node.poll_output() {
+            match output {
+                ConfigurationOutput::Send { to, body } => messages.send(to, body),
+                ConfigurationOutput::Persist(request) => writer.write(request),
+                ConfigurationOutput::Respond { token, response } => {
+                    if let Some(waiting) = waiting.remove(&token) {
+                        let answer = call_answer(response, addresses.operators.port());
+                        let response = interface.answer(&waiting.request, &answer);
+                        // What was sent ahead is served with the next event.
+                        http.respond(now, waiting.connection, &response);
+                    }
+                }
+                ConfigurationOutput::Event(event) => event_loop.log.write(now, &event),
+            }
+        }
+    }
+    let now = event_loop.clock.now();
+    event_loop
+        .log
+        .note(now, EventKind::ProcessStopped, "replica");
+    Ok(())
+}
+
+fn wait_for(received: &ReceivedRequest) -> Waiting {
+    let HttpRequest {
+        method,
+        path,
+        query,
+        ..
+    } = received.request.clone();
+    Waiting {
+        connection: received.connection,
+        request: HttpRequest {
+            method,
+            path,
+            query,
+            body: Vec::new(),
+        },
+    }
+}
+
+fn readiness(node: &ConfigurationNode) -> CallAnswer {
+    CallAnswer::Readiness {
+        ready: node.replica().leader().is_some(),
+    }
+}
+
+fn call_answer(response: ConfigurationResponse, operator_port: u16) -> CallAnswer {
+    match response {
+        ConfigurationResponse::Accepted { version } => CallAnswer::Accepted { version },
+        ConfigurationResponse::Read(configuration) => CallAnswer::Configuration(configuration),
+        ConfigurationResponse::Elsewhere { leader } => CallAnswer::Elsewhere {
+            operators: SocketAddrV4::new(*leader.ip(), operator_port),
+        },
+        ConfigurationResponse::Unavailable => CallAnswer::Unavailable,
+    }
+}
+
+/// Opens the data folder, as soon as the disk lets it. Only a founding replica
+/// formats it with the incarnation that the first membership lists; a folder
+/// that was lost gets a random one, and can never vote twice.
+fn open_folder(
+    event_loop: &mut EventLoop,
+    settings: &PassThroughSettings,
+    addresses: &ReplicaAddresses,
+) -> OpenedStore {
+    let own = node_at(settings.messages);
+    let identity = FolderIdentity {
+        cluster: CLUSTER,
+        incarnation: match addresses.founding {
+            true => first_incarnation(own),
+            false => Incarnation(rand::random()),
+        },
+    };
+    loop {
+        match LogStore::open(&addresses.data_folder, identity) {
+            Ok(opened) => {
+                if opened.torn_bytes > 0 {
+                    let subject = format!("{} bytes", opened.torn_bytes);
+                    let now = event_loop.clock.now();
+                    event_loop.log.note(now, EventKind::LogTailCut, subject);
+                }
+                return opened;
+            }
+            Err(error) => report_open_failure(event_loop, &error),
+        }
+        std::thread::sleep(OPEN_RETRY_INTERVAL);
+    }
+}
+
+fn report_open_failure(event_loop: &mut EventLoop, error: &StorageError) {
+    let now: Timestamp = event_loop.clock.now();
+    event_loop
+        .log
+        .note(now, EventKind::WriteFailed, error.to_string());
+}
+
+fn replica_start(settings: &PassThroughSettings, opened: &OpenedStore) -> ReplicaStart {
+    let founders = settings.seeds.iter().map(|seed| {
+        let node = node_at(*seed);
+        ReplicaId {
+            node,
+            incarnation: first_incarnation(node),
+        }
+    });
+    ReplicaStart {
+        id: node_at(settings.messages),
+        incarnation: opened.store.identity().incarnation,
+        seed: rand::random(),
+        persisted: opened.state.clone(),
+        bootstrap: Some(Membership::of_voters(founders)),
+    }
+}
+
+/// The incarnation of a replica that founds the group.
+fn first_incarnation(node: NodeId) -> Incarnation {
+    Incarnation(NodeId::from_name(&format!("first life of {node}")).0)
+}
+
+fn node_settings(addresses: &ReplicaAddresses) -> ConfigurationNodeSettings {
+    ConfigurationNodeSettings {
+        losses: addresses.losses,
+        ..ConfigurationNodeSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/retrying_log_writer.rs
@@ -0,0 +1,118 @@
+//! Writes the replicated log on a thread of its own, and tries again when the
+//! disk refuses a write.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+use mio::Waker;
+use petrellatch_core::consensus::{PersistRequest, PersistTicket};
+use petrellatch_storage::{FolderIdentity, LogStore, StorageError};
+
+use crate::error::ProgramError;
+
+/// Between two tries.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Stack of the thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// What became of a write.
+#[derive(Debug)]
+pub(super) enum WriteOutcome {
+    /// It is synced.
+    Done(PersistTicket),
+    /// It failed and is tried again.
+    Failed(StorageError),
+}
+
+/// The thread's ends of the channels.
+#[derive(Debug)]
+pub(super) struct RetryingLogWriter {
+    requests: Sender<PersistRequest>,
+    outcomes: Receiver<WriteOutcome>,
+}
+
+struct Worker {
+    path: PathBuf,
+    identity: FolderIdentity,
+    store: Option<LogStore>,
+    outcomes: Sender<WriteOutcome>,
+    waker: Arc<Waker>,
+}
+
+impl RetryingLogWriter {
+    pub(super) fn start(
+        path: PathBuf,
+        store: LogStore,
+        waker: Arc<Waker>,
+    ) -> Result<Self, ProgramError> {
+        let (requests, request_receiver) = channel::<PersistRequest>();
+        let (outcome_sender, outcomes) = channel();
+        let mut worker = Worker {
+            path,
+            identity: store.identity(),
+            store: Some(store),
+            outcomes: outcome_sender,
+            waker,
+        };
+        thread::Builder::new()
+            .name("log-writer".to_string())
+            .stack_size(STACK_BYTES)
+            .spawn(move || {
+                while let Ok(request) = request_receiver.recv() {
+                    worker.write(request);
+                }
+            })
+            .map_err(|source| ProgramError::System {
+                action: "start a thread",
+                source,
+            })?;
+        Ok(RetryingLogWriter { requests, outcomes })
+    }
+
+    pub(super) fn write(&self, request: PersistRequest) {
+        // The thread ends only with this sender.
+        let _ = self.requests.send(request);
+    }
+
+    pub(super) fn poll(&self) -> Option<WriteOutcome> {
+        self.outcomes.try_recv().ok()
+    }
+}
+
+impl Worker {
+    /// Writes until it is done. After a failure part of the request may be in
+    /// the log already; its entries are then written anew from the first on.
+    fn write(&mut self, mut request: PersistRequest) {
+        loop {
+            match self.try_write(&request) {
+                Ok(ticket) => {
+                    self.tell(WriteOutcome::Done(ticket));
+                    return;
+                }
+                Err(error) => {
+                    self.store = None;
+                    self.tell(WriteOutcome::Failed(error));
+                }
+            }
+            let first = request.entries.first().map(|entry| entry.position.index);
+            request.truncate_from = [request.truncate_from, first].into_iter().flatten().min();
+            thread::sleep(RETRY_INTERVAL);
+        }
+    }
+
+    fn try_write(&mut self, request: &PersistRequest) -> Result<PersistTicket, StorageError> {
+        let store = match self.store.take() {
+            Some(store) => store,
+            None => LogStore::open(&self.path, self.identity)?.store,
+        };
+        self.store.insert(store).write(request)
+    }
+
+    fn tell(&self, outcome: WriteOutcome) {
+        let _ = self.outcomes.send(outcome);
+        let _ = self.waker.wake();
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -0,0 +1,76 @@
+//! Settings of the processes.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What every process needs, and what its role needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PassThroughSettings {
+    /// Name of the node, for logs.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it exchanges messages with other processes (UDP).
+    pub messages: SocketAddrV4,
+    /// Message addresses of some replicas of the control group.
+    pub seeds: Vec<SocketAddrV4>,
+    /// How long a flow may rest, or last, before it may be forgotten.
+    pub flow_lifetime: Duration,
+    /// The longest that a planned stop may take.
+    pub stop_limit: Duration,
+    /// The role.
+    pub role: PassThroughRole,
+}
+
+/// The role of a process, with its addresses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PassThroughRole {
+    /// Takes callers' packets.
+    Balancer(BalancerAddresses),
+    /// Beside a back end.
+    Agent(AgentAddresses),
+    /// Holds the configuration.
+    Replica(ReplicaAddresses),
+}
+
+/// Addresses of a balancer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BalancerAddresses {
+    /// Callers' packets (UDP). Callers get packets at the same port.
+    pub packets: SocketAddrV4,
+    /// Readiness (HTTP).
+    pub readiness: SocketAddrV4,
+}
+
+/// Addresses of an agent and of the back end beside it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentAddresses {
+    /// The service of the back end.
+    pub service: String,
+    /// The back end's packets (UDP).
+    pub from_backend: SocketAddrV4,
+    /// The back end (UDP).
+    pub backend: SocketAddrV4,
+    /// The port at which callers get packets.
+    pub caller_port: u16,
+    /// The back end's registrations (HTTP).
+    pub registrations: SocketAddrV4,
+    /// Readiness (HTTP), if it has an address of its own.
+    pub readiness: Option<SocketAddrV4>,
+    /// About how often a back end registers again.
+    pub registration_interval: Duration,
+}
+
+/// Addresses and files of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaAddresses {
+    /// Operators (HTTP). All replicas serve them at the same port.
+    pub operators: SocketAddrV4,
+    /// The data folder.
+    pub data_folder: PathBuf,
+    /// Whether this is the first start of the whole group: the seeds found it.
+    pub founding: bool,
+    /// How many machines may be lost at once.
+    pub losses: usize,
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/settings_watcher.rs
@@ -0,0 +1,65 @@
+//! Reads the settings again when they change, with or without a signal.
+
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
+
+use petrellatch_core::Timestamp;
+
+use super::settings::PassThroughSettings;
+
+/// Between two looks at the file.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Turns the text of a settings file into settings, or says what is wrong.
+pub type SettingsReader = Box<dyn Fn(&str) -> Result<PassThroughSettings, String>>;
+
+/// A settings file and its reader.
+pub struct SettingsWatcher {
+    path: PathBuf,
+    reader: SettingsReader,
+    changed_at: Option<SystemTime>,
+    look_at: Timestamp,
+}
+
+impl SettingsWatcher {
+    /// Watches the file at `path`.
+    pub fn new(path: PathBuf, reader: SettingsReader) -> Self {
+        SettingsWatcher {
+            path,
+            reader,
+            changed_at: None,
+            look_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Reads the settings.
+    pub fn read(&mut self) -> Result<PassThroughSettings, String> {
+        self.changed_at = self.modified();
+        let path = self.path.display();
+        let text =
+            std::fs::read_to_string(&self.path).map_err(|error| format!("{path}: {error}"))?;
+        (self.reader)(&text).map_err(|message| format!("{path}: {message}"))
+    }
+
+    /// Reads the settings again, if `asked` or if the file has changed.
+    pub(super) fn poll(
+        &mut self,
+        now: Timestamp,
+        asked: bool,
+    ) -> Option<Result<PassThroughSettings, String>> {
+        if !asked {
+            if now < self.look_at {
+                return None;
+            }
+            self.look_at = now + INTERVAL;
+            if self.modified() == self.changed_at {
+                return None;
+            }
+        }
+        Some(self.read())
+    }
+
+    fn modified(&self) -> Option<SystemTime> {
+        std::fs::metadata(&self.path).ok()?.modified().ok()
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/signals.rs
@@ -0,0 +1,46 @@
+//! Signals as flags that an event loop looks at. A signal also interrupts the
+//! loop's wait.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
+
+use crate::error::ProgramError;
+
+/// The signals that processes take.
+#[derive(Debug)]
+pub(super) struct Signals {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    pub(super) fn register() -> Result<Self, ProgramError> {
+        let signals = Signals {
+            stop: Arc::default(),
+            reload: Arc::default(),
+        };
+        let register = |number, flag: &Arc<AtomicBool>| {
+            flag::register(number, Arc::clone(flag)).map_err(|source| ProgramError::System {
+                action: "take signals",
+                source,
+            })
+        };
+        register(SIGTERM, &signals.stop)?;
+        register(SIGINT, &signals.stop)?;
+        register(SIGHUP, &signals.reload)?;
+        Ok(signals)
+    }
+
+    /// Whether a planned stop was asked for.
+    pub(super) fn stop_wanted(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    /// Whether the settings are to be read again; asks only once.
+    pub(super) fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+}
