--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -130,6 +130,8 @@
     ConfigurationReplaced = 521, Info;
     /// A replacement of the configuration was not accepted.
     ReplacementRefused = 522, Info;
+    /// An operator's request was answered.
+    RequestAnswered = 523, Info;
     /// The process became ready for traffic.
     BecameReady = 530, Info;
     /// The process is not ready for traffic any more.
--- a/crates/petrellatch-core/src/pass_through/configuration_node.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node.rs
@@ -100,6 +100,18 @@
     Unavailable,
 }
 
+impl ConfigurationResponse {
+    /// The answer in a few words.
+    fn summary(&self) -> String {
+        match self {
+            ConfigurationResponse::Accepted { version } => format!("accepted({version})"),
+            ConfigurationResponse::Read(read) => format!("read({})", read.version),
+            ConfigurationResponse::Elsewhere { leader } => format!("elsewhere({leader})"),
+            ConfigurationResponse::Unavailable => "unavailable".to_owned(),
+        }
+    }
+}
+
 /// Something for the driver to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigurationOutput {
@@ -546,6 +558,12 @@
     }
 
     fn respond(&mut self, token: u64, response: ConfigurationResponse) {
+        let role = self.replica.role();
+        let subject = format!(
+            "request={token} answer={} role={role:?}",
+            response.summary()
+        );
+        self.emit_event(EventKind::RequestAnswered, subject);
         self.outputs
             .push_back(ConfigurationOutput::Respond { token, response });
     }
