Keep stale opening packets from taking slots

A test showed also that one late agent kept a flow from being queued by the others. Ruled out: suspicion of agents (none) and the changed route of that time. Change: a flow that its caller does not open frees its slot after 100 ms; a balancer that stood still for 1.2 s drops opening packets for 30 ms; a late agent counts no longer as awaited.

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -299,6 +299,7 @@
         packet: Vec<u8>,
         factor: u32,
     ) {
+        self.flows.release_half_open(now);
         let known = self.flows.get(flow).is_some();
         let limit = self.registration.capacity().saturating_mul(factor);
         let refusal = match self.state(now) {
--- a/crates/petrellatch-core/src/pass_through/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_flows.rs
@@ -1,6 +1,6 @@
 //! The flows that pass through an agent.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -13,6 +13,8 @@
 const SEQUENCE_WINDOW: u32 = 1 << 22;
 /// An opening packet that the back end has not answered by then is forgotten.
 const OPENING_LIMIT: Duration = Duration::from_millis(1_600);
+/// A flow that its caller has not opened by then takes no slot any more.
+const HALF_OPEN_LIMIT: Duration = Duration::from_millis(100);
 /// A flow that both ends may have left is forgotten after this.
 const ENDED_LIMIT: Duration = Duration::from_secs(3);
 /// A request without an answer counts as busy for at most this long.
@@ -49,6 +51,9 @@
 pub(super) struct AgentFlows {
     flows: HashMap<FlowId, AgentFlow>,
     busy: u32,
+    /// Flows whose callers have not opened them, with the end of their claim
+    /// to a slot, in that order.
+    half_open: VecDeque<(Timestamp, FlowId)>,
 }
 
 impl AgentFlows {
@@ -60,6 +65,19 @@
         self.busy
     }
 
+    /// Frees the slots of flows that their callers did not open in time.
+    pub(super) fn release_half_open(&mut self, now: Timestamp) {
+        while let Some((limit, id)) = self.half_open.front().copied() {
+            if now < limit {
+                return;
+            }
+            self.half_open.pop_front();
+            if self.flows.get(&id).is_some_and(|flow| !flow.open) {
+                self.set_busy(id, false);
+            }
+        }
+    }
+
     /// How many flows have not ended.
     pub(super) fn unfinished(&self) -> usize {
         self.flows.values().filter(|flow| !flow.ended).count()
@@ -81,7 +99,10 @@
         flow.active_at = now;
         flow.balancer = Some(balancer);
         match packet {
-            CallerPacket::Opening => self.set_busy(id, true),
+            CallerPacket::Opening => {
+                self.set_busy(id, true);
+                self.half_open.push_back((now + HALF_OPEN_LIMIT, id));
+            }
             CallerPacket::Established => self.open(id),
             CallerPacket::Request => {
                 self.open(id);
--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -41,6 +41,11 @@
 /// Between two offers of one flow. A flow's packets must not wander over back
 /// ends that don't have it.
 const OFFER_INTERVAL: Duration = Duration::from_millis(1_100);
+/// A process that did nothing for longer stood still: opening packets that
+/// came meanwhile are from callers that have sent copies since, or given up.
+const STANDSTILL: Duration = Duration::from_millis(1_200);
+/// How long opening packets are dropped after a standstill.
+const STANDSTILL_DROP: Duration = Duration::from_millis(30);
 /// Between two news after a part of a change did not arrive.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -71,6 +76,8 @@
     pub placed: u64,
     /// New flows refused with a reset.
     pub refused: u64,
+    /// Opening packets that came while the process stood still.
+    pub stale: u64,
     /// Opening packets that an agent did not answer in time.
     pub unanswered: u64,
     /// Packets of flows whose agent was not known.
@@ -98,6 +105,9 @@
     current: bool,
     follow_at: Timestamp,
     sweep_at: Timestamp,
+    /// Time of the latest input.
+    active_at: Timestamp,
+    drop_openings_until: Timestamp,
     stop_at: Option<Timestamp>,
     stopped: bool,
     counters: PassThroughBalancerCounters,
@@ -127,6 +137,8 @@
             current: false,
             follow_at: now,
             sweep_at: now + SWEEP_INTERVAL,
+            active_at: now,
+            drop_openings_until: Timestamp::ZERO,
             stop_at: None,
             stopped: false,
             counters: PassThroughBalancerCounters::default(),
@@ -183,15 +195,27 @@
             self.counters.not_current += 1;
             return;
         }
-        if view.is_opening() {
+        self.observe_clock(now);
+        if view.is_opening() && now < self.drop_openings_until {
+            self.counters.stale += 1;
+        } else if view.is_opening() {
             self.handle_opening(now, &view, packet);
         } else {
             self.handle_established(now, &view, packet);
         }
     }
 
+    /// Takes the time of an input, and notices a standstill.
+    fn observe_clock(&mut self, now: Timestamp) {
+        if now.saturating_since(self.active_at) >= STANDSTILL {
+            self.drop_openings_until = now + STANDSTILL_DROP;
+        }
+        self.active_at = now;
+    }
+
     /// Takes a message of an agent or replica.
     pub fn handle_message(&mut self, now: Timestamp, from: SocketAddrV4, body: PassThroughBody) {
+        self.observe_clock(now);
         match body {
             PassThroughBody::Accepted(accepted) => self.handle_accepted(now, from, &accepted),
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
@@ -209,6 +233,7 @@
 
     /// Does what has become due.
     pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.observe_clock(now);
         while let Some((limit, flow, agent)) = self.awaited.front().copied() {
             if now < limit {
                 break;
@@ -437,8 +462,10 @@
         };
         let sequence = accepted.sequence;
         hint.opening = None;
-        if let Some(candidate) = hint.candidate_mut(from) {
-            candidate.state = CandidateState::Accepted { sequence };
+        let state = CandidateState::Accepted { sequence };
+        match hint.candidate_mut(from) {
+            Some(candidate) => candidate.state = state,
+            None => hint.candidates.push(Candidate { agent: from, state }),
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -76,10 +76,9 @@
         self.candidates.iter().find(accepted).map(|it| it.agent)
     }
 
-    /// Whether somebody may still answer the opening packet.
+    /// Whether an answer to the opening packet is expected. A late one is not.
     pub(super) fn is_awaited(&self) -> bool {
-        let awaited =
-            |it: &Candidate| matches!(it.state, CandidateState::Asked | CandidateState::Late);
+        let awaited = |it: &Candidate| it.state == CandidateState::Asked;
         self.candidates.iter().any(awaited)
     }
 
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/codec.rs
@@ -0,0 +1,79 @@
+//! A packet format for tests: the fields of the view, one after the other.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::pass_through::{FlowId, PacketCodec, PacketView};
+use petrellatch_proto::pass_through::{pack_address, unpack_address};
+
+#[derive(Clone, Copy, Debug)]
+pub struct TestCodec;
+
+const BYTES: usize = 27;
+
+impl PacketCodec for TestCodec {
+    fn view(&self, packet: &[u8]) -> Option<PacketView> {
+        let packet: &[u8; BYTES] = packet.try_into().ok()?;
+        let number =
+            |place: usize| u64::from_be_bytes(packet[place..place + 8].try_into().unwrap());
+        let small = |place: usize| u32::from_be_bytes(packet[place..place + 4].try_into().unwrap());
+        let flags = packet[24];
+        Some(PacketView {
+            source: unpack_address(number(0)),
+            destination: unpack_address(number(8)),
+            synchronize: flags & 1 != 0,
+            acknowledge: flags & 2 != 0,
+            finish: flags & 4 != 0,
+            reset: flags & 8 != 0,
+            returned: flags & 16 != 0,
+            sequence: small(16),
+            acknowledged: small(20),
+            data_bytes: u16::from_be_bytes([packet[25], packet[26]]),
+        })
+    }
+
+    fn reset(&self, flow: FlowId, sequence: u32) -> Vec<u8> {
+        encode(&PacketView {
+            reset: true,
+            sequence,
+            ..empty(flow.route, flow.caller)
+        })
+    }
+}
+
+/// A packet without flags and data.
+pub fn empty(source: SocketAddrV4, destination: SocketAddrV4) -> PacketView {
+    PacketView {
+        source,
+        destination,
+        synchronize: false,
+        acknowledge: false,
+        finish: false,
+        reset: false,
+        returned: false,
+        sequence: 0,
+        acknowledged: 0,
+        data_bytes: 0,
+    }
+}
+
+pub fn encode(view: &PacketView) -> Vec<u8> {
+    let flags = [
+        view.synchronize,
+        view.acknowledge,
+        view.finish,
+        view.reset,
+        view.returned,
+    ];
+    let bits = flags
+        .iter()
+        .enumerate()
+        .map(|(bit, set)| u8::from(*set) << bit);
+    let mut packet = Vec::with_capacity(BYTES);
+    packet.extend(pack_address(view.source).to_be_bytes());
+    packet.extend(pack_address(view.destination).to_be_bytes());
+    packet.extend(view.sequence.to_be_bytes());
+    packet.extend(view.acknowledged.to_be_bytes());
+    packet.push(bits.sum());
+    packet.extend(view.data_bytes.to_be_bytes());
+    packet
+}
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -2,5 +2,7 @@
 //! virtual clock, and balancers and agents packet by packet.
 
 mod changes;
+mod codec;
+mod daemons;
 mod formation;
 mod group;
