Tell and hear news sooner after a restart

Change: an agent repeats its report every 60 ms until a replica shows that it heard; balancers ask every 60 ms until current; what one input applied is told at once, and whole to who is more than 8 changes behind.

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -23,6 +23,8 @@
 
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Between two reports after a change, until a replica shows that it heard.
+const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Flows in one message about held flows.
 const HELD_FLOWS_PER_MESSAGE: usize = 200;
 /// A balancer that sent nothing for so long is not told about held flows.
@@ -67,6 +69,8 @@
     report_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
+    /// Whether no replica has shown that it heard of the reported state.
+    unheard: bool,
     stop_at: Option<Timestamp>,
     stopped: bool,
     outputs: VecDeque<PassThroughOutput>,
@@ -95,6 +99,7 @@
             report_at: now,
             sweep_at: now + SWEEP_INTERVAL,
             reported_state: AgentState::Empty,
+            unheard: true,
             stop_at: None,
             stopped: false,
             outputs: VecDeque::new(),
@@ -144,7 +149,10 @@
     pub fn handle_message(&mut self, now: Timestamp, from: SocketAddrV4, body: PassThroughBody) {
         match body {
             PassThroughBody::Carry(carry) => self.handle_carry(now, from, carry),
-            PassThroughBody::Group(group) => self.contacts.handle_group(&group),
+            PassThroughBody::Group(group) => {
+                self.contacts.handle_group(&group);
+                self.unheard = false;
+            }
             _ => {}
         }
     }
@@ -424,10 +432,15 @@
     }
 
     fn report(&mut self, now: Timestamp) {
-        self.report_at = now + self.settings.report_interval;
         self.report_number += 1;
         let state = self.state(now);
+        self.unheard |= state != self.reported_state;
         self.reported_state = state;
+        let interval = match self.unheard {
+            true => URGENT_REPORT_INTERVAL,
+            false => self.settings.report_interval,
+        };
+        self.report_at = now + interval;
         let report = Report {
             address: pack_address(self.settings.address),
             incarnation: self.incarnation.0,
--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -33,7 +33,7 @@
 /// Between two sweeps over the hints.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Between two questions for the newest version before the first answer.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
 /// In a directory of at most so many agents all are asked for a flow.
 const SEEK_ALL_LIMIT: usize = 64;
 /// After this, an unknown flow is offered to an agent without full memory.
--- a/crates/petrellatch-core/src/pass_through/configuration_node.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node.rs
@@ -154,6 +154,8 @@
     next_read: u64,
     followers: Followers,
     contacts: Contacts,
+    /// The version before the first change that balancers were not told.
+    news_since: Option<u64>,
     keeper: GroupKeeper,
     directory_at: Option<Timestamp>,
     sweep_at: Timestamp,
@@ -192,6 +194,7 @@
             next_read: 0,
             followers: Followers::default(),
             contacts: Contacts::new(seeds),
+            news_since: None,
             directory_at: None,
             sweep_at: now + SWEEP_INTERVAL,
             write_since: None,
@@ -470,6 +473,18 @@
         while let Some(output) = self.replica.poll_output() {
             self.carry_out(now, output);
         }
+        self.push_news();
+    }
+
+    /// Tells the balancers what was applied since the last time, all at once.
+    fn push_news(&mut self) {
+        let Some(version) = self.news_since.take() else {
+            return;
+        };
+        let news = self.followers.news(version, self.state.configuration());
+        for follower in self.followers.followers() {
+            self.send_all(follower, news.clone());
+        }
     }
 
     fn carry_out(&mut self, now: Timestamp, output: ReplicaOutput) {
@@ -519,12 +534,7 @@
             let (put, removed) = (change.put.len(), change.removed.len());
             let subject = format!("version={version} put={put} removed={removed}");
             self.emit_event(EventKind::ConfigurationReplaced, subject);
-            let news = self
-                .followers
-                .news(change.base_version, self.state.configuration());
-            for follower in self.followers.followers() {
-                self.send_all(follower, news.clone());
-            }
+            self.news_since.get_or_insert(change.base_version);
         }
         self.replacements.note_finished(applied.id);
         let version = self.configuration().version;
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -21,6 +21,8 @@
 const AGENT_LIMIT: Duration = Duration::from_secs(5);
 /// Changes that are kept for balancers that are a little behind.
 const KEPT_CHANGES: usize = 64;
+/// A balancer that misses more gets the whole configuration.
+const MAX_CHANGES_TOLD: usize = 8;
 /// Agents in one message.
 const AGENTS_PER_MESSAGE: usize = 64;
 
@@ -99,6 +101,7 @@
             .changes
             .iter()
             .position(|change| change.base_version == version && version > 0);
+        let first = first.filter(|first| self.changes.len() - first <= MAX_CHANGES_TOLD);
         let Some(first) = first else {
             let mut whole = Configuration::default().change_to(newest);
             strip(&mut whole);
