Queue two requests a slot at agents that are all full

Cause: after a loss of power all callers come at once; what is queued too long is answered too late, and holds up who comes next. Also the number of left-out lines is told once a second.

--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -27,7 +27,7 @@
 /// A back end that missed so many registrations gets no new flows.
 const MISSED_REGISTRATIONS: u32 = 5;
 /// A full agent queues so many requests for each slot, if all others are full.
-const QUEUE_FACTOR: u32 = 3;
+const QUEUE_FACTOR: u32 = 2;
 /// How long a stopping agent waits for its flows, at most half of the stop
 /// limit.
 const STOP_WAIT: Duration = Duration::from_millis(2_500);
--- a/crates/petrellatch/src/runtime/pass_through/bounded_log.rs
+++ b/crates/petrellatch/src/runtime/pass_through/bounded_log.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::time::Duration;
 
 use petrellatch_core::event::Severity;
 use petrellatch_core::{Event, EventKind, Timestamp};
@@ -16,12 +17,16 @@
 /// Lines that may come at once.
 const BURST_LINES: u64 = 120;
 
+/// Between two lines that say how many were left out.
+const LEFT_OUT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The log of one process.
 pub(super) struct BoundedLog {
     logger: Logger,
     budget: u64,
     refilled_at: Timestamp,
     left_out: u64,
+    told_left_out_at: Timestamp,
 }
 
 impl BoundedLog {
@@ -37,6 +42,7 @@
             budget: BURST_LINES,
             refilled_at: Timestamp::ZERO,
             left_out: 0,
+            told_left_out_at: Timestamp::ZERO,
         }
     }
 
@@ -67,7 +73,9 @@
         }
         self.refilled_at = now;
         self.budget = (self.budget + lines).min(BURST_LINES);
-        if self.left_out > 0 {
+        let is_due = now.saturating_since(self.told_left_out_at) >= LEFT_OUT_INTERVAL;
+        if self.left_out > 0 && is_due {
+            self.told_left_out_at = now;
             let subject = format!("{} entries", self.left_out);
             self.left_out = 0;
             log_event(
