--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -260,10 +260,10 @@
             sequence: first_sequence(agent),
             ..empty(view.destination, view.source)
         };
-        self.from_backend(agent, &answer);
+        self.answer_from_backend(agent, &answer);
     }
 
-    fn from_backend(&mut self, agent: SocketAddrV4, view: &PacketView) {
+    fn answer_from_backend(&mut self, agent: SocketAddrV4, view: &PacketView) {
         let now = self.now;
         let agent = self.agents.get_mut(&agent).expect("known");
         agent.handle_backend_packet(now, &encode(view));
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -6,7 +6,7 @@
 
 use petrellatch_core::Timestamp;
 use petrellatch_core::consensus::{
-    Membership, PersistRequest, PersistentState, ReplicaId, ReplicaStart, Role,
+    Membership, PersistRequest, PersistentState, ReplicaId, ReplicaStart,
 };
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
@@ -210,17 +210,6 @@
         voters.map(|voter| (voter.node.0 >> 16) as u8).collect()
     }
 
-    /// Whether a machine's process knows a leader.
-    pub fn follows(&self, index: u8) -> bool {
-        let node = self.machines[&index].node.as_ref();
-        node.is_some_and(|node| node.replica().leader().is_some())
-    }
-
-    /// The part that a machine's process plays.
-    pub fn role(&self, index: u8) -> Option<Role> {
-        Some(self.machines[&index].node.as_ref()?.replica().role())
-    }
-
     /// Asks a machine; returns the token of the answer.
     pub fn ask(&mut self, index: u8, request: ConfigurationRequest) -> u64 {
         self.next_token += 1;
--- a/crates/petrellatch/src/runtime/pass_through/event_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -7,7 +7,7 @@
 use petrellatch_core::{EventKind, Timestamp};
 
 use crate::error::ProgramError;
-use crate::http::{EventServer, HttpResponse, ReceivedRequest};
+use crate::http::{EventServer, HttpRequest, HttpResponse, ReceivedRequest};
 use crate::runtime::clock::ProcessClock;
 use crate::runtime::process::{open_poll, waited};
 
@@ -133,18 +133,23 @@
 }
 
 /// Answers the requests of one event. `handle` answers a call at once, or
-/// returns `None` if it will be answered later.
+/// returns `None` if it will be answered later. Returns what was refused as it
+/// can't be understood, in a few words each.
 pub(super) fn serve_requests<I: Interface>(
     now: Timestamp,
     server: &mut EventServer,
     interface: &I,
     received: Vec<ReceivedRequest>,
     mut handle: impl FnMut(&ReceivedRequest, Call) -> Option<CallAnswer>,
-) {
+) -> Vec<String> {
+    let mut refusals = Vec::new();
     let mut queue = received;
     while let Some(received) = queue.pop() {
         let response: Option<HttpResponse> = match interface.call(&received.request) {
-            Err(refusal) => Some(refusal),
+            Err(refusal) => {
+                refusals.push(describe_refusal(&received.request, &refusal));
+                Some(refusal)
+            }
             Ok(call) => {
                 let answer = handle(&received, call);
                 answer.map(|answer| interface.answer(&received.request, &answer))
@@ -154,4 +159,11 @@
             queue.extend(server.respond(now, received.connection, &response));
         }
     }
+    refusals
+}
+
+fn describe_refusal(request: &HttpRequest, refusal: &HttpResponse) -> String {
+    let HttpRequest { method, path, .. } = request;
+    let reason = String::from_utf8_lossy(&refusal.body);
+    format!("{method} {path} status={} {reason}", refusal.status)
 }
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -107,7 +107,7 @@
             requests.extend(http.handle_event(now, event_loop.poll.registry(), token));
         }
         if !requests.is_empty() {
-            serve_requests(now, &mut http, &interface, requests, |received, call| {
+            let handle = |received: &ReceivedRequest, call| {
                 let request = match call {
                     Call::Replace(configuration) => ConfigurationRequest::Replace(configuration),
                     Call::Read => ConfigurationRequest::Read,
@@ -120,7 +120,11 @@
                 waiting.insert(next_token, wait_for(received));
                 node.handle_request(now, next_token, request);
                 None
-            });
+            };
+            for refusal in serve_requests(now, &mut http, &interface, requests, handle) {
+                let kind = EventKind::ReplacementRefused;
+                event_loop.log.note(now, kind, refusal);
+            }
         }
         if wakeup.expire {
             http.expire(now);
