--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -1,13 +1,17 @@
 //! The agents as a balancer knows them, and the choice among them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use petrellatch_proto::pass_through::{AgentState, Directory, LoadMessage, Report, unpack_address};
+use petrellatch_proto::pass_through::{
+    AgentState, Directory, DirectoryChange, LoadMessage, Report, unpack_address,
+};
+use prost::Message;
 
 use crate::time::Timestamp;
 
+use super::change_assembly::PartAssembly;
 use super::digest::{flow_digest, service_digest};
 use super::packet::FlowId;
 
@@ -48,10 +52,19 @@
     suspect_until: Timestamp,
 }
 
+/// What one replica told of the agents.
+#[derive(Debug, Default)]
+struct ReplicaDirectory {
+    revision: u64,
+    agents: BTreeSet<SocketAddrV4>,
+    assembly: PartAssembly,
+}
+
 /// All agents that a balancer knows.
 #[derive(Debug, Default)]
 pub(super) struct AgentDirectory {
     zone: String,
+    replicas: BTreeMap<SocketAddrV4, ReplicaDirectory>,
     agents: BTreeMap<SocketAddrV4, KnownAgent>,
 }
 
@@ -59,6 +72,7 @@
     pub(super) fn new(zone: String) -> Self {
         AgentDirectory {
             zone,
+            replicas: BTreeMap::new(),
             agents: BTreeMap::new(),
         }
     }
@@ -80,9 +94,63 @@
             .collect()
     }
 
-    /// Takes what a replica knows.
-    pub(super) fn handle_directory(&mut self, now: Timestamp, directory: &Directory) {
-        for entry in &directory.agents {
+    /// The revision that a replica told last; zero for none.
+    pub(super) fn revision_of(&self, replica: SocketAddrV4) -> u64 {
+        let told = self.replicas.get(&replica);
+        told.map_or(0, |told| told.revision)
+    }
+
+    /// A replica says that its directory has this revision. If that is the one
+    /// that it told, it still hears from all agents in it.
+    pub(super) fn handle_revision(&mut self, now: Timestamp, replica: SocketAddrV4, revision: u64) {
+        let Some(told) = self.replicas.get(&replica) else {
+            return;
+        };
+        if told.revision != revision {
+            return;
+        }
+        for address in &told.agents {
+            if let Some(agent) = self.agents.get_mut(address) {
+                agent.heard_at = now;
+            }
+        }
+    }
+
+    /// Takes a part of what a replica knows.
+    pub(super) fn handle_directory(
+        &mut self,
+        now: Timestamp,
+        replica: SocketAddrV4,
+        directory: Directory,
+    ) {
+        let told = self.replicas.entry(replica).or_default();
+        let base = directory.base_revision;
+        if base != 0 && base != told.revision {
+            return;
+        }
+        let Directory {
+            revision,
+            part,
+            parts,
+            bytes,
+            ..
+        } = directory;
+        let whole = told.assembly.add(revision ^ base, part, parts, bytes);
+        let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
+        let Some(change) = change else { return };
+        told.revision = revision;
+        if base == 0 {
+            told.agents.clear();
+        }
+        for address in &change.gone {
+            told.agents.remove(&unpack_address(*address));
+        }
+        let addresses = change
+            .agents
+            .iter()
+            .map(|it| unpack_address(it.report.address));
+        told.agents.extend(addresses);
+        for entry in &change.agents {
             let heard_at = now - Duration::from_millis(u64::from(entry.age_millis));
             self.handle_report(heard_at, &entry.report);
         }
--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -7,7 +7,7 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, Holds, NotHeld, PassThroughBody,
+    Declined, Follow, Group, Holds, NotHeld, PassThroughBody,
 };
 
 use crate::event::{Event, EventKind};
@@ -46,6 +46,8 @@
 const STANDSTILL: Duration = Duration::from_millis(1_200);
 /// How long opening packets are dropped after a standstill.
 const STANDSTILL_DROP: Duration = Duration::from_millis(30);
+/// Between two questions for a newer configuration; parts may be on their way.
+const FETCH_INTERVAL: Duration = Duration::from_millis(150);
 /// Between two news after a part of a change did not arrive.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -104,6 +106,8 @@
     confirmed_version: Option<u64>,
     current: bool,
     follow_at: Timestamp,
+    /// Before this, no replica is asked for a newer configuration.
+    fetch_at: Timestamp,
     sweep_at: Timestamp,
     /// Time of the latest input.
     active_at: Timestamp,
@@ -136,6 +140,7 @@
             confirmed_version: None,
             current: false,
             follow_at: now,
+            fetch_at: now,
             sweep_at: now + SWEEP_INTERVAL,
             active_at: now,
             drop_openings_until: Timestamp::ZERO,
@@ -221,9 +226,9 @@
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
             PassThroughBody::Holds(holds) => self.handle_holds(now, from, &holds),
             PassThroughBody::NotHeld(not_held) => self.handle_not_held(from, &not_held),
-            PassThroughBody::Group(group) => self.contacts.handle_group(&group),
+            PassThroughBody::Group(group) => self.handle_group(now, from, &group),
             PassThroughBody::Directory(directory) => {
-                self.agents.handle_directory(now, &directory);
+                self.agents.handle_directory(now, from, directory);
             }
             PassThroughBody::Configuration(part) => self.handle_configuration(now, part),
             PassThroughBody::Confirmed(confirmed) => self.handle_confirmed(&confirmed),
@@ -519,6 +524,22 @@
         }
     }
 
+    fn handle_group(&mut self, now: Timestamp, from: SocketAddrV4, group: &Group) {
+        self.contacts.handle_group(group);
+        let revision = group.directory_revision;
+        self.agents.handle_revision(now, from, revision);
+        let lacks_directory = revision != self.agents.revision_of(from);
+        let lacks_configuration = group.version > self.routes.version() && now >= self.fetch_at;
+        if lacks_configuration {
+            self.fetch_at = now + FETCH_INTERVAL;
+            let follow = self.follow_message(from, true);
+            self.send(from, PassThroughBody::Follow(follow));
+        } else if lacks_directory && self.current {
+            // The answer to the next question has it.
+            self.follow_at = self.follow_at.min(now + REPAIR_INTERVAL);
+        }
+    }
+
     fn handle_configuration(&mut self, now: Timestamp, part: ConfigurationPart) {
         if self.routes.handle_part(part) {
             let subject = format!("version={}", self.routes.version());
@@ -568,29 +589,37 @@
     }
 
     fn tell_replicas(&mut self, leaving: bool) {
-        let follow = Follow {
+        for replica in self.contacts.all() {
+            let follow = Follow {
+                leaving,
+                ..self.follow_message(replica, false)
+            };
+            self.send(replica, PassThroughBody::Follow(follow));
+        }
+    }
+
+    fn follow_message(&self, replica: SocketAddrV4, wants_configuration: bool) -> Follow {
+        Follow {
             incarnation: self.incarnation.0,
             version: self.routes.version(),
             confirm: if self.current { 0 } else { self.confirm },
-            leaving,
-        };
-        for replica in self.contacts.all() {
-            let body = PassThroughBody::Follow(follow.clone());
-            self.outputs
-                .push_back(PassThroughOutput::Send { to: replica, body });
+            leaving: false,
+            directory_revision: self.agents.revision_of(replica),
+            wants_configuration,
         }
     }
 
+    fn send(&mut self, to: SocketAddrV4, body: PassThroughBody) {
+        self.outputs.push_back(PassThroughOutput::Send { to, body });
+    }
+
     fn carry(&mut self, agent: SocketAddrV4, service: u64, reason: CarryReason, packet: Vec<u8>) {
         let carry = Carry {
             service,
             reason: reason.into(),
             packet,
         };
-        self.outputs.push_back(PassThroughOutput::Send {
-            to: agent,
-            body: PassThroughBody::Carry(carry),
-        });
+        self.send(agent, PassThroughBody::Carry(carry));
     }
 
     fn emit_event(&mut self, kind: EventKind, subject: String) {
--- a/crates/petrellatch-core/src/pass_through/configuration_node.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node.rs
@@ -153,6 +153,8 @@
     reads: BTreeMap<u64, PendingRead>,
     next_read: u64,
     followers: Followers,
+    /// Revision of the directory that balancers were told last.
+    pushed_revision: u64,
     contacts: Contacts,
     /// The version before the first change that balancers were not told.
     news_since: Option<u64>,
@@ -178,7 +180,8 @@
 impl ConfigurationNode {
     /// Starts a life of a replica. Nodes in `start` are made by [`node_at`].
     pub fn new(now: Timestamp, settings: ConfigurationNodeSettings, start: ReplicaStart) -> Self {
-        let random = ChaCha8Rng::seed_from_u64(start.seed.wrapping_add(1));
+        let mut random = ChaCha8Rng::seed_from_u64(start.seed.wrapping_add(1));
+        let followers = Followers::new(random.random());
         let founders = start.bootstrap.as_ref().map(Membership::members);
         let founders = founders.unwrap_or_default().iter();
         let seeds = founders.map(|founder| node_address(founder.replica.node));
@@ -192,7 +195,8 @@
             replacements: Replacements::default(),
             reads: BTreeMap::new(),
             next_read: 0,
-            followers: Followers::default(),
+            pushed_revision: followers.revision(),
+            followers,
             contacts: Contacts::new(seeds),
             news_since: None,
             directory_at: None,
@@ -400,13 +404,16 @@
             return;
         }
         self.followers.note_follower(now, from);
+        let directory = self.followers.directory(now, follow.directory_revision);
+        self.send_all(from, directory);
+        if follow.wants_configuration {
+            let news = self
+                .followers
+                .news(follow.version, self.state.configuration());
+            self.send_all(from, news);
+        }
         let group = self.group();
         self.send(from, PassThroughBody::Group(group));
-        self.send_all(from, self.followers.directory(now));
-        let news = self
-            .followers
-            .news(follow.version, self.state.configuration());
-        self.send_all(from, news);
         if follow.confirm != 0 && self.replica.role() == Role::Leader {
             let read = PendingRead::Balancer {
                 address: from,
@@ -422,11 +429,14 @@
         Group {
             replicas: members.iter().map(address).collect(),
             index: self.replica.membership_index(),
+            version: self.configuration().version,
+            directory_revision: self.followers.revision(),
         }
     }
 
     fn push_directory(&mut self, now: Timestamp) {
-        let directory = self.followers.directory(now);
+        let directory = self.followers.directory(now, self.pushed_revision);
+        self.pushed_revision = self.followers.revision();
         for follower in self.followers.followers() {
             self.send_all(follower, directory.clone());
         }
@@ -481,6 +491,10 @@
         let Some(version) = self.news_since.take() else {
             return;
         };
+        if self.replica.role() != Role::Leader {
+            // Balancers see with their next question that there is news.
+            return;
+        }
         let news = self.followers.news(version, self.state.configuration());
         for follower in self.followers.followers() {
             self.send_all(follower, news.clone());
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -1,12 +1,12 @@
 //! Balancers that follow a replica, and the agents that report to it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Directory, DirectoryEntry, MAX_PART_BYTES,
-    PassThroughBody, Report,
+    ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
+    MAX_PART_BYTES, PassThroughBody, Report,
 };
 use prost::Message;
 
@@ -23,8 +23,9 @@
 const KEPT_CHANGES: usize = 64;
 /// A balancer that misses more gets the whole configuration.
 const MAX_CHANGES_TOLD: usize = 8;
-/// Agents in one message.
-const AGENTS_PER_MESSAGE: usize = 64;
+/// Revisions of the directory that are kept for balancers that are a little
+/// behind.
+const KEPT_REVISIONS: usize = 256;
 
 #[derive(Debug)]
 struct ReportedAgent {
@@ -38,9 +39,26 @@
     followers: BTreeMap<SocketAddrV4, Timestamp>,
     agents: BTreeMap<u64, ReportedAgent>,
     changes: VecDeque<ConfigurationChange>,
+    /// Revision of the directory: changes of this life in the lower half.
+    revision: u64,
+    /// Agents that changed, each with the revision before.
+    touched: VecDeque<(u64, u64)>,
 }
 
 impl Followers {
+    /// Starts without followers and agents. `life` tells the revisions of this
+    /// life from those of others.
+    pub(super) fn new(life: u32) -> Self {
+        Followers {
+            revision: u64::from(life.max(1)) << 32,
+            ..Followers::default()
+        }
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     pub(super) fn note_follower(&mut self, now: Timestamp, address: SocketAddrV4) {
         self.followers.insert(address, now);
     }
@@ -63,8 +81,13 @@
             }
         }
         let news = known.is_none_or(|known| {
-            known.report.incarnation != report.incarnation || known.report.state != report.state
+            known.report.incarnation != report.incarnation
+                || known.report.state != report.state
+                || known.report.complete != report.complete
         });
+        if news {
+            self.touch(report.address);
+        }
         let heard_at = now;
         self.agents
             .insert(report.address, ReportedAgent { report, heard_at });
@@ -74,8 +97,26 @@
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.followers
             .retain(|_, heard| now.saturating_since(*heard) < FOLLOWER_LIMIT);
-        self.agents
-            .retain(|_, agent| now.saturating_since(agent.heard_at) < AGENT_LIMIT);
+        let is_gone = |agent: &ReportedAgent| now.saturating_since(agent.heard_at) >= AGENT_LIMIT;
+        let gone: Vec<u64> = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| is_gone(agent))
+            .map(|(address, _)| *address)
+            .collect();
+        for address in gone {
+            self.agents.remove(&address);
+            self.touch(address);
+        }
+    }
+
+    /// Makes the next revision, in which an agent differs.
+    fn touch(&mut self, address: u64) {
+        self.touched.push_back((self.revision, address));
+        self.revision += 1;
+        if self.touched.len() > KEPT_REVISIONS {
+            self.touched.pop_front();
+        }
     }
 
     /// Keeps a change for balancers that are a little behind.
@@ -111,19 +152,65 @@
         missing.flat_map(parts).collect()
     }
 
-    /// The agents, as messages for balancers.
-    pub(super) fn directory(&self, now: Timestamp) -> Vec<PassThroughBody> {
-        let entry = |agent: &ReportedAgent| DirectoryEntry {
-            report: agent.report.clone(),
-            age_millis: now.saturating_since(agent.heard_at).as_millis() as u32,
+    /// How the directory differs from `base`, as messages for balancers; none
+    /// if it does not.
+    pub(super) fn directory(&self, now: Timestamp, base: u64) -> Vec<PassThroughBody> {
+        if base == self.revision {
+            return Vec::new();
+        }
+        let first = self.touched.iter().position(|(before, _)| *before == base);
+        let change = match first {
+            Some(first) => self.change_of(now, self.touched.iter().skip(first)),
+            None => DirectoryChange {
+                agents: self.agents.values().map(|it| it.entry(now)).collect(),
+                gone: Vec::new(),
+            },
         };
-        let entries: Vec<DirectoryEntry> = self.agents.values().map(entry).collect();
-        let message = |agents: &[DirectoryEntry]| {
+        let base_revision = first.map_or(0, |_| base);
+        self.directory_parts(base_revision, &change)
+    }
+
+    fn change_of<'a>(
+        &self,
+        now: Timestamp,
+        touched: impl Iterator<Item = &'a (u64, u64)>,
+    ) -> DirectoryChange {
+        let addresses: BTreeSet<u64> = touched.map(|(_, address)| *address).collect();
+        let known = addresses.iter().filter_map(|it| self.agents.get(it));
+        let gone = addresses.iter().filter(|it| !self.agents.contains_key(it));
+        DirectoryChange {
+            agents: known.map(|agent| agent.entry(now)).collect(),
+            gone: gone.copied().collect(),
+        }
+    }
+
+    fn directory_parts(
+        &self,
+        base_revision: u64,
+        change: &DirectoryChange,
+    ) -> Vec<PassThroughBody> {
+        let bytes = change.encode_to_vec();
+        let parts = split(&bytes, MAX_PART_BYTES);
+        let count = parts.len() as u32;
+        let part = |(part, bytes): (usize, &[u8])| {
             PassThroughBody::Directory(Directory {
-                agents: agents.to_vec(),
+                base_revision,
+                revision: self.revision,
+                part: part as u32,
+                parts: count,
+                bytes: bytes.to_vec(),
             })
         };
-        entries.chunks(AGENTS_PER_MESSAGE).map(message).collect()
+        parts.into_iter().enumerate().map(part).collect()
+    }
+}
+
+impl ReportedAgent {
+    fn entry(&self, now: Timestamp) -> DirectoryEntry {
+        DirectoryEntry {
+            report: self.report.clone(),
+            age_millis: now.saturating_since(self.heard_at).as_millis() as u32,
+        }
     }
 }
 
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -11,8 +11,8 @@
     PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
 };
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Confirmed, Directory, DirectoryEntry, PassThroughBody,
-    Report, RouteRecord, ShareRecord, pack_address,
+    ConfigurationChange, ConfigurationPart, Confirmed, Directory, DirectoryChange, DirectoryEntry,
+    PassThroughBody, Report, RouteRecord, ShareRecord, pack_address,
 };
 use prost::Message;
 
@@ -47,6 +47,7 @@
     backends: BTreeMap<SocketAddrV4, Backend>,
     callers: Vec<PacketView>,
     frozen: Vec<SocketAddrV4>,
+    revision: u64,
 }
 
 impl World {
@@ -68,6 +69,7 @@
             backends: BTreeMap::new(),
             callers: Vec::new(),
             frozen: Vec::new(),
+            revision: 0,
         };
         world.confirm();
         for index in 1..=agents {
@@ -239,8 +241,17 @@
             report,
             age_millis: 0,
         };
-        let directory = Directory {
+        let change = DirectoryChange {
             agents: vec![entry],
+            gone: Vec::new(),
+        };
+        self.revision += 1;
+        let directory = Directory {
+            base_revision: 0,
+            revision: self.revision,
+            part: 0,
+            parts: 1,
+            bytes: change.encode_to_vec(),
         };
         let body = PassThroughBody::Directory(directory);
         self.balancer.handle_message(self.now, REPLICA, body);
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -248,6 +248,12 @@
     /// The balancer leaves and wants no more news.
     #[prost(bool, tag = "4")]
     pub leaving: bool,
+    /// The revision of the directory that it has from this replica.
+    #[prost(uint64, tag = "5")]
+    pub directory_revision: u64,
+    /// It wants what it lacks of the configuration. It asks one replica only.
+    #[prost(bool, tag = "6")]
+    pub wants_configuration: bool,
 }
 
 /// The replicas of the group.
@@ -259,6 +265,13 @@
     /// Index of the membership, which only grows.
     #[prost(uint64, tag = "2")]
     pub index: u64,
+    /// The version of the configuration that the sender has.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The revision of the sender's directory. Revisions of different lives
+    /// and replicas differ.
+    #[prost(uint64, tag = "4")]
+    pub directory_revision: u64,
 }
 
 /// One agent of a [`Directory`].
@@ -272,12 +285,35 @@
     pub age_millis: u32,
 }
 
-/// The agents that a replica hears from.
+/// How a replica's directory differs from an earlier revision.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Directory {
-    /// The agents.
+pub struct DirectoryChange {
+    /// Agents that are new or reported something else.
     #[prost(message, repeated, tag = "1")]
     pub agents: Vec<DirectoryEntry>,
+    /// Addresses of agents that are not heard any more.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub gone: Vec<u64>,
+}
+
+/// A part of an encoded [`DirectoryChange`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Directory {
+    /// The revision that the change is based on; zero for none.
+    #[prost(uint64, tag = "1")]
+    pub base_revision: u64,
+    /// The revision that it makes.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Number of this part, from zero.
+    #[prost(uint32, tag = "3")]
+    pub part: u32,
+    /// How many parts there are.
+    #[prost(uint32, tag = "4")]
+    pub parts: u32,
+    /// The bytes.
+    #[prost(bytes = "vec", tag = "5")]
+    pub bytes: Vec<u8>,
 }
 
 /// A service's share of a route's new flows.
