Seek unknown flows by small questions within a budget

Ruled out: lasting damage of agents (they declined as full by turns) and the core (a leader after 0.8 s). Change: a balancer asks for the flow (34 bytes) and keeps the packet until somebody has it; 2,000 questions a second at most, and fewer with each one for the same flow.

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -7,7 +7,7 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, DeclineReason, Declined, HeldFlow, Holds,
-    LoadMessage, NotHeld, PassThroughBody, Report, pack_address,
+    LoadMessage, NotHeld, PassThroughBody, Report, Seek, pack_address,
 };
 
 use crate::event::{Event, EventKind};
@@ -149,6 +149,7 @@
     pub fn handle_message(&mut self, now: Timestamp, from: SocketAddrV4, body: PassThroughBody) {
         match body {
             PassThroughBody::Carry(carry) => self.handle_carry(now, from, carry),
+            PassThroughBody::Seek(seek) => self.handle_seek(now, from, &seek),
             PassThroughBody::Group(group) => {
                 self.contacts.handle_group(&group);
                 self.unheard = false;
@@ -281,13 +282,6 @@
                 self.admit(now, from, flow, carry.packet, factor);
             }
             CarryReason::Deliver => self.deliver(now, from, &view, carry.packet),
-            CarryReason::Locate => {
-                let known = self.flows.get(flow);
-                if known.is_some_and(|flow| flow.owns(view.acknowledged)) {
-                    self.deliver(now, from, &view, carry.packet);
-                    self.tell_held(from, flow);
-                }
-            }
             CarryReason::Offer => {
                 if !self.is_complete(now) || self.flows.get(flow).is_some() {
                     self.deliver(now, from, &view, carry.packet);
@@ -297,6 +291,15 @@
         }
     }
 
+    fn handle_seek(&mut self, now: Timestamp, from: SocketAddrV4, seek: &Seek) {
+        self.balancers.insert(from, now);
+        let flow = FlowId::from(seek.flow);
+        let known = self.flows.get(flow);
+        if known.is_some_and(|flow| flow.owns(seek.acknowledged)) {
+            self.tell_held(from, flow);
+        }
+    }
+
     /// Admits a new flow if the back end has fewer than `factor` requests for
     /// each slot.
     fn admit(
--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -7,7 +7,7 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, Group, Holds, NotHeld, PassThroughBody,
+    Declined, Follow, Group, Holds, NotHeld, PassThroughBody, Seek,
 };
 
 use crate::event::{Event, EventKind};
@@ -16,11 +16,12 @@
 
 use super::agent_directory::AgentDirectory;
 use super::contacts::Contacts;
-use super::digest::is_sampled;
+use super::digest::{flow_digest, is_sampled};
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, PacketCodec, PacketView};
 use super::route_table::RouteTable;
+use super::seek_budget::SeekBudget;
 
 /// An agent that did not answer an opening packet by then is suspected, and
 /// another one is asked.
@@ -36,6 +37,9 @@
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
 /// In a directory of at most so many agents all are asked for a flow.
 const SEEK_ALL_LIMIT: usize = 64;
+/// Between the first two questions for one flow; it doubles with each.
+const FIRST_SEEK_PAUSE: Duration = Duration::from_millis(150);
+const MAX_SEEK_DOUBLINGS: u32 = 4;
 /// After this, an unknown flow is offered to an agent without full memory.
 const OFFER_DELAY: Duration = Duration::from_millis(150);
 /// Between two offers of one flow. A flow's packets must not wander over back
@@ -98,6 +102,7 @@
     routes: RouteTable,
     agents: AgentDirectory,
     hints: FlowHints,
+    seek_budget: SeekBudget,
     /// Opening packets that wait for an answer, in the order of their limits.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
     /// Number of the question for the newest version, until it is answered
@@ -135,6 +140,7 @@
             contacts,
             routes: RouteTable::default(),
             hints: FlowHints::default(),
+            seek_budget: SeekBudget::new(now),
             awaited: VecDeque::new(),
             confirm: incarnation.0 | 1,
             confirmed_version: None,
@@ -417,39 +423,56 @@
             self.counters.no_route += 1;
             return;
         };
-        self.seek(now, flow, service, packet);
+        self.seek(now, view, service, packet);
     }
 
-    /// Hands a packet to the agent that knows its flow, whoever it is.
-    fn seek(&mut self, now: Timestamp, flow: FlowId, service: u64, packet: &[u8]) {
+    /// Asks the agents who has a flow; its packet waits for the answer.
+    fn seek(&mut self, now: Timestamp, view: &PacketView, service: u64, packet: &[u8]) {
         self.counters.sought += 1;
+        let flow = view.flow_from_caller();
         let all = self.agents.len() <= SEEK_ALL_LIMIT;
         let agents = self.agents.addresses((!all).then_some(service));
-        for (agent, service) in &agents {
-            self.carry(*agent, *service, CarryReason::Locate, packet.to_vec());
-        }
         let hint = self.hints.entry(now, flow, service);
-        let first = *hint.sought_at.get_or_insert(now);
-        if first == now {
-            let subject = format!("flow={flow} agents={}", agents.len());
-            self.emit_event(EventKind::FlowSought, subject);
-            return;
+        let first = *hint.sought_since.get_or_insert(now);
+        let is_due = now >= hint.seek_at;
+        hint.waiting = Some(packet.to_vec());
+        if is_due && self.seek_budget.take(now, agents.len()) {
+            hint.seek_at = now + FIRST_SEEK_PAUSE * (1 << hint.seeks.min(MAX_SEEK_DOUBLINGS));
+            hint.seeks += 1;
+            let seek = Seek {
+                flow: flow.into(),
+                acknowledged: view.acknowledged,
+            };
+            if is_sampled(flow) {
+                let subject = format!("flow={flow} agents={}", agents.len());
+                self.emit_event(EventKind::FlowSought, subject);
+            }
+            for (agent, _) in &agents {
+                self.send(*agent, PassThroughBody::Seek(seek.clone()));
+            }
+        }
+        if now.saturating_since(first) >= OFFER_DELAY {
+            self.offer(now, flow, service, packet);
         }
-        let due = hint
-            .offered_at
-            .is_none_or(|at| now.saturating_since(at) >= OFFER_INTERVAL);
-        if !due || now.saturating_since(first) < OFFER_DELAY {
+    }
+
+    /// Lets an agent that may have forgotten the flow ask its back end.
+    fn offer(&mut self, now: Timestamp, flow: FlowId, service: u64, packet: &[u8]) {
+        let Some(hint) = self.hints.get_mut(flow) else {
+            return;
+        };
+        let is_due = |at| now.saturating_since(at) >= OFFER_INTERVAL;
+        if !hint.offered_at.is_none_or(is_due) {
             return;
         }
-        let forgetful = agents.into_iter().filter(|(agent, agent_service)| {
+        let agents = self.agents.addresses(Some(service)).into_iter();
+        let forgetful = agents.filter(|(agent, _)| {
             let known = self.agents.get(*agent);
-            *agent_service == service
-                && known.is_some_and(|known| !known.complete)
-                && !hint.was_asked(*agent)
+            known.is_some_and(|known| !known.complete) && !hint.was_asked(*agent)
         });
         let next = forgetful.min_by_key(|(agent, _)| {
             let salt = petrellatch_proto::pass_through::pack_address(*agent);
-            super::digest::flow_digest(flow, salt)
+            flow_digest(flow, salt)
         });
         let Some((agent, service)) = next else { return };
         hint.offered_at = Some(now);
@@ -505,6 +528,10 @@
             let hint = self.hints.entry(now, held.flow.into(), service);
             hint.owner = Some(from);
             hint.service = service;
+            if let Some(packet) = hint.waiting.take() {
+                self.counters.delivered += 1;
+                self.carry(from, service, CarryReason::Deliver, packet);
+            }
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -38,9 +38,14 @@
     /// The opening packet, as long as nobody has accepted it.
     pub(super) opening: Option<Vec<u8>>,
     pub(super) owner: Option<SocketAddrV4>,
-    /// When agents were last asked for the flow, and when one was last told
-    /// to ask its back end.
-    pub(super) sought_at: Option<Timestamp>,
+    /// A packet that waits until the owner is found.
+    pub(super) waiting: Option<Vec<u8>>,
+    /// When agents were first asked for the flow, when they may be asked
+    /// again, and how often they were.
+    pub(super) sought_since: Option<Timestamp>,
+    pub(super) seek_at: Timestamp,
+    pub(super) seeks: u32,
+    /// When an agent was last told to ask its back end.
     pub(super) offered_at: Option<Timestamp>,
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
@@ -55,7 +60,10 @@
             candidates: Vec::new(),
             opening: None,
             owner: None,
-            sought_at: None,
+            waiting: None,
+            sought_since: None,
+            seek_at: now,
+            seeks: 0,
             offered_at: None,
             queued: false,
             ended: false,
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -32,6 +32,7 @@
 mod registration;
 mod replacements;
 mod route_table;
+mod seek_budget;
 
 pub use agent::{PassThroughAgent, PassThroughAgentSettings};
 pub use balancer::{PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerSettings};
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -24,7 +24,7 @@
     /// The message.
     #[prost(
         oneof = "PassThroughBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
     )]
     pub body: Option<PassThroughBody>,
 }
@@ -68,6 +68,20 @@
     /// Agent to balancer: the back end does not have the flow.
     #[prost(message, tag = "12")]
     NotHeld(NotHeld),
+    /// Balancer to agents: who has a flow.
+    #[prost(message, tag = "13")]
+    Seek(Seek),
+}
+
+/// Asks for the agent whose back end has a flow.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Seek {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+    /// What its caller acknowledges.
+    #[prost(fixed32, tag = "2")]
+    pub acknowledged: u32,
 }
 
 /// Why a balancer hands a packet to an agent.
@@ -82,11 +96,9 @@
     OpenQueued = 2,
     /// A packet of a flow that the agent is known to have.
     Deliver = 3,
-    /// A packet of a flow with an unknown agent: only for the one that has it.
-    Locate = 4,
-    /// The same, where no agent knew the flow: one that lost its memory may
-    /// ask its back end.
-    Offer = 5,
+    /// A packet of a flow that no agent knew: one that lost its memory may ask
+    /// its back end.
+    Offer = 4,
 }
 
 /// A caller's packet on its way to an agent.
@@ -174,8 +186,7 @@
     pub sequence: Option<u32>,
 }
 
-/// Flows that an agent's back end has. An answer to [`CarryReason::Locate`],
-/// or what an agent leaves behind when it stops.
+/// Flows that an agent's back end has. An answer to [`Seek`], or what an agent leaves behind when it stops.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Holds {
     /// The flows.
