--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -248,17 +248,6 @@
         !was_suspected
     }
 
-    /// Whether agents of a service are known, and none of them takes new flows.
-    pub(super) fn is_starting(&self, service: u64) -> bool {
-        let mut agents = self.agents.values().filter(|it| it.service == service);
-        let mut known = false;
-        let takes = agents.any(|agent| {
-            known = true;
-            agent.state == AgentState::Ready
-        });
-        known && !takes
-    }
-
     /// The agent of a service that is the best for a new flow.
     pub(super) fn choose(
         &self,
--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -31,12 +31,6 @@
 const MAX_ASKED: usize = 4;
 /// Agents that are asked to queue a flow.
 const MAX_QUEUE_ASKED: usize = 2;
-/// A flow of a service whose agents are all starting is refused after this.
-/// Their back ends register about once a second, and callers repeat an opening
-/// packet after 200 ms by themselves.
-const PARK_LIMIT: Duration = Duration::from_millis(400);
-/// Most flows that wait so.
-const MAX_PARKED: usize = 4_096;
 /// Between two sweeps over the hints.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Between two questions for the newest version before the first answer.
@@ -109,9 +103,6 @@
     agents: AgentDirectory,
     hints: FlowHints,
     seek_budget: SeekBudget,
-    /// Flows of services whose agents are all starting, with the time by which
-    /// they are refused.
-    parked: VecDeque<(Timestamp, FlowId)>,
     /// Opening packets that wait for an answer, in the order of their limits.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
     /// Number of the question for the newest version, until it is answered
@@ -150,7 +141,6 @@
             routes: RouteTable::default(),
             hints: FlowHints::default(),
             seek_budget: SeekBudget::new(now),
-            parked: VecDeque::new(),
             awaited: VecDeque::new(),
             confirm: incarnation.0 | 1,
             confirmed_version: None,
@@ -245,7 +235,6 @@
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
             PassThroughBody::Directory(directory) => {
                 self.agents.handle_directory(now, from, directory);
-                self.retry_parked(now);
             }
             PassThroughBody::Configuration(part) => self.handle_configuration(now, part),
             PassThroughBody::Confirmed(confirmed) => self.handle_confirmed(&confirmed),
@@ -263,7 +252,6 @@
             self.awaited.pop_front();
             self.handle_unanswered(now, flow, agent);
         }
-        self.expire_parked(now);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
@@ -280,12 +268,10 @@
     /// When [`PassThroughBalancer::handle_timeout`] is wanted.
     pub fn poll_timeout(&self) -> Timestamp {
         let awaited = self.awaited.front().map(|(limit, ..)| *limit);
-        let parked = self.parked.front().map(|(limit, _)| *limit);
         let timers = [
             Some(self.sweep_at),
             Some(self.follow_at),
             awaited,
-            parked,
             self.stop_at,
         ];
         let first = timers.into_iter().flatten().min();
@@ -373,10 +359,6 @@
         if hint.is_awaited() {
             return;
         }
-        if self.agents.is_starting(hint.service) {
-            self.park(now, flow);
-            return;
-        }
         if !hint.queued && !hint.candidates.is_empty() {
             hint.queued = true;
             hint.candidates.clear();
@@ -387,52 +369,6 @@
         self.refuse(flow, "no_agent");
     }
 
-    /// All agents of the service are starting or leaving: one of them may take
-    /// the flow as soon as its back end has registered again.
-    fn park(&mut self, now: Timestamp, flow: FlowId) {
-        let Some(hint) = self.hints.get_mut(flow) else {
-            return;
-        };
-        hint.candidates.clear();
-        if !hint.parked && self.parked.len() < MAX_PARKED {
-            hint.parked = true;
-            self.parked.push_back((now + PARK_LIMIT, flow));
-        }
-    }
-
-    /// Offers parked flows again after agents told something new.
-    fn retry_parked(&mut self, now: Timestamp) {
-        let flows: Vec<FlowId> = self.parked.iter().map(|(_, flow)| *flow).collect();
-        for flow in flows {
-            let Some(hint) = self.hints.get_mut(flow) else {
-                continue;
-            };
-            let is_idle = hint.accepted().is_none() && !hint.is_awaited();
-            if hint.parked && is_idle && !self.agents.is_starting(hint.service) {
-                self.ask_next(now, flow);
-            }
-        }
-    }
-
-    /// Refuses parked flows that nobody has taken in time.
-    fn expire_parked(&mut self, now: Timestamp) {
-        while let Some((limit, flow)) = self.parked.front().copied() {
-            if now < limit {
-                return;
-            }
-            self.parked.pop_front();
-            let Some(hint) = self.hints.get_mut(flow) else {
-                continue;
-            };
-            hint.parked = false;
-            let is_idle = hint.accepted().is_none() && !hint.is_awaited();
-            if is_idle && hint.opening.is_some() {
-                self.hints.remove(flow);
-                self.refuse(flow, "no_agent_ready");
-            }
-        }
-    }
-
     fn refuse(&mut self, flow: FlowId, reason: &str) {
         self.counters.refused += 1;
         let version = self.routes.version();
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -49,8 +49,6 @@
     pub(super) offered_at: Option<Timestamp>,
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
-    /// Whether it waits until an agent of the service is ready.
-    pub(super) parked: bool,
     pub(super) ended: bool,
     pub(super) used_at: Timestamp,
 }
@@ -68,7 +66,6 @@
             seeks: 0,
             offered_at: None,
             queued: false,
-            parked: false,
             ended: false,
             used_at: now,
         }
