Say not ready when nobody answers a balancer

Ruled out: agents (declined as full by turns only). Change: a balancer asks replicas after 300 ms of silence, and is not ready after 600 ms.

--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -31,6 +31,10 @@
 const MAX_ASKED: usize = 4;
 /// Agents that are asked to queue a flow.
 const MAX_QUEUE_ASKED: usize = 2;
+/// When nobody was heard for so long, replicas are asked.
+const SILENCE_LIMIT: Duration = Duration::from_millis(300);
+/// When nobody was heard for so long, the balancer counts as cut off.
+const ISOLATION_LIMIT: Duration = Duration::from_millis(600);
 /// Between two sweeps over the hints.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Between two questions for the newest version before the first answer.
@@ -111,6 +115,9 @@
     confirmed_version: Option<u64>,
     current: bool,
     follow_at: Timestamp,
+    followed_at: Timestamp,
+    /// When another process was heard last.
+    heard_at: Timestamp,
     /// Before this, no replica is asked for a newer configuration.
     fetch_at: Timestamp,
     sweep_at: Timestamp,
@@ -146,6 +153,8 @@
             confirmed_version: None,
             current: false,
             follow_at: now,
+            followed_at: now,
+            heard_at: now,
             fetch_at: now,
             sweep_at: now + SWEEP_INTERVAL,
             active_at: now,
@@ -163,9 +172,17 @@
     }
 
     /// Whether new flows may come: the newest configuration was confirmed in
-    /// this life, there is one, and no stop was asked for.
-    pub fn is_ready(&self) -> bool {
-        self.current && self.routes.version() > 0 && self.stop_at.is_none()
+    /// this life, there is one, no stop was asked for, and some other process
+    /// was heard lately.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        let is_set_up = self.current && self.routes.version() > 0;
+        is_set_up && self.stop_at.is_none() && !self.is_isolated(now)
+    }
+
+    /// Whether nobody answers any more, neither agents nor replicas. Callers
+    /// are better off with another balancer.
+    fn is_isolated(&self, now: Timestamp) -> bool {
+        now.saturating_since(self.heard_at) >= ISOLATION_LIMIT
     }
 
     /// Whether a planned stop is complete.
@@ -227,6 +244,7 @@
     /// Takes a message of an agent or replica.
     pub fn handle_message(&mut self, now: Timestamp, from: SocketAddrV4, body: PassThroughBody) {
         self.observe_clock(now);
+        self.heard_at = now;
         match body {
             PassThroughBody::Accepted(accepted) => self.handle_accepted(now, from, &accepted),
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
@@ -256,7 +274,7 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
         }
-        if now >= self.follow_at {
+        if now >= self.follow_at.min(self.silence_check_at()) {
             self.follow(now);
         }
         if self.stop_at.is_some_and(|at| now >= at) && !self.stopped {
@@ -271,6 +289,7 @@
         let timers = [
             Some(self.sweep_at),
             Some(self.follow_at),
+            Some(self.silence_check_at()),
             awaited,
             self.stop_at,
         ];
@@ -606,7 +625,13 @@
         }
     }
 
+    /// When replicas are asked because nobody has been heard for a while.
+    fn silence_check_at(&self) -> Timestamp {
+        (self.heard_at + SILENCE_LIMIT).max(self.followed_at + REPAIR_INTERVAL)
+    }
+
     fn follow(&mut self, now: Timestamp) {
+        self.followed_at = now;
         let interval = match self.current && !self.routes.is_partial() {
             true => self.settings.follow_interval,
             false => CONFIRM_INTERVAL,
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -118,7 +118,7 @@
         ] {
             self.balancer.handle_message(self.now, REPLICA, body);
         }
-        assert!(self.balancer.is_ready());
+        assert!(self.balancer.is_ready(self.now));
     }
 
     fn start_agent(&mut self, index: u8) {
@@ -482,3 +482,19 @@
         "{received} packets at back ends that have no flow"
     );
 }
+
+#[test]
+fn a_balancer_that_nobody_answers_is_not_ready() {
+    let mut world = World::new(2, 4);
+    world.frozen = vec![agent_address(1), agent_address(2)];
+    world.run(500 * MILLI);
+    assert!(
+        world.balancer.is_ready(world.now),
+        "a short silence is nothing"
+    );
+    world.run(200 * MILLI);
+    assert!(!world.balancer.is_ready(world.now));
+    world.frozen.clear();
+    world.open(1, 0);
+    assert!(world.balancer.is_ready(world.now), "an agent answered");
+}
--- a/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_core::EventKind;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
     Contacts, PacketCodec, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
 };
+use petrellatch_core::{EventKind, Timestamp};
 use std::time::Duration;
 
 use crate::error::ProgramError;
@@ -79,7 +79,7 @@
         for token in wakeup.tokens {
             let received = http.handle_event(now, event_loop.poll.registry(), token);
             serve_requests(now, &mut http, &interface, received, |_, call| {
-                Some(answer(&balancer, &call))
+                Some(answer(now, &balancer, &call))
             });
         }
         if wakeup.expire {
@@ -99,7 +99,7 @@
                 PassThroughOutput::ToBackend(_) => {}
             }
         }
-        event_loop.note_ready(balancer.is_ready(), || {
+        event_loop.note_ready(balancer.is_ready(now), || {
             format!("version={}", balancer.version())
         });
     }
@@ -115,10 +115,14 @@
     Ok(())
 }
 
-fn answer<C: PacketCodec>(balancer: &PassThroughBalancer<C>, call: &Call) -> CallAnswer {
+fn answer<C: PacketCodec>(
+    now: Timestamp,
+    balancer: &PassThroughBalancer<C>,
+    call: &Call,
+) -> CallAnswer {
     match call {
         Call::Readiness => CallAnswer::Readiness {
-            ready: balancer.is_ready(),
+            ready: balancer.is_ready(now),
         },
         _ => CallAnswer::NotServed,
     }
