Forget flows that never open, and bound the number of hints

Cause: reading the code: a hint of a flow that its caller never opened stayed for 60 s, and nothing bounded their number; a flood of opening packets would have filled the memory. Change: such flows are forgotten after 3 s; 524,288 hints at most, beyond which openings are refused at once. Figures: the new test was red before (501 or more hints left after 5 s by its construction, not measured).

--- a/crates/petrellatch-core/src/pass_through/balancer.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer.rs
@@ -319,6 +319,9 @@
                 self.carry(agent, service, CarryReason::Open, packet.to_vec());
                 return;
             }
+        } else if self.hints.is_full() {
+            self.refuse(flow, "too_many_flows");
+            return;
         } else {
             self.hints.insert(flow, FlowHint::new(now, service));
         }
@@ -448,6 +451,9 @@
     /// Asks the agents who has a flow; its packet waits for the answer.
     fn seek(&mut self, now: Timestamp, view: &PacketView, service: u64, packet: &[u8]) {
         self.counters.sought += 1;
+        if self.hints.is_full() {
+            return;
+        }
         let flow = view.flow_from_caller();
         let all = self.agents.len() <= SEEK_ALL_LIMIT;
         let agents = self.agents.addresses((!all).then_some(service));
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -11,7 +11,10 @@
 /// How far a caller's acknowledgement may be ahead of the first sequence
 /// number of the back end that it belongs to.
 const SEQUENCE_WINDOW: u32 = 1 << 22;
-/// A flow that its caller has ended is forgotten after this.
+/// Most flows that are remembered. More would be a flood, or need more
+/// balancers.
+const MAX_HINTS: usize = 1 << 19;
+/// A flow that its caller has ended, or never opened, is forgotten after this.
 const ENDED_LIMIT: Duration = Duration::from_secs(3);
 
 /// How an agent answered the opening packet of a flow.
@@ -140,11 +143,18 @@
         self.hints.len()
     }
 
-    /// Forgets flows that are over, or that rested for `idle_limit`.
+    /// Whether no more flows can be remembered.
+    pub(super) fn is_full(&self) -> bool {
+        self.hints.len() >= MAX_HINTS
+    }
+
+    /// Forgets flows that are over or never opened, and those that rested for
+    /// `idle_limit`.
     pub(super) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
         self.hints.retain(|_, hint| {
             let rest = now.saturating_since(hint.used_at);
-            rest < if hint.ended { ENDED_LIMIT } else { idle_limit }
+            let is_open = hint.owner.is_some() && !hint.ended;
+            rest < if is_open { idle_limit } else { ENDED_LIMIT }
         });
     }
 }
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -498,3 +498,19 @@
     world.open(1, 0);
     assert!(world.balancer.is_ready(world.now), "an agent answered");
 }
+
+#[test]
+fn flows_that_never_open_are_soon_forgotten() {
+    let mut world = World::new(2, 4);
+    for port in 1..=500 {
+        world.open(port, 0);
+        world.request(port + 500, agent_address(1));
+    }
+    world.run(200 * MILLI);
+    world.open(2_000, 0);
+    let agent = world.answered_by(2_000).expect("an answer");
+    world.request(2_000, agent);
+    world.run(Duration::from_secs(5));
+    let (flows, _) = world.balancer.sizes();
+    assert_eq!(flows, 1, "only the open one is left");
+}
