--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -53,6 +53,21 @@
     pub stop_limit: Duration,
 }
 
+/// Counters of an agent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PassThroughAgentCounters {
+    /// New flows handed to the back end.
+    pub admitted: u64,
+    /// Packets of open flows handed to the back end.
+    pub delivered: u64,
+    /// New flows that were declined, by reason.
+    pub declined: BTreeMap<DeclineReason, u64>,
+    /// Packets that the back end returned.
+    pub returned: u64,
+    /// Packets of the back end that could not be read.
+    pub malformed: u64,
+}
+
 /// The state machine of an agent.
 #[derive(Debug)]
 pub struct PassThroughAgent<C> {
@@ -73,6 +88,7 @@
     unheard: bool,
     stop_at: Option<Timestamp>,
     stopped: bool,
+    counters: PassThroughAgentCounters,
     outputs: VecDeque<PassThroughOutput>,
 }
 
@@ -102,6 +118,7 @@
             unheard: true,
             stop_at: None,
             stopped: false,
+            counters: PassThroughAgentCounters::default(),
             outputs: VecDeque::new(),
         }
     }
@@ -121,6 +138,17 @@
         self.stopped
     }
 
+    /// Counters since the start.
+    pub fn counters(&self) -> &PassThroughAgentCounters {
+        &self.counters
+    }
+
+    /// Requests that wait for their answers, and how many the back end works
+    /// on at once.
+    pub fn load(&self) -> (u32, u32) {
+        (self.flows.busy(), self.registration.capacity())
+    }
+
     /// Takes a call of the back end. Once this returns the caller may
     /// acknowledge it: no new flow is admitted against what it said.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) {
@@ -161,9 +189,11 @@
     /// Takes a packet that the back end sent.
     pub fn handle_backend_packet(&mut self, now: Timestamp, packet: &[u8]) {
         let Some(view) = self.codec.view(packet) else {
+            self.counters.malformed += 1;
             return;
         };
         if view.returned {
+            self.counters.returned += 1;
             self.handle_returned(&view);
             return;
         }
@@ -323,6 +353,7 @@
             self.decline(now, from, flow, reason);
             return;
         }
+        self.counters.admitted += 1;
         self.flows
             .note_from_caller(now, flow, from, CallerPacket::Opening);
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
@@ -336,6 +367,7 @@
             } => CallerPacket::Request,
             _ => CallerPacket::Established,
         };
+        self.counters.delivered += 1;
         self.flows
             .note_from_caller(now, view.flow_from_caller(), from, meaning);
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
@@ -370,7 +402,7 @@
     fn tell_accepted(&mut self, now: Timestamp, id: FlowId, sequence: u32) {
         let balancer = self.flows.get(id).and_then(|flow| flow.balancer);
         let Some(balancer) = balancer else { return };
-        let load = self.load(now);
+        let load = self.load_message(now);
         let accepted = Accepted {
             flow: id.into(),
             sequence,
@@ -389,7 +421,8 @@
     }
 
     fn decline(&mut self, now: Timestamp, to: SocketAddrV4, flow: FlowId, reason: DeclineReason) {
-        let load = self.load(now);
+        *self.counters.declined.entry(reason).or_default() += 1;
+        let load = self.load_message(now);
         let busy = load.busy;
         let subject = format!("flow={flow} reason={reason:?} busy={busy}");
         self.emit_event(EventKind::FlowDeclined, subject);
@@ -401,7 +434,7 @@
         self.send(to, PassThroughBody::Declined(declined));
     }
 
-    fn load(&self, now: Timestamp) -> LoadMessage {
+    fn load_message(&self, now: Timestamp) -> LoadMessage {
         LoadMessage {
             busy: self.flows.busy(),
             capacity: self.registration.capacity(),
@@ -451,7 +484,7 @@
             service: self.settings.service.clone(),
             zone: self.settings.zone.clone(),
             state: state.into(),
-            load: self.load(now),
+            load: self.load_message(now),
             complete: self.is_complete(now),
         };
         for replica in self.contacts.all() {
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -34,7 +34,7 @@
 mod route_table;
 mod seek_budget;
 
-pub use agent::{PassThroughAgent, PassThroughAgentSettings};
+pub use agent::{PassThroughAgent, PassThroughAgentCounters, PassThroughAgentSettings};
 pub use balancer::{PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerSettings};
 pub use configuration::{Configuration, ConfigurationError};
 pub use configuration_node::{
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -144,7 +144,7 @@
 }
 
 /// Why an opening packet was not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
 #[repr(i32)]
 pub enum DeclineReason {
     /// Not given.
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -1,5 +1,6 @@
 //! The process of an agent.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 };
 use super::interface::{Call, CallAnswer, Interface};
 use super::message_socket::MessageSocket;
+use super::metrics::agent_metrics;
 use super::settings::{AgentAddresses, PassThroughSettings};
 use super::settings_watcher::SettingsWatcher;
 
@@ -75,8 +77,10 @@
         for token in wakeup.tokens {
             for http in &mut http {
                 let received = http.handle_event(now, event_loop.poll.registry(), token);
-                serve_requests(now, http, &interface, received, |_, call| {
-                    Some(answer(now, &mut agent, call))
+                let agent = RefCell::new(&mut agent);
+                let metrics = || agent_metrics(&agent.borrow());
+                serve_requests(now, http, &interface, received, metrics, |_, call| {
+                    Some(answer(now, &mut agent.borrow_mut(), call))
                 });
             }
         }
--- a/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
@@ -18,6 +18,7 @@
 };
 use super::interface::{Call, CallAnswer, Interface};
 use super::message_socket::MessageSocket;
+use super::metrics::balancer_metrics;
 use super::settings::{BalancerAddresses, PassThroughSettings};
 use super::settings_watcher::SettingsWatcher;
 
@@ -78,7 +79,8 @@
         more = from_messages == Batch::Full || from_packets == Batch::Full;
         for token in wakeup.tokens {
             let received = http.handle_event(now, event_loop.poll.registry(), token);
-            serve_requests(now, &mut http, &interface, received, |_, call| {
+            let metrics = || balancer_metrics(&balancer);
+            serve_requests(now, &mut http, &interface, received, metrics, |_, call| {
                 Some(answer(now, &balancer, &call))
             });
         }
--- a/crates/petrellatch/src/runtime/pass_through/event_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -26,6 +26,8 @@
 pub(super) const FIRST_CONNECTION: usize = 1 << 8;
 pub(super) const FIRST_SECOND_CONNECTION: usize = 1 << 40;
 
+/// Where every process tells its metrics.
+const METRICS_PATH: &str = "/metrics";
 /// The longest wait; a signal to another thread is noticed by then.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 /// Most events taken in one go.
@@ -140,12 +142,18 @@
     server: &mut EventServer,
     interface: &I,
     received: Vec<ReceivedRequest>,
+    metrics: impl Fn() -> HttpResponse,
     mut handle: impl FnMut(&ReceivedRequest, Call) -> Option<CallAnswer>,
 ) -> Vec<String> {
     let mut refusals = Vec::new();
     let mut queue = received;
     while let Some(received) = queue.pop() {
-        let response: Option<HttpResponse> = match interface.call(&received.request) {
+        let call = match received.request.path.as_str() {
+            METRICS_PATH => Err(metrics()),
+            _ => interface.call(&received.request),
+        };
+        let response: Option<HttpResponse> = match call {
+            Err(answer) if answer.status == 200 => Some(answer),
             Err(refusal) => {
                 refusals.push(describe_refusal(&received.request, &refusal));
                 Some(refusal)
--- a/crates/petrellatch/src/runtime/pass_through/mod.rs
+++ b/crates/petrellatch/src/runtime/pass_through/mod.rs
@@ -12,6 +12,7 @@
 mod event_loop;
 mod interface;
 mod message_socket;
+mod metrics;
 mod replica_loop;
 mod retrying_log_writer;
 mod settings;
@@ -23,6 +24,7 @@
 use crate::error::ProgramError;
 
 pub use self::interface::{Call, CallAnswer, Interface};
+pub use self::metrics::METRIC_NAMES;
 pub use self::settings::{
     AgentAddresses, BalancerAddresses, PassThroughRole, PassThroughSettings, ReplicaAddresses,
 };
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -1,5 +1,6 @@
 //! The process of a configuration replica.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 };
 use super::interface::{Call, CallAnswer, Interface};
 use super::message_socket::MessageSocket;
+use super::metrics::replica_metrics;
 use super::retrying_log_writer::{RetryingLogWriter, WriteOutcome};
 use super::settings::{PassThroughSettings, ReplicaAddresses};
 use super::settings_watcher::SettingsWatcher;
@@ -110,21 +112,23 @@
             requests.extend(http.handle_event(now, event_loop.poll.registry(), token));
         }
         if !requests.is_empty() {
+            let node = RefCell::new(&mut node);
+            let metrics = || replica_metrics(&node.borrow());
             let handle = |received: &ReceivedRequest, call| {
                 let request = match call {
                     Call::Replace(configuration) => ConfigurationRequest::Replace(configuration),
                     Call::Read => ConfigurationRequest::Read,
-                    Call::Readiness => return Some(readiness(&node)),
+                    Call::Readiness => return Some(readiness(&node.borrow())),
                     Call::Register(_) | Call::Withdraw { .. } => {
                         return Some(CallAnswer::NotServed);
                     }
                 };
                 next_token += 1;
                 waiting.insert(next_token, wait_for(received));
-                node.handle_request(now, next_token, request);
+                node.borrow_mut().handle_request(now, next_token, request);
                 None
             };
-            for refusal in serve_requests(now, &mut http, &interface, requests, handle) {
+            for refusal in serve_requests(now, &mut http, &interface, requests, metrics, handle) {
                 let kind = EventKind::ReplacementRefused;
                 event_loop.log.note(now, kind, refusal);
             }
--- a/crates/petrellatch/tests/catalogues.rs
+++ b/crates/petrellatch/tests/catalogues.rs
@@ -133,3 +133,15 @@
     let backend = documented_fields("| field of a back end |");
     assert_eq!(backend, keys(&document.backends[0]));
 }
+
+#[test]
+fn the_metrics_of_the_pass_through_tier_are_documented() {
+    let documented = rows("API.md");
+    for name in petrellatch::runtime::pass_through::METRIC_NAMES {
+        let cell = format!("| `{name}` |");
+        assert!(
+            documented.iter().any(|row| row.starts_with(&cell)),
+            "{name}"
+        );
+    }
+}
