--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -1,6 +1,7 @@
 //! What replicas tell: configuration, agents and the group.
 
 use super::*;
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     pub(super) fn handle_group(&mut self, now: Timestamp, from: SocketAddrV4, group: &Group) {
         self.contacts.handle_group(group);
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -1,6 +1,7 @@
 //! Packets of open flows, and the search for flows that are not known.
 
 use super::*;
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     pub(super) fn handle_established(&mut self, now: Timestamp, view: &PacketView, packet: &[u8]) {
         let flow = view.flow_from_caller();
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -1,6 +1,7 @@
 //! New flows: which agent is asked, and what its answer leads to.
 
 use super::*;
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     pub(super) fn handle_opening(&mut self, now: Timestamp, view: &PacketView, packet: &[u8]) {
         let flow = view.flow_from_caller();
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -1,6 +1,7 @@
 //! What balancers and agents tell and are told.
 
 use super::*;
+
 impl ConfigurationNode {
     pub(super) fn handle_report(&mut self, now: Timestamp, from: SocketAddrV4, report: Report) {
         let wants_group = report.sequence % REPORTS_PER_GROUP == 1;
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -1,6 +1,7 @@
 //! What the node does with the outputs of its replica.
 
 use super::*;
+
 impl ConfigurationNode {
     /// Carries out the replica's outputs.
     pub(super) fn drain(&mut self, now: Timestamp) {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
@@ -1,6 +1,7 @@
 //! Replacements and reads, from the request to the answer.
 
 use super::*;
+
 impl ConfigurationNode {
     pub(super) fn handle_replace(
         &mut self,
