Admit beside a back end that is alive before it has called a new agent

Change: packets of the back end, returned ones too, are a sign of life. Until two call intervals after its start an agent then admits up to four requests; what the back end says of itself goes before it. Three tests, two of them red before.

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -43,6 +43,10 @@
     pub report_interval: Duration,
     /// A back end that was silent for so long gets no new flows.
     pub silence_limit: Duration,
+    /// After its start an agent admits for so long beside a back end that has
+    /// not called yet, if packets show that it is alive. A back end that leaves
+    /// gets new flows for at most this long after a restart of its agent.
+    pub provisional_limit: Duration,
     /// A flow that rested for so long is forgotten; also how long a flow may
     /// last, after which a new life of the agent knows all flows.
     pub flow_lifetime: Duration,
@@ -103,11 +107,11 @@
     ) -> Self {
         PassThroughAgent {
             service: service_digest(&settings.service),
+            registration: RegistrationState::new(now + settings.provisional_limit),
             settings,
             codec,
             incarnation,
             contacts,
-            registration: RegistrationState::default(),
             flows: AgentFlows::default(),
             balancers: BTreeMap::new(),
             started_at: now,
@@ -192,12 +196,13 @@
             self.counters.malformed += 1;
             return;
         };
+        self.registration.note_alive(now);
         if view.returned {
             self.counters.returned += 1;
             self.handle_returned(&view);
+            self.report_if_changed(now);
             return;
         }
-        self.registration.note_alive(now);
         let flow = view.flow_from_backend();
         self.outputs.push_back(PassThroughOutput::ToCaller {
             address: *flow.caller.ip(),
@@ -222,6 +227,7 @@
             _ => BackendPacket::Established,
         };
         self.flows.note_from_backend(now, flow, meaning);
+        self.report_if_changed(now);
         if view.synchronize && !answered_before {
             self.tell_accepted(now, flow, view.sequence);
         }
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -7,6 +7,9 @@
 
 use crate::time::Timestamp;
 
+/// Requests that a back end which has not called yet is taken to work on at
+/// once. One that has fewer slots queues or returns the rest.
+const PROVISIONAL_CAPACITY: u32 = 4;
 /// How many departed back ends are remembered, so that a late call of one of
 /// them does not bring it back.
 const MAX_DEPARTED: usize = 16;
@@ -27,9 +30,13 @@
 }
 
 /// What an agent knows of its back end from the calls.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RegistrationState {
     current: Option<Current>,
+    /// Whether packets show that a back end is alive that has not called.
+    seen_alive: bool,
+    /// Until when such a back end is offered.
+    provisional_until: Timestamp,
     departed: VecDeque<String>,
 }
 
@@ -44,6 +51,17 @@
 }
 
 impl RegistrationState {
+    /// Starts without a back end. Until `provisional_until` one that is alive
+    /// is offered although it has not called.
+    pub fn new(provisional_until: Timestamp) -> RegistrationState {
+        RegistrationState {
+            current: None,
+            seen_alive: false,
+            provisional_until,
+            departed: VecDeque::new(),
+        }
+    }
+
     /// Takes a call. Returns whether it changed what the agent offers.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) -> bool {
         if self.departed.contains(&call.id) {
@@ -88,6 +106,7 @@
 
     /// Notes that the back end gave another sign of life.
     pub fn note_alive(&mut self, now: Timestamp) {
+        self.seen_alive = true;
         if let Some(current) = &mut self.current {
             current.heard_at = now;
         }
@@ -99,13 +118,18 @@
         match &self.current {
             Some(current) if current.draining => AgentState::Draining,
             Some(current) if now.saturating_since(current.heard_at) < limit => AgentState::Ready,
+            None if self.seen_alive && now < self.provisional_until => AgentState::Ready,
             Some(_) | None => AgentState::Empty,
         }
     }
 
     /// Requests that the back end works on at once.
     pub fn capacity(&self) -> u32 {
-        self.current.as_ref().map_or(0, |current| current.capacity)
+        match &self.current {
+            Some(current) => current.capacity,
+            None if self.seen_alive => PROVISIONAL_CAPACITY,
+            None => 0,
+        }
     }
 
     /// Whether the back end still warms up.
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -129,6 +129,7 @@
             service: SERVICE.to_owned(),
             report_interval: Duration::from_millis(500),
             silence_limit: Duration::from_secs(6),
+            provisional_limit: Duration::from_secs(2),
             flow_lifetime: Duration::from_secs(60),
             queue_factor: 3,
             stop_limit: Duration::from_secs(2),
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -6,3 +6,4 @@
 mod daemons;
 mod formation;
 mod group;
+mod restarted_agents;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -0,0 +1,135 @@
+//! Agents that start again beside a back end that went on.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, PacketView, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
+    Registration,
+};
+use petrellatch_proto::pass_through::{
+    AgentState, Carry, CarryReason, DeclineReason, PassThroughBody,
+};
+
+use super::codec::{TestCodec, empty, encode};
+
+const SERVICE: &str = "desk";
+const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
+const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80);
+const PROVISIONAL_LIMIT: Duration = Duration::from_millis(2_000);
+
+type Agent = PassThroughAgent<TestCodec>;
+
+fn start_agent(now: Timestamp) -> Agent {
+    let settings = PassThroughAgentSettings {
+        address: AGENT,
+        zone: "a".to_owned(),
+        service: SERVICE.to_owned(),
+        report_interval: Duration::from_millis(500),
+        silence_limit: Duration::from_secs(6),
+        provisional_limit: PROVISIONAL_LIMIT,
+        flow_lifetime: Duration::from_secs(60),
+        queue_factor: 2,
+        stop_limit: Duration::from_secs(2),
+    };
+    let incarnation = Incarnation(now.as_micros());
+    let contacts = Contacts::new(vec![REPLICA]);
+    PassThroughAgent::new(now, settings, TestCodec, incarnation, contacts)
+}
+
+fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port)
+}
+
+fn register(agent: &mut Agent, now: Timestamp, call_number: u64, draining: bool) {
+    let call = Registration {
+        id: "backend-1".to_owned(),
+        call_number,
+        capacity: 4,
+        draining,
+        cold: Duration::ZERO,
+    };
+    agent.handle_registration(now, &call);
+}
+
+/// Offers a new flow; returns why it was declined, or `None` if the back end
+/// got it.
+fn open(agent: &mut Agent, now: Timestamp, port: u16) -> Option<DeclineReason> {
+    let opening = PacketView {
+        synchronize: true,
+        ..empty(caller(port), ROUTE)
+    };
+    let carry = Carry {
+        service: petrellatch_core::pass_through::service_digest(SERVICE),
+        reason: CarryReason::Open.into(),
+        packet: encode(&opening),
+    };
+    outputs(agent);
+    agent.handle_message(now, BALANCER, PassThroughBody::Carry(carry));
+    for output in outputs(agent) {
+        match output {
+            PassThroughOutput::ToBackend(_) => return None,
+            PassThroughOutput::Send {
+                body: PassThroughBody::Declined(declined),
+                ..
+            } => return Some(declined.reason()),
+            _ => {}
+        }
+    }
+    panic!("neither admitted nor declined");
+}
+
+fn outputs(agent: &mut Agent) -> Vec<PassThroughOutput> {
+    std::iter::from_fn(|| agent.poll_output()).collect()
+}
+
+/// The back end repeats data of a flow that it had before the agent started.
+fn let_backend_speak(agent: &mut Agent, now: Timestamp) {
+    let data = PacketView {
+        acknowledge: true,
+        data_bytes: 100,
+        ..empty(ROUTE, caller(9))
+    };
+    agent.handle_backend_packet(now, &encode(&data));
+}
+
+#[test]
+fn an_agent_admits_for_a_while_beside_a_back_end_that_is_alive() {
+    let start = Timestamp::from_millis(10_000);
+    let mut agent = start_agent(start);
+    assert_eq!(open(&mut agent, start, 1), Some(DeclineReason::NoBackend));
+    let now = start + Duration::from_millis(100);
+    let_backend_speak(&mut agent, now);
+    assert_eq!(open(&mut agent, now, 2), None, "its back end is alive");
+    let later = start + PROVISIONAL_LIMIT;
+    let_backend_speak(&mut agent, later);
+    assert_eq!(open(&mut agent, later, 3), Some(DeclineReason::NoBackend));
+}
+
+#[test]
+fn what_the_back_end_says_of_itself_goes_before_its_signs_of_life() {
+    let start = Timestamp::from_millis(10_000);
+    let mut agent = start_agent(start);
+    let_backend_speak(&mut agent, start);
+    register(&mut agent, start, 7, true);
+    let_backend_speak(&mut agent, start);
+    assert_eq!(open(&mut agent, start, 1), Some(DeclineReason::Draining));
+}
+
+#[test]
+fn a_new_agent_tells_at_once_that_its_back_end_is_alive() {
+    let start = Timestamp::from_millis(10_000);
+    let mut agent = start_agent(start);
+    agent.handle_timeout(start);
+    outputs(&mut agent);
+    let_backend_speak(&mut agent, start + Duration::from_millis(1));
+    let ready = outputs(&mut agent).into_iter().any(|output| {
+        matches!(output, PassThroughOutput::Send { body: PassThroughBody::Report(report), .. }
+            if report.state() == AgentState::Ready)
+    });
+    assert!(ready);
+}
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -28,6 +28,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// A back end that missed so many registrations gets no new flows.
 const MISSED_REGISTRATIONS: u32 = 5;
+/// A new agent waits so many intervals for its back end's first registration
+/// while it admits because the back end is alive.
+const PROVISIONAL_REGISTRATIONS: u32 = 2;
 /// A full agent queues so many requests for each slot, if all others are full.
 const QUEUE_FACTOR: u32 = 2;
 /// How long a stopping agent waits for its flows, at most half of the stop
@@ -146,6 +149,7 @@
         service: addresses.service.clone(),
         report_interval: REPORT_INTERVAL,
         silence_limit: addresses.registration_interval * MISSED_REGISTRATIONS,
+        provisional_limit: addresses.registration_interval * PROVISIONAL_REGISTRATIONS,
         flow_lifetime: settings.flow_lifetime,
         queue_factor: QUEUE_FACTOR,
         stop_limit: STOP_WAIT.min(settings.stop_limit / 2),
