Recall at a new agent which back ends leave

Cause: the users' news: some back ends send DELETE without draining first, and heartbeats may come seconds late. An agent that started between the two forgot the goodbye, took the late call and admitted to a back end that leaves for up to 6 s. Ruled out: a file (those machines have no disk), and waiting for a second call (1.2 s without flows after each restart). Change: agents report digests of back ends that leave; replicas keep them for 60 s and tell them to the next life of that agent. If one of its machine has left, packets are no sign that another one is alive. Not covered: all replicas and the agent restart between goodbye and late call.

--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -222,6 +222,7 @@
             state: AgentState::Ready.into(),
             load: LoadMessage::default(),
             complete: true,
+            leaving: Vec::new(),
         },
         age_millis: 0,
     };
--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -184,7 +184,9 @@
             PassThroughBody::Seek(seek) => self.handle_seek(now, from, &seek),
             PassThroughBody::Group(group) => {
                 self.contacts.handle_group(&group);
+                self.registration.recall(&group.leaving);
                 self.unheard = false;
+                self.report_if_changed(now);
             }
             _ => {}
         }
@@ -492,6 +494,7 @@
             state: state.into(),
             load: self.load_message(now),
             complete: self.is_complete(now),
+            leaving: self.registration.leaving(),
         };
         for replica in self.contacts.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -5,13 +5,17 @@
 impl ConfigurationNode {
     pub(super) fn handle_report(&mut self, now: Timestamp, from: SocketAddrV4, report: Report) {
         let wants_group = report.sequence % REPORTS_PER_GROUP == 1;
+        let agent = report.address;
         let news = self.followers.handle_report(now, report);
         if news {
             let at = now + DIRECTORY_DELAY;
             self.directory_at = Some(self.directory_at.map_or(at, |due| due.min(at)));
         }
         if news || wants_group {
-            let group = self.group();
+            let group = Group {
+                leaving: self.followers.leaving(agent),
+                ..self.group()
+            };
             self.send(from, PassThroughBody::Group(group));
         }
     }
@@ -49,6 +53,7 @@
             index: self.replica.membership_index(),
             version: self.configuration().version,
             directory_revision: self.followers.revision(),
+            leaving: Vec::new(),
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/digest.rs
+++ b/crates/petrellatch-core/src/pass_through/digest.rs
@@ -6,9 +6,21 @@
 
 use super::packet::FlowId;
 
+const SERVICE_SALT: u64 = 0;
+const BACKEND_SALT: u64 = 1;
+
 /// The number that stands for a service in packets between processes.
 pub fn service_digest(name: &str) -> u64 {
-    let mut hasher = SipHasher13::new_with_keys(0, 1);
+    name_digest(name, SERVICE_SALT)
+}
+
+/// The number that stands for one life of a back end between processes.
+pub(super) fn backend_digest(id: &str) -> u64 {
+    name_digest(id, BACKEND_SALT)
+}
+
+fn name_digest(name: &str, salt: u64) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(salt, 1);
     hasher.write(name.as_bytes());
     hasher.finish()
 }
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -19,6 +19,11 @@
 const FOLLOWER_LIMIT: Duration = Duration::from_secs(10);
 /// An agent that did not report for so long is forgotten.
 const AGENT_LIMIT: Duration = Duration::from_secs(5);
+/// A back end that leaves is remembered for so long after its agent told of it
+/// last.
+const LEAVING_MEMORY: Duration = Duration::from_secs(60);
+/// Most back ends that are remembered for one agent.
+const MAX_LEAVING_KEPT: usize = 8;
 /// Changes that are kept for balancers that are a little behind.
 const KEPT_CHANGES: usize = 64;
 /// A balancer that misses more gets the whole configuration.
@@ -33,11 +38,20 @@
     heard_at: Timestamp,
 }
 
+/// Digests of back ends that said to one agent that they leave.
+#[derive(Debug)]
+struct LeavingBackends {
+    digests: Vec<u64>,
+    told_at: Timestamp,
+}
+
 /// Soft state of a replica: who follows it, and which agents there are.
 #[derive(Debug, Default)]
 pub(super) struct Followers {
     followers: BTreeMap<SocketAddrV4, Timestamp>,
     agents: BTreeMap<u64, ReportedAgent>,
+    /// Back ends that leave, by the address of their agent, for its next lives.
+    leaving: BTreeMap<u64, LeavingBackends>,
     changes: VecDeque<ConfigurationChange>,
     /// Revision of the directory: changes of this life in the lower half.
     revision: u64,
@@ -72,7 +86,9 @@
     }
 
     /// Takes a report. Returns whether balancers should know at once.
-    pub(super) fn handle_report(&mut self, now: Timestamp, report: Report) -> bool {
+    pub(super) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
+        let leaving = std::mem::take(&mut report.leaving);
+        self.note_leaving(now, report.address, leaving);
         let known = self.agents.get(&report.address);
         if let Some(known) = known {
             let same_life = known.report.incarnation == report.incarnation;
@@ -94,7 +110,30 @@
         news
     }
 
+    /// What lives of the agent at `address` told of back ends that leave.
+    pub(super) fn leaving(&self, address: u64) -> Vec<u64> {
+        let leaving = self.leaving.get(&address);
+        leaving.map_or_else(Vec::new, |leaving| leaving.digests.clone())
+    }
+
+    fn note_leaving(&mut self, now: Timestamp, address: u64, digests: Vec<u64>) {
+        if digests.is_empty() {
+            return;
+        }
+        let known = self.leaving.entry(address).or_insert(LeavingBackends {
+            digests: Vec::new(),
+            told_at: now,
+        });
+        known.told_at = now;
+        known.digests.retain(|digest| !digests.contains(digest));
+        known.digests.extend(digests);
+        let excess = known.digests.len().saturating_sub(MAX_LEAVING_KEPT);
+        known.digests.drain(..excess);
+    }
+
     pub(super) fn expire(&mut self, now: Timestamp) {
+        self.leaving
+            .retain(|_, leaving| now.saturating_since(leaving.told_at) < LEAVING_MEMORY);
         self.followers
             .retain(|_, heard| now.saturating_since(*heard) < FOLLOWER_LIMIT);
         let is_gone = |agent: &ReportedAgent| now.saturating_since(agent.heard_at) >= AGENT_LIMIT;
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -7,12 +7,16 @@
 
 use crate::time::Timestamp;
 
+use super::digest::backend_digest;
+
 /// Requests that a back end which has not called yet is taken to work on at
 /// once. One that has fewer slots queues or returns the rest.
 const PROVISIONAL_CAPACITY: u32 = 4;
 /// How many departed back ends are remembered, so that a late call of one of
 /// them does not bring it back.
 const MAX_DEPARTED: usize = 16;
+/// How many of them the control group is told.
+const MAX_LEAVING_TOLD: usize = 4;
 
 /// One call of a back end.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,7 +41,8 @@
     seen_alive: bool,
     /// Until when such a back end is offered.
     provisional_until: Timestamp,
-    departed: VecDeque<String>,
+    /// Digests of back ends that must not be offered again.
+    departed: VecDeque<u64>,
 }
 
 #[derive(Debug)]
@@ -64,7 +69,7 @@
 
     /// Takes a call. Returns whether it changed what the agent offers.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) -> bool {
-        if self.departed.contains(&call.id) {
+        if self.departed.contains(&backend_digest(&call.id)) {
             return false;
         }
         let before = self.offer();
@@ -75,7 +80,7 @@
                 return false;
             }
         } else if let Some(former) = self.current.take() {
-            self.note_departed(former.id);
+            self.note_departed(backend_digest(&former.id));
         }
         self.current = Some(Current {
             id: call.id.clone(),
@@ -93,9 +98,7 @@
     /// the agent offers.
     pub fn handle_withdrawal(&mut self, id: &str) -> bool {
         let before = self.offer();
-        if !self.departed.iter().any(|departed| departed == id) {
-            self.note_departed(id.to_owned());
-        }
+        self.note_departed(backend_digest(id));
         if let Some(current) = &mut self.current
             && current.id == id
         {
@@ -118,11 +121,17 @@
         match &self.current {
             Some(current) if current.draining => AgentState::Draining,
             Some(current) if now.saturating_since(current.heard_at) < limit => AgentState::Ready,
-            None if self.seen_alive && now < self.provisional_until => AgentState::Ready,
+            None if self.is_provisional(now) => AgentState::Ready,
             Some(_) | None => AgentState::Empty,
         }
     }
 
+    /// Whether a back end is offered because packets show that it is alive. If
+    /// one of this machine has left, the packets may be its.
+    fn is_provisional(&self, now: Timestamp) -> bool {
+        self.seen_alive && self.departed.is_empty() && now < self.provisional_until
+    }
+
     /// Requests that the back end works on at once.
     pub fn capacity(&self) -> u32 {
         match &self.current {
@@ -143,8 +152,34 @@
         Some((current.id.clone(), current.draining))
     }
 
-    fn note_departed(&mut self, id: String) {
-        self.departed.push_back(id);
+    /// Back ends that said that they leave, the latest last.
+    pub fn leaving(&self) -> Vec<u64> {
+        let current = self.current.iter().filter(|current| current.draining);
+        let current = current.map(|current| backend_digest(&current.id));
+        let departed = self.departed.iter().copied();
+        let mut leaving: Vec<u64> = departed.chain(current).collect();
+        leaving.dedup();
+        leaving.split_off(leaving.len().saturating_sub(MAX_LEAVING_TOLD))
+    }
+
+    /// Takes back what a former life of the agent told with
+    /// [`RegistrationState::leaving`].
+    pub fn recall(&mut self, leaving: &[u64]) {
+        for digest in leaving {
+            self.note_departed(*digest);
+        }
+        if let Some(current) = &mut self.current
+            && leaving.contains(&backend_digest(&current.id))
+        {
+            current.draining = true;
+        }
+    }
+
+    fn note_departed(&mut self, digest: u64) {
+        if self.departed.contains(&digest) {
+            return;
+        }
+        self.departed.push_back(digest);
         if self.departed.len() > MAX_DEPARTED {
             self.departed.pop_front();
         }
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    Contacts, PacketView, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
-    Registration,
+    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, Contacts, PacketView,
+    PassThroughAgent, PassThroughAgentSettings, PassThroughOutput, Registration, node_at,
 };
 use petrellatch_proto::pass_through::{
     AgentState, Carry, CarryReason, DeclineReason, PassThroughBody,
@@ -97,6 +98,43 @@
     agent.handle_backend_packet(now, &encode(&data));
 }
 
+/// A replica that hears reports.
+fn replica(now: Timestamp) -> ConfigurationNode {
+    let founder = ReplicaId {
+        node: node_at(REPLICA),
+        incarnation: Incarnation(1),
+    };
+    let start = ReplicaStart {
+        id: founder.node,
+        incarnation: founder.incarnation,
+        seed: 1,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters([founder])),
+    };
+    ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start)
+}
+
+/// Lets the agent report, and the replica answer.
+fn exchange(agent: &mut Agent, replica: &mut ConfigurationNode, now: Timestamp) {
+    if agent.poll_timeout() <= now {
+        agent.handle_timeout(now);
+    }
+    for output in outputs(agent) {
+        if let PassThroughOutput::Send { to, body } = output
+            && to == REPLICA
+        {
+            replica.handle_message(now, AGENT, body);
+        }
+    }
+    while let Some(output) = replica.poll_output() {
+        if let ConfigurationOutput::Send { to, body } = output
+            && to == AGENT
+        {
+            agent.handle_message(now, REPLICA, body);
+        }
+    }
+}
+
 #[test]
 fn an_agent_admits_for_a_while_beside_a_back_end_that_is_alive() {
     let start = Timestamp::from_millis(10_000);
@@ -133,3 +171,27 @@
     });
     assert!(ready);
 }
+
+#[test]
+fn a_late_call_does_not_bring_a_back_end_back_at_the_next_life_of_its_agent() {
+    for withdrawn in [true, false] {
+        let start = Timestamp::from_millis(10_000);
+        let mut replica = replica(start);
+        let mut agent = start_agent(start);
+        register(&mut agent, start, 5, false);
+        exchange(&mut agent, &mut replica, start);
+        let left_at = start + Duration::from_millis(700);
+        match withdrawn {
+            true => agent.handle_withdrawal(left_at, "backend-1"),
+            false => register(&mut agent, left_at, 7, true),
+        }
+        exchange(&mut agent, &mut replica, left_at);
+
+        let restart = start + Duration::from_secs(3);
+        let mut agent = start_agent(restart);
+        exchange(&mut agent, &mut replica, restart);
+        register(&mut agent, restart, 6, false);
+        let declined = open(&mut agent, restart, 1);
+        assert!(declined.is_some(), "withdrawn: {withdrawn}");
+    }
+}
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -242,6 +242,9 @@
     /// not, the back end may have flows that the agent doesn't know.
     #[prost(bool, tag = "8")]
     pub complete: bool,
+    /// Digests of back ends that said that they leave, the latest last.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub leaving: Vec<u64>,
 }
 
 /// A balancer asks for news.
@@ -283,6 +286,10 @@
     /// and replicas differ.
     #[prost(uint64, tag = "4")]
     pub directory_revision: u64,
+    /// To an agent: what former lives of it reported as
+    /// [`Report::leaving`].
+    #[prost(fixed64, repeated, tag = "5")]
+    pub leaving: Vec<u64>,
 }
 
 /// One agent of a [`Directory`].
