Spread the daemons of a large fleet over the replicas

Ruled out: longer intervals alone (90 s between two questions of a balancer, which then learns of changes too late), and relays among balancers (97 to 115 KB/s each, docs/CAPACITY.md). Change: a balancer attaches to two replicas in an order of its own, leaves one that is silent for 250 ms or hears no leader, and is told of changes by those two; a leader is asked only for the confirmation at the start. Agents tell changes to all replicas at once, and that they are there as often as the replicas bear (50 reports a second each). A replica that starts takes the directory over from another one.

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -25,6 +25,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Between two reports after a change, until a replica shows that it heard.
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(60);
+/// The longest time between two reports that a replica may ask for.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
 /// Flows in one message about held flows.
 const HELD_FLOWS_PER_MESSAGE: usize = 200;
 /// A balancer that sent nothing for so long is not told about held flows.
@@ -39,7 +41,8 @@
     pub zone: String,
     /// The service of the back end beside it.
     pub service: String,
-    /// Between two reports to the control group.
+    /// Between two reports to the control group; the group may ask for a longer
+    /// time.
     pub report_interval: Duration,
     /// A back end that was silent for so long gets no new flows.
     pub silence_limit: Duration,
@@ -88,6 +91,8 @@
     report_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
+    /// Between two reports without news.
+    report_interval: Duration,
     /// Whether no replica has shown that it heard of the reported state.
     unheard: bool,
     stop_at: Option<Timestamp>,
@@ -107,6 +112,7 @@
     ) -> Self {
         PassThroughAgent {
             service: service_digest(&settings.service),
+            report_interval: settings.report_interval,
             registration: RegistrationState::new(now + settings.provisional_limit),
             settings,
             codec,
@@ -185,6 +191,7 @@
             PassThroughBody::Group(group) => {
                 self.contacts.handle_group(&group);
                 self.registration.recall(&group.leaving);
+                self.note_report_interval(group.report_interval_millis);
                 self.unheard = false;
                 self.report_if_changed(now);
             }
@@ -475,6 +482,13 @@
         self.report(now);
     }
 
+    /// Takes the interval that a replica bears, which grows with the number of
+    /// agents.
+    fn note_report_interval(&mut self, millis: u32) {
+        let told = Duration::from_millis(u64::from(millis)).min(MAX_REPORT_INTERVAL);
+        self.report_interval = told.max(self.settings.report_interval);
+    }
+
     fn report(&mut self, now: Timestamp) {
         self.report_number += 1;
         let state = self.state(now);
@@ -482,7 +496,7 @@
         self.reported_state = state;
         let interval = match self.unheard {
             true => URGENT_REPORT_INTERVAL,
-            false => self.settings.report_interval,
+            false => self.report_interval,
         };
         self.report_at = now + interval;
         let report = Report {
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -43,6 +43,9 @@
     same_zone: bool,
     incarnation: u64,
     sequence: u64,
+    /// When it made its latest report, or sent something else.
+    reported_at: Timestamp,
+    /// When it was heard last, or a replica said last that it is there.
     heard_at: Timestamp,
     load: LoadMessage,
     load_at: Timestamp,
@@ -151,20 +154,20 @@
             .map(|it| unpack_address(it.report.address));
         told.agents.extend(addresses);
         for entry in &change.agents {
-            let heard_at = now - Duration::from_millis(u64::from(entry.age_millis));
-            self.handle_report(heard_at, &entry.report);
+            let reported_at = now - Duration::from_millis(u64::from(entry.age_millis));
+            self.handle_report(now, reported_at, &entry.report);
         }
         self.agents
             .retain(|_, agent| now.saturating_since(agent.heard_at) < SILENCE_LIMIT);
     }
 
-    fn handle_report(&mut self, heard_at: Timestamp, report: &Report) {
+    fn handle_report(&mut self, now: Timestamp, reported_at: Timestamp, report: &Report) {
         let address = unpack_address(report.address);
         let known = self.agents.get(&address);
         if let Some(known) = known {
             let same_life = known.incarnation == report.incarnation;
             let older = same_life && report.sequence < known.sequence;
-            if older || (!same_life && heard_at < known.heard_at) {
+            if older || (!same_life && reported_at < known.reported_at) {
                 return;
             }
         }
@@ -177,9 +180,10 @@
                 same_zone: report.zone == self.zone,
                 incarnation: report.incarnation,
                 sequence: report.sequence,
-                heard_at,
+                reported_at,
+                heard_at: now,
                 load: report.load,
-                load_at: heard_at,
+                load_at: reported_at,
                 sent_since: 0,
                 misses: 0,
                 suspect_until: Timestamp::ZERO,
@@ -192,11 +196,12 @@
         };
         known.state = report.state();
         known.complete = report.complete;
-        known.heard_at = known.heard_at.max(heard_at);
+        known.reported_at = known.reported_at.max(reported_at);
+        known.heard_at = now;
         if report.sequence > known.sequence {
             known.sequence = report.sequence;
-            if heard_at > known.load_at {
-                known.note_load(heard_at, report.load);
+            if reported_at > known.load_at {
+                known.note_load(reported_at, report.load);
             }
         }
     }
@@ -213,6 +218,7 @@
             return false;
         };
         let was_suspected = now < agent.suspect_until;
+        agent.reported_at = now;
         agent.heard_at = now;
         agent.misses = 0;
         agent.suspect_until = Timestamp::ZERO;
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -5,7 +5,7 @@
 mod open_flows;
 mod openings;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use crate::time::Timestamp;
 
 use super::agent_directory::AgentDirectory;
+use super::attachments::Attachments;
 use super::contacts::Contacts;
 use super::digest::{flow_digest, is_sampled};
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
@@ -43,6 +44,13 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Between two questions for the newest version before the first answer.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
+/// After so many of them the time between two doubles with each.
+const QUICK_CONFIRM_TRIES: u32 = 16;
+const MAX_CONFIRM_DOUBLINGS: u32 = 4;
+/// Replicas that a balancer is attached to.
+const ATTACHMENTS: usize = 2;
+/// Replicas that are asked when nobody is heard.
+const ASKED_IN_SILENCE: usize = 5;
 /// In a directory of at most so many agents all are asked for a flow.
 const SEEK_ALL_LIMIT: usize = 64;
 /// Between the first two questions for one flow; it doubles with each.
@@ -107,6 +115,7 @@
     codec: C,
     incarnation: Incarnation,
     contacts: Contacts,
+    attachments: Attachments,
     routes: RouteTable,
     agents: AgentDirectory,
     hints: FlowHints,
@@ -119,6 +128,10 @@
     confirmed_version: Option<u64>,
     current: bool,
     follow_at: Timestamp,
+    /// Questions before the first confirmation.
+    confirm_tries: u32,
+    /// The leader that was asked for a confirmation last.
+    confirm_asked: Option<SocketAddrV4>,
     followed_at: Timestamp,
     /// When another process was heard last.
     heard_at: Timestamp,
@@ -149,6 +162,7 @@
             codec,
             incarnation,
             contacts,
+            attachments: Attachments::new(incarnation.0),
             routes: RouteTable::default(),
             hints: FlowHints::default(),
             seek_budget: SeekBudget::new(now),
@@ -157,6 +171,8 @@
             confirmed_version: None,
             current: false,
             follow_at: now,
+            confirm_tries: 0,
+            confirm_asked: None,
             followed_at: now,
             heard_at: now,
             fetch_at: now,
@@ -278,12 +294,14 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
         }
-        if now >= self.follow_at.min(self.silence_check_at()) {
+        let overdue = self.attachments.overdue_at();
+        let follow_at = overdue.map_or(self.follow_at, |at| self.follow_at.min(at));
+        if now >= follow_at.min(self.silence_check_at()) {
             self.follow(now);
         }
         if self.stop_at.is_some_and(|at| now >= at) && !self.stopped {
             self.stopped = true;
-            self.tell_replicas(true);
+            self.leave_replicas();
         }
     }
 
@@ -294,6 +312,7 @@
             Some(self.sweep_at),
             Some(self.follow_at),
             Some(self.silence_check_at()),
+            self.attachments.overdue_at(),
             awaited,
             self.stop_at,
         ];
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -5,13 +5,25 @@
 impl<C: PacketCodec> PassThroughBalancer<C> {
     pub(super) fn handle_group(&mut self, now: Timestamp, from: SocketAddrV4, group: &Group) {
         self.contacts.handle_group(group);
+        self.attachments.note_answer(now, from, group.serves);
+        if !group.serves {
+            // Another replica takes its place.
+            self.follow_at = self.follow_at.min(now + REPAIR_INTERVAL);
+        } else if !self.current && self.contacts.leader() != self.confirm_asked {
+            // A leader that was not asked yet can confirm what is newest.
+            self.follow(now);
+        }
         let revision = group.directory_revision;
         self.agents.handle_revision(now, from, revision);
-        let lacks_directory = revision != self.agents.revision_of(from);
+        let lacks_directory =
+            self.attachments.contains(from) && revision != self.agents.revision_of(from);
         let lacks_configuration = group.version > self.routes.version() && now >= self.fetch_at;
         if lacks_configuration {
             self.fetch_at = now + FETCH_INTERVAL;
-            let follow = self.follow_message(from, true);
+            let follow = Follow {
+                wants_configuration: true,
+                ..self.follow_message(from)
+            };
             self.send(from, PassThroughBody::Follow(follow));
         } else if lacks_directory && self.current {
             // The answer to the next question has it.
@@ -54,32 +66,68 @@
 
     pub(super) fn follow(&mut self, now: Timestamp) {
         self.followed_at = now;
-        let interval = match self.current && !self.routes.is_partial() {
-            true => self.settings.follow_interval,
-            false => CONFIRM_INTERVAL,
+        self.follow_at = now + self.follow_interval();
+        let known = self.contacts.all();
+        let is_silent = now.saturating_since(self.heard_at) >= SILENCE_LIMIT;
+        let count = match is_silent {
+            false => ATTACHMENTS,
+            true => ASKED_IN_SILENCE,
         };
-        self.follow_at = now + interval;
-        self.tell_replicas(false);
+        let attached = self.attachments.choose(now, &known, count).to_vec();
+        self.confirm_asked = self.contacts.leader();
+        for replica in self.confirming_replicas(&known) {
+            if !attached.contains(&replica) {
+                let follow = self.follow_message(replica);
+                self.send(replica, PassThroughBody::Follow(follow));
+            }
+        }
+        for replica in attached {
+            let follow = Follow {
+                attached: true,
+                ..self.follow_message(replica)
+            };
+            self.send(replica, PassThroughBody::Follow(follow));
+        }
+    }
+
+    fn follow_interval(&mut self) -> Duration {
+        if self.current && !self.routes.is_partial() {
+            return self.settings.follow_interval;
+        }
+        self.confirm_tries += 1;
+        let slow_tries = self.confirm_tries.saturating_sub(QUICK_CONFIRM_TRIES);
+        CONFIRM_INTERVAL * (1 << slow_tries.min(MAX_CONFIRM_DOUBLINGS))
+    }
+
+    /// Who is asked for the newest version beside the attached replicas: the
+    /// leader, or everybody as long as no leader is known.
+    fn confirming_replicas(&self, known: &BTreeSet<SocketAddrV4>) -> Vec<SocketAddrV4> {
+        match (self.current, self.contacts.leader()) {
+            (true, _) => Vec::new(),
+            (false, Some(leader)) => vec![leader],
+            (false, None) => known.iter().copied().collect(),
+        }
     }
 
-    pub(super) fn tell_replicas(&mut self, leaving: bool) {
+    pub(super) fn leave_replicas(&mut self) {
         for replica in self.contacts.all() {
             let follow = Follow {
-                leaving,
-                ..self.follow_message(replica, false)
+                leaving: true,
+                ..self.follow_message(replica)
             };
             self.send(replica, PassThroughBody::Follow(follow));
         }
     }
 
-    fn follow_message(&self, replica: SocketAddrV4, wants_configuration: bool) -> Follow {
+    fn follow_message(&self, replica: SocketAddrV4) -> Follow {
         Follow {
             incarnation: self.incarnation.0,
             version: self.routes.version(),
             confirm: if self.current { 0 } else { self.confirm },
             leaving: false,
             directory_revision: self.agents.revision_of(replica),
-            wants_configuration,
+            wants_configuration: false,
+            attached: false,
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -14,7 +14,7 @@
         if news || wants_group {
             let group = Group {
                 leaving: self.followers.leaving(agent),
-                ..self.group()
+                ..self.group(now)
             };
             self.send(from, PassThroughBody::Group(group));
         }
@@ -25,16 +25,18 @@
             self.followers.forget_follower(from);
             return;
         }
-        self.followers.note_follower(now, from);
-        let directory = self.followers.directory(now, follow.directory_revision);
-        self.send_all(from, directory);
+        if follow.attached {
+            self.followers.note_follower(now, from);
+            let directory = self.followers.directory(now, follow.directory_revision);
+            self.send_all(from, directory);
+        }
         if follow.wants_configuration {
             let news = self
                 .followers
                 .news(follow.version, self.state.configuration());
             self.send_all(from, news);
         }
-        let group = self.group();
+        let group = self.group(now);
         self.send(from, PassThroughBody::Group(group));
         if follow.confirm != 0 && self.replica.role() == Role::Leader {
             let read = PendingRead::Balancer {
@@ -45,7 +47,17 @@
         }
     }
 
-    pub(super) fn group(&self) -> Group {
+    /// Whether news reach this replica in time: it hears a leader, and its
+    /// disk does not hold it up.
+    fn serves(&self, now: Timestamp) -> bool {
+        let hears_leader = match self.replica.role() {
+            Role::Leader => self.replica.is_leader_with_quorum(now),
+            _ => self.replica.leader().is_some(),
+        };
+        hears_leader && !self.disk_is_stalled(now)
+    }
+
+    pub(super) fn group(&self, now: Timestamp) -> Group {
         let members = self.replica.membership().members();
         let address = |member: &crate::consensus::Member| member.replica.node.0;
         Group {
@@ -54,7 +66,58 @@
             version: self.configuration().version,
             directory_revision: self.followers.revision(),
             leaving: Vec::new(),
+            serves: self.serves(now),
+            leader: self.replica.leader().map_or(0, |leader| leader.0),
+            report_interval_millis: self.followers.report_interval().as_millis() as u32,
+        }
+    }
+
+    /// Asks another replica which agents there are, after the start.
+    pub(super) fn fetch_directory(&mut self, now: Timestamp) {
+        let own = node_address(self.replica.id().node);
+        let mut peers = self.contacts.all();
+        peers.remove(&own);
+        if let Some(peer) = self.directory_fetch.next(now, &peers) {
+            self.ask_for_directory(peer, false);
+        }
+    }
+
+    pub(super) fn handle_directory(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        directory: Directory,
+    ) {
+        if !self.directory_fetch.awaits(from) {
+            return;
+        }
+        if self.followers.handle_directory(now, directory) {
+            self.directory_fetch.finish();
+            self.ask_for_directory(from, true);
+            self.directory_at.get_or_insert(now + DIRECTORY_DELAY);
+        }
+    }
+
+    fn ask_for_directory(&mut self, peer: SocketAddrV4, leaving: bool) {
+        let follow = Follow {
+            attached: true,
+            leaving,
+            ..Follow::default()
+        };
+        self.send(peer, PassThroughBody::Follow(follow));
+    }
+
+    /// Tells the followers once this replica hears a leader again: some of
+    /// them may wait for a leader to confirm what is newest.
+    pub(super) fn tell_return(&mut self, now: Timestamp) {
+        let serves = self.serves(now);
+        if serves && !self.served {
+            let group = self.group(now);
+            for follower in self.followers.followers() {
+                self.send(follower, PassThroughBody::Group(group.clone()));
+            }
         }
+        self.served = serves;
     }
 
     pub(super) fn push_directory(&mut self, now: Timestamp) {
@@ -70,10 +133,6 @@
         let Some(version) = self.news_since.take() else {
             return;
         };
-        if self.replica.role() != Role::Leader {
-            // Balancers see with their next question that there is news.
-            return;
-        }
         let news = self.followers.news(version, self.state.configuration());
         for follower in self.followers.followers() {
             self.send_all(follower, news.clone());
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -1,6 +1,7 @@
 //! A replica of the group that holds the configuration.
 
 mod balancer_news;
+mod directory_fetch;
 mod replica_outputs;
 mod requests;
 
@@ -10,7 +11,7 @@
 
 use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage};
 use petrellatch_proto::pass_through::{
-    Confirmed, Follow, Group, PassThroughBody, Report, pack_address, unpack_address,
+    Confirmed, Directory, Follow, Group, PassThroughBody, Report, pack_address, unpack_address,
 };
 use prost::Message;
 use rand::{RngExt, SeedableRng};
@@ -31,6 +32,8 @@
 use super::group_keeper::GroupKeeper;
 use super::replacements::Replacements;
 
+use directory_fetch::DirectoryFetch;
+
 /// Between two sweeps over soft state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// News of agents are gathered for this long.
@@ -164,6 +167,9 @@
     news_since: Option<u64>,
     keeper: GroupKeeper,
     directory_at: Option<Timestamp>,
+    directory_fetch: DirectoryFetch,
+    /// Whether this replica heard a leader at the latest input.
+    served: bool,
     sweep_at: Timestamp,
     write_since: Option<Timestamp>,
     stop_at: Option<Timestamp>,
@@ -204,6 +210,8 @@
             contacts: Contacts::new(seeds),
             news_since: None,
             directory_at: None,
+            directory_fetch: DirectoryFetch::new(now),
+            served: false,
             sweep_at: now + SWEEP_INTERVAL,
             write_since: None,
             stop_at: None,
@@ -254,6 +262,9 @@
             }
             PassThroughBody::Report(report) => self.handle_report(now, from, report),
             PassThroughBody::Follow(follow) => self.handle_follow(now, from, &follow),
+            PassThroughBody::Directory(directory) => {
+                self.handle_directory(now, from, directory);
+            }
             _ => {}
         }
         self.drain(now);
@@ -295,6 +306,7 @@
             self.directory_at = None;
             self.push_directory(now);
         }
+        self.fetch_directory(now);
         self.expire_requests(now);
         self.continue_stop(now);
         self.drain(now);
@@ -307,6 +319,7 @@
             Some(self.keeper.poll_timeout()),
             Some(self.sweep_at),
             self.directory_at,
+            self.directory_fetch.poll_timeout(),
             self.stop_at,
         ];
         let first = timers.into_iter().flatten().min();
@@ -326,7 +339,7 @@
         self.replica.handle_message(now, node_at(from), message);
         if joins && self.replica.role() != Role::Leader {
             // The newcomer may know no replica but this one.
-            let group = self.group();
+            let group = self.group(now);
             self.send(from, PassThroughBody::Group(group));
         }
     }
@@ -336,12 +349,14 @@
         self.replica.set_contacts(nodes);
     }
 
-    fn leave_stalled_disk(&mut self, now: Timestamp) {
+    fn disk_is_stalled(&self, now: Timestamp) -> bool {
         let limit = self.settings.write_limit;
-        let stalled = self
-            .write_since
-            .is_some_and(|since| now.saturating_since(since) >= limit);
-        if stalled && self.replica.membership().voters().count() > 1 {
+        let is_late = |since| now.saturating_since(since) >= limit;
+        self.write_since.is_some_and(is_late)
+    }
+
+    fn leave_stalled_disk(&mut self, now: Timestamp) {
+        if self.disk_is_stalled(now) && self.replica.membership().voters().count() > 1 {
             self.replica.resign(now);
         }
     }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -9,6 +9,7 @@
             self.carry_out(now, output);
         }
         self.push_news();
+        self.tell_return(now);
     }
 
     fn carry_out(&mut self, now: Timestamp, output: ReplicaOutput) {
--- a/crates/petrellatch-core/src/pass_through/contacts.rs
+++ b/crates/petrellatch-core/src/pass_through/contacts.rs
@@ -11,6 +11,7 @@
     seeds: Vec<SocketAddrV4>,
     group: Vec<SocketAddrV4>,
     group_index: u64,
+    leader: Option<SocketAddrV4>,
 }
 
 impl Contacts {
@@ -29,6 +30,11 @@
 
     /// Takes what a replica told, unless something newer is known.
     pub fn handle_group(&mut self, group: &Group) {
+        if group.serves {
+            self.leader = (group.leader != 0).then(|| unpack_address(group.leader));
+        } else {
+            self.leader = None;
+        }
         if group.index < self.group_index || group.replicas.is_empty() {
             return;
         }
@@ -36,6 +42,11 @@
         self.group = group.replicas.iter().copied().map(unpack_address).collect();
     }
 
+    /// The leader, as a replica that heard it told last.
+    pub fn leader(&self) -> Option<SocketAddrV4> {
+        self.leader
+    }
+
     /// All known replicas, each once.
     pub fn all(&self) -> BTreeSet<SocketAddrV4> {
         self.seeds.iter().chain(&self.group).copied().collect()
--- a/crates/petrellatch-core/src/pass_through/digest.rs
+++ b/crates/petrellatch-core/src/pass_through/digest.rs
@@ -25,6 +25,13 @@
     hasher.finish()
 }
 
+/// A number that depends on a packed address and on `salt`, evenly spread.
+pub(super) fn address_digest(address: u64, salt: u64) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(salt, 3);
+    hasher.write_u64(address);
+    hasher.finish()
+}
+
 /// A number that depends on a flow and on `salt`, evenly spread.
 pub fn flow_digest(flow: FlowId, salt: u64) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(salt, 2);
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -12,13 +12,20 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::{compress, split};
+use super::change_assembly::{PartAssembly, compress, split};
 use super::configuration::Configuration;
 
 /// A balancer that did not ask for so long is forgotten.
 const FOLLOWER_LIMIT: Duration = Duration::from_secs(10);
-/// An agent that did not report for so long is forgotten.
+/// An agent that did not report for so long, or for so many intervals, is
+/// forgotten.
 const AGENT_LIMIT: Duration = Duration::from_secs(5);
+const AGENT_LIMIT_INTERVALS: u32 = 4;
+/// Reports a second that a replica bears from agents without news. Balancers
+/// notice a dead agent by its silence, so these may be rare.
+const REPORTS_PER_SECOND: u32 = 50;
+/// Agents report at least so often.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
 /// A back end that leaves is remembered for so long after its agent told of it
 /// last.
 const LEAVING_MEMORY: Duration = Duration::from_secs(60);
@@ -53,6 +60,8 @@
     /// Back ends that leave, by the address of their agent, for its next lives.
     leaving: BTreeMap<u64, LeavingBackends>,
     changes: VecDeque<ConfigurationChange>,
+    /// What another replica tells after the start.
+    fetched: PartAssembly,
     /// Revision of the directory: changes of this life in the lower half.
     revision: u64,
     /// Agents that changed, each with the revision before.
@@ -110,6 +119,38 @@
         news
     }
 
+    /// Takes a part of what another replica knows of agents. Returns whether
+    /// that is complete. What this replica heard itself goes before it.
+    pub(super) fn handle_directory(&mut self, now: Timestamp, directory: Directory) -> bool {
+        if directory.base_revision != 0 {
+            return false;
+        }
+        let Directory {
+            revision,
+            part,
+            parts,
+            bytes,
+            ..
+        } = directory;
+        let whole = self.fetched.add(revision, part, parts, bytes);
+        let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
+        let Some(change) = change else { return false };
+        for entry in change.agents {
+            let address = entry.report.address;
+            if self.agents.contains_key(&address) {
+                continue;
+            }
+            let age = Duration::from_millis(u64::from(entry.age_millis));
+            let agent = ReportedAgent {
+                report: entry.report,
+                heard_at: now - age,
+            };
+            self.agents.insert(address, agent);
+            self.touch(address);
+        }
+        true
+    }
+
     /// What lives of the agent at `address` told of back ends that leave.
     pub(super) fn leaving(&self, address: u64) -> Vec<u64> {
         let leaving = self.leaving.get(&address);
@@ -136,7 +177,8 @@
             .retain(|_, leaving| now.saturating_since(leaving.told_at) < LEAVING_MEMORY);
         self.followers
             .retain(|_, heard| now.saturating_since(*heard) < FOLLOWER_LIMIT);
-        let is_gone = |agent: &ReportedAgent| now.saturating_since(agent.heard_at) >= AGENT_LIMIT;
+        let limit = AGENT_LIMIT.max(self.report_interval() * AGENT_LIMIT_INTERVALS);
+        let is_gone = |agent: &ReportedAgent| now.saturating_since(agent.heard_at) >= limit;
         let gone: Vec<u64> = self
             .agents
             .iter()
@@ -149,6 +191,12 @@
         }
     }
 
+    /// The time between two reports of an agent that this replica bears.
+    pub(super) fn report_interval(&self) -> Duration {
+        let interval = Duration::from_secs(1) * self.agents.len() as u32 / REPORTS_PER_SECOND;
+        interval.min(MAX_REPORT_INTERVAL)
+    }
+
     /// Makes the next revision, in which an agent differs.
     fn touch(&mut self, address: u64) {
         self.touched.push_back((self.revision, address));
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -17,6 +17,7 @@
 mod agent;
 mod agent_directory;
 mod agent_flows;
+mod attachments;
 mod balancer;
 mod change_assembly;
 mod configuration;
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -7,3 +7,4 @@
 mod formation;
 mod group;
 mod restarted_agents;
+mod scale;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -0,0 +1,372 @@
+//! What daemons cost the replicas, and how balancers spread over them.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, Contacts, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
+    node_at,
+};
+use petrellatch_proto::pass_through::{Confirmed, Follow, Group, PassThroughBody, pack_address};
+
+use super::codec::TestCodec;
+
+const STEP: Duration = Duration::from_millis(10);
+const SECOND: Duration = Duration::from_secs(1);
+const START: Timestamp = Timestamp::ZERO;
+
+fn replica_address(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index), 7000)
+}
+
+fn agent_address(index: u16) -> SocketAddrV4 {
+    let [high, low] = index.to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7000)
+}
+
+fn replica() -> ConfigurationNode {
+    let founder = ReplicaId {
+        node: node_at(replica_address(1)),
+        incarnation: Incarnation(1),
+    };
+    let start = ReplicaStart {
+        id: founder.node,
+        incarnation: founder.incarnation,
+        seed: 1,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters([founder])),
+    };
+    ConfigurationNode::new(START, ConfigurationNodeSettings::default(), start)
+}
+
+fn agent(index: u16) -> PassThroughAgent<TestCodec> {
+    let settings = PassThroughAgentSettings {
+        address: agent_address(index),
+        zone: "a".to_owned(),
+        service: "desk".to_owned(),
+        report_interval: Duration::from_millis(500),
+        silence_limit: Duration::from_secs(6),
+        provisional_limit: Duration::from_secs(2),
+        flow_lifetime: Duration::from_secs(60),
+        queue_factor: 2,
+        stop_limit: Duration::from_secs(2),
+    };
+    let contacts = Contacts::new(vec![replica_address(1)]);
+    let incarnation = Incarnation(u64::from(index) + 1);
+    PassThroughAgent::new(START, settings, TestCodec, incarnation, contacts)
+}
+
+/// One replica and the agents that report to it.
+struct Reports {
+    now: Timestamp,
+    replica: ConfigurationNode,
+    agents: BTreeMap<SocketAddrV4, PassThroughAgent<TestCodec>>,
+}
+
+impl Reports {
+    fn new(agents: u16) -> Reports {
+        let agents = (0..agents).map(|index| (agent_address(index), agent(index)));
+        Reports {
+            now: START,
+            replica: replica(),
+            agents: agents.collect(),
+        }
+    }
+
+    /// Lets time pass; returns how many reports the replica got.
+    fn run(&mut self, duration: Duration) -> usize {
+        let end = self.now + duration;
+        let mut reports = 0;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let now = self.now;
+            for (address, agent) in &mut self.agents {
+                if agent.poll_timeout() <= now {
+                    agent.handle_timeout(now);
+                }
+                while let Some(output) = agent.poll_output() {
+                    if let PassThroughOutput::Send { body, .. } = output {
+                        reports += 1;
+                        self.replica.handle_message(now, *address, body);
+                    }
+                }
+            }
+            self.answer();
+        }
+        reports
+    }
+
+    fn answer(&mut self) {
+        let now = self.now;
+        if self.replica.poll_timeout() <= now {
+            self.replica.handle_timeout(now);
+        }
+        while let Some(output) = self.replica.poll_output() {
+            match output {
+                ConfigurationOutput::Send { to, body } => {
+                    if let Some(agent) = self.agents.get_mut(&to) {
+                        agent.handle_message(now, replica_address(1), body);
+                    }
+                }
+                ConfigurationOutput::Persist(request) => {
+                    self.replica.handle_persisted(now, request.ticket);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Agents that the replica would tell a balancer of.
+    fn known(&mut self) -> u32 {
+        let follow = Follow {
+            attached: true,
+            ..Follow::default()
+        };
+        let balancer = replica_address(200);
+        let body = PassThroughBody::Follow(follow);
+        self.replica.handle_message(self.now, balancer, body);
+        while let Some(output) = self.replica.poll_output() {
+            if let ConfigurationOutput::Send { to, body } = output
+                && to == balancer
+                && let PassThroughBody::Group(group) = body
+            {
+                return group.report_interval_millis * 50 / 1_000;
+            }
+        }
+        panic!("no answer");
+    }
+}
+
+#[test]
+fn reports_of_many_agents_cost_a_replica_no_more_than_those_of_some() {
+    let mut reports = Reports::new(1_000);
+    reports.run(40 * SECOND);
+    let count = reports.run(60 * SECOND);
+    assert!(count <= 60 * 60, "{count} reports in a minute");
+    assert_eq!(reports.known(), 1_000);
+}
+
+#[test]
+fn agents_that_died_are_forgotten_in_a_large_fleet_too() {
+    let mut reports = Reports::new(400);
+    reports.run(30 * SECOND);
+    for index in 0..100 {
+        reports.agents.remove(&agent_address(index));
+    }
+    reports.run(60 * SECOND);
+    assert_eq!(reports.known(), 300);
+}
+
+#[test]
+fn a_replica_that_starts_takes_over_which_agents_there_are() {
+    let mut reports = Reports::new(300);
+    reports.run(20 * SECOND);
+    let (first, newcomer) = (replica_address(1), replica_address(2));
+    let founder = |address| ReplicaId {
+        node: node_at(address),
+        incarnation: Incarnation(1),
+    };
+    let start = ReplicaStart {
+        id: node_at(newcomer),
+        incarnation: Incarnation(2),
+        seed: 2,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters([founder(first)])),
+    };
+    let now = reports.now;
+    let mut started = ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start);
+    started.handle_timeout(now);
+    for _ in 0..3 {
+        while let Some(output) = started.poll_output() {
+            if let ConfigurationOutput::Send { to, body } = output
+                && to == first
+            {
+                reports.replica.handle_message(now, newcomer, body);
+            }
+        }
+        while let Some(output) = reports.replica.poll_output() {
+            if let ConfigurationOutput::Send { to, body } = output
+                && to == newcomer
+            {
+                started.handle_message(now, first, body);
+            }
+        }
+    }
+    reports.replica = started;
+    assert_eq!(reports.known(), 300);
+}
+
+/// A balancer among replicas that answer or not.
+struct Attached {
+    now: Timestamp,
+    balancer: PassThroughBalancer<TestCodec>,
+    silent: Vec<u8>,
+    leaderless: Vec<u8>,
+    /// Questions by replica, attached ones only.
+    asked: BTreeMap<u8, usize>,
+    version: u64,
+    /// Questions that the leader got for the newest version.
+    confirms: usize,
+}
+
+const REPLICAS: u8 = 9;
+
+fn new_balancer(incarnation: u64) -> PassThroughBalancer<TestCodec> {
+    let settings = PassThroughBalancerSettings {
+        zone: "a".to_owned(),
+        follow_interval: SECOND,
+        flow_lifetime: Duration::from_secs(60),
+        stop_delay: Duration::from_secs(2),
+    };
+    let contacts = Contacts::new((1..=REPLICAS).map(replica_address).collect());
+    let incarnation = Incarnation(incarnation);
+    PassThroughBalancer::new(START, settings, TestCodec, incarnation, contacts)
+}
+
+impl Attached {
+    fn new(incarnation: u64) -> Attached {
+        let mut attached = Attached {
+            now: START,
+            balancer: new_balancer(incarnation),
+            silent: Vec::new(),
+            leaderless: Vec::new(),
+            asked: BTreeMap::new(),
+            version: 0,
+            confirms: 0,
+        };
+        attached.run(SECOND);
+        attached
+    }
+
+    fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let now = self.now;
+            if self.balancer.poll_timeout() <= now {
+                self.balancer.handle_timeout(now);
+            }
+            self.exchange();
+            // Somebody is heard all the time.
+            let agent = agent_address(1);
+            let body = PassThroughBody::Holds(Default::default());
+            self.balancer.handle_message(now, agent, body);
+        }
+    }
+
+    fn exchange(&mut self) {
+        while let Some(output) = self.balancer.poll_output() {
+            if let PassThroughOutput::Send { to, body } = output
+                && let PassThroughBody::Follow(follow) = body
+            {
+                self.answer(to, &follow);
+            }
+        }
+    }
+
+    fn answer(&mut self, to: SocketAddrV4, follow: &Follow) {
+        let index = to.ip().octets()[3];
+        if follow.attached {
+            *self.asked.entry(index).or_default() += 1;
+        }
+        if self.silent.contains(&index) {
+            return;
+        }
+        if follow.confirm != 0 && index == 1 && !self.leaderless.contains(&1) {
+            self.confirms += 1;
+            let confirmed = Confirmed {
+                confirm: follow.confirm,
+                version: self.version,
+            };
+            let body = PassThroughBody::Confirmed(confirmed);
+            self.balancer.handle_message(self.now, to, body);
+        }
+        let group = self.group(index);
+        let body = PassThroughBody::Group(group);
+        self.balancer.handle_message(self.now, to, body);
+    }
+
+    fn group(&self, index: u8) -> Group {
+        let serves = !self.leaderless.contains(&index);
+        let leader = pack_address(replica_address(1));
+        let replicas = (1..=REPLICAS).map(|it| pack_address(replica_address(it)));
+        Group {
+            replicas: replicas.collect(),
+            index: 1,
+            serves,
+            leader: if serves { leader } else { 0 },
+            ..Group::default()
+        }
+    }
+
+    /// Who was asked in the last while.
+    fn take_asked(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.asked).into_keys().collect()
+    }
+}
+
+#[test]
+fn balancers_spread_over_the_replicas_and_ask_two_of_them() {
+    let mut followers = BTreeMap::<u8, usize>::new();
+    for incarnation in 1..=200 {
+        let mut attached = Attached::new(incarnation);
+        attached.take_asked();
+        attached.run(3 * SECOND);
+        assert!(attached.asked.values().sum::<usize>() <= 8);
+        let asked = attached.take_asked();
+        assert_eq!(asked.len(), 2);
+        for replica in asked {
+            *followers.entry(replica).or_default() += 1;
+        }
+    }
+    let busiest = followers.values().max().copied();
+    assert!(
+        busiest < Some(75),
+        "400 places among 9 replicas: {followers:?}"
+    );
+}
+
+#[test]
+fn a_replica_that_is_silent_or_hears_no_leader_is_left_within_two_seconds() {
+    for leaderless in [false, true] {
+        let mut attached = Attached::new(7);
+        attached.run(2 * SECOND);
+        attached.take_asked();
+        attached.run(2 * SECOND);
+        let chosen = attached.take_asked();
+        match leaderless {
+            true => attached.leaderless.clone_from(&chosen),
+            false => attached.silent.clone_from(&chosen),
+        }
+        attached.run(1_500 * Duration::from_millis(1));
+        let asked = attached.take_asked();
+        let serving = asked.iter().filter(|it| !chosen.contains(it)).count();
+        assert!(serving >= 2, "{asked:?} after {chosen:?} stopped to serve");
+    }
+}
+
+#[test]
+fn a_balancer_asks_a_new_leader_at_once() {
+    let mut attached = Attached::new(7);
+    attached.balancer = new_balancer(8);
+    attached.leaderless = (1..=REPLICAS).collect();
+    attached.run(100 * Duration::from_millis(1));
+    assert_eq!(attached.balancer.version(), 0);
+    attached.confirms = 0;
+    // All replicas hear a leader now, and one says so by itself.
+    attached.leaderless.clear();
+    let group = attached.group(2);
+    let (now, from) = (attached.now, replica_address(2));
+    let body = PassThroughBody::Group(group);
+    attached.balancer.handle_message(now, from, body);
+    attached.exchange();
+    assert_eq!(
+        attached.confirms, 1,
+        "without waiting for the next question"
+    );
+}
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -268,6 +268,10 @@
     /// It wants what it lacks of the configuration. It asks one replica only.
     #[prost(bool, tag = "6")]
     pub wants_configuration: bool,
+    /// It wants the directory and each change of it and of the configuration
+    /// from now on.
+    #[prost(bool, tag = "7")]
+    pub attached: bool,
 }
 
 /// The replicas of the group.
@@ -290,6 +294,16 @@
     /// [`Report::leaving`].
     #[prost(fixed64, repeated, tag = "5")]
     pub leaving: Vec<u64>,
+    /// Whether the sender hears a leader, or is one, and so has news in time.
+    #[prost(bool, tag = "6")]
+    pub serves: bool,
+    /// The leader as the sender knows it; zero for none.
+    #[prost(fixed64, tag = "7")]
+    pub leader: u64,
+    /// To an agent: the time between two reports that the sender bears, in
+    /// milliseconds. It grows with the number of agents.
+    #[prost(uint32, tag = "8")]
+    pub report_interval_millis: u32,
 }
 
 /// One agent of a [`Directory`].
