Tell the story of one flow or version from the logs, and serve histograms

Cause: on call there are only logs and metrics (users' requirements): from a failed request's id to its cause took grep by hand, a flow cut by the death of its agent had no line of its own, and no time was measured. Ruled out: following each packet (volume), and a store for logs. Change: 'petrellatch logs' reads lines of any processes, prints those of one flow with what its nodes said within 3 s, what is missing, and the cause; the same for a version. Event 507 says once that a packet of an open flow went to an agent that does not answer.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -118,6 +118,8 @@
     FlowDeclined = 505, Info;
     /// A back end returned a packet of a flow that it does not have.
     PacketReturned = 506, Info;
+    /// A packet of an open flow was handed to an agent that does not answer.
+    FlowStalled = 507, Info;
     /// A back end registered itself at its agent.
     BackendRegistered = 510, Info;
     /// A back end said that it leaves.
--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -17,6 +17,7 @@
 use super::agent_flows::{AgentFlows, BackendPacket, CallerPacket};
 use super::contacts::Contacts;
 use super::digest::service_digest;
+use super::latency::LatencyHistogram;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, PacketCodec, PacketView};
 use super::registration::{Registration, RegistrationState};
@@ -75,6 +76,15 @@
     pub malformed: u64,
 }
 
+/// Times that an agent measures.
+#[derive(Clone, Debug, Default)]
+pub struct PassThroughAgentLatencies {
+    /// From the admission of a flow until the back end answered it.
+    pub first_answer: LatencyHistogram,
+    /// Between two calls of the back end.
+    pub registration_gap: LatencyHistogram,
+}
+
 /// The state machine of an agent.
 #[derive(Debug)]
 pub struct PassThroughAgent<C> {
@@ -98,6 +108,8 @@
     stop_at: Option<Timestamp>,
     stopped: bool,
     counters: PassThroughAgentCounters,
+    latencies: PassThroughAgentLatencies,
+    registered_at: Option<Timestamp>,
     outputs: VecDeque<PassThroughOutput>,
 }
 
@@ -129,6 +141,8 @@
             stop_at: None,
             stopped: false,
             counters: PassThroughAgentCounters::default(),
+            latencies: PassThroughAgentLatencies::default(),
+            registered_at: None,
             outputs: VecDeque::new(),
         }
     }
@@ -153,6 +167,11 @@
         &self.counters
     }
 
+    /// Times since the start.
+    pub fn latencies(&self) -> &PassThroughAgentLatencies {
+        &self.latencies
+    }
+
     /// Requests that wait for their answers, and how many the back end works
     /// on at once.
     pub fn load(&self) -> (u32, u32) {
@@ -162,6 +181,10 @@
     /// Takes a call of the back end. Once this returns the caller may
     /// acknowledge it: no new flow is admitted against what it said.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) {
+        if let Some(former) = self.registered_at.replace(now) {
+            let gap = now.saturating_since(former);
+            self.latencies.registration_gap.record(gap);
+        }
         let changed = self.registration.handle_registration(now, call);
         if changed {
             let kind = match call.draining {
@@ -238,6 +261,9 @@
         self.flows.note_from_backend(now, flow, meaning);
         self.report_if_changed(now);
         if view.synchronize && !answered_before {
+            let admitted_at = self.flows.get(flow).map(|flow| flow.created_at);
+            let time = now.saturating_since(admitted_at.unwrap_or(now));
+            self.latencies.first_answer.record(time);
             self.tell_accepted(now, flow, view.sequence);
         }
     }
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -228,6 +228,11 @@
         was_suspected
     }
 
+    /// Whether an agent has not answered lately.
+    pub(super) fn is_suspected(&self, now: Timestamp, address: SocketAddrV4) -> bool {
+        self.get(address).is_some_and(|it| now < it.suspect_until)
+    }
+
     /// Notes that an agent takes nothing new, until it reports otherwise.
     pub(super) fn note_state(&mut self, address: SocketAddrV4, state: AgentState) {
         if let Some(agent) = self.agents.get_mut(&address) {
--- a/crates/petrellatch-core/src/pass_through/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_flows.rs
@@ -33,6 +33,7 @@
     busy: bool,
     /// One end has ended it.
     ended: bool,
+    pub(super) created_at: Timestamp,
     active_at: Timestamp,
 }
 
@@ -156,6 +157,7 @@
             open: false,
             busy: false,
             ended: false,
+            created_at: now,
             active_at: now,
         })
     }
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -23,6 +23,7 @@
 use super::contacts::Contacts;
 use super::digest::{flow_digest, is_sampled};
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
+use super::latency::LatencyHistogram;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, PacketCodec, PacketView};
 use super::route_table::RouteTable;
@@ -108,6 +109,15 @@
     pub delivered: u64,
 }
 
+/// Times that a balancer measures.
+#[derive(Clone, Debug, Default)]
+pub struct PassThroughBalancerLatencies {
+    /// From the first packet of a flow until a back end has answered it.
+    pub placement: LatencyHistogram,
+    /// From the first word of a newer configuration until one is in force.
+    pub configuration_lag: LatencyHistogram,
+}
+
 /// The state machine of a balancer.
 #[derive(Debug)]
 pub struct PassThroughBalancer<C> {
@@ -144,6 +154,9 @@
     stop_at: Option<Timestamp>,
     stopped: bool,
     counters: PassThroughBalancerCounters,
+    latencies: PassThroughBalancerLatencies,
+    /// Since when a newer configuration is known of that is not in force.
+    lagging_since: Option<Timestamp>,
     outputs: VecDeque<PassThroughOutput>,
 }
 
@@ -182,6 +195,8 @@
             stop_at: None,
             stopped: false,
             counters: PassThroughBalancerCounters::default(),
+            latencies: PassThroughBalancerLatencies::default(),
+            lagging_since: None,
             outputs: VecDeque::new(),
         }
     }
@@ -220,6 +235,11 @@
         self.counters
     }
 
+    /// Times since the start.
+    pub fn latencies(&self) -> &PassThroughBalancerLatencies {
+        &self.latencies
+    }
+
     /// Flows and agents that are known, for metrics.
     pub fn sizes(&self) -> (usize, usize) {
         (self.hints.len(), self.agents.len())
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -18,6 +18,9 @@
         let lacks_directory =
             self.attachments.contains(from) && revision != self.agents.revision_of(from);
         let lacks_configuration = group.version > self.routes.version() && now >= self.fetch_at;
+        if group.version > self.routes.version() {
+            self.lagging_since.get_or_insert(now);
+        }
         if lacks_configuration {
             self.fetch_at = now + FETCH_INTERVAL;
             let follow = Follow {
@@ -35,6 +38,9 @@
         if self.routes.handle_part(part) {
             let subject = format!("version={}", self.routes.version());
             self.emit_event(EventKind::ConfigurationApplied, subject);
+            let since = self.lagging_since.take().unwrap_or(now);
+            let lag = now.saturating_since(since);
+            self.latencies.configuration_lag.record(lag);
             self.check_current();
         } else if self.routes.is_partial() {
             self.follow_at = self.follow_at.min(now + REPAIR_INTERVAL);
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -15,6 +15,12 @@
             }
             if let Some(owner) = hint.owner {
                 let service = hint.service;
+                let was_stalled = hint.stalled;
+                hint.stalled = self.agents.is_suspected(now, owner);
+                if hint.stalled && !was_stalled {
+                    let subject = format!("flow={flow} agent={owner}");
+                    self.emit_event(EventKind::FlowStalled, subject);
+                }
                 self.counters.delivered += 1;
                 self.carry(owner, service, CarryReason::Deliver, packet.to_vec());
                 return;
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -136,7 +136,10 @@
             return;
         };
         let sequence = accepted.sequence;
-        hint.opening = None;
+        if hint.opening.take().is_some() {
+            let time = now.saturating_since(hint.created_at);
+            self.latencies.placement.record(time);
+        }
         let state = CandidateState::Accepted { sequence };
         match hint.candidate_mut(from) {
             Some(candidate) => candidate.state = state,
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -30,6 +30,7 @@
 use super::contacts::Contacts;
 use super::followers::Followers;
 use super::group_keeper::GroupKeeper;
+use super::latency::LatencyHistogram;
 use super::replacements::Replacements;
 
 use directory_fetch::DirectoryFetch;
@@ -80,6 +81,15 @@
     }
 }
 
+/// Times that a replica measures.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationNodeLatencies {
+    /// From the request of a replacement until it was accepted.
+    pub acceptance: LatencyHistogram,
+    /// From the request of a write until it was synced.
+    pub sync: LatencyHistogram,
+}
+
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigurationRequest {
@@ -170,6 +180,7 @@
     directory_fetch: DirectoryFetch,
     /// Whether this replica heard a leader at the latest input.
     served: bool,
+    latencies: ConfigurationNodeLatencies,
     sweep_at: Timestamp,
     write_since: Option<Timestamp>,
     stop_at: Option<Timestamp>,
@@ -212,6 +223,7 @@
             directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
             served: false,
+            latencies: ConfigurationNodeLatencies::default(),
             sweep_at: now + SWEEP_INTERVAL,
             write_since: None,
             stop_at: None,
@@ -230,6 +242,11 @@
         self.state.configuration()
     }
 
+    /// Times since the start.
+    pub fn latencies(&self) -> &ConfigurationNodeLatencies {
+        &self.latencies
+    }
+
     /// Replaces the replicas that the settings name.
     pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
         self.replica
@@ -286,7 +303,9 @@
 
     /// Notes that a write is synced.
     pub fn handle_persisted(&mut self, now: Timestamp, ticket: PersistTicket) {
-        self.write_since = None;
+        if let Some(since) = self.write_since.take() {
+            self.latencies.sync.record(now.saturating_since(since));
+        }
         self.replica.handle_persisted(now, ticket);
         self.drain(now);
     }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -63,7 +63,10 @@
         }
         self.replacements.note_finished(applied.id);
         let version = self.configuration().version;
-        for token in self.replacements.take_reached(version) {
+        for (token, deadline) in self.replacements.take_reached(version) {
+            let left = deadline.saturating_since(now);
+            let time = self.settings.request_limit.saturating_sub(left);
+            self.latencies.acceptance.record(time);
             self.respond(token, ConfigurationResponse::Accepted { version });
         }
         if self.replica.role() == Role::Leader {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
@@ -41,7 +41,7 @@
 
     /// Nothing is known of the outcome of what waits.
     pub(super) fn give_up_replacements(&mut self) {
-        for token in self.replacements.take_all() {
+        for (token, _) in self.replacements.take_all() {
             self.respond(token, ConfigurationResponse::Unavailable);
         }
     }
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -53,6 +53,9 @@
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
     pub(super) ended: bool,
+    /// The owner was suspected at the latest packet.
+    pub(super) stalled: bool,
+    pub(super) created_at: Timestamp,
     pub(super) used_at: Timestamp,
 }
 
@@ -70,6 +73,8 @@
             offered_at: None,
             queued: false,
             ended: false,
+            stalled: false,
+            created_at: now,
             used_at: now,
         }
     }
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -28,6 +28,7 @@
 mod flow_hints;
 mod followers;
 mod group_keeper;
+mod latency;
 mod output;
 mod packet;
 mod registration;
@@ -35,15 +36,21 @@
 mod route_table;
 mod seek_budget;
 
-pub use agent::{PassThroughAgent, PassThroughAgentCounters, PassThroughAgentSettings};
-pub use balancer::{PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerSettings};
+pub use agent::{
+    PassThroughAgent, PassThroughAgentCounters, PassThroughAgentLatencies, PassThroughAgentSettings,
+};
+pub use balancer::{
+    PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerLatencies,
+    PassThroughBalancerSettings,
+};
 pub use configuration::{Configuration, ConfigurationError};
 pub use configuration_node::{
-    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, ConfigurationRequest,
-    ConfigurationResponse, node_address, node_at,
+    ConfigurationNode, ConfigurationNodeLatencies, ConfigurationNodeSettings, ConfigurationOutput,
+    ConfigurationRequest, ConfigurationResponse, node_address, node_at,
 };
 pub use contacts::Contacts;
 pub use digest::service_digest;
+pub use latency::LatencyHistogram;
 pub use output::PassThroughOutput;
 pub use packet::{FlowId, PacketCodec, PacketView};
 pub use registration::Registration;
--- a/crates/petrellatch-core/src/pass_through/replacements.rs
+++ b/crates/petrellatch-core/src/pass_through/replacements.rs
@@ -52,15 +52,16 @@
         }
     }
 
-    /// Takes out all who wait for a version up to `version`.
-    pub(super) fn take_reached(&mut self, version: u64) -> Vec<u64> {
+    /// Takes out all who wait for a version up to `version`, with the times by
+    /// which they want their answers.
+    pub(super) fn take_reached(&mut self, version: u64) -> Vec<(u64, Timestamp)> {
         let higher = self.waiting.split_off(&(version + 1));
         let reached = std::mem::replace(&mut self.waiting, higher);
         tokens(reached)
     }
 
     /// Takes out all.
-    pub(super) fn take_all(&mut self) -> Vec<u64> {
+    pub(super) fn take_all(&mut self) -> Vec<(u64, Timestamp)> {
         self.proposed = None;
         tokens(std::mem::take(&mut self.waiting))
     }
@@ -80,7 +81,7 @@
     }
 }
 
-fn tokens(waiting: BTreeMap<u64, Waiting>) -> Vec<u64> {
+fn tokens(waiting: BTreeMap<u64, Waiting>) -> Vec<(u64, Timestamp)> {
     let all = waiting.into_values().flat_map(|waiting| waiting.tokens);
-    all.map(|(token, _)| token).collect()
+    all.collect()
 }
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -32,6 +32,8 @@
     Ctl(CtlOptions),
     /// Check a settings file and print everything that is wrong in it.
     Check(CheckOptions),
+    /// Print what the logs say about one flow or one configuration version.
+    Logs(LogsOptions),
 }
 
 /// Runs one process of the system until it receives SIGTERM or SIGINT, then
@@ -113,6 +115,26 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Prints what processes logged about one flow or one version of the
+/// configuration, in the order of their clocks, with what is missing.
+///
+/// Without files, standard input is read. Lines that are no log lines are
+/// ignored.
+#[derive(Debug, Default, Options)]
+pub struct LogsOptions {
+    /// Print this help.
+    pub help: bool,
+    /// The flow: CALLER:PORT>ROUTE:PORT, or CALLER:PORT alone.
+    #[options(meta = "FLOW", no_short)]
+    pub flow: Option<String>,
+    /// The configuration version.
+    #[options(meta = "VERSION", no_short)]
+    pub configuration: Option<u64>,
+    /// Files with log lines, of any processes in any order.
+    #[options(free)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Reads and changes the configuration through the operator API.
 ///
 /// A change is sent with the configuration version that it is based on and a
--- a/crates/petrellatch/src/lib.rs
+++ b/crates/petrellatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod http;
 pub mod logging;
+pub mod logs;
 pub mod runtime;
 pub mod settings;
 mod usage;
@@ -53,6 +54,7 @@
         Command::Agent(options) => daemon(&options, Role::Agent),
         Command::Ctl(options) => ctl::run(&options),
         Command::Check(options) => check::run(&options),
+        Command::Logs(options) => logs::run(&options),
     }
 }
 
--- /dev/null
+++ b/crates/petrellatch/src/logs/flow_story.rs
@@ -0,0 +1,223 @@
+//! What became of one flow.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use petrellatch_core::EventKind;
+
+use super::log_line::LogLine;
+
+/// Lines about the nodes of a flow are told if they are at most this far from
+/// one of the flow's own lines.
+const NEARBY_MILLIS: u64 = 3_000;
+
+/// What is told about a node beside the lines of the flow itself.
+const NODE_EVENTS: [EventKind; 10] = [
+    EventKind::ProcessStarted,
+    EventKind::ProcessStopping,
+    EventKind::AgentSuspected,
+    EventKind::AgentReturned,
+    EventKind::BackendRegistered,
+    EventKind::BackendLeaving,
+    EventKind::BackendSilent,
+    EventKind::ConfigurationApplied,
+    EventKind::BecameReady,
+    EventKind::BecameUnready,
+];
+
+/// The lines of one flow in their order, with those that explain them, what is
+/// missing, and the cause that they point to.
+///
+/// The flow is named as in the log: `CALLER:PORT>ROUTE:PORT`, or by its first
+/// part alone.
+#[derive(Clone, Debug)]
+pub struct FlowStory {
+    flow: String,
+    lines: Vec<LogLine>,
+    missing: Vec<String>,
+    cause: String,
+}
+
+impl FlowStory {
+    /// Finds the story in lines that are in the order of their times.
+    pub fn new(lines: &[LogLine], flow: &str) -> FlowStory {
+        let own = |line: &&LogLine| is_about(line, flow);
+        let own: Vec<&LogLine> = lines.iter().filter(own).collect();
+        let told = lines.iter().filter(|line| is_told(line, flow, &own));
+        FlowStory {
+            flow: flow.to_owned(),
+            lines: told.cloned().collect(),
+            missing: missing(lines, &own),
+            cause: cause(lines, &own),
+        }
+    }
+
+    /// What the lines say of why the flow failed.
+    pub fn cause(&self) -> &str {
+        &self.cause
+    }
+
+    /// What the lines can't show.
+    pub fn missing(&self) -> &[String] {
+        &self.missing
+    }
+}
+
+impl fmt::Display for FlowStory {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "flow {}", self.flow)?;
+        for line in &self.lines {
+            writeln!(formatter, "  {line}")?;
+        }
+        for missing in &self.missing {
+            writeln!(formatter, "missing: {missing}")?;
+        }
+        writeln!(formatter, "cause: {}", self.cause)
+    }
+}
+
+fn is_about(line: &LogLine, flow: &str) -> bool {
+    let Some(named) = line.value("flow") else {
+        return false;
+    };
+    let caller = named.split('>').next();
+    named == flow || caller == Some(flow)
+}
+
+fn is_event(line: &LogLine, kind: EventKind) -> bool {
+    line.event == kind.name()
+}
+
+/// Whether a line belongs to the story: one of the flow, or one about a node
+/// of it from about the same time.
+fn is_told(line: &LogLine, flow: &str, own: &[&LogLine]) -> bool {
+    if is_about(line, flow) {
+        return true;
+    }
+    let is_node_event = NODE_EVENTS.iter().any(|kind| is_event(line, *kind));
+    is_node_event
+        && own
+            .iter()
+            .any(|it| it.node == line.node && is_near(it, line))
+}
+
+fn is_near(one: &LogLine, other: &LogLine) -> bool {
+    match (one.millis_of_day(), other.millis_of_day()) {
+        (Some(one), Some(other)) => one.abs_diff(other) <= NEARBY_MILLIS,
+        _ => false,
+    }
+}
+
+fn missing(lines: &[LogLine], own: &[&LogLine]) -> Vec<String> {
+    let mut missing = Vec::new();
+    if own.is_empty() {
+        missing.push(
+            "every line of the flow: it did not reach a balancer, or it was an ordinary flow \
+             that is not among the sampled ones"
+                .to_owned(),
+        );
+    }
+    let from_balancer = own.iter().any(|line| {
+        let kinds = [
+            EventKind::FlowPlaced,
+            EventKind::FlowRefused,
+            EventKind::FlowSought,
+        ];
+        kinds.iter().any(|kind| is_event(line, *kind))
+    });
+    if !own.is_empty() && !from_balancer {
+        missing.push("lines of a balancer".to_owned());
+    }
+    let nodes: BTreeSet<&str> = own.iter().map(|line| line.node.as_str()).collect();
+    let left_out = lines.iter().filter(|line| {
+        is_event(line, EventKind::EntriesLeftOut)
+            && nodes.contains(line.node.as_str())
+            && own.iter().any(|it| is_near(it, line))
+    });
+    missing
+        .extend(left_out.map(|line| format!("{} at {}, {}", line.subject, line.node, line.time)));
+    missing
+}
+
+/// The cause, from the last line of the flow that tells an outcome.
+fn cause(lines: &[LogLine], own: &[&LogLine]) -> String {
+    let outcome = own.iter().rev().find(|line| {
+        let kinds = [
+            EventKind::FlowRefused,
+            EventKind::FlowStalled,
+            EventKind::PacketReturned,
+            EventKind::FlowSought,
+        ];
+        kinds.iter().any(|kind| is_event(line, *kind))
+    });
+    let Some(outcome) = outcome else {
+        return match own.last() {
+            Some(last) => format!("none is logged; the last line is {}", last.event),
+            None => "unknown".to_owned(),
+        };
+    };
+    if is_event(outcome, EventKind::FlowStalled) {
+        let agent = outcome.value("agent").unwrap_or("its agent");
+        return format!("the agent {agent} that has the flow does not answer");
+    }
+    if is_event(outcome, EventKind::PacketReturned) {
+        return "the back end does not have the flow any more".to_owned();
+    }
+    if is_event(outcome, EventKind::FlowSought) {
+        return "no agent has said that its back end has the flow".to_owned();
+    }
+    match outcome.value("reason") {
+        Some("no_route") => no_route(lines, outcome),
+        Some("no_agent") => no_agent(lines, own, outcome),
+        Some(reason) => format!("refused: {reason}"),
+        None => "refused".to_owned(),
+    }
+}
+
+/// The route is not in the version that the balancer had in force.
+fn no_route(lines: &[LogLine], outcome: &LogLine) -> String {
+    let version = outcome.value("version").unwrap_or("0");
+    let newer = lines.iter().find(|line| {
+        let is_newer = |other: &str| other.parse::<u64>().ok() > version.parse::<u64>().ok();
+        is_event(line, EventKind::ConfigurationReplaced)
+            && line.time < outcome.time
+            && line.value("version").is_some_and(is_newer)
+    });
+    match newer {
+        Some(line) => format!(
+            "{} had version {version} without the route, while {} had accepted version {}",
+            outcome.node,
+            line.node,
+            line.value("version").unwrap_or("0")
+        ),
+        None => format!("version {version} has no such route"),
+    }
+}
+
+/// All agents declined: for what reasons.
+fn no_agent(lines: &[LogLine], own: &[&LogLine], outcome: &LogLine) -> String {
+    let mut reasons = BTreeMap::<&str, usize>::new();
+    let declined = |line: &&&LogLine| is_event(line, EventKind::FlowDeclined);
+    for line in own.iter().filter(declined) {
+        *reasons
+            .entry(line.value("reason").unwrap_or("?"))
+            .or_default() += 1;
+    }
+    let suspected = lines.iter().filter(|line| {
+        is_event(line, EventKind::AgentSuspected)
+            && line.node == outcome.node
+            && is_near(line, outcome)
+    });
+    let suspected = suspected.count();
+    let mut parts: Vec<String> = reasons
+        .iter()
+        .map(|(reason, count)| format!("declined {count} times as {reason}"))
+        .collect();
+    if suspected > 0 {
+        parts.push(format!("{suspected} agents did not answer"));
+    }
+    match parts.is_empty() {
+        true => "the balancer knew no agent that was ready".to_owned(),
+        false => format!("no agent took the flow: {}", parts.join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/logs/log_line.rs
@@ -0,0 +1,88 @@
+//! One line of a log.
+
+use std::fmt;
+
+use serde::Deserialize;
+
+/// Digits of a second's fraction in the times of log lines, at most.
+const FRACTION_DIGITS: usize = 9;
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// One line, as a process wrote it. Lines are ordered by their time, which is
+/// that of the machine's own clock.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LogLine {
+    /// Time of day with all digits, so that its order is that of the times.
+    pub time: String,
+    /// The node that wrote it.
+    pub node: String,
+    /// Name of the event.
+    pub event: String,
+    /// What it is about.
+    pub subject: String,
+}
+
+#[derive(Deserialize)]
+struct Document {
+    msg: String,
+    ts: String,
+    node: String,
+    #[serde(default)]
+    subject: String,
+}
+
+impl LogLine {
+    /// Reads a line of JSON. What stands before the first brace is ignored, as
+    /// collectors of logs put a prefix there. `None` for any other line.
+    pub fn parse(line: &str) -> Option<LogLine> {
+        let document = &line[line.find('{')?..];
+        let document: Document = serde_json::from_str(document).ok()?;
+        Some(LogLine {
+            time: with_all_digits(&document.ts),
+            node: document.node,
+            event: document.msg,
+            subject: document.subject,
+        })
+    }
+
+    /// Reads all lines of a text that are log lines.
+    pub fn parse_all(text: &str) -> impl Iterator<Item = LogLine> + '_ {
+        text.lines().filter_map(LogLine::parse)
+    }
+
+    /// A value of the subject, which has the form `name=value name=value`.
+    pub fn value(&self, name: &str) -> Option<&str> {
+        let words = self.subject.split(' ');
+        let mut pairs = words.filter_map(|word| word.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Milliseconds since the start of the line's day.
+    pub fn millis_of_day(&self) -> Option<u64> {
+        let (_, clock) = self.time.split_once('T')?;
+        let mut parts = clock.trim_end_matches('Z').splitn(3, ':');
+        let hours: u64 = parts.next()?.parse().ok()?;
+        let minutes: u64 = parts.next()?.parse().ok()?;
+        let seconds: f64 = parts.next()?.parse().ok()?;
+        let whole = (hours * 60 + minutes) * 60 * MILLIS_PER_SECOND;
+        Some(whole + (seconds * MILLIS_PER_SECOND as f64) as u64)
+    }
+}
+
+impl fmt::Display for LogLine {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LogLine {
+            time,
+            node,
+            event,
+            subject,
+        } = self;
+        write!(formatter, "{time} {node} {event} {subject}")
+    }
+}
+
+fn with_all_digits(time: &str) -> String {
+    let time = time.trim_end_matches('Z');
+    let (seconds, fraction) = time.split_once('.').unwrap_or((time, ""));
+    format!("{seconds}.{fraction:0<FRACTION_DIGITS$}Z")
+}
--- /dev/null
+++ b/crates/petrellatch/src/logs/version_story.rs
@@ -0,0 +1,74 @@
+//! How one version of the configuration came into force.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use petrellatch_core::EventKind;
+
+use super::log_line::LogLine;
+
+/// The lines about one version in their order, and the balancers that did not
+/// tell that they have it, or a newer one, in force.
+#[derive(Clone, Debug)]
+pub struct VersionStory {
+    version: u64,
+    lines: Vec<LogLine>,
+    without: Vec<String>,
+}
+
+impl VersionStory {
+    /// Finds the story in lines that are in the order of their times.
+    pub fn new(lines: &[LogLine], version: u64) -> VersionStory {
+        let is_about = |line: &&LogLine| {
+            let named = line.value("version").and_then(|it| it.parse().ok());
+            named == Some(version) && !line.subject.contains("flow=")
+        };
+        let answered = format!("answer=accepted({version})");
+        let told = lines
+            .iter()
+            .filter(|line| is_about(line) || line.subject.contains(&answered));
+        VersionStory {
+            version,
+            lines: told.cloned().collect(),
+            without: without(lines, version),
+        }
+    }
+
+    /// Balancers without the version.
+    pub fn without(&self) -> &[String] {
+        &self.without
+    }
+}
+
+/// Nodes that applied some version, but neither this one nor a newer one.
+fn without(lines: &[LogLine], version: u64) -> Vec<String> {
+    let applied: Vec<(&str, u64)> = lines
+        .iter()
+        .filter(|line| line.event == EventKind::ConfigurationApplied.name())
+        .filter_map(|line| Some((line.node.as_str(), line.value("version")?.parse().ok()?)))
+        .collect();
+    let nodes: BTreeSet<&str> = applied.iter().map(|(node, _)| *node).collect();
+    let has = |node: &str| {
+        applied
+            .iter()
+            .any(|(it, held)| *it == node && *held >= version)
+    };
+    let without = nodes.into_iter().filter(|node| !has(node));
+    without.map(str::to_owned).collect()
+}
+
+impl fmt::Display for VersionStory {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "configuration version {}", self.version)?;
+        for line in &self.lines {
+            writeln!(formatter, "  {line}")?;
+        }
+        if self.lines.is_empty() {
+            writeln!(formatter, "missing: every line about it")?;
+        }
+        for node in &self.without {
+            writeln!(formatter, "missing: neither it nor a newer one at {node}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -1,11 +1,14 @@
 //! Metrics of the tier, in the form that Prometheus reads. They are gathered
 //! when they are asked for, so that a process keeps nothing for them.
 
+use std::time::Duration;
+
 use petrellatch_core::consensus::Role;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, PacketCodec, PassThroughAgent, PassThroughBalancer,
+    ConfigurationNode, LatencyHistogram, PacketCodec, PassThroughAgent, PassThroughBalancer,
 };
 use petrellatch_proto::pass_through::DeclineReason;
+use prometheus::proto::{Bucket, Histogram, Metric, MetricFamily, MetricType};
 use prometheus::{Registry, TextEncoder};
 
 use crate::http::HttpResponse;
@@ -13,7 +16,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 14] = [
+pub const METRIC_NAMES: [&str; 20] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -28,8 +31,17 @@
     "petrellatch_pass_through_leads",
     "petrellatch_pass_through_term",
     "petrellatch_pass_through_voters",
+    "petrellatch_pass_through_placement_seconds",
+    "petrellatch_pass_through_configuration_lag_seconds",
+    "petrellatch_pass_through_first_answer_seconds",
+    "petrellatch_pass_through_registration_gap_seconds",
+    "petrellatch_pass_through_acceptance_seconds",
+    "petrellatch_pass_through_sync_seconds",
 ];
 
+/// Upper bounds of the buckets of all histograms, in milliseconds.
+const BUCKET_MILLIS: [u64; 12] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
+
 const PACKETS: &str = "Packets by what became of them.";
 
 pub(super) fn balancer_metrics<C: PacketCodec>(balancer: &PassThroughBalancer<C>) -> HttpResponse {
@@ -72,7 +84,15 @@
     );
     let version = gauge(&registry, METRIC_NAMES[7], "Version in force.");
     set(&version, balancer.version());
-    encode(&registry)
+    let latencies = balancer.latencies();
+    let placement = histogram(
+        14,
+        "First packet to the back end's answer.",
+        &latencies.placement,
+    );
+    let help = "First word of a newer configuration until one is in force.";
+    let lag = histogram(15, help, &latencies.configuration_lag);
+    encode(&registry, [placement, lag])
 }
 
 pub(super) fn agent_metrics<C: PacketCodec>(agent: &PassThroughAgent<C>) -> HttpResponse {
@@ -100,7 +120,12 @@
     let (busy, _) = agent.load();
     let help = "Requests that wait for their answers.";
     set(&gauge(&registry, METRIC_NAMES[10], help), busy);
-    encode(&registry)
+    let latencies = agent.latencies();
+    let help = "Admission of a flow to the back end's answer.";
+    let answer = histogram(16, help, &latencies.first_answer);
+    let help = "Between two calls of the back end.";
+    let gap = histogram(17, help, &latencies.registration_gap);
+    encode(&registry, [answer, gap])
 }
 
 pub(super) fn replica_metrics(node: &ConfigurationNode) -> HttpResponse {
@@ -116,7 +141,15 @@
     );
     let voters = gauge(&registry, METRIC_NAMES[13], "Voters of the group.");
     set(&voters, replica.membership().voters().count());
-    encode(&registry)
+    let latencies = node.latencies();
+    let help = "Request of a replacement until it was accepted.";
+    let acceptance = histogram(18, help, &latencies.acceptance);
+    let sync = histogram(
+        19,
+        "Request of a write until it was synced.",
+        &latencies.sync,
+    );
+    encode(&registry, [acceptance, sync])
 }
 
 fn reason_name(reason: DeclineReason) -> &'static str {
@@ -130,7 +163,32 @@
     }
 }
 
-fn encode(registry: &Registry) -> HttpResponse {
-    let text = TextEncoder::new().encode_to_string(&registry.gather());
+/// The histogram of name number `place`, as Prometheus has it.
+fn histogram(place: usize, help: &str, latencies: &LatencyHistogram) -> MetricFamily {
+    let buckets = BUCKET_MILLIS.iter().map(|millis| {
+        let limit = Duration::from_millis(*millis);
+        let mut bucket = Bucket::default();
+        bucket.set_upper_bound(limit.as_secs_f64());
+        bucket.set_cumulative_count(latencies.count_up_to(limit));
+        bucket
+    });
+    let mut told = Histogram::default();
+    told.set_bucket(buckets.collect());
+    told.set_sample_count(latencies.count());
+    told.set_sample_sum(latencies.total().as_secs_f64());
+    let mut metric = Metric::default();
+    metric.set_histogram(told);
+    let mut family = MetricFamily::default();
+    family.set_name(METRIC_NAMES[place].to_owned());
+    family.set_help(help.to_owned());
+    family.set_field_type(MetricType::HISTOGRAM);
+    family.set_metric(vec![metric]);
+    family
+}
+
+fn encode(registry: &Registry, histograms: [MetricFamily; 2]) -> HttpResponse {
+    let mut families = registry.gather();
+    families.extend(histograms);
+    let text = TextEncoder::new().encode_to_string(&families);
     HttpResponse::text(200, text.unwrap_or_default().into_bytes())
 }
--- /dev/null
+++ b/crates/petrellatch/tests/logs.rs
@@ -0,0 +1,154 @@
+//! The `logs` command and the stories behind it.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use petrellatch::logs::{FlowStory, LogLine, VersionStory};
+
+const FLOW: &str = "100.64.0.7:4001>198.18.0.1:80";
+
+fn line(clock: &str, node: &str, event: &str, subject: &str) -> String {
+    serde_json::json!({
+        "msg": event, "level": "INFO", "ts": format!("2026-07-27T{clock}Z"),
+        "node": node, "subject": subject, "event": 1,
+    })
+    .to_string()
+}
+
+fn lines(texts: &[String]) -> Vec<LogLine> {
+    let mut lines: Vec<LogLine> = LogLine::parse_all(&texts.join("\n")).collect();
+    lines.sort();
+    lines
+}
+
+#[test]
+fn lines_are_ordered_by_time_whatever_digits_it_has() {
+    let texts = [
+        line("05:44:34.3789442", "b", "FlowPlaced", "flow=x"),
+        line("05:44:34.37", "a", "FlowPlaced", "flow=x"),
+        line("05:44:34", "c", "FlowPlaced", "flow=x"),
+        "no log line".to_owned(),
+        format!(
+            "  12.5 node {}",
+            line("05:44:35", "d", "FlowPlaced", "flow=x")
+        ),
+    ];
+    let nodes: Vec<String> = lines(&texts).into_iter().map(|it| it.node).collect();
+    assert_eq!(nodes, ["c", "a", "b", "d"]);
+}
+
+#[test]
+fn a_flow_that_met_an_older_version_is_explained_by_the_newer_one() {
+    let texts = [
+        line(
+            "10:00:00.1",
+            "replica",
+            "ConfigurationReplaced",
+            "version=9 put=1 removed=0",
+        ),
+        line(
+            "10:00:00.2",
+            "balancer",
+            "FlowRefused",
+            &format!("flow={FLOW} reason=no_route version=8"),
+        ),
+        line(
+            "10:00:00.3",
+            "balancer",
+            "ConfigurationApplied",
+            "version=9",
+        ),
+        line(
+            "10:00:09.0",
+            "balancer",
+            "ConfigurationApplied",
+            "version=10",
+        ),
+    ];
+    let story = FlowStory::new(&lines(&texts), "100.64.0.7:4001");
+    assert!(story.cause().contains("had version 8"), "{story}");
+    assert!(story.cause().contains("accepted version 9"), "{story}");
+    let text = story.to_string();
+    assert!(text.contains("ConfigurationApplied version=9"), "{text}");
+    assert!(
+        !text.contains("version=10"),
+        "that is too long after: {text}"
+    );
+}
+
+#[test]
+fn what_is_missing_is_said() {
+    let texts = [
+        line(
+            "10:00:00.1",
+            "agent",
+            "FlowDeclined",
+            &format!("flow={FLOW} reason=Full busy=7"),
+        ),
+        line("10:00:01.0", "agent", "EntriesLeftOut", "40 entries"),
+        line("10:00:01.0", "other", "EntriesLeftOut", "50 entries"),
+    ];
+    let story = FlowStory::new(&lines(&texts), FLOW);
+    let missing = story.missing().join("; ");
+    assert!(missing.contains("balancer"), "{missing}");
+    assert!(missing.contains("40 entries at agent"), "{missing}");
+    assert!(!missing.contains("50"), "{missing}");
+    let nothing = FlowStory::new(&lines(&texts), "100.64.0.7:9");
+    assert!(nothing.missing()[0].contains("every line"));
+    assert_eq!(nothing.cause(), "unknown");
+}
+
+#[test]
+fn a_version_names_the_balancers_that_lack_it() {
+    let texts = [
+        line(
+            "10:00:00.1",
+            "replica",
+            "ConfigurationReplaced",
+            "version=9 put=1 removed=0",
+        ),
+        line("10:00:00.2", "one", "ConfigurationApplied", "version=9"),
+        line("10:00:00.2", "two", "ConfigurationApplied", "version=8"),
+        line("10:00:00.3", "three", "ConfigurationApplied", "version=11"),
+    ];
+    let story = VersionStory::new(&lines(&texts), 9);
+    assert_eq!(story.without(), ["two"]);
+}
+
+#[test]
+fn the_command_reads_standard_input_and_wants_one_subject() {
+    let program = env!("CARGO_BIN_EXE_petrellatch");
+    let mut process = Command::new(program)
+        .args(["logs", "--flow", FLOW])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let text = line(
+        "10:00:00.2",
+        "balancer",
+        "FlowRefused",
+        &format!("flow={FLOW} reason=no_agent version=8"),
+    );
+    let mut input = process.stdin.take().expect("piped");
+    input.write_all(text.as_bytes()).expect("it reads");
+    drop(input);
+    let output = process.wait_with_output().expect("it ends");
+    assert!(output.status.success());
+    let printed = String::from_utf8_lossy(&output.stdout);
+    assert!(
+        printed.contains("cause: the balancer knew no agent"),
+        "{printed}"
+    );
+
+    for wrong in [
+        vec!["logs"],
+        vec!["logs", "--flow", FLOW, "--configuration", "3"],
+    ] {
+        let output = Command::new(program)
+            .args(&wrong)
+            .output()
+            .expect("it starts");
+        assert_eq!(output.status.code(), Some(2), "{wrong:?}");
+    }
+}
