--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -1,7 +1,6 @@
 //! The balancer: chooses an agent for each new flow, and hands on the packets
 //! of open ones.
 
-mod early_openings;
 mod news;
 mod open_flows;
 mod openings;
@@ -30,8 +29,6 @@
 use super::route_table::RouteTable;
 use super::seek_budget::SeekBudget;
 
-use early_openings::EarlyOpenings;
-
 /// An agent that did not answer an opening packet by then is suspected, and
 /// another one is asked.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
@@ -140,7 +137,6 @@
     confirm: u64,
     confirmed_version: Option<u64>,
     current: bool,
-    early_openings: EarlyOpenings,
     follow_at: Timestamp,
     /// Questions before the first confirmation.
     confirm_tries: u32,
@@ -187,7 +183,6 @@
             confirm: incarnation.0 | 1,
             confirmed_version: None,
             current: false,
-            early_openings: EarlyOpenings::default(),
             follow_at: now,
             confirm_tries: 0,
             confirm_asked: None,
@@ -266,10 +261,6 @@
         };
         if !self.current {
             self.counters.not_current += 1;
-            if view.is_opening() {
-                let flow = view.flow_from_caller();
-                self.early_openings.keep(now, flow, packet);
-            }
             return;
         }
         self.observe_clock(now);
@@ -307,11 +298,6 @@
             PassThroughBody::Confirmed(confirmed) => self.handle_confirmed(&confirmed),
             _ => {}
         }
-        if self.current {
-            for packet in self.early_openings.take(now) {
-                self.handle_packet(now, &packet);
-            }
-        }
     }
 
     /// Does what has become due.
