Ask four agents to queue a flow before it is refused

Ruled out: longer queues (tried before). Change: four are asked in place of two, one after the other as before. The test has one agent of six with room; with two asked it is red.

--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -36,7 +36,7 @@
 /// are asked to queue it.
 const MAX_ASKED: usize = 4;
 /// Agents that are asked to queue a flow.
-const MAX_QUEUE_ASKED: usize = 2;
+const MAX_QUEUE_ASKED: usize = 4;
 /// When nobody was heard for so long, replicas are asked.
 const SILENCE_LIMIT: Duration = Duration::from_millis(300);
 /// When nobody was heard for so long, the balancer counts as cut off.
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -10,10 +10,12 @@
 use petrellatch_core::pass_through::{
     Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
     PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
+    service_digest,
 };
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Confirmed, Directory, DirectoryChange, DirectoryEntry,
-    PassThroughBody, Report, RouteRecord, ShareRecord, pack_address,
+    Carry, CarryReason, ConfigurationChange, ConfigurationPart, Confirmed, Directory,
+    DirectoryChange, DirectoryEntry, PassThroughBody, Report, RouteRecord, ShareRecord,
+    pack_address,
 };
 use prost::Message;
 
@@ -305,6 +307,26 @@
         self.settle();
     }
 
+    /// Another balancer opens flows at an agent.
+    fn fill_from_elsewhere(&mut self, index: u8, flows: u16) {
+        let elsewhere = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 98), 7000);
+        for port in 1..=flows {
+            let packet = PacketView {
+                synchronize: true,
+                ..empty(caller(30_000 + port), ROUTE)
+            };
+            let carry = Carry {
+                service: service_digest(SERVICE),
+                reason: CarryReason::OpenQueued.into(),
+                packet: encode(&packet),
+            };
+            let agent = self.agents.get_mut(&agent_address(index)).expect("known");
+            agent.handle_message(self.now, elsewhere, PassThroughBody::Carry(carry));
+        }
+        self.settle();
+        self.callers.clear();
+    }
+
     /// The caller sends data on a flow that this agent's back end answered.
     fn request(&mut self, port: u16, agent: SocketAddrV4) {
         let packet = PacketView {
@@ -374,6 +396,21 @@
     assert_eq!(world.resets(), 1, "everybody's queue is full");
 }
 
+#[test]
+fn a_flow_is_queued_by_the_one_agent_that_has_room() {
+    for free in 1..=6 {
+        let mut world = World::new(6, 2);
+        let others = (1..=6).filter(|index| *index != free);
+        for index in others {
+            world.fill_from_elsewhere(index, 6);
+        }
+        world.fill_from_elsewhere(free, 3);
+        world.open(1, 0);
+        assert_eq!(world.answered_by(1), Some(agent_address(free)));
+        assert_eq!(world.resets(), 0);
+    }
+}
+
 #[test]
 fn a_frozen_agent_costs_a_new_flow_only_a_moment() {
     let mut world = World::new(2, 4);
