Let replicas elect as soon as they start where no leases are granted

Cause: after a loss of power a leader was elected 215 ms after the replicas' start, never sooner: a voter that starts helped to elect nobody for one election timeout, as its former life may have answered a leader that relies on its silence. Ruled out: dropping that rule altogether (the tier with leases needs it), and a shorter election timeout (a processor that rests for a tenth of a second would lose its leader). Change: a setting for groups without leases. Votes are synced and reads need a round of messages, so neither the log nor reads depend on the rule; pre-votes protect a leader that is heard. The first timer is 0.35 to 1.1 timeouts in place of 1 to 2.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -157,9 +157,9 @@
     /// Whether a leader was heard from so recently that no other one may be
     /// elected with this replica's help.
     fn hears_leader(&self) -> bool {
-        let silence = self.now.saturating_since(self.last_leader_contact);
         let leads = matches!(self.part, Part::Leader(_));
-        leads || silence < self.settings.election_timeout
+        let is_recent = |at| self.now.saturating_since(at) < self.settings.election_timeout;
+        leads || self.last_leader_contact.is_some_and(is_recent)
     }
 
     fn would_vote_for(&self, candidate: ReplicaId, request: &VoteRequest) -> bool {
--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -102,7 +102,7 @@
 
     fn note_leader(&mut self, leader: NodeId) {
         self.leader = Some(leader);
-        self.last_leader_contact = self.now;
+        self.last_leader_contact = Some(self.now);
         self.reset_election_timer();
         self.reset_join_timer();
     }
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -1,6 +1,7 @@
 //! The replica: its state, its inputs and its outputs.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Range;
 use std::sync::Arc;
 
 use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage};
@@ -40,7 +41,7 @@
     pub(super) leader: Option<NodeId>,
     /// When a leader was last heard from; the start counts as such, because
     /// what was promised before it is not known any more.
-    pub(super) last_leader_contact: Timestamp,
+    pub(super) last_leader_contact: Option<Timestamp>,
     pub(super) election_deadline: Timestamp,
     pub(super) join_deadline: Timestamp,
     /// Nodes of the group, as far as the settings name them.
@@ -57,6 +58,13 @@
     announced_role: (Role, Term),
 }
 
+/// How long a replica waits for a leader before it stands for election, in
+/// election timeouts.
+const TIMEOUTS_WITHOUT_LEADER: Range<f64> = 1.0..2.0;
+/// The same at the start of a replica that may elect at once: long enough to
+/// hear from a leader that there is.
+const TIMEOUTS_AT_START: Range<f64> = 0.35..1.1;
+
 /// State of the part that the replica plays.
 #[derive(Debug)]
 pub(super) enum Part {
@@ -106,7 +114,6 @@
             writes.note_snapshot(snapshot);
         }
         let mut replica = Replica {
-            settings,
             id,
             random: ChaCha8Rng::seed_from_u64(start.seed),
             now,
@@ -119,7 +126,7 @@
             applied_index: base.index,
             part: Part::Follower,
             leader: None,
-            last_leader_contact: now,
+            last_leader_contact: (!settings.elects_at_start).then_some(now),
             election_deadline: now,
             join_deadline: now,
             configured_peers,
@@ -129,9 +136,10 @@
             own_proposals: BTreeMap::new(),
             snapshot_wanted_at: base.index,
             outputs: VecDeque::new(),
+            settings,
         };
         replica.emit_initial_state();
-        replica.reset_election_timer();
+        replica.reset_first_election_timer();
         replica.reset_join_timer();
         replica
     }
@@ -282,8 +290,21 @@
 
     /// A random duration of one to two election timeouts, after `now`.
     pub(super) fn random_deadline(&mut self) -> Timestamp {
-        const ONE: f64 = 1.0;
-        let factor = ONE + self.random.random_range(0.0..ONE);
+        self.deadline_after(TIMEOUTS_WITHOUT_LEADER)
+    }
+
+    /// At the start there is no leader to wait for, unless it was heard before.
+    fn reset_first_election_timer(&mut self) {
+        let timeouts = match self.settings.elects_at_start {
+            true => TIMEOUTS_AT_START,
+            false => TIMEOUTS_WITHOUT_LEADER,
+        };
+        self.election_deadline = self.deadline_after(timeouts);
+    }
+
+    /// A random time, in election timeouts from now.
+    fn deadline_after(&mut self, timeouts: Range<f64>) -> Timestamp {
+        let factor = self.random.random_range(timeouts);
         self.now + self.settings.election_timeout.mul_f64(factor)
     }
 
--- a/crates/petrellatch-core/src/consensus/settings.rs
+++ b/crates/petrellatch-core/src/consensus/settings.rs
@@ -42,6 +42,11 @@
     /// Whether a replica that was removed may announce itself again, for
     /// groups that remove silent members by themselves.
     pub readmit_retired: bool,
+    /// Whether a voter that starts may help to elect a leader at once. It may
+    /// not where leases are granted: its former life may have answered a
+    /// leader that still relies on its silence. Log and reads don't depend on
+    /// that.
+    pub elects_at_start: bool,
     /// Deliberate faults for the lab; all off in production.
     pub mutations: ConsensusMutations,
 }
@@ -57,6 +62,7 @@
             compaction_bytes: 4 * 1024 * 1024,
             clock_drift_margin_per_mille: 50,
             readmit_retired: false,
+            elects_at_start: false,
             mutations: ConsensusMutations::default(),
         }
     }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -70,6 +70,7 @@
                 max_batch_bytes: 16 * 1024,
                 snapshot_chunk_bytes: 16 * 1024,
                 readmit_retired: true,
+                elects_at_start: true,
                 ..ReplicaSettings::default()
             },
             losses: 1,
--- a/crates/petrellatch-core/tests/pass_through/formation.rs
+++ b/crates/petrellatch-core/tests/pass_through/formation.rs
@@ -93,3 +93,40 @@
     group.restart(others[3]);
     assert_eq!(group.read().version, 9);
 }
+
+#[test]
+fn a_group_whose_processes_all_start_again_soon_has_a_leader() {
+    let mut group = Group::start(5);
+    group.run_until(5 * SECOND, "five voters", |it| it.voters().len() == 5);
+    let mut waited = Duration::ZERO;
+    const ROUNDS: u32 = 20;
+    for _ in 0..ROUNDS {
+        for index in 1..=5 {
+            group.kill(index);
+        }
+        group.run(SECOND);
+        for index in 1..=5 {
+            group.restart(index);
+        }
+        let start = group.now;
+        group.run_until(SECOND, "a leader", |it| it.leader().is_some());
+        waited += group.now.saturating_since(start);
+    }
+    let mean = waited / ROUNDS;
+    assert!(mean < Duration::from_millis(350), "{mean:?} in the mean");
+}
+
+#[test]
+fn one_process_that_starts_again_does_not_disturb_the_leader() {
+    let mut group = Group::start(5);
+    group.run_until(5 * SECOND, "five voters", |it| it.voters().len() == 5);
+    let leader = group.leader().expect("there is one");
+    let others = (1..=5).filter(|index| *index != leader);
+    for index in others {
+        group.kill(index);
+        group.run(100 * Duration::from_millis(1));
+        group.restart(index);
+        group.run(SECOND);
+        assert_eq!(group.leader(), Some(leader));
+    }
+}
