Repeat requests for votes, and ask sooner at the start

And a replica whose pre-vote found no quorum waited one to two timeouts, also if the quorum was there 10 ms later. Ruled out: logs that differ (all at index 19), the disk. Change: a candidate asks again every 0.2 timeouts who has not voted for it; at the start, before any leader was heard, pre-votes follow each other after 0.2 to 0.4 timeouts, at most 50.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -14,6 +14,10 @@
 use super::persistence::HardState;
 use super::replica::{Part, Replica};
 
+/// Between two requests of a candidate for the same vote, in election
+/// timeouts.
+const TIMEOUTS_BETWEEN_REQUESTS: f64 = 0.2;
+
 impl Replica {
     /// Whether this replica is a voter, as far as it knows.
     pub(super) fn may_campaign(&self) -> bool {
@@ -35,7 +39,7 @@
         let granted = BTreeSet::from([self.id.node]);
         self.part = Part::PreCandidate { granted };
         self.leader = None;
-        self.reset_election_timer();
+        self.reset_pre_vote_timer();
         let last = self.log.last_position();
         let request = PreVoteRequest {
             proposed_term: self.hard_state.term + 1,
@@ -205,17 +209,41 @@
             granted: BTreeSet::new(),
         };
         self.reset_election_timer();
+        self.ask_for_votes(transferred);
+    }
+
+    /// Asks the voters who have not voted for this candidate. A request may
+    /// get lost, or come before its voter has started.
+    fn ask_for_votes(&mut self, transferred: bool) {
+        let Part::Candidate { granted } = &self.part else {
+            return;
+        };
+        let is_missing = |voter: &ReplicaId| !granted.contains(&voter.node);
+        let voters: Vec<ReplicaId> = self.other_voters().into_iter().filter(is_missing).collect();
+        let interval = self
+            .settings
+            .election_timeout
+            .mul_f64(TIMEOUTS_BETWEEN_REQUESTS);
+        self.ask_again_at = self.now + interval;
         let last = self.log.last_position();
         let request = VoteRequest {
             last_index: last.index,
             last_term: last.term,
             transferred,
         };
-        for voter in self.other_voters() {
+        for voter in voters {
             self.send_durably(voter, ConsensusBody::VoteRequest(request.clone()));
         }
     }
 
+    /// Repeats what a candidate asked for, if that is due.
+    pub(super) fn repeat_vote_requests(&mut self) {
+        let is_candidate = matches!(self.part, Part::Candidate { .. });
+        if is_candidate && self.now >= self.ask_again_at {
+            self.ask_for_votes(false);
+        }
+    }
+
     fn become_leader(&mut self) {
         let first_index = self.log.last_index() + 1;
         let mut leadership = Leadership::new(self.now, first_index);
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -41,6 +41,10 @@
     pub(super) leader: Option<NodeId>,
     /// When a leader was last heard from; the start counts as such, because
     /// what was promised before it is not known any more.
+    /// When a candidate asks again for votes that it lacks.
+    pub(super) ask_again_at: Timestamp,
+    /// Pre-votes of this life.
+    pre_votes: u32,
     pub(super) last_leader_contact: Option<Timestamp>,
     pub(super) election_deadline: Timestamp,
     pub(super) join_deadline: Timestamp,
@@ -64,6 +68,10 @@
 /// The same for the first of the voters that start and may elect at once. If
 /// there is a leader, its followers deny the pre-vote.
 const TIMEOUTS_AT_START: Range<f64> = 0.08..0.12;
+/// Between two pre-votes as long as no leader was heard in this life, in
+/// election timeouts, and how many of them may follow each other so soon.
+const TIMEOUTS_BETWEEN_PRE_VOTES_AT_START: Range<f64> = 0.2..0.4;
+const MAX_QUICK_PRE_VOTES: u32 = 50;
 /// How much later than the one before it each further voter stands, in
 /// election timeouts, so that votes are not split.
 const TIMEOUTS_BETWEEN_TURNS: f64 = 0.1;
@@ -131,6 +139,8 @@
             leader: None,
             last_leader_contact: (!settings.elects_at_start).then_some(now),
             election_deadline: now,
+            pre_votes: 0,
+            ask_again_at: now,
             join_deadline: now,
             configured_peers,
             assembly: None,
@@ -199,6 +209,7 @@
         if self.election_is_due() {
             self.start_pre_vote();
         }
+        self.repeat_vote_requests();
         self.continue_transfer();
         if self.join_is_due() {
             self.announce_join();
@@ -242,6 +253,9 @@
             ];
             return candidates.into_iter().flatten().min();
         }
+        if matches!(self.part, Part::Candidate { .. }) {
+            return Some(self.election_deadline.min(self.ask_again_at));
+        }
         if self.may_campaign() {
             return Some(self.election_deadline);
         }
@@ -307,6 +321,18 @@
         self.election_deadline = self.deadline_after(timeouts.start + wait..timeouts.end + wait);
     }
 
+    /// A replica that starts asks again soon: others of its quorum may start a
+    /// little later.
+    pub(super) fn reset_pre_vote_timer(&mut self) {
+        self.pre_votes += 1;
+        let starts = self.settings.elects_at_start && self.last_leader_contact.is_none();
+        let timeouts = match starts && self.pre_votes <= MAX_QUICK_PRE_VOTES {
+            true => TIMEOUTS_BETWEEN_PRE_VOTES_AT_START,
+            false => TIMEOUTS_WITHOUT_LEADER,
+        };
+        self.election_deadline = self.deadline_after(timeouts);
+    }
+
     /// Place among the voters in the order in which they stand at their start.
     /// It changes with each term, so that a voter that can't win is not always
     /// the first.
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/candidate.rs
@@ -0,0 +1,114 @@
+//! One candidate, message by message.
+
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{
+    Membership, PersistentState, Replica, ReplicaId, ReplicaOutput, ReplicaSettings, ReplicaStart,
+    Role,
+};
+use petrellatch_core::identity::{Incarnation, NodeId};
+use petrellatch_proto::consensus::{
+    ConsensusBody, ConsensusMessage, PreVoteResponse, VoteResponse,
+};
+
+const MILLI: Duration = Duration::from_millis(1);
+
+fn id(node: u64) -> ReplicaId {
+    ReplicaId {
+        node: NodeId(node),
+        incarnation: Incarnation(100 + node),
+    }
+}
+
+fn from(node: u64, term: u64, body: ConsensusBody) -> (NodeId, ConsensusMessage) {
+    let message = ConsensusMessage {
+        from_incarnation: id(node).incarnation.0,
+        to_incarnation: 0,
+        term,
+        body: Some(body),
+    };
+    (NodeId(node), message)
+}
+
+/// Lets a replica write what it wants; returns whom it asked for a vote.
+fn settle(replica: &mut Replica, now: Timestamp) -> Vec<u64> {
+    let mut asked = Vec::new();
+    while let Some(output) = replica.poll_output() {
+        match output {
+            ReplicaOutput::Persist(request) => replica.handle_persisted(now, request.ticket),
+            ReplicaOutput::Send { to, message } => {
+                if matches!(message.body, Some(ConsensusBody::VoteRequest(_))) {
+                    asked.push(to.0);
+                }
+            }
+            _ => {}
+        }
+    }
+    asked
+}
+
+/// A replica of five that has become a candidate, with two pre-votes.
+fn candidate() -> (Replica, Timestamp) {
+    let start = ReplicaStart {
+        id: id(1).node,
+        incarnation: id(1).incarnation,
+        seed: 3,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters((1..=5).map(id))),
+    };
+    let mut now = Timestamp::from_millis(10_000);
+    let mut replica = Replica::new(now, ReplicaSettings::default(), start);
+    settle(&mut replica, now);
+    while replica.role() != Role::PreCandidate {
+        now = now + MILLI;
+        replica.handle_timeout(now);
+        settle(&mut replica, now);
+    }
+    for node in [2, 3] {
+        let proposed_term = replica.term() + 1;
+        let granted = PreVoteResponse {
+            proposed_term,
+            granted: true,
+        };
+        let body = ConsensusBody::PreVoteResponse(granted);
+        let (node, message) = from(node, replica.term(), body);
+        replica.handle_message(now, node, message);
+    }
+    assert_eq!(settle(&mut replica, now), [2, 3, 4, 5]);
+    assert_eq!(replica.role(), Role::Candidate);
+    (replica, now)
+}
+
+#[test]
+fn a_candidate_asks_again_who_has_not_voted_for_it() {
+    let (mut replica, start) = candidate();
+    let vote = ConsensusBody::VoteResponse(VoteResponse { granted: true });
+    let (node, message) = from(2, replica.term(), vote);
+    replica.handle_message(start, node, message);
+    let mut asked = Vec::new();
+    let limit = start + ReplicaSettings::default().election_timeout / 2;
+    while let Some(due) = replica.poll_timeout().filter(|due| *due < limit) {
+        replica.handle_timeout(due);
+        asked.extend(settle(&mut replica, due));
+    }
+    assert_eq!(replica.role(), Role::Candidate);
+    for node in [3, 4, 5] {
+        let times = asked.iter().filter(|it| **it == node).count();
+        assert!((1..=4).contains(&times), "{times} times for {node}");
+    }
+    assert!(!asked.contains(&2), "it has voted");
+}
+
+#[test]
+fn a_vote_that_comes_late_decides() {
+    let (mut replica, start) = candidate();
+    for (node, millis) in [(2, 1), (5, 300)] {
+        let now = start + millis * MILLI;
+        let vote = ConsensusBody::VoteResponse(VoteResponse { granted: true });
+        let (node, message) = from(node, replica.term(), vote);
+        replica.handle_message(now, node, message);
+        settle(&mut replica, now);
+    }
+    assert_eq!(replica.role(), Role::Leader);
+}
--- a/crates/petrellatch-core/tests/consensus/main.rs
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated log on a virtual clock.
 
+mod candidate;
 mod checker;
 mod cluster;
 mod mutations;
--- a/crates/petrellatch-core/tests/pass_through/formation.rs
+++ b/crates/petrellatch-core/tests/pass_through/formation.rs
@@ -130,3 +130,59 @@
         assert_eq!(group.leader(), Some(leader));
     }
 }
+
+#[test]
+fn a_leader_is_elected_soon_after_the_last_voter_of_a_quorum_has_started() {
+    let mut group = Group::start(5);
+    group.run_until(5 * SECOND, "five voters", |it| it.voters().len() == 5);
+    let mut waited = Duration::ZERO;
+    const ROUNDS: u32 = 20;
+    for round in 1..=ROUNDS {
+        for index in 1..=5 {
+            group.kill(index);
+        }
+        group.run(SECOND);
+        group.restart(1);
+        group.restart(2);
+        // Whoever stood for election before this had no quorum.
+        group.run(Duration::from_millis(200 + u64::from(round) * 20));
+        group.restart(3);
+        let start = group.now;
+        group.run_until(2 * SECOND, "a leader", |it| it.leader().is_some());
+        waited += group.now.saturating_since(start);
+        group.restart(4);
+        group.restart(5);
+        group.run(SECOND);
+    }
+    let mean = waited / ROUNDS;
+    assert!(mean < Duration::from_millis(120), "{mean:?} in the mean");
+}
+
+#[test]
+fn a_split_vote_is_decided_by_the_next_voter_that_starts() {
+    let mut group = Group::start(5);
+    group.run_until(5 * SECOND, "five voters", |it| it.voters().len() == 5);
+    let mut longest = Duration::ZERO;
+    for _ in 0..20 {
+        for index in 1..=5 {
+            group.kill(index);
+        }
+        group.run(SECOND);
+        // Two voters ask a third one at the same time as it starts.
+        group.restart(1);
+        group.restart(2);
+        group.run(Duration::from_millis(400));
+        group.restart(3);
+        group.run(Duration::from_millis(75));
+        group.restart(4);
+        let start = group.now;
+        group.run_until(2 * SECOND, "a leader", |it| it.leader().is_some());
+        longest = longest.max(group.now.saturating_since(start));
+        group.restart(5);
+        group.run(SECOND);
+    }
+    assert!(
+        longest < Duration::from_millis(250),
+        "{longest:?} at the most"
+    );
+}
