Let as many requests wait as are likely to meet their objective

Ruled out: the flag of cold back ends alone, which says nothing about slow ones or about objectives. Change: routes carry the objective of their requests; an agent measures the time of requests that found a slot free, and queues as many for each slot as fit into 0.8 of the objective, two to four.

--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -68,6 +68,7 @@
         shares: vec![ShareRecord { service, weight: 1 }],
         annotation: annotation.into_bytes(),
         position: 0,
+        objective_millis: 0,
     }
 }
 
--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -21,6 +21,7 @@
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, PacketCodec, PacketView};
 use super::registration::{Registration, RegistrationState};
+use super::service_time::ServiceTime;
 
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -55,7 +56,8 @@
     /// last, after which a new life of the agent knows all flows.
     pub flow_lifetime: Duration,
     /// How many requests an agent takes if all others are full, as a multiple
-    /// of its back end's capacity.
+    /// of its back end's capacity; more if the back end answers so fast that
+    /// they are still likely to meet their objective.
     pub queue_factor: u32,
     /// The longest that a planned stop waits for open flows.
     pub stop_limit: Duration,
@@ -109,6 +111,7 @@
     stopped: bool,
     counters: PassThroughAgentCounters,
     latencies: PassThroughAgentLatencies,
+    service_time: ServiceTime,
     registered_at: Option<Timestamp>,
     outputs: VecDeque<PassThroughOutput>,
 }
@@ -142,6 +145,7 @@
             stopped: false,
             counters: PassThroughAgentCounters::default(),
             latencies: PassThroughAgentLatencies::default(),
+            service_time: ServiceTime::default(),
             registered_at: None,
             outputs: VecDeque::new(),
         }
@@ -258,7 +262,9 @@
             } => BackendPacket::Answer,
             _ => BackendPacket::Established,
         };
-        self.flows.note_from_backend(now, flow, meaning);
+        if let Some(time) = self.flows.note_from_backend(now, flow, meaning) {
+            self.service_time.record(time);
+        }
         self.report_if_changed(now);
         if view.synchronize && !answered_before {
             let admitted_at = self.flows.get(flow).map(|flow| flow.created_at);
@@ -349,7 +355,9 @@
         match reason {
             CarryReason::Open => self.admit(now, from, flow, carry.packet, 1),
             CarryReason::OpenQueued => {
-                let factor = self.settings.queue_factor;
+                let objective = Duration::from_millis(u64::from(carry.objective_millis));
+                let minimum = self.settings.queue_factor;
+                let factor = self.service_time.queue_factor(objective, minimum);
                 self.admit(now, from, flow, carry.packet, factor);
             }
             CarryReason::Deliver => self.deliver(now, from, &view, carry.packet),
@@ -395,8 +403,9 @@
             return;
         }
         self.counters.admitted += 1;
+        let capacity = self.registration.capacity();
         self.flows
-            .note_from_caller(now, flow, from, CallerPacket::Opening);
+            .note_from_caller(now, flow, from, CallerPacket::Opening, capacity);
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
     }
 
@@ -409,8 +418,9 @@
             _ => CallerPacket::Established,
         };
         self.counters.delivered += 1;
+        let capacity = self.registration.capacity();
         self.flows
-            .note_from_caller(now, view.flow_from_caller(), from, meaning);
+            .note_from_caller(now, view.flow_from_caller(), from, meaning, capacity);
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
     }
 
--- a/crates/petrellatch-core/src/pass_through/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_flows.rs
@@ -34,6 +34,8 @@
     /// One end has ended it.
     ended: bool,
     pub(super) created_at: Timestamp,
+    /// Since when a request is worked on that found a slot free.
+    working_since: Option<Timestamp>,
     active_at: Timestamp,
 }
 
@@ -88,13 +90,15 @@
         self.flows.iter()
     }
 
-    /// Notes a packet from the caller's side.
+    /// Notes a packet from the caller's side. The back end works on `capacity`
+    /// requests at once.
     pub(super) fn note_from_caller(
         &mut self,
         now: Timestamp,
         id: FlowId,
         balancer: SocketAddrV4,
         packet: CallerPacket,
+        capacity: u32,
     ) {
         let flow = self.entry(now, id);
         flow.active_at = now;
@@ -108,13 +112,20 @@
             CallerPacket::Request => {
                 self.open(id);
                 self.set_busy(id, true);
+                self.begin_work(now, id, capacity);
             }
             CallerPacket::End => self.end(id),
         }
     }
 
-    /// Notes a packet from the back end.
-    pub(super) fn note_from_backend(&mut self, now: Timestamp, id: FlowId, packet: BackendPacket) {
+    /// Notes a packet from the back end. Returns how long it worked on a
+    /// request that found a slot free, with the first packet of its answer.
+    pub(super) fn note_from_backend(
+        &mut self,
+        now: Timestamp,
+        id: FlowId,
+        packet: BackendPacket,
+    ) -> Option<Duration> {
         let flow = self.entry(now, id);
         flow.active_at = now;
         match packet {
@@ -122,10 +133,24 @@
             BackendPacket::Established => flow.open = true,
             BackendPacket::Answer => {
                 flow.open = true;
+                let since = flow.working_since.take();
                 self.set_busy(id, false);
+                return since.map(|since| now.saturating_since(since));
             }
             BackendPacket::End => self.end(id),
         }
+        None
+    }
+
+    /// Notes that the back end has a request, if it can work on it at once.
+    fn begin_work(&mut self, now: Timestamp, id: FlowId, capacity: u32) {
+        let finds_slot = self.busy <= capacity;
+        if let Some(flow) = self.flows.get_mut(&id)
+            && finds_slot
+            && flow.busy
+        {
+            flow.working_since.get_or_insert(now);
+        }
     }
 
     pub(super) fn remove(&mut self, id: FlowId) -> Option<AgentFlow> {
@@ -158,6 +183,7 @@
             busy: false,
             ended: false,
             created_at: now,
+            working_since: None,
             active_at: now,
         })
     }
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -365,6 +365,7 @@
             service,
             reason: reason.into(),
             packet,
+            objective_millis: 0,
         };
         self.send(agent, PassThroughBody::Carry(carry));
     }
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -71,7 +71,13 @@
             let subject = format!("flow={flow} agent={agent} version={version} reason={reason:?}");
             self.emit_event(EventKind::FlowPlaced, subject);
         }
-        self.carry(agent, service, reason, packet);
+        let carry = Carry {
+            service,
+            reason: reason.into(),
+            packet,
+            objective_millis: self.routes.objective_millis(flow),
+        };
+        self.send(agent, PassThroughBody::Carry(carry));
     }
 
     /// Nobody has a free slot: asks whether somebody queues the flow.
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -35,6 +35,7 @@
 mod replacements;
 mod route_table;
 mod seek_budget;
+mod service_time;
 
 pub use agent::{
     PassThroughAgent, PassThroughAgentCounters, PassThroughAgentLatencies, PassThroughAgentSettings,
--- a/crates/petrellatch-core/src/pass_through/route_table.rs
+++ b/crates/petrellatch-core/src/pass_through/route_table.rs
@@ -19,10 +19,17 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     version: u64,
-    routes: HashMap<SocketAddrV4, Vec<Share>>,
+    routes: HashMap<SocketAddrV4, Route>,
     assembly: PartAssembly,
 }
 
+/// Where the flows of one address go.
+#[derive(Debug)]
+struct Route {
+    shares: Vec<Share>,
+    objective_millis: u32,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Share {
     service: u64,
@@ -48,7 +55,7 @@
     /// The service that a new flow goes to. All copies of its opening packet
     /// lead to the same one.
     pub fn service_for(&self, flow: FlowId) -> Option<u64> {
-        let shares = self.routes.get(&flow.route)?;
+        let shares = &self.routes.get(&flow.route)?.shares;
         let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
         let mut point = flow_digest(flow, SHARE_SALT) % total.max(1);
         for share in shares {
@@ -61,6 +68,13 @@
         None
     }
 
+    /// By when requests of this flow should be answered, in milliseconds; zero
+    /// if that is not known.
+    pub fn objective_millis(&self, flow: FlowId) -> u32 {
+        let route = self.routes.get(&flow.route);
+        route.map_or(0, |route| route.objective_millis)
+    }
+
     /// Takes a part of a compressed change. Returns whether another version is in force.
     pub fn handle_part(&mut self, part: ConfigurationPart) -> bool {
         let applies = part.base_version == self.version || part.base_version == 0;
@@ -87,9 +101,12 @@
         for address in &change.removed {
             self.routes.remove(&unpack_address(*address));
         }
-        for route in &change.put {
-            self.routes
-                .insert(unpack_address(route.address), shares(route));
+        for record in &change.put {
+            let route = Route {
+                shares: shares(record),
+                objective_millis: record.objective_millis,
+            };
+            self.routes.insert(unpack_address(record.address), route);
         }
         self.version = change.version;
         true
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -99,6 +99,7 @@
                 }],
                 annotation: Vec::new(),
                 position: 0,
+                objective_millis: 0,
             }],
             removed: Vec::new(),
             annotation: None,
@@ -319,6 +320,7 @@
                 service: service_digest(SERVICE),
                 reason: CarryReason::OpenQueued.into(),
                 packet: encode(&packet),
+                objective_millis: 0,
             };
             let agent = self.agents.get_mut(&agent_address(index)).expect("known");
             agent.handle_message(self.now, elsewhere, PassThroughBody::Carry(carry));
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -37,6 +37,7 @@
         }],
         annotation: vec![index; 40],
         position: 0,
+        objective_millis: 0,
     };
     let services = BTreeSet::from(["desk".to_owned()]);
     let routes = (0..routes).map(route).collect();
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -6,5 +6,6 @@
 mod daemons;
 mod formation;
 mod group;
+mod queueing;
 mod restarted_agents;
 mod scale;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -0,0 +1,179 @@
+//! How many requests an agent lets wait for its back end.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, PacketView, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
+    Registration, service_digest,
+};
+use petrellatch_proto::pass_through::{Carry, CarryReason, PassThroughBody};
+
+use super::codec::{TestCodec, empty, encode};
+
+const SERVICE: &str = "desk";
+const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80);
+const SLOTS: u32 = 3;
+
+struct Desk {
+    now: Timestamp,
+    agent: PassThroughAgent<TestCodec>,
+    next_port: u16,
+}
+
+impl Desk {
+    /// An agent whose back end has answered some requests after `work`.
+    fn new(work: Duration) -> Desk {
+        let now = Timestamp::from_millis(1_000);
+        let settings = PassThroughAgentSettings {
+            address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000),
+            zone: "a".to_owned(),
+            service: SERVICE.to_owned(),
+            report_interval: Duration::from_millis(500),
+            silence_limit: Duration::from_secs(600),
+            provisional_limit: Duration::from_secs(2),
+            flow_lifetime: Duration::from_secs(60),
+            queue_factor: 2,
+            stop_limit: Duration::from_secs(2),
+        };
+        let contacts = Contacts::new(Vec::new());
+        let mut agent = PassThroughAgent::new(now, settings, TestCodec, Incarnation(1), contacts);
+        let call = Registration {
+            id: "backend-1".to_owned(),
+            call_number: 1,
+            capacity: SLOTS,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        agent.handle_registration(now, &call);
+        let mut desk = Desk {
+            now,
+            agent,
+            next_port: 1,
+        };
+        for _ in 0..30 {
+            let flow = desk.request(0, CarryReason::Open).expect("slots are free");
+            desk.now = desk.now + work;
+            desk.answer(flow);
+        }
+        desk
+    }
+
+    /// Offers a flow with a request; returns it if it was taken.
+    fn request(&mut self, objective_millis: u32, reason: CarryReason) -> Option<SocketAddrV4> {
+        self.next_port += 1;
+        let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), self.next_port);
+        let opening = PacketView {
+            synchronize: true,
+            ..empty(caller, ROUTE)
+        };
+        self.outputs();
+        self.carry(&opening, reason, objective_millis);
+        let outputs = self.outputs().into_iter();
+        let is_taken = |output| matches!(output, PassThroughOutput::ToBackend(_));
+        if !outputs.map(is_taken).any(|taken| taken) {
+            return None;
+        }
+        let answer = PacketView {
+            synchronize: true,
+            acknowledge: true,
+            ..empty(ROUTE, caller)
+        };
+        self.agent.handle_backend_packet(self.now, &encode(&answer));
+        let request = PacketView {
+            acknowledge: true,
+            data_bytes: 50,
+            ..empty(caller, ROUTE)
+        };
+        self.carry(&request, CarryReason::Deliver, 0);
+        Some(caller)
+    }
+
+    fn outputs(&mut self) -> Vec<PassThroughOutput> {
+        std::iter::from_fn(|| self.agent.poll_output()).collect()
+    }
+
+    fn answer(&mut self, caller: SocketAddrV4) {
+        let answer = PacketView {
+            acknowledge: true,
+            data_bytes: 500,
+            ..empty(ROUTE, caller)
+        };
+        self.agent.handle_backend_packet(self.now, &encode(&answer));
+    }
+
+    fn carry(&mut self, view: &PacketView, reason: CarryReason, objective_millis: u32) {
+        let carry = Carry {
+            service: service_digest(SERVICE),
+            reason: reason.into(),
+            packet: encode(view),
+            objective_millis,
+        };
+        let body = PassThroughBody::Carry(carry);
+        self.agent.handle_message(self.now, BALANCER, body);
+    }
+
+    /// Requests that are taken until one is declined.
+    fn fill(&mut self, objective_millis: u32) -> u32 {
+        let mut taken = 0;
+        while self
+            .request(objective_millis, CarryReason::OpenQueued)
+            .is_some()
+        {
+            taken += 1;
+        }
+        taken
+    }
+}
+
+#[test]
+fn as_many_requests_wait_as_are_likely_to_meet_their_objective() {
+    for (work_millis, objective_millis, factor) in [
+        (50, 250, 4),
+        (55, 210, 3),
+        (88, 250, 2),
+        (300, 250, 2),
+        (1, 60_000, 4),
+        (50, 0, 2),
+    ] {
+        let mut desk = Desk::new(Duration::from_millis(work_millis));
+        let taken = desk.fill(objective_millis);
+        assert_eq!(
+            taken,
+            SLOTS * factor,
+            "{work_millis} ms of work, objective {objective_millis} ms"
+        );
+    }
+}
+
+#[test]
+fn a_back_end_that_turns_slow_gets_a_shorter_queue() {
+    let mut desk = Desk::new(Duration::from_millis(40));
+    for _ in 0..60 {
+        let flow = desk.request(0, CarryReason::Open).expect("slots are free");
+        desk.now = desk.now + Duration::from_millis(200);
+        desk.answer(flow);
+    }
+    assert_eq!(desk.fill(250), SLOTS * 2);
+}
+
+#[test]
+fn requests_that_waited_say_nothing_about_the_work() {
+    let mut desk = Desk::new(Duration::from_millis(50));
+    let mut flows = Vec::new();
+    for _ in 0..SLOTS * 2 {
+        flows.extend(desk.request(250, CarryReason::OpenQueued));
+    }
+    desk.now = desk.now + Duration::from_millis(50);
+    for flow in flows.drain(..SLOTS as usize) {
+        desk.answer(flow);
+    }
+    desk.now = desk.now + Duration::from_millis(50);
+    for flow in flows {
+        desk.answer(flow);
+    }
+    assert_eq!(desk.fill(250), SLOTS * 4, "work is still 50 ms");
+}
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -68,6 +68,7 @@
         service: petrellatch_core::pass_through::service_digest(SERVICE),
         reason: CarryReason::Open.into(),
         packet: encode(&opening),
+        objective_millis: 0,
     };
     outputs(agent);
     agent.handle_message(now, BALANCER, PassThroughBody::Carry(carry));
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -113,6 +113,10 @@
     /// The packet as it came.
     #[prost(bytes = "vec", tag = "3")]
     pub packet: Vec<u8>,
+    /// With an opening packet: by when a request should be answered, in
+    /// milliseconds; zero if that is not known.
+    #[prost(uint32, tag = "4")]
+    pub objective_millis: u32,
 }
 
 /// How busy an agent's back end is.
@@ -376,6 +380,10 @@
     /// so that a route can be put between two others without moving them.
     #[prost(fixed64, tag = "4")]
     pub position: u64,
+    /// By when a request should be answered, in milliseconds; zero if that is
+    /// not known.
+    #[prost(uint32, tag = "5")]
+    pub objective_millis: u32,
 }
 
 /// A replacement of the configuration, as records that differ from the one
