Let starting agents try their back ends with flows that nobody takes

Change: an agent that has just started says so; it is asked last, only for flows that all others declined, and offers them to its back end. An answer is the first sign of life. Its first reports follow each other after 20 ms. Two tests, written with the change (the state did not exist before).

--- a/crates/petrellatch-core/src/pass_through/agent.rs
+++ b/crates/petrellatch-core/src/pass_through/agent.rs
@@ -29,6 +29,9 @@
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// The longest time between two reports that a replica may ask for.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
+/// The same after the start, when replicas may start as well.
+const FIRST_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+const FIRST_REPORTS: u64 = 10;
 /// Flows in one message about held flows.
 const HELD_FLOWS_PER_MESSAGE: usize = 200;
 /// A balancer that sent nothing for so long is not told about held flows.
@@ -353,6 +356,9 @@
             return;
         }
         match reason {
+            CarryReason::Open if self.state(now) == AgentState::Starting => {
+                self.decline(now, from, flow, DeclineReason::NoBackend);
+            }
             CarryReason::Open => self.admit(now, from, flow, carry.packet, 1),
             CarryReason::OpenQueued => {
                 let objective = Duration::from_millis(u64::from(carry.objective_millis));
@@ -395,8 +401,10 @@
         let refusal = match self.state(now) {
             AgentState::Empty => Some(DeclineReason::NoBackend),
             AgentState::Draining => Some(DeclineReason::Draining),
-            AgentState::Ready if !known && self.flows.busy() >= limit => Some(DeclineReason::Full),
-            AgentState::Ready => None,
+            AgentState::Ready | AgentState::Starting => {
+                let is_full = !known && self.flows.busy() >= limit;
+                is_full.then_some(DeclineReason::Full)
+            }
         };
         if let Some(reason) = refusal {
             self.decline(now, from, flow, reason);
@@ -496,7 +504,9 @@
     fn state(&self, now: Timestamp) -> AgentState {
         let limit = self.settings.silence_limit;
         match self.registration.state(now, limit) {
-            AgentState::Ready if self.stop_at.is_some() => AgentState::Draining,
+            AgentState::Ready | AgentState::Starting if self.stop_at.is_some() => {
+                AgentState::Draining
+            }
             state => state,
         }
     }
@@ -531,6 +541,7 @@
         self.unheard |= state != self.reported_state;
         self.reported_state = state;
         let interval = match self.unheard {
+            true if self.report_number <= FIRST_REPORTS => FIRST_REPORT_INTERVAL,
             true => URGENT_REPORT_INTERVAL,
             false => self.report_interval,
         };
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -20,6 +20,8 @@
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(120);
 /// What an agent of another zone costs, in requests a slot.
 const OTHER_ZONE_COST: f64 = 0.3;
+/// What an agent costs whose back end was not heard yet.
+const STARTING_COST: f64 = 500.0;
 /// What a suspected agent costs: it comes after all others.
 const SUSPECT_COST: f64 = 1_000.0;
 /// How much slower a back end is that still warms up.
@@ -259,16 +261,23 @@
         !was_suspected
     }
 
-    /// The agent of a service that is the best for a new flow.
+    /// The agent of a service that is the best for a new flow. Those that have
+    /// just started come after the others, if they are to be asked at all.
     pub(super) fn choose(
         &self,
         now: Timestamp,
         service: u64,
         flow: FlowId,
+        include_starting: bool,
         is_excluded: impl Fn(SocketAddrV4) -> bool,
     ) -> Option<SocketAddrV4> {
+        let takes_flows = |state| match state {
+            AgentState::Ready => true,
+            AgentState::Starting => include_starting,
+            AgentState::Empty | AgentState::Draining => false,
+        };
         let fits = |(address, agent): &(&SocketAddrV4, &KnownAgent)| {
-            agent.service == service && agent.state == AgentState::Ready && !is_excluded(**address)
+            agent.service == service && takes_flows(agent.state) && !is_excluded(**address)
         };
         let cost = |(address, agent): &(&SocketAddrV4, &KnownAgent)| {
             let salt = petrellatch_proto::pass_through::pack_address(**address);
@@ -302,6 +311,9 @@
         if !self.same_zone {
             cost += OTHER_ZONE_COST;
         }
+        if self.state == AgentState::Starting {
+            cost += STARTING_COST;
+        }
         if now < self.suspect_until {
             cost += SUSPECT_COST;
         }
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -45,10 +45,11 @@
             false => MAX_ASKED,
             true => MAX_QUEUE_ASKED,
         };
+        let was_asked = |agent| hint.was_asked(agent);
         let found = match hint.candidates.len() < limit {
             true => self
                 .agents
-                .choose(now, service, flow, |agent| hint.was_asked(agent)),
+                .choose(now, service, flow, hint.queued, was_asked),
             false => None,
         };
         let Some(agent) = found else {
@@ -88,7 +89,7 @@
         if hint.is_awaited() {
             return;
         }
-        if !hint.queued && !hint.candidates.is_empty() {
+        if !hint.queued {
             hint.queued = true;
             hint.candidates.clear();
             self.ask_next(now, flow);
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -121,23 +121,23 @@
         match &self.current {
             Some(current) if current.draining => AgentState::Draining,
             Some(current) if now.saturating_since(current.heard_at) < limit => AgentState::Ready,
-            None if self.is_provisional(now) => AgentState::Ready,
+            None if self.is_provisional(now) && self.seen_alive => AgentState::Ready,
+            None if self.is_provisional(now) => AgentState::Starting,
             Some(_) | None => AgentState::Empty,
         }
     }
 
-    /// Whether a back end is offered because packets show that it is alive. If
-    /// one of this machine has left, the packets may be its.
+    /// Whether a back end is offered although it has not called. If one of this
+    /// machine has left, packets may be its.
     fn is_provisional(&self, now: Timestamp) -> bool {
-        self.seen_alive && self.departed.is_empty() && now < self.provisional_until
+        self.departed.is_empty() && now < self.provisional_until
     }
 
     /// Requests that the back end works on at once.
     pub fn capacity(&self) -> u32 {
         match &self.current {
             Some(current) => current.capacity,
-            None if self.seen_alive => PROVISIONAL_CAPACITY,
-            None => 0,
+            None => PROVISIONAL_CAPACITY,
         }
     }
 
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -554,3 +554,15 @@
     let (flows, _) = world.balancer.sizes();
     assert_eq!(flows, 1, "only the open one is left");
 }
+
+#[test]
+fn a_flow_is_offered_to_starting_agents_when_no_other_one_takes_it() {
+    let mut world = World::new(0, 4);
+    for index in 1..=3 {
+        world.start_agent(index);
+    }
+    world.run(5 * MILLI);
+    world.open(1, 0);
+    assert!(world.answered_by(1).is_some(), "a back end was alive");
+    assert_eq!(world.resets(), 0);
+}
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -60,13 +60,22 @@
 /// Offers a new flow; returns why it was declined, or `None` if the back end
 /// got it.
 fn open(agent: &mut Agent, now: Timestamp, port: u16) -> Option<DeclineReason> {
+    offer(agent, now, port, CarryReason::Open)
+}
+
+fn offer(
+    agent: &mut Agent,
+    now: Timestamp,
+    port: u16,
+    reason: CarryReason,
+) -> Option<DeclineReason> {
     let opening = PacketView {
         synchronize: true,
         ..empty(caller(port), ROUTE)
     };
     let carry = Carry {
         service: petrellatch_core::pass_through::service_digest(SERVICE),
-        reason: CarryReason::Open.into(),
+        reason: reason.into(),
         packet: encode(&opening),
         objective_millis: 0,
     };
@@ -196,3 +205,27 @@
         assert!(declined.is_some(), "withdrawn: {withdrawn}");
     }
 }
+
+#[test]
+fn an_agent_that_just_started_tries_its_back_end_with_flows_that_nobody_takes() {
+    let start = Timestamp::from_millis(10_000);
+    let mut agent = start_agent(start);
+    let last_resort = CarryReason::OpenQueued;
+    assert_eq!(open(&mut agent, start, 1), Some(DeclineReason::NoBackend));
+    assert_eq!(offer(&mut agent, start, 2, last_resort), None);
+    let answer = PacketView {
+        synchronize: true,
+        acknowledge: true,
+        ..empty(ROUTE, caller(2))
+    };
+    agent.handle_backend_packet(start, &encode(&answer));
+    assert_eq!(
+        open(&mut agent, start, 3),
+        None,
+        "the back end has answered"
+    );
+    let mut agent = start_agent(start);
+    let later = start + PROVISIONAL_LIMIT;
+    let declined = offer(&mut agent, later, 4, last_resort);
+    assert_eq!(declined, Some(DeclineReason::NoBackend));
+}
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -216,6 +216,9 @@
     Ready = 1,
     /// No new flows; open ones stay.
     Draining = 2,
+    /// The agent has just started, and nothing was heard of its back end yet.
+    /// It offers it flows that nobody else takes.
+    Starting = 3,
 }
 
 /// What an agent serves.
