Decide in the product who founds the group

Change: platform/ passes on that the whole group starts for the first time; the replica's process compares its own address with the seeds. Conclusion: platform/ decides nothing now.

--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -207,7 +207,7 @@
     let own = node_at(settings.messages);
     let identity = FolderIdentity {
         cluster: CLUSTER,
-        incarnation: match addresses.founding {
+        incarnation: match is_founder(settings, addresses) {
             true => first_incarnation(own),
             false => Incarnation(rand::random()),
         },
@@ -228,6 +228,11 @@
     }
 }
 
+/// The seeds found the group when all of it starts for the first time.
+fn is_founder(settings: &PassThroughSettings, addresses: &ReplicaAddresses) -> bool {
+    addresses.first_start && settings.seeds.contains(&settings.messages)
+}
+
 fn report_open_failure(event_loop: &mut EventLoop, error: &StorageError) {
     let now: Timestamp = event_loop.clock.now();
     event_loop
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -69,8 +69,8 @@
     pub operators: SocketAddrV4,
     /// The data folder.
     pub data_folder: PathBuf,
-    /// Whether this is the first start of the whole group: the seeds found it.
-    pub founding: bool,
+    /// Whether the whole group starts for the first time. Its seeds found it.
+    pub first_start: bool,
     /// How many machines may be lost at once.
     pub losses: usize,
     /// Regions that the group may stretch over.
