--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -11,7 +11,7 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::PartAssembly;
+use super::change_assembly::{PartAssembly, decompress};
 use super::digest::{flow_digest, service_digest};
 use super::packet::FlowId;
 
@@ -141,6 +141,7 @@
             ..
         } = directory;
         let whole = told.assembly.add(revision ^ base, part, parts, bytes);
+        let whole = whole.and_then(|bytes| decompress(&bytes));
         let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
         let Some(change) = change else { return };
         told.revision = revision;
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -12,7 +12,7 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::{PartAssembly, compress, split};
+use super::change_assembly::{PartAssembly, compress, decompress, split};
 use super::configuration::Configuration;
 
 /// A balancer that did not ask for so long is forgotten.
@@ -133,6 +133,7 @@
             ..
         } = directory;
         let whole = self.fetched.add(revision, part, parts, bytes);
+        let whole = whole.and_then(|bytes| decompress(&bytes));
         let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
         let Some(change) = change else { return false };
         for entry in change.agents {
@@ -276,7 +277,7 @@
         base_revision: u64,
         change: &DirectoryChange,
     ) -> Vec<PassThroughBody> {
-        let bytes = change.encode_to_vec();
+        let bytes = compress(&change.encode_to_vec());
         let parts = split(&bytes, MAX_PART_BYTES);
         let count = parts.len() as u32;
         let part = |(part, bytes): (usize, &[u8])| {
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -260,7 +260,7 @@
             revision: self.revision,
             part: 0,
             parts: 1,
-            bytes: change.encode_to_vec(),
+            bytes: compress_prepend_size(&change.encode_to_vec()),
         };
         let body = PassThroughBody::Directory(directory);
         self.balancer.handle_message(self.now, REPLICA, body);
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -72,9 +72,9 @@
         };
         self.outputs();
         self.carry(&opening, reason, objective_millis);
-        let outputs = self.outputs().into_iter();
+        let mut outputs = self.outputs().into_iter();
         let is_taken = |output| matches!(output, PassThroughOutput::ToBackend(_));
-        if !outputs.map(is_taken).any(|taken| taken) {
+        if !outputs.any(is_taken) {
             return None;
         }
         let answer = PacketView {
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -335,7 +335,7 @@
     pub gone: Vec<u64>,
 }
 
-/// A part of an encoded [`DirectoryChange`].
+/// A part of an encoded and compressed [`DirectoryChange`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Directory {
     /// The revision that the change is based on; zero for none.
