--- /dev/null
+++ b/scripts/soak_lib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the soak."""
