--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -27,6 +27,9 @@
 
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest time in which a new agent admits before its back end has called:
+/// one that leaves may get new flows for so long after a restart of its agent.
+const MAX_PROVISIONAL_LIMIT: Duration = Duration::from_millis(2_500);
 /// A balancer that sent nothing for so long is not told about held flows.
 const BALANCER_MEMORY: Duration = Duration::from_secs(30);
 
@@ -44,7 +47,7 @@
     pub report_interval: Duration,
     /// A back end that was silent for so long gets no new flows.
     pub silence_limit: Duration,
-    /// After its start an agent admits for so long beside a back end that has
+    /// After its start an agent admits for so long, 2.5 s at most, beside a back end that has
     /// not called yet, if packets show that it is alive. A back end that leaves
     /// gets new flows for at most this long after a restart of its agent.
     pub provisional_limit: Duration,
@@ -121,10 +124,11 @@
         incarnation: Incarnation,
         contacts: Contacts,
     ) -> Self {
+        let provisional_limit = settings.provisional_limit.min(MAX_PROVISIONAL_LIMIT);
         PassThroughAgent {
             service: service_digest(&settings.service),
             report_interval: settings.report_interval,
-            registration: RegistrationState::new(now + settings.provisional_limit),
+            registration: RegistrationState::new(now + provisional_limit),
             settings,
             codec,
             incarnation,
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -99,6 +99,15 @@
             .collect()
     }
 
+    /// How many agents of a service are known, and how many of them take no new
+    /// flows because their back ends leave.
+    pub(super) fn count_leaving(&self, service: u64) -> (usize, usize) {
+        let of_service = |agent: &&KnownAgent| agent.service == service;
+        let agents = || self.agents.values().filter(of_service);
+        let leaving = agents().filter(|agent| agent.state == AgentState::Draining);
+        (agents().count(), leaving.count())
+    }
+
     /// The revision that a replica told last; zero for none.
     pub(super) fn revision_of(&self, replica: SocketAddrV4) -> u64 {
         let told = self.replicas.get(&replica);
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -7,7 +7,7 @@
         let flow = view.flow_from_caller();
         let Some(service) = self.routes.service_for(flow) else {
             self.counters.no_route += 1;
-            self.refuse(flow, "no_route");
+            self.refuse(flow, "no_route", "");
             return;
         };
         if let Some(hint) = self.hints.get_mut(flow)
@@ -21,7 +21,7 @@
                 return;
             }
         } else if self.hints.is_full() {
-            self.refuse(flow, "too_many_flows");
+            self.refuse(flow, "too_many_flows", "");
             return;
         } else {
             self.hints.insert(flow, FlowHint::new(now, service));
@@ -60,6 +60,7 @@
             agent,
             state: CandidateState::Asked,
         });
+        hint.asked.asked += 1;
         let reason = match hint.queued {
             false => CarryReason::Open,
             true => CarryReason::OpenQueued,
@@ -95,14 +96,19 @@
             self.ask_next(now, flow);
             return;
         }
-        self.hints.remove(flow);
-        self.refuse(flow, "no_agent");
+        let service = hint.service;
+        let hint = self.hints.remove(flow);
+        let asked = hint.map(|hint| hint.asked).unwrap_or_default();
+        let (agents, leaving) = self.agents.count_leaving(service);
+        let detail = format!(" {asked} agents={agents} leaving={leaving}");
+        self.refuse(flow, "no_agent", &detail);
     }
 
-    fn refuse(&mut self, flow: FlowId, reason: &str) {
+    /// Resets a flow. `detail` goes into the log, after a blank.
+    fn refuse(&mut self, flow: FlowId, reason: &str, detail: &str) {
         self.counters.refused += 1;
         let version = self.routes.version();
-        let subject = format!("flow={flow} reason={reason} version={version}");
+        let subject = format!("flow={flow} reason={reason} version={version}{detail}");
         self.emit_event(EventKind::FlowRefused, subject);
         self.outputs.push_back(PassThroughOutput::ToCaller {
             address: *flow.caller.ip(),
@@ -121,6 +127,7 @@
             return;
         }
         candidate.state = CandidateState::Late;
+        hint.asked.late += 1;
         let is_open = hint.opening.is_none();
         self.counters.unanswered += 1;
         if self.agents.note_missed(now, agent) {
@@ -176,6 +183,10 @@
             return;
         };
         candidate.state = CandidateState::Declined;
+        match declined.reason() {
+            DeclineReason::Full => hint.asked.full += 1,
+            _ => hint.asked.other += 1,
+        }
         if hint.accepted().is_none() {
             self.ask_next(now, flow);
         }
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -1,6 +1,7 @@
 //! What a balancer remembers of flows: hints that may be lost.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -33,11 +34,39 @@
     pub(super) state: CandidateState,
 }
 
+/// How often agents were asked to take a flow, and what they answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct AskedAgents {
+    pub(super) asked: u32,
+    /// Declined because they had no room.
+    pub(super) full: u32,
+    /// Did not answer in time.
+    pub(super) late: u32,
+    /// Declined for another reason.
+    pub(super) other: u32,
+}
+
+impl fmt::Display for AskedAgents {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let AskedAgents {
+            asked,
+            full,
+            late,
+            other,
+        } = self;
+        write!(
+            formatter,
+            "asked={asked} full={full} late={late} other={other}"
+        )
+    }
+}
+
 /// What is known of one flow.
 #[derive(Debug)]
 pub(super) struct FlowHint {
     pub(super) service: u64,
     pub(super) candidates: Vec<Candidate>,
+    pub(super) asked: AskedAgents,
     /// The opening packet, as long as nobody has accepted it.
     pub(super) opening: Option<Vec<u8>>,
     pub(super) owner: Option<SocketAddrV4>,
@@ -64,6 +93,7 @@
         FlowHint {
             service,
             candidates: Vec::new(),
+            asked: AskedAgents::default(),
             opening: None,
             owner: None,
             waiting: None,
@@ -140,8 +170,8 @@
         self.hints.insert(flow, hint);
     }
 
-    pub(super) fn remove(&mut self, flow: FlowId) {
-        self.hints.remove(&flow);
+    pub(super) fn remove(&mut self, flow: FlowId) -> Option<FlowHint> {
+        self.hints.remove(&flow)
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use lz4_flex::compress_prepend_size;
-use petrellatch_core::Timestamp;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
     Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
     PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
     service_digest,
 };
+use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
     Carry, CarryReason, ConfigurationChange, ConfigurationPart, Confirmed, Directory,
     DirectoryChange, DirectoryEntry, PassThroughBody, Report, RouteRecord, ShareRecord,
@@ -53,6 +53,8 @@
     revision: u64,
     /// Questions for unknown flows.
     seeks: usize,
+    /// What the balancer logged of refused flows.
+    refusals: Vec<String>,
 }
 
 impl World {
@@ -76,6 +78,7 @@
             frozen: Vec::new(),
             revision: 0,
             seeks: 0,
+            refusals: Vec::new(),
         };
         world.confirm();
         for index in 1..=agents {
@@ -241,6 +244,9 @@
                     .push(TestCodec.view(&packet).expect("a packet"));
             }
             PassThroughOutput::ToBackend(packet) => self.reach_backend(from, &packet),
+            PassThroughOutput::Event(event) if event.kind == EventKind::FlowRefused => {
+                self.refusals.push(event.subject);
+            }
             PassThroughOutput::Event(_) => {}
         }
     }
@@ -566,3 +572,22 @@
     assert!(world.answered_by(1).is_some(), "a back end was alive");
     assert_eq!(world.resets(), 0);
 }
+
+#[test]
+fn a_refusal_tells_what_the_agents_answered() {
+    let mut world = World::new(3, 2);
+    for index in 1..=3 {
+        world.fill_from_elsewhere(index, 6);
+    }
+    world.open(1, 0);
+    let refusal = world.refusals.pop().expect("everybody is full");
+    // Each is asked for a slot, and again whether it queues the flow.
+    assert!(
+        refusal.contains(" asked=6 full=6 late=0 other=0"),
+        "{refusal}"
+    );
+    let mut nobody = World::new(0, 0);
+    nobody.open(1, 0);
+    let refusal = nobody.refusals.pop().expect("there is no agent");
+    assert!(refusal.contains(" asked=0 "), "{refusal}");
+}
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -31,9 +31,6 @@
 /// A new agent waits so many intervals for its back end's first registration
 /// while it admits because the back end is alive.
 const PROVISIONAL_REGISTRATIONS: u32 = 2;
-/// The longest time for that: a back end that leaves may get new flows for so
-/// long after a restart of its agent.
-const MAX_PROVISIONAL_LIMIT: Duration = Duration::from_millis(2_500);
 /// A full agent queues so many requests for each slot, if all others are full.
 const QUEUE_FACTOR: u32 = 2;
 /// How long a stopping agent waits for its flows, at most half of the stop
@@ -142,10 +139,6 @@
     }
 }
 
-fn provisional_limit(registration_interval: Duration) -> Duration {
-    MAX_PROVISIONAL_LIMIT.min(registration_interval * PROVISIONAL_REGISTRATIONS)
-}
-
 fn agent_settings(
     settings: &PassThroughSettings,
     addresses: &AgentAddresses,
@@ -156,7 +149,7 @@
         service: addresses.service.clone(),
         report_interval: REPORT_INTERVAL,
         silence_limit: addresses.registration_interval * MISSED_REGISTRATIONS,
-        provisional_limit: provisional_limit(addresses.registration_interval),
+        provisional_limit: addresses.registration_interval * PROVISIONAL_REGISTRATIONS,
         flow_lifetime: settings.flow_lifetime,
         queue_factor: QUEUE_FACTOR,
         stop_limit: STOP_WAIT.min(settings.stop_limit / 2),
