Put what stood twice in the tier into one place

Directories and configurations that travel in parts were put together, unpacked and decoded in three places; PartAssembly does all three steps now.

--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -7,11 +7,10 @@
 use petrellatch_proto::pass_through::{
     AgentState, Directory, DirectoryChange, LoadMessage, Report, unpack_address,
 };
-use prost::Message;
 
 use crate::time::Timestamp;
 
-use super::change_assembly::{PartAssembly, decompress};
+use super::change_assembly::PartAssembly;
 use super::digest::{flow_digest, service_digest};
 use super::packet::FlowId;
 
@@ -149,9 +148,8 @@
             bytes,
             ..
         } = directory;
-        let whole = told.assembly.add(revision ^ base, part, parts, bytes);
-        let whole = whole.and_then(|bytes| decompress(&bytes));
-        let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
+        let key = revision ^ base;
+        let change: Option<DirectoryChange> = told.assembly.add_compressed(key, part, parts, bytes);
         let Some(change) = change else { return };
         told.revision = revision;
         if base == 0 {
--- a/crates/petrellatch-core/src/pass_through/change_assembly.rs
+++ b/crates/petrellatch-core/src/pass_through/change_assembly.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use prost::Message;
+
 /// Parts of one encoded message, as they arrive, in any order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartAssembly {
@@ -37,6 +39,19 @@
         Some(complete.received.into_values().flatten().collect())
     }
 
+    /// Takes a part of a compressed message, as [`PartAssembly::add`]. A message
+    /// that is damaged is dropped.
+    pub fn add_compressed<M: Message + Default>(
+        &mut self,
+        key: u64,
+        part: u32,
+        parts: u32,
+        bytes: Vec<u8>,
+    ) -> Option<M> {
+        let whole = self.add(key, part, parts, bytes)?;
+        M::decode(decompress(&whole)?.as_slice()).ok()
+    }
+
     /// Whether a message is under way.
     pub fn is_partial(&self) -> bool {
         !self.received.is_empty()
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -12,7 +12,7 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::{PartAssembly, compress, decompress, split};
+use super::change_assembly::{PartAssembly, compress, split};
 use super::configuration::Configuration;
 
 /// A balancer that did not ask for so long is forgotten.
@@ -132,9 +132,8 @@
             bytes,
             ..
         } = directory;
-        let whole = self.fetched.add(revision, part, parts, bytes);
-        let whole = whole.and_then(|bytes| decompress(&bytes));
-        let change = whole.and_then(|bytes| DirectoryChange::decode(bytes.as_slice()).ok());
+        let change: Option<DirectoryChange> =
+            self.fetched.add_compressed(revision, part, parts, bytes);
         let Some(change) = change else { return false };
         for entry in change.agents {
             let address = entry.report.address;
--- a/crates/petrellatch-core/src/pass_through/route_table.rs
+++ b/crates/petrellatch-core/src/pass_through/route_table.rs
@@ -6,9 +6,8 @@
 use petrellatch_proto::pass_through::{
     ConfigurationChange, ConfigurationPart, RouteRecord, unpack_address,
 };
-use prost::Message;
 
-use super::change_assembly::{PartAssembly, decompress};
+use super::change_assembly::PartAssembly;
 use super::digest::{flow_digest, service_digest};
 use super::packet::FlowId;
 
@@ -82,9 +81,9 @@
             return false;
         }
         let key = part.version ^ part.base_version.rotate_left(32);
-        let bytes = self.assembly.add(key, part.part, part.parts, part.bytes);
-        let bytes = bytes.and_then(|bytes| decompress(&bytes));
-        let change = bytes.and_then(|bytes| ConfigurationChange::decode(bytes.as_slice()).ok());
+        let change: Option<ConfigurationChange> = self
+            .assembly
+            .add_compressed(key, part.part, part.parts, part.bytes);
         let Some(change) = change else { return false };
         self.apply(&change)
     }
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -7,5 +7,7 @@
 mod formation;
 mod group;
 mod queueing;
+mod replica;
 mod restarted_agents;
 mod scale;
+mod world;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/replica.rs
@@ -0,0 +1,29 @@
+//! One replica of the group that holds the configuration, by itself.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{ConfigurationNode, ConfigurationNodeSettings, node_at};
+
+/// Starts the replica at `address` of a group that the replica at `founder`
+/// founded alone.
+pub fn start_replica(
+    now: Timestamp,
+    address: SocketAddrV4,
+    founder: SocketAddrV4,
+) -> ConfigurationNode {
+    let id = |address| ReplicaId {
+        node: node_at(address),
+        incarnation: Incarnation(node_at(address).0),
+    };
+    let start = ReplicaStart {
+        id: id(address).node,
+        incarnation: id(address).incarnation,
+        seed: 1,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters([id(founder)])),
+    };
+    ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start)
+}
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
-use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, Contacts, PacketView,
-    PassThroughAgent, PassThroughAgentSettings, PassThroughOutput, Registration, node_at,
+    ConfigurationNode, ConfigurationOutput, Contacts, PacketView, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughOutput, Registration,
 };
 use petrellatch_proto::pass_through::{
     AgentState, Carry, CarryReason, DeclineReason, PassThroughBody,
 };
 
 use super::codec::{TestCodec, empty, encode};
+use super::replica::start_replica;
 
 const SERVICE: &str = "desk";
 const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
@@ -112,22 +112,6 @@
     agent.handle_backend_packet(now, &encode(&data));
 }
 
-/// A replica that hears reports.
-fn replica(now: Timestamp) -> ConfigurationNode {
-    let founder = ReplicaId {
-        node: node_at(REPLICA),
-        incarnation: Incarnation(1),
-    };
-    let start = ReplicaStart {
-        id: founder.node,
-        incarnation: founder.incarnation,
-        seed: 1,
-        persisted: PersistentState::default(),
-        bootstrap: Some(Membership::of_voters([founder])),
-    };
-    ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start)
-}
-
 /// Lets the agent report, and the replica answer.
 fn exchange(agent: &mut Agent, replica: &mut ConfigurationNode, now: Timestamp) {
     if agent.poll_timeout() <= now {
@@ -190,7 +174,7 @@
 fn a_late_call_does_not_bring_a_back_end_back_at_the_next_life_of_its_agent() {
     for withdrawn in [true, false] {
         let start = Timestamp::from_millis(10_000);
-        let mut replica = replica(start);
+        let mut replica = start_replica(start, REPLICA, REPLICA);
         let mut agent = start_agent(start);
         register(&mut agent, start, 5, false);
         exchange(&mut agent, &mut replica, start);
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -5,16 +5,15 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
-use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, Contacts, PassThroughAgent,
-    PassThroughAgentSettings, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
-    node_at,
+    ConfigurationNode, ConfigurationOutput, Contacts, PassThroughAgent, PassThroughAgentSettings,
+    PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
 };
 use petrellatch_proto::pass_through::{Confirmed, Follow, Group, PassThroughBody, pack_address};
 
 use super::codec::TestCodec;
+use super::replica::start_replica;
 
 const STEP: Duration = Duration::from_millis(10);
 const SECOND: Duration = Duration::from_secs(1);
@@ -29,21 +28,6 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7000)
 }
 
-fn replica() -> ConfigurationNode {
-    let founder = ReplicaId {
-        node: node_at(replica_address(1)),
-        incarnation: Incarnation(1),
-    };
-    let start = ReplicaStart {
-        id: founder.node,
-        incarnation: founder.incarnation,
-        seed: 1,
-        persisted: PersistentState::default(),
-        bootstrap: Some(Membership::of_voters([founder])),
-    };
-    ConfigurationNode::new(START, ConfigurationNodeSettings::default(), start)
-}
-
 fn agent(index: u16) -> PassThroughAgent<TestCodec> {
     let settings = PassThroughAgentSettings {
         address: agent_address(index),
@@ -73,7 +57,7 @@
         let agents = (0..agents).map(|index| (agent_address(index), agent(index)));
         Reports {
             now: START,
-            replica: replica(),
+            replica: start_replica(START, replica_address(1), replica_address(1)),
             agents: agents.collect(),
         }
     }
@@ -167,19 +151,8 @@
     let mut reports = Reports::new(300);
     reports.run(20 * SECOND);
     let (first, newcomer) = (replica_address(1), replica_address(2));
-    let founder = |address| ReplicaId {
-        node: node_at(address),
-        incarnation: Incarnation(1),
-    };
-    let start = ReplicaStart {
-        id: node_at(newcomer),
-        incarnation: Incarnation(2),
-        seed: 2,
-        persisted: PersistentState::default(),
-        bootstrap: Some(Membership::of_voters([founder(first)])),
-    };
     let now = reports.now;
-    let mut started = ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start);
+    let mut started = start_replica(now, newcomer, first);
     started.handle_timeout(now);
     for _ in 0..3 {
         while let Some(output) = started.poll_output() {
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -0,0 +1,375 @@
+//! One balancer and its agents, between stand-ins of callers and back ends.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use lz4_flex::compress_prepend_size;
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
+    PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
+    service_digest,
+};
+use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_proto::pass_through::{
+    Carry, CarryReason, ConfigurationChange, ConfigurationPart, Confirmed, Directory,
+    DirectoryChange, DirectoryEntry, PassThroughBody, Report, RouteRecord, ShareRecord,
+    pack_address,
+};
+use prost::Message;
+
+use super::codec::{TestCodec, empty, encode};
+
+pub const SERVICE: &str = "desk";
+pub const MILLI: Duration = Duration::from_millis(1);
+pub const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+pub const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
+pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80);
+
+pub fn agent_address(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7000)
+}
+
+pub fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port)
+}
+
+/// A back end as its agent sees it.
+#[derive(Default)]
+pub struct Backend {
+    pub received: Vec<PacketView>,
+    pub flows: BTreeSet<SocketAddrV4>,
+}
+
+/// One balancer, some agents, and what reached callers and back ends.
+pub struct World {
+    pub now: Timestamp,
+    pub balancer: PassThroughBalancer<TestCodec>,
+    pub agents: BTreeMap<SocketAddrV4, PassThroughAgent<TestCodec>>,
+    pub backends: BTreeMap<SocketAddrV4, Backend>,
+    pub callers: Vec<PacketView>,
+    pub frozen: Vec<SocketAddrV4>,
+    pub revision: u64,
+    /// Questions for unknown flows.
+    pub seeks: usize,
+    /// What the balancer logged of refused flows.
+    pub refusals: Vec<String>,
+}
+
+impl World {
+    pub fn new(agents: u8, capacity: u32) -> World {
+        let now = Timestamp::from_millis(1_000);
+        let settings = PassThroughBalancerSettings {
+            zone: "a".to_owned(),
+            follow_interval: Duration::from_secs(1),
+            flow_lifetime: Duration::from_secs(60),
+            stop_delay: Duration::from_secs(2),
+        };
+        let contacts = Contacts::new(vec![REPLICA]);
+        let incarnation = Incarnation(6);
+        let balancer = PassThroughBalancer::new(now, settings, TestCodec, incarnation, contacts);
+        let mut world = World {
+            now,
+            balancer,
+            agents: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            callers: Vec::new(),
+            frozen: Vec::new(),
+            revision: 0,
+            seeks: 0,
+            refusals: Vec::new(),
+        };
+        world.confirm();
+        for index in 1..=agents {
+            world.start_agent(index);
+            world.register(index, capacity, false, 1);
+        }
+        world.run(5 * MILLI);
+        world
+    }
+
+    /// Makes the balancer current with one route.
+    pub fn confirm(&mut self) {
+        let change = ConfigurationChange {
+            base_version: 0,
+            version: 3,
+            put: vec![RouteRecord {
+                address: pack_address(ROUTE),
+                shares: vec![ShareRecord {
+                    service: SERVICE.to_owned(),
+                    weight: 1,
+                }],
+                annotation: Vec::new(),
+                position: 0,
+                objective_millis: 0,
+            }],
+            removed: Vec::new(),
+            annotation: None,
+        };
+        let part = ConfigurationPart {
+            base_version: 0,
+            version: 3,
+            part: 0,
+            parts: 1,
+            bytes: compress_prepend_size(&change.encode_to_vec()),
+        };
+        let confirmed = Confirmed {
+            confirm: 7,
+            version: 3,
+        };
+        for body in [
+            PassThroughBody::Configuration(part),
+            PassThroughBody::Confirmed(confirmed),
+        ] {
+            self.balancer.handle_message(self.now, REPLICA, body);
+        }
+        assert!(self.balancer.is_ready(self.now));
+    }
+
+    pub fn start_agent(&mut self, index: u8) {
+        let address = agent_address(index);
+        let settings = PassThroughAgentSettings {
+            address,
+            zone: "a".to_owned(),
+            service: SERVICE.to_owned(),
+            report_interval: Duration::from_millis(500),
+            silence_limit: Duration::from_secs(6),
+            provisional_limit: Duration::from_secs(2),
+            flow_lifetime: Duration::from_secs(60),
+            queue_factor: 3,
+            stop_limit: Duration::from_secs(2),
+        };
+        let agent = PassThroughAgent::new(
+            self.now,
+            settings,
+            TestCodec,
+            Incarnation(self.now.as_micros() + u64::from(index)),
+            Contacts::new(vec![REPLICA]),
+        );
+        self.agents.insert(address, agent);
+        self.backends.entry(address).or_default();
+    }
+
+    pub fn register(&mut self, index: u8, capacity: u32, draining: bool, call_number: u64) {
+        let call = Registration {
+            id: format!("backend-{index}"),
+            call_number,
+            capacity,
+            draining,
+            cold: Duration::ZERO,
+        };
+        let agent = self.agents.get_mut(&agent_address(index)).expect("known");
+        agent.handle_registration(self.now, &call);
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step(MILLI);
+        }
+    }
+
+    /// Lets time pass without anybody noticing it.
+    pub fn freeze_all(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+    }
+
+    pub fn step(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+        let now = self.now;
+        if self.balancer.poll_timeout() <= now {
+            self.balancer.handle_timeout(now);
+        }
+        let addresses: Vec<SocketAddrV4> = self.agents.keys().copied().collect();
+        for address in &addresses {
+            let agent = self.agents.get_mut(address).expect("known");
+            if !self.frozen.contains(address) && agent.poll_timeout() <= now {
+                agent.handle_timeout(now);
+            }
+        }
+        self.settle();
+    }
+
+    /// Carries messages until nobody has more to say.
+    pub fn settle(&mut self) {
+        loop {
+            let mut quiet = true;
+            while let Some(output) = self.balancer.poll_output() {
+                quiet = false;
+                self.carry_out(BALANCER, output);
+            }
+            let addresses: Vec<SocketAddrV4> = self.agents.keys().copied().collect();
+            for address in addresses {
+                if self.frozen.contains(&address) {
+                    continue;
+                }
+                while let Some(output) = self
+                    .agents
+                    .get_mut(&address)
+                    .and_then(PassThroughAgent::poll_output)
+                {
+                    quiet = false;
+                    self.carry_out(address, output);
+                }
+            }
+            if quiet {
+                return;
+            }
+        }
+    }
+
+    pub fn carry_out(&mut self, from: SocketAddrV4, output: PassThroughOutput) {
+        let now = self.now;
+        match output {
+            PassThroughOutput::Send { to, body } if to == BALANCER => {
+                self.balancer.handle_message(now, from, body);
+            }
+            PassThroughOutput::Send { to, body } if to == REPLICA => {
+                if let PassThroughBody::Report(report) = body {
+                    self.pass_report(report);
+                }
+            }
+            PassThroughOutput::Send { to, body } => {
+                self.seeks += usize::from(matches!(body, PassThroughBody::Seek(_)));
+                if self.frozen.contains(&to) {
+                    return;
+                }
+                if let Some(agent) = self.agents.get_mut(&to) {
+                    agent.handle_message(now, from, body);
+                }
+            }
+            PassThroughOutput::ToCaller { packet, .. } => {
+                self.callers
+                    .push(TestCodec.view(&packet).expect("a packet"));
+            }
+            PassThroughOutput::ToBackend(packet) => self.reach_backend(from, &packet),
+            PassThroughOutput::Event(event) if event.kind == EventKind::FlowRefused => {
+                self.refusals.push(event.subject);
+            }
+            PassThroughOutput::Event(_) => {}
+        }
+    }
+
+    pub fn pass_report(&mut self, report: Report) {
+        let entry = DirectoryEntry {
+            report,
+            age_millis: 0,
+        };
+        let change = DirectoryChange {
+            agents: vec![entry],
+            gone: Vec::new(),
+        };
+        self.revision += 1;
+        let directory = Directory {
+            base_revision: 0,
+            revision: self.revision,
+            part: 0,
+            parts: 1,
+            bytes: compress_prepend_size(&change.encode_to_vec()),
+        };
+        let body = PassThroughBody::Directory(directory);
+        self.balancer.handle_message(self.now, REPLICA, body);
+    }
+
+    /// A back end answers opening packets, and returns packets of flows that it
+    /// does not have.
+    pub fn reach_backend(&mut self, agent: SocketAddrV4, packet: &[u8]) {
+        let view = TestCodec.view(packet).expect("a packet");
+        let backend = self.backends.get_mut(&agent).expect("known");
+        backend.received.push(view);
+        if !view.is_opening() {
+            if !backend.flows.contains(&view.source) {
+                let returned = PacketView {
+                    returned: true,
+                    ..view
+                };
+                self.answer_from_backend(agent, &returned);
+            }
+            return;
+        }
+        backend.flows.insert(view.source);
+        let answer = PacketView {
+            synchronize: true,
+            acknowledge: true,
+            sequence: first_sequence(agent),
+            ..empty(view.destination, view.source)
+        };
+        self.answer_from_backend(agent, &answer);
+    }
+
+    pub fn answer_from_backend(&mut self, agent: SocketAddrV4, view: &PacketView) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&agent).expect("known");
+        agent.handle_backend_packet(now, &encode(view));
+    }
+
+    pub fn open(&mut self, port: u16, copy: u32) {
+        let packet = PacketView {
+            synchronize: true,
+            acknowledged: copy,
+            ..empty(caller(port), ROUTE)
+        };
+        self.balancer.handle_packet(self.now, &encode(&packet));
+        self.settle();
+    }
+
+    /// Another balancer opens flows at an agent.
+    pub fn fill_from_elsewhere(&mut self, index: u8, flows: u16) {
+        let elsewhere = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 98), 7000);
+        for port in 1..=flows {
+            let packet = PacketView {
+                synchronize: true,
+                ..empty(caller(30_000 + port), ROUTE)
+            };
+            let carry = Carry {
+                service: service_digest(SERVICE),
+                reason: CarryReason::OpenQueued.into(),
+                packet: encode(&packet),
+                objective_millis: 0,
+            };
+            let agent = self.agents.get_mut(&agent_address(index)).expect("known");
+            agent.handle_message(self.now, elsewhere, PassThroughBody::Carry(carry));
+        }
+        self.settle();
+        self.callers.clear();
+    }
+
+    /// The caller sends data on a flow that this agent's back end answered.
+    pub fn request(&mut self, port: u16, agent: SocketAddrV4) {
+        let packet = PacketView {
+            acknowledge: true,
+            acknowledged: first_sequence(agent).wrapping_add(1),
+            data_bytes: 50,
+            ..empty(caller(port), ROUTE)
+        };
+        self.balancer.handle_packet(self.now, &encode(&packet));
+        self.settle();
+    }
+
+    /// The agent whose back end answered the caller's opening packet.
+    pub fn answered_by(&self, port: u16) -> Option<SocketAddrV4> {
+        let answer = self.callers.iter().rev().find(|view| {
+            view.destination == caller(port) && view.synchronize && view.acknowledge
+        })?;
+        let agents = self.agents.keys();
+        agents
+            .copied()
+            .find(|agent| first_sequence(*agent) == answer.sequence)
+    }
+
+    pub fn resets(&self) -> usize {
+        self.callers.iter().filter(|view| view.reset).count()
+    }
+
+    /// Packets with data that reached the back end beside this agent.
+    pub fn data_at(&self, agent: SocketAddrV4) -> usize {
+        let received = self.backends[&agent].received.iter();
+        received.filter(|view| view.data_bytes > 0).count()
+    }
+}
+
+/// Each back end numbers its bytes from another place.
+pub fn first_sequence(agent: SocketAddrV4) -> u32 {
+    u32::from(agent.ip().octets()[3]) << 24
+}
