Stop offering unknown flows to back ends on trial

Every 1.6 s the caller repeated its packet, and each time another agent that might have forgotten flows was told to ask its back end: three wrong ones in 3.2 s, never its own (PacketReturned at side-isando-2, side-midrand-a-2 and side-midrand-a-1 for one flow). A pause of 1.1 s between two offers does not prevent that. Change: no offers, and no word of agents on whether they may have forgotten flows, which served nothing else. A flow that its agent forgot is known again with the next packet of its back end. What is given up: a flow that agent and balancer both forgot while its back end says nothing. Two tests, red before (6 packets at back ends without the flow; the flow's packet twice at its own).

--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -222,7 +222,6 @@
             zone: "a".to_owned(),
             state: AgentState::Ready.into(),
             load: LoadMessage::default(),
-            complete: true,
             leaving: Vec::new(),
         },
         age_millis: 0,
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -41,11 +41,6 @@
                 self.admit(now, from, flow, carry.packet, factor);
             }
             CarryReason::Deliver => self.deliver(now, from, &view, carry.packet),
-            CarryReason::Offer => {
-                if !self.is_complete(now) || self.flows.get(flow).is_some() {
-                    self.deliver(now, from, &view, carry.packet);
-                }
-            }
             CarryReason::Unspecified => {}
         }
     }
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -51,8 +51,7 @@
     /// not called yet, if packets show that it is alive. A back end that leaves
     /// gets new flows for at most this long after a restart of its agent.
     pub provisional_limit: Duration,
-    /// A flow that rested for so long is forgotten; also how long a flow may
-    /// last, after which a new life of the agent knows all flows.
+    /// A flow that rested for so long is forgotten.
     pub flow_lifetime: Duration,
     /// How many requests an agent takes if all others are full, as a multiple
     /// of its back end's capacity; more if the back end answers so fast that
@@ -97,7 +96,6 @@
     registration: RegistrationState,
     flows: AgentFlows,
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
-    started_at: Timestamp,
     report_number: u64,
     report_at: Timestamp,
     sweep_at: Timestamp,
@@ -135,7 +133,6 @@
             contacts,
             flows: AgentFlows::default(),
             balancers: BTreeMap::new(),
-            started_at: now,
             report_number: 0,
             report_at: now,
             sweep_at: now + SWEEP_INTERVAL,
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -38,11 +38,6 @@
         }
     }
 
-    /// Whether this life has seen all flows of the back end.
-    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
-        now.saturating_since(self.started_at) >= self.settings.flow_lifetime
-    }
-
     pub(super) fn report_if_changed(&mut self, now: Timestamp) {
         let state = self.state(now);
         if state == self.reported_state {
@@ -81,7 +76,6 @@
             zone: self.settings.zone.clone(),
             state: state.into(),
             load: self.load_message(now),
-            complete: self.is_complete(now),
             leaving: self.registration.leaving(),
         };
         for replica in self.contacts.all() {
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -40,7 +40,6 @@
 pub(super) struct KnownAgent {
     pub(super) service: u64,
     pub(super) state: AgentState,
-    pub(super) complete: bool,
     same_zone: bool,
     incarnation: u64,
     sequence: u64,
@@ -186,7 +185,6 @@
             let agent = KnownAgent {
                 service: service_digest(&report.service),
                 state: report.state(),
-                complete: report.complete,
                 same_zone: report.zone == self.zone,
                 incarnation: report.incarnation,
                 sequence: report.sequence,
@@ -205,7 +203,6 @@
             return;
         };
         known.state = report.state();
-        known.complete = report.complete;
         known.reported_at = known.reported_at.max(reported_at);
         known.heard_at = now;
         if report.sequence > known.sequence {
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -21,7 +21,7 @@
 use super::agent_directory::AgentDirectory;
 use super::attachments::Attachments;
 use super::contacts::Contacts;
-use super::digest::{flow_digest, is_sampled};
+use super::digest::is_sampled;
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
 use super::latency::LatencyHistogram;
 use super::output::PassThroughOutput;
@@ -57,11 +57,6 @@
 /// Between the first two questions for one flow; it doubles with each.
 const FIRST_SEEK_PAUSE: Duration = Duration::from_millis(150);
 const MAX_SEEK_DOUBLINGS: u32 = 4;
-/// After this, an unknown flow is offered to an agent without full memory.
-const OFFER_DELAY: Duration = Duration::from_millis(150);
-/// Between two offers of one flow. A flow's packets must not wander over back
-/// ends that don't have it.
-const OFFER_INTERVAL: Duration = Duration::from_millis(1_100);
 /// A process that did nothing for longer stood still: opening packets that
 /// came meanwhile are from callers that have sent copies since, or given up.
 const STANDSTILL: Duration = Duration::from_millis(1_200);
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -33,7 +33,10 @@
         self.seek(now, view, service, packet);
     }
 
-    /// Asks the agents who has a flow; its packet waits for the answer.
+    /// Asks the agents who has a flow; its packet waits for the answer. A flow
+    /// that its agent forgot is known again with the next packet of its back
+    /// end. It is not offered to back ends on trial: packets that wander over
+    /// back ends are worse than a caller that waits.
     fn seek(&mut self, now: Timestamp, view: &PacketView, service: u64, packet: &[u8]) {
         self.counters.sought += 1;
         if self.hints.is_full() {
@@ -43,7 +46,6 @@
         let all = self.agents.len() <= SEEK_ALL_LIMIT;
         let agents = self.agents.addresses((!all).then_some(service));
         let hint = self.hints.entry(now, flow, service);
-        let first = *hint.sought_since.get_or_insert(now);
         let is_due = now >= hint.seek_at;
         hint.waiting = Some(packet.to_vec());
         if is_due && self.seek_budget.take(now, agents.len()) {
@@ -61,36 +63,6 @@
                 self.send(*agent, PassThroughBody::Seek(seek.clone()));
             }
         }
-        if now.saturating_since(first) >= OFFER_DELAY {
-            self.offer(now, flow, service, packet);
-        }
-    }
-
-    /// Lets an agent that may have forgotten the flow ask its back end.
-    fn offer(&mut self, now: Timestamp, flow: FlowId, service: u64, packet: &[u8]) {
-        let Some(hint) = self.hints.get_mut(flow) else {
-            return;
-        };
-        let is_due = |at| now.saturating_since(at) >= OFFER_INTERVAL;
-        if !hint.offered_at.is_none_or(is_due) {
-            return;
-        }
-        let agents = self.agents.addresses(Some(service)).into_iter();
-        let forgetful = agents.filter(|(agent, _)| {
-            let known = self.agents.get(*agent);
-            known.is_some_and(|known| !known.complete) && !hint.was_asked(*agent)
-        });
-        let next = forgetful.min_by_key(|(agent, _)| {
-            let salt = petrellatch_proto::pass_through::pack_address(*agent);
-            flow_digest(flow, salt)
-        });
-        let Some((agent, service)) = next else { return };
-        hint.offered_at = Some(now);
-        hint.candidates.push(Candidate {
-            agent,
-            state: CandidateState::Declined,
-        });
-        self.carry(agent, service, CarryReason::Offer, packet.to_vec());
     }
 
     pub(super) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -72,13 +72,9 @@
     pub(super) owner: Option<SocketAddrV4>,
     /// A packet that waits until the owner is found.
     pub(super) waiting: Option<Vec<u8>>,
-    /// When agents were first asked for the flow, when they may be asked
-    /// again, and how often they were.
-    pub(super) sought_since: Option<Timestamp>,
+    /// When agents may be asked for the flow again, and how often they were.
     pub(super) seek_at: Timestamp,
     pub(super) seeks: u32,
-    /// When an agent was last told to ask its back end.
-    pub(super) offered_at: Option<Timestamp>,
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
     pub(super) ended: bool,
@@ -97,10 +93,8 @@
             opening: None,
             owner: None,
             waiting: None,
-            sought_since: None,
             seek_at: now,
             seeks: 0,
-            offered_at: None,
             queued: false,
             ended: false,
             stalled: false,
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -106,9 +106,7 @@
             }
         }
         let news = known.is_none_or(|known| {
-            known.report.incarnation != report.incarnation
-                || known.report.state != report.state
-                || known.report.complete != report.complete
+            known.report.incarnation != report.incarnation || known.report.state != report.state
         });
         if news {
             self.touch(report.address);
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -221,3 +221,33 @@
     let refusal = nobody.refusals.pop().expect("there is no agent");
     assert!(refusal.contains(" asked=0 "), "{refusal}");
 }
+
+#[test]
+fn packets_of_a_flow_that_all_forgot_wander_over_no_back_ends() {
+    let mut world = World::new(6, 4);
+    // Both the flow's agent and its balancer have started again. The caller
+    // repeats its packet as callers do.
+    for _ in 0..8 {
+        world.request(1, agent_address(9));
+        world.run(1_600 * MILLI);
+    }
+    let received: usize = world.backends.values().map(|it| it.received.len()).sum();
+    assert!(
+        received < 3,
+        "{received} packets at back ends that do not have the flow"
+    );
+}
+
+#[test]
+fn a_forgotten_flow_is_found_once_its_back_end_speaks() {
+    let mut world = World::new(3, 4);
+    world.request(1, agent_address(2));
+    world.run(300 * MILLI);
+    assert_eq!(world.data_at(agent_address(2)), 0);
+    // The back end repeats what the caller has not acknowledged.
+    world.speak(agent_address(2), 1);
+    world.request(1, agent_address(2));
+    assert_eq!(world.data_at(agent_address(2)), 1);
+    assert_eq!(world.data_at(agent_address(1)), 0);
+    assert_eq!(world.data_at(agent_address(3)), 0);
+}
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -304,6 +304,23 @@
         agent.handle_backend_packet(now, &encode(view));
     }
 
+    /// The back end beside an agent sends data on a flow that it has.
+    pub fn speak(&mut self, agent: SocketAddrV4, port: u16) {
+        self.backends
+            .get_mut(&agent)
+            .expect("known")
+            .flows
+            .insert(caller(port));
+        let data = PacketView {
+            acknowledge: true,
+            data_bytes: 100,
+            sequence: first_sequence(agent).wrapping_add(1),
+            ..empty(ROUTE, caller(port))
+        };
+        self.answer_from_backend(agent, &data);
+        self.settle();
+    }
+
     pub fn open(&mut self, port: u16, copy: u32) {
         let packet = PacketView {
             synchronize: true,
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -96,9 +96,6 @@
     OpenQueued = 2,
     /// A packet of a flow that the agent is known to have.
     Deliver = 3,
-    /// A packet of a flow that no agent knew: one that lost its memory may ask
-    /// its back end.
-    Offer = 4,
 }
 
 /// A caller's packet on its way to an agent.
@@ -245,10 +242,6 @@
     /// The load.
     #[prost(message, required, tag = "7")]
     pub load: LoadMessage,
-    /// Whether this life of the agent has seen all flows of its back end. If
-    /// not, the back end may have flows that the agent doesn't know.
-    #[prost(bool, tag = "8")]
-    pub complete: bool,
     /// Digests of back ends that said that they leave, the latest last.
     #[prost(fixed64, repeated, tag = "9")]
     pub leaving: Vec<u64>,
