--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -223,6 +223,7 @@
             state: AgentState::Ready.into(),
             load: LoadMessage::default(),
             leaving: Vec::new(),
+            interval_millis: 500,
         },
         age_millis: 0,
     };
--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -120,12 +120,18 @@
     PacketReturned = 506, Info;
     /// A packet of an open flow was handed to an agent that does not answer.
     FlowStalled = 507, Info;
+    /// A packet of a flow that no agent knows was handed to those whose back ends may have it.
+    FlowTried = 508, Info;
+    /// A flow was reset because no back end has it.
+    FlowGone = 509, Info;
     /// A back end registered itself at its agent.
     BackendRegistered = 510, Info;
     /// A back end said that it leaves.
     BackendLeaving = 511, Info;
     /// A back end has been silent for too long.
     BackendSilent = 512, Warning;
+    /// The search for a flow ended without an answer; its caller has given up.
+    FlowNotFound = 513, Info;
     /// A balancer has a newer configuration in force.
     ConfigurationApplied = 520, Info;
     /// The configuration was replaced under a newer version.
--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_proto::pass_through::{
-    Accepted, DeclineReason, Declined, HeldFlow, Holds, LoadMessage, NotHeld, PassThroughBody,
+    Accepted, DeclineReason, Declined, HeldFlow, Holds, LoadMessage, PassThroughBody,
 };
 
 use super::PassThroughAgent;
@@ -23,11 +23,12 @@
         self.registration.note_alive(now);
         if view.returned {
             self.counters.returned += 1;
-            self.handle_returned(&view);
+            self.handle_returned(now, &view);
             self.report_if_changed(now);
             return;
         }
         let flow = view.flow_from_backend();
+        let wants_to_know = self.tried.take_pending(flow);
         self.outputs.push_back(PassThroughOutput::ToCaller {
             address: *flow.caller.ip(),
             packet: packet.to_vec(),
@@ -54,6 +55,9 @@
             self.service_time.record(time);
         }
         self.report_if_changed(now);
+        if let Some(balancer) = wants_to_know {
+            self.tell_held(balancer, flow);
+        }
         if view.synchronize && !answered_before {
             let admitted_at = self.flows.get(flow).map(|flow| flow.created_at);
             let time = now.saturating_since(admitted_at.unwrap_or(now));
@@ -63,16 +67,23 @@
     }
 
     /// The back end did not take a packet. Nothing of it ran.
-    pub(super) fn handle_returned(&mut self, view: &PacketView) {
+    pub(super) fn handle_returned(&mut self, now: Timestamp, view: &PacketView) {
         let id = view.flow_from_caller();
+        if !view.is_opening() {
+            self.tried.note_returned(now, id);
+        }
+        if let Some(balancer) = self.tried.take_pending(id) {
+            self.tell_not_held(balancer, view, false);
+            return;
+        }
         let Some(flow) = self.flows.remove(id) else {
             return;
         };
         let Some(balancer) = flow.balancer else {
             return;
         };
-        let body = if view.is_opening() {
-            PassThroughBody::Declined(Declined {
+        if view.is_opening() {
+            let declined = PassThroughBody::Declined(Declined {
                 flow: id.into(),
                 reason: DeclineReason::Returned.into(),
                 load: LoadMessage {
@@ -80,12 +91,13 @@
                     capacity: self.registration.capacity(),
                     cold: false,
                 },
-            })
+            });
+            self.send(balancer, declined);
         } else {
             self.emit_event(EventKind::PacketReturned, format!("flow={id}"));
-            PassThroughBody::NotHeld(NotHeld { flow: id.into() })
-        };
-        self.send(balancer, body);
+            let was_open = flow.sequence.is_some() && flow.owns(view.acknowledged);
+            self.tell_not_held(balancer, view, was_open);
+        }
     }
 
     pub(super) fn tell_accepted(&mut self, now: Timestamp, id: FlowId, sequence: u32) {
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    AgentState, Carry, CarryReason, DeclineReason, Declined, PassThroughBody, Seek,
+    AgentState, Carry, CarryReason, DeclineReason, Declined, HeldFlow, Holds, Lacks, NotHeld,
+    PassThroughBody, Seek,
 };
 
 use super::PassThroughAgent;
@@ -41,19 +42,74 @@
                 self.admit(now, from, flow, carry.packet, factor);
             }
             CarryReason::Deliver => self.deliver(now, from, &view, carry.packet),
+            CarryReason::Try => self.try_flow(now, from, &view, carry.packet),
             CarryReason::Unspecified => {}
         }
     }
 
     pub(super) fn handle_seek(&mut self, now: Timestamp, from: SocketAddrV4, seek: &Seek) {
         self.balancers.insert(from, now);
-        let flow = FlowId::from(seek.flow);
+        let knows_all = self.knows_all_flows(now);
+        let mut holds = Holds::default();
+        let mut lacks = Lacks::default();
+        for sought in &seek.flows {
+            let flow = FlowId::from(sought.flow);
+            let known = self.flows.get(flow);
+            if let Some(known) = known.filter(|it| it.owns(sought.acknowledged)) {
+                holds.flows.push(HeldFlow {
+                    flow: sought.flow,
+                    sequence: known.sequence,
+                });
+            } else if knows_all || self.tried.was_returned(flow) {
+                lacks.certain.push(sought.flow);
+            } else {
+                lacks.uncertain.push(sought.flow);
+            }
+        }
+        if !holds.flows.is_empty() {
+            self.send(from, PassThroughBody::Holds(holds));
+        }
+        if !lacks.certain.is_empty() || !lacks.uncertain.is_empty() {
+            self.send(from, PassThroughBody::Lacks(lacks));
+        }
+    }
+
+    /// Whether every flow of the back end is known: this life of the agent has
+    /// seen the back end begin, or lasts longer than any flow, or no back end
+    /// has called or spoken for so long that there is none.
+    fn knows_all_flows(&self, now: Timestamp) -> bool {
+        let age = now.saturating_since(self.started_at);
+        self.registration.was_replaced()
+            || age >= self.settings.flow_lifetime
+            || (self.state(now) == AgentState::Empty && !self.registration.has_called())
+    }
+
+    /// Hands a packet to the back end to find out whether it has the flow.
+    fn try_flow(&mut self, now: Timestamp, from: SocketAddrV4, view: &PacketView, packet: Vec<u8>) {
+        let flow = view.flow_from_caller();
         let known = self.flows.get(flow);
-        if known.is_some_and(|flow| flow.owns(seek.acknowledged)) {
+        if known.is_some_and(|known| known.owns(view.acknowledged)) {
             self.tell_held(from, flow);
+            self.deliver(now, from, view, packet);
+        } else if self.tried.was_returned(flow) {
+            self.tell_not_held(from, view, false);
+        } else if self.tried.note_tried(now, flow, from) {
+            self.counters.tried += 1;
+            self.outputs.push_back(PassThroughOutput::ToBackend(packet));
         }
     }
 
+    /// Tells a balancer that the back end does not have the flow of a packet.
+    pub(super) fn tell_not_held(&mut self, to: SocketAddrV4, view: &PacketView, was_open: bool) {
+        let not_held = NotHeld {
+            flow: view.flow_from_caller().into(),
+            acknowledged: view.acknowledged,
+            request: view.data_bytes > 0 && !view.finish,
+            was_open,
+        };
+        self.send(to, PassThroughBody::NotHeld(not_held));
+    }
+
     /// Admits a new flow if the back end has fewer than `factor` requests for
     /// each slot.
     pub(super) fn admit(
@@ -80,6 +136,7 @@
             return;
         }
         self.counters.admitted += 1;
+        self.tried.forget(flow);
         let capacity = self.registration.capacity();
         self.flows
             .note_from_caller(now, flow, from, CallerPacket::Opening, capacity);
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -24,6 +24,7 @@
 use crate::pass_through::packet::PacketCodec;
 use crate::pass_through::registration::{Registration, RegistrationState};
 use crate::pass_through::service_time::ServiceTime;
+use crate::pass_through::tried_flows::TriedFlows;
 
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -70,6 +71,8 @@
     pub delivered: u64,
     /// New flows that were declined, by reason.
     pub declined: BTreeMap<DeclineReason, u64>,
+    /// Packets handed to the back end to find out whether it has their flows.
+    pub tried: u64,
     /// Packets that the back end returned.
     pub returned: u64,
     /// Packets of the back end that could not be read.
@@ -95,6 +98,8 @@
     contacts: Contacts,
     registration: RegistrationState,
     flows: AgentFlows,
+    tried: TriedFlows,
+    started_at: Timestamp,
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
@@ -132,6 +137,8 @@
             incarnation,
             contacts,
             flows: AgentFlows::default(),
+            tried: TriedFlows::default(),
+            started_at: now,
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
@@ -228,6 +235,7 @@
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.flows.expire(now, self.settings.flow_lifetime);
+            self.tried.expire(now, self.settings.flow_lifetime);
             self.balancers
                 .retain(|_, heard| now.saturating_since(*heard) < BALANCER_MEMORY);
             self.report_if_changed(now);
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -77,6 +77,7 @@
             state: state.into(),
             load: self.load_message(now),
             leaving: self.registration.leaving(),
+            interval_millis: self.report_interval.as_millis() as u32,
         };
         for replica in self.contacts.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -12,6 +12,7 @@
 
 use super::change_assembly::PartAssembly;
 use super::digest::{flow_digest, service_digest};
+use super::flow_search::SearchedAgent;
 use super::packet::FlowId;
 
 /// A load figure loses half of its weight in this time, since the requests
@@ -35,6 +36,14 @@
 /// replicas are heard.
 const SILENCE_LIMIT: Duration = Duration::from_secs(8);
 
+/// For how long a replica's word holds that its directory is whole. Agents that
+/// come later are told at once.
+const WHOLE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// An agent that has not answered a question for flows by then is gone, and its
+/// back end with it; one that is restarted as planned is back earlier.
+const ABSENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// One agent.
 #[derive(Debug)]
 pub(super) struct KnownAgent {
@@ -47,6 +56,8 @@
     reported_at: Timestamp,
     /// When it was heard last, or a replica said last that it is there.
     heard_at: Timestamp,
+    /// Since when it has not answered questions for flows.
+    unanswered_since: Option<Timestamp>,
     load: LoadMessage,
     load_at: Timestamp,
     /// Opening packets sent since the load was told.
@@ -59,6 +70,8 @@
 #[derive(Debug, Default)]
 struct ReplicaDirectory {
     revision: u64,
+    /// When the replica said last that this revision has every agent that runs.
+    whole_at: Option<Timestamp>,
     agents: BTreeSet<SocketAddrV4>,
     assembly: PartAssembly,
 }
@@ -88,13 +101,23 @@
         self.agents.len()
     }
 
-    /// Addresses of all agents, or of those of one service.
-    pub(super) fn addresses(&self, service: Option<u64>) -> Vec<(SocketAddrV4, u64)> {
+    /// All agents, or those of one service, as a search for a flow sees them.
+    pub(super) fn searched(&self, now: Timestamp, service: Option<u64>) -> Vec<SearchedAgent> {
         let wanted = |agent: &KnownAgent| service.is_none_or(|it| it == agent.service);
         let agents = self.agents.iter().filter(|(_, agent)| wanted(agent));
-        agents
-            .map(|(address, agent)| (*address, agent.service))
-            .collect()
+        let searched = agents.map(|(address, agent)| SearchedAgent {
+            address: *address,
+            service: agent.service,
+            is_expected: agent.is_expected(now),
+        });
+        searched.collect()
+    }
+
+    /// Notes that an agent was asked for flows.
+    pub(super) fn note_asked(&mut self, now: Timestamp, address: SocketAddrV4) {
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.unanswered_since.get_or_insert(now);
+        }
     }
 
     /// How many agents of a service are known, and how many of them take no new
@@ -112,12 +135,27 @@
         told.map_or(0, |told| told.revision)
     }
 
-    /// A replica says that its directory has this revision. If that is the one
-    /// that it told, it still hears from all agents in it.
-    pub(super) fn handle_revision(&mut self, now: Timestamp, replica: SocketAddrV4, revision: u64) {
-        let Some(told) = self.replicas.get(&replica) else {
+    /// Whether every agent that runs is known.
+    pub(super) fn is_whole(&self, now: Timestamp) -> bool {
+        let is_fresh = |at| now.saturating_since(at) < WHOLE_LIMIT;
+        let mut replicas = self.replicas.values();
+        replicas.any(|told| told.whole_at.is_some_and(is_fresh))
+    }
+
+    /// A replica says that its directory has this revision, and whether that is
+    /// whole. If it is the one that it told, it still hears from all agents in
+    /// it.
+    pub(super) fn handle_revision(
+        &mut self,
+        now: Timestamp,
+        replica: SocketAddrV4,
+        revision: u64,
+        is_whole: bool,
+    ) {
+        let Some(told) = self.replicas.get_mut(&replica) else {
             return;
         };
+        told.whole_at = (is_whole && told.revision == revision).then_some(now);
         if told.revision != revision {
             return;
         }
@@ -190,6 +228,7 @@
                 sequence: report.sequence,
                 reported_at,
                 heard_at: now,
+                unanswered_since: None,
                 load: report.load,
                 load_at: reported_at,
                 sent_since: 0,
@@ -227,6 +266,7 @@
         let was_suspected = now < agent.suspect_until;
         agent.reported_at = now;
         agent.heard_at = now;
+        agent.unanswered_since = None;
         agent.misses = 0;
         agent.suspect_until = Timestamp::ZERO;
         if let Some(load) = load {
@@ -302,6 +342,15 @@
         self.sent_since = 0;
     }
 
+    /// Whether it answers questions for flows, unless it is just restarted. One
+    /// that has not heard of its back end in its present life counts as gone with
+    /// that if it does not answer.
+    fn is_expected(&self, now: Timestamp) -> bool {
+        let has_backend = matches!(self.state, AgentState::Ready | AgentState::Draining);
+        let is_absent = |since| now.saturating_since(since) >= ABSENCE_LIMIT;
+        has_backend && !self.unanswered_since.is_some_and(is_absent)
+    }
+
     /// Expected requests for each slot, with what speaks against the agent.
     fn cost(&self, now: Timestamp) -> f64 {
         let age = now.saturating_since(self.load_at);
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -5,13 +5,13 @@
 mod open_flows;
 mod openings;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, Group, Holds, NotHeld, PassThroughBody, Seek,
+    Declined, Follow, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek, SoughtFlow,
 };
 
 use crate::event::{Event, EventKind};
@@ -23,6 +23,7 @@
 use super::contacts::Contacts;
 use super::digest::is_sampled;
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
+use super::flow_search::{FlowSearches, SearchStep};
 use super::latency::LatencyHistogram;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, PacketCodec, PacketView};
@@ -54,9 +55,10 @@
 const ASKED_IN_SILENCE: usize = 5;
 /// In a directory of at most so many agents all are asked for a flow.
 const SEEK_ALL_LIMIT: usize = 64;
-/// Between the first two questions for one flow; it doubles with each.
-const FIRST_SEEK_PAUSE: Duration = Duration::from_millis(150);
-const MAX_SEEK_DOUBLINGS: u32 = 4;
+/// Flows in one question.
+const FLOWS_PER_QUESTION: usize = 200;
+/// Packets of open flows that are kept until the balancer is current.
+const MAX_EARLY_PACKETS: usize = 1_024;
 /// A process that did nothing for longer stood still: opening packets that
 /// came meanwhile are from callers that have sent copies since, or given up.
 const STANDSTILL: Duration = Duration::from_millis(1_200);
@@ -100,6 +102,14 @@
     pub unanswered: u64,
     /// Packets of flows whose agent was not known.
     pub sought: u64,
+    /// Flows whose agent was found.
+    pub found: u64,
+    /// Packets handed to back ends that may have a flow.
+    pub tried: u64,
+    /// Flows reset because no back end has them.
+    pub gone: u64,
+    /// Flows that were sought until their callers gave up.
+    pub not_found: u64,
     /// Packets handed on.
     pub delivered: u64,
 }
@@ -124,7 +134,10 @@
     routes: RouteTable,
     agents: AgentDirectory,
     hints: FlowHints,
+    searches: FlowSearches,
     seek_budget: SeekBudget,
+    /// Packets of open flows that came before the balancer was current.
+    early: VecDeque<Vec<u8>>,
     /// Opening packets that wait for an answer, in the order of their limits.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
     /// Number of the question for the newest version, until it is answered
@@ -173,6 +186,8 @@
             attachments: Attachments::new(incarnation.0),
             routes: RouteTable::default(),
             hints: FlowHints::default(),
+            searches: FlowSearches::default(),
+            early: VecDeque::new(),
             seek_budget: SeekBudget::new(now),
             awaited: VecDeque::new(),
             confirm: incarnation.0 | 1,
@@ -256,6 +271,7 @@
         };
         if !self.current {
             self.counters.not_current += 1;
+            self.keep_early(&view, packet);
             return;
         }
         self.observe_clock(now);
@@ -268,6 +284,18 @@
         }
     }
 
+    /// Keeps a packet of an open flow until the balancer is current. Opening
+    /// packets are not kept: their callers send copies.
+    fn keep_early(&mut self, view: &PacketView, packet: &[u8]) {
+        if view.is_opening() || self.early.iter().any(|early| early == packet) {
+            return;
+        }
+        if self.early.len() == MAX_EARLY_PACKETS {
+            self.early.pop_front();
+        }
+        self.early.push_back(packet.to_vec());
+    }
+
     /// Takes the time of an input, and notices a standstill.
     fn observe_clock(&mut self, now: Timestamp) {
         if now.saturating_since(self.active_at) >= STANDSTILL {
@@ -284,13 +312,14 @@
             PassThroughBody::Accepted(accepted) => self.handle_accepted(now, from, &accepted),
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
             PassThroughBody::Holds(holds) => self.handle_holds(now, from, &holds),
-            PassThroughBody::NotHeld(not_held) => self.handle_not_held(from, &not_held),
+            PassThroughBody::Lacks(lacks) => self.handle_lacks(now, from, &lacks),
+            PassThroughBody::NotHeld(not_held) => self.handle_not_held(now, from, &not_held),
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
             PassThroughBody::Directory(directory) => {
                 self.agents.handle_directory(now, from, directory);
             }
             PassThroughBody::Configuration(part) => self.handle_configuration(now, part),
-            PassThroughBody::Confirmed(confirmed) => self.handle_confirmed(&confirmed),
+            PassThroughBody::Confirmed(confirmed) => self.handle_confirmed(now, &confirmed),
             _ => {}
         }
     }
@@ -305,6 +334,7 @@
             self.awaited.pop_front();
             self.handle_unanswered(now, flow, agent);
         }
+        self.continue_searches(now);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
@@ -328,6 +358,7 @@
             Some(self.follow_at),
             Some(self.silence_check_at()),
             self.attachments.overdue_at(),
+            self.searches.poll_timeout(),
             awaited,
             self.stop_at,
         ];
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -14,7 +14,8 @@
             self.follow(now);
         }
         let revision = group.directory_revision;
-        self.agents.handle_revision(now, from, revision);
+        self.agents
+            .handle_revision(now, from, revision, group.whole_directory);
         let lacks_directory =
             self.attachments.contains(from) && revision != self.agents.revision_of(from);
         let lacks_configuration = group.version > self.routes.version() && now >= self.fetch_at;
@@ -44,27 +45,30 @@
             let since = self.lagging_since.take().unwrap_or(now);
             let lag = now.saturating_since(since);
             self.latencies.configuration_lag.record(lag);
-            self.check_current();
+            self.check_current(now);
         } else if self.routes.is_partial() {
             self.follow_at = self.follow_at.min(now + REPAIR_INTERVAL);
         }
     }
 
-    pub(super) fn handle_confirmed(&mut self, confirmed: &Confirmed) {
+    pub(super) fn handle_confirmed(&mut self, now: Timestamp, confirmed: &Confirmed) {
         if confirmed.confirm == self.confirm && !self.current {
             self.confirmed_version = Some(confirmed.version);
-            self.check_current();
+            self.check_current(now);
         }
     }
 
     /// The balancer is current once it has what was the newest version at
     /// some time of its life.
-    fn check_current(&mut self) {
+    fn check_current(&mut self, now: Timestamp) {
         let reached = |version| self.routes.version() >= version;
         if !self.current && self.confirmed_version.is_some_and(reached) {
             self.current = true;
             let subject = format!("version={}", self.routes.version());
             self.emit_event(EventKind::BecameCurrent, subject);
+            for packet in std::mem::take(&mut self.early) {
+                self.handle_packet(now, &packet);
+            }
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -13,7 +13,8 @@
                 let owner = hint.acknowledged(view.acknowledged);
                 hint.owner = owner.or_else(|| hint.sole_candidate());
             }
-            if let Some(owner) = hint.owner {
+            let owner = hint.owner;
+            if let Some(owner) = owner.filter(|owner| self.agents.get(*owner).is_some()) {
                 let service = hint.service;
                 let was_stalled = hint.stalled;
                 hint.stalled = self.agents.is_suspected(now, owner);
@@ -30,70 +31,201 @@
             self.counters.no_route += 1;
             return;
         };
-        self.seek(now, view, service, packet);
+        self.counters.sought += 1;
+        let is_new = self.searches.note_packet(now, service, view, packet);
+        if is_new && is_sampled(flow) {
+            let subject = format!("flow={flow} agents={}", self.agents.len());
+            self.emit_event(EventKind::FlowSought, subject);
+        }
+        self.send_questions(now);
     }
 
-    /// Asks the agents who has a flow; its packet waits for the answer. A flow
-    /// that its agent forgot is known again with the next packet of its back
-    /// end. It is not offered to back ends on trial: packets that wander over
-    /// back ends are worse than a caller that waits.
-    fn seek(&mut self, now: Timestamp, view: &PacketView, service: u64, packet: &[u8]) {
-        self.counters.sought += 1;
-        if self.hints.is_full() {
-            return;
+    /// Asks the agents who has the flows that are sought.
+    pub(super) fn continue_searches(&mut self, now: Timestamp) {
+        for flow in self.searches.take_due(now) {
+            self.take_search_step(now, flow);
+            let Some(search) = self.searches.get_mut(flow) else {
+                continue;
+            };
+            if search.is_over(now) {
+                self.give_up_search(flow);
+            } else {
+                self.searches.ask_again(flow);
+            }
         }
-        let flow = view.flow_from_caller();
-        let all = self.agents.len() <= SEEK_ALL_LIMIT;
-        let agents = self.agents.addresses((!all).then_some(service));
-        let hint = self.hints.entry(now, flow, service);
-        let is_due = now >= hint.seek_at;
-        hint.waiting = Some(packet.to_vec());
-        if is_due && self.seek_budget.take(now, agents.len()) {
-            hint.seek_at = now + FIRST_SEEK_PAUSE * (1 << hint.seeks.min(MAX_SEEK_DOUBLINGS));
-            hint.seeks += 1;
-            let seek = Seek {
+        self.send_questions(now);
+    }
+
+    /// Asks for the flows whose rounds begin, unless they are still gathered.
+    fn send_questions(&mut self, now: Timestamp) {
+        let mut questions: BTreeMap<SocketAddrV4, Vec<SoughtFlow>> = BTreeMap::new();
+        for flow in self.searches.take_unasked(now) {
+            let Some(search) = self.searches.get_mut(flow) else {
+                continue;
+            };
+            let sought = SoughtFlow {
                 flow: flow.into(),
-                acknowledged: view.acknowledged,
+                acknowledged: search.acknowledged(),
             };
-            if is_sampled(flow) {
-                let subject = format!("flow={flow} agents={}", agents.len());
-                self.emit_event(EventKind::FlowSought, subject);
+            let all = self.agents.len() <= SEEK_ALL_LIMIT;
+            let agents = self
+                .agents
+                .searched(now, (!all).then_some(search.service()));
+            let take_budget = |count| self.seek_budget.take(now, count);
+            let asked = self.searches.begin_round(now, flow, &agents, take_budget);
+            for agent in asked {
+                questions.entry(agent).or_default().push(sought);
             }
-            for (agent, _) in &agents {
-                self.send(*agent, PassThroughBody::Seek(seek.clone()));
+        }
+        for (agent, flows) in questions {
+            self.agents.note_asked(now, agent);
+            for flows in flows.chunks(FLOWS_PER_QUESTION) {
+                let flows = flows.to_vec();
+                self.send(agent, PassThroughBody::Seek(Seek { flows }));
             }
         }
     }
 
+    /// Does what the answers of agents allow.
+    fn take_search_step(&mut self, now: Timestamp, flow: FlowId) {
+        let whole_directory = self.agents.is_whole(now);
+        let Some(search) = self.searches.get_mut(flow) else {
+            return;
+        };
+        match search.next_step(now, whole_directory) {
+            SearchStep::Wait => {}
+            SearchStep::Try(agents) => self.try_agents(flow, &agents),
+            SearchStep::Gone => self.reset_gone(now, flow),
+        }
+    }
+
+    fn try_agents(&mut self, flow: FlowId, agents: &[SocketAddrV4]) {
+        let Some(search) = self.searches.get_mut(flow) else {
+            return;
+        };
+        let Some(packet) = search.packet_to_try().cloned() else {
+            return;
+        };
+        let service = search.service();
+        if is_sampled(flow) {
+            let subject = format!("flow={flow} {}", search.summary());
+            self.emit_event(EventKind::FlowTried, subject);
+        }
+        self.counters.tried += agents.len() as u64;
+        for agent in agents {
+            self.carry(*agent, service, CarryReason::Try, packet.clone());
+        }
+    }
+
+    /// Tells the caller that no back end has its flow, so that it can open
+    /// another one.
+    fn reset_gone(&mut self, now: Timestamp, flow: FlowId) {
+        let Some(search) = self.searches.remove(flow) else {
+            return;
+        };
+        let waited = now.saturating_since(search.started_at()).as_millis();
+        let subject = format!("flow={flow} waited={waited} {}", search.summary());
+        self.emit_event(EventKind::FlowGone, subject);
+        self.reset_open(flow, search.acknowledged());
+    }
+
+    fn reset_open(&mut self, flow: FlowId, acknowledged: u32) {
+        self.counters.gone += 1;
+        self.hints.remove(flow);
+        self.outputs.push_back(PassThroughOutput::ToCaller {
+            address: *flow.caller.ip(),
+            packet: self.codec.reset(flow, acknowledged),
+        });
+    }
+
+    /// The caller has given up.
+    fn give_up_search(&mut self, flow: FlowId) {
+        let Some(search) = self.searches.remove(flow) else {
+            return;
+        };
+        self.counters.not_found += 1;
+        let subject = format!("flow={flow} {}", search.summary());
+        self.emit_event(EventKind::FlowNotFound, subject);
+    }
+
     pub(super) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
         self.note_heard(now, from, None);
         let Some(service) = self.agents.get(from).map(|agent| agent.service) else {
             return;
         };
         for held in &holds.flows {
-            let hint = self.hints.entry(now, held.flow.into(), service);
+            let flow = FlowId::from(held.flow);
+            if self.hints.is_full() {
+                return;
+            }
+            let hint = self.hints.entry(now, flow, service);
             hint.owner = Some(from);
             hint.service = service;
-            if let Some(packet) = hint.waiting.take() {
+            let Some(search) = self.searches.remove(flow) else {
+                continue;
+            };
+            self.counters.found += 1;
+            for packet in search.into_untried() {
                 self.counters.delivered += 1;
                 self.carry(from, service, CarryReason::Deliver, packet);
             }
         }
     }
 
-    pub(super) fn handle_not_held(&mut self, from: SocketAddrV4, not_held: &NotHeld) {
-        let Some(hint) = self.hints.get_mut(not_held.flow.into()) else {
+    pub(super) fn handle_lacks(&mut self, now: Timestamp, from: SocketAddrV4, lacks: &Lacks) {
+        self.note_heard(now, from, None);
+        let certain = lacks.certain.iter().map(|flow| (flow, true));
+        let uncertain = lacks.uncertain.iter().map(|flow| (flow, false));
+        for (flow, is_certain) in certain.chain(uncertain) {
+            let flow = FlowId::from(*flow);
+            if let Some(search) = self.searches.get_mut(flow) {
+                search.note_lacks(from, is_certain);
+                self.take_search_step(now, flow);
+            }
+        }
+    }
+
+    /// A back end returned a packet. If the flow was open there, it is gone;
+    /// otherwise another back end may have it.
+    pub(super) fn handle_not_held(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        not_held: &NotHeld,
+    ) {
+        let flow = FlowId::from(not_held.flow);
+        let mut service = None;
+        if let Some(hint) = self.hints.get_mut(flow) {
+            if hint.owner.is_some_and(|owner| owner != from) {
+                // It was tried as well before the owner was found.
+                return;
+            }
+            service = Some(hint.service);
+            if hint.owner == Some(from) {
+                hint.owner = None;
+            }
+            match hint.candidate_mut(from) {
+                Some(candidate) => candidate.state = CandidateState::Declined,
+                None => hint.candidates.push(Candidate {
+                    agent: from,
+                    state: CandidateState::Declined,
+                }),
+            }
+        }
+        if not_held.was_open {
+            self.searches.remove(flow);
+            if not_held.request {
+                let subject = format!("flow={flow} agent={from} was_open=true");
+                self.emit_event(EventKind::FlowGone, subject);
+                self.reset_open(flow, not_held.acknowledged);
+            }
             return;
-        };
-        if hint.owner == Some(from) {
-            hint.owner = None;
         }
-        match hint.candidate_mut(from) {
-            Some(candidate) => candidate.state = CandidateState::Declined,
-            None => hint.candidates.push(Candidate {
-                agent: from,
-                state: CandidateState::Declined,
-            }),
+        let is_sought = self.searches.contains(flow);
+        let service = service.or_else(|| self.routes.service_for(flow));
+        if let Some(service) = service.filter(|_| is_sought || not_held.request) {
+            self.searches.note_returned(now, service, from, not_held);
+            self.take_search_step(now, flow);
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -69,6 +69,7 @@
             serves: self.serves(now),
             leader: self.replica.leader().map_or(0, |leader| leader.0),
             report_interval_millis: self.followers.report_interval().as_millis() as u32,
+            whole_directory: self.followers.is_whole(now),
         }
     }
 
@@ -93,11 +94,22 @@
         }
         if self.followers.handle_directory(now, directory) {
             self.directory_fetch.finish();
+            self.took_over_from = Some(from);
             self.ask_for_directory(from, true);
             self.directory_at.get_or_insert(now + DIRECTORY_DELAY);
         }
     }
 
+    /// Takes the word of another replica on the directory that it told before.
+    pub(super) fn note_whole_takeover(&mut self, from: SocketAddrV4, group: &Group) {
+        if self.took_over_from == Some(from) {
+            self.took_over_from = None;
+            if group.whole_directory {
+                self.followers.note_whole();
+            }
+        }
+    }
+
     fn ask_for_directory(&mut self, peer: SocketAddrV4, leaving: bool) {
         let follow = Follow {
             attached: true,
@@ -120,6 +132,18 @@
         self.served = serves;
     }
 
+    /// Tells the followers once the directory is whole.
+    pub(super) fn tell_whole(&mut self, now: Timestamp) {
+        if self.told_whole || !self.followers.is_whole(now) {
+            return;
+        }
+        self.told_whole = true;
+        let group = self.group(now);
+        for follower in self.followers.followers() {
+            self.send(follower, PassThroughBody::Group(group.clone()));
+        }
+    }
+
     pub(super) fn push_directory(&mut self, now: Timestamp) {
         let directory = self.followers.directory(now, self.pushed_revision);
         self.pushed_revision = self.followers.revision();
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -179,6 +179,11 @@
     keeper: GroupKeeper,
     directory_at: Option<Timestamp>,
     directory_fetch: DirectoryFetch,
+    /// The replica whose directory was taken over, until it has said whether
+    /// that is whole.
+    took_over_from: Option<SocketAddrV4>,
+    /// Whether balancers were told that the directory is whole.
+    told_whole: bool,
     /// Whether this replica heard a leader at the latest input.
     served: bool,
     latencies: ConfigurationNodeLatencies,
@@ -203,7 +208,7 @@
     /// Starts a life of a replica. Nodes in `start` are made by [`node_at`].
     pub fn new(now: Timestamp, settings: ConfigurationNodeSettings, start: ReplicaStart) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(start.seed.wrapping_add(1));
-        let followers = Followers::new(random.random());
+        let followers = Followers::new(now, random.random());
         let founders = start.bootstrap.as_ref().map(Membership::members);
         let founders = founders.unwrap_or_default().iter();
         let seeds = founders.map(|founder| node_address(founder.replica.node));
@@ -223,6 +228,8 @@
             news_since: None,
             directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
+            took_over_from: None,
+            told_whole: false,
             served: false,
             latencies: ConfigurationNodeLatencies::default(),
             sweep_at: now + SWEEP_INTERVAL,
@@ -275,6 +282,7 @@
         match body {
             PassThroughBody::Consensus(bytes) => self.handle_consensus(now, from, &bytes),
             PassThroughBody::Group(group) => {
+                self.note_whole_takeover(from, &group);
                 self.contacts.handle_group(&group);
                 self.apply_contacts();
             }
@@ -327,6 +335,7 @@
             self.push_directory(now);
         }
         self.fetch_directory(now);
+        self.tell_whole(now);
         self.expire_requests(now);
         self.continue_stop(now);
         self.drain(now);
@@ -340,6 +349,7 @@
             Some(self.sweep_at),
             self.directory_at,
             self.directory_fetch.poll_timeout(),
+            (!self.told_whole).then(|| self.followers.whole_at()),
             self.stop_at,
         ];
         let first = timers.into_iter().flatten().min();
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -70,11 +70,6 @@
     /// The opening packet, as long as nobody has accepted it.
     pub(super) opening: Option<Vec<u8>>,
     pub(super) owner: Option<SocketAddrV4>,
-    /// A packet that waits until the owner is found.
-    pub(super) waiting: Option<Vec<u8>>,
-    /// When agents may be asked for the flow again, and how often they were.
-    pub(super) seek_at: Timestamp,
-    pub(super) seeks: u32,
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
     pub(super) ended: bool,
@@ -92,9 +87,6 @@
             asked: AskedAgents::default(),
             opening: None,
             owner: None,
-            waiting: None,
-            seek_at: now,
-            seeks: 0,
             queued: false,
             ended: false,
             stalled: false,
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flow_search.rs
@@ -0,0 +1,445 @@
+//! The search for the agent whose back end has a flow that the balancer does
+//! not know.
+//!
+//! A flow is open at one back end only, and packets that reach others are a
+//! fault. So the agents are asked first. Those that may have forgotten flows get
+//! the packet only if the flow's own agent is certainly among them: all agents
+//! of the service have answered, and all get it at the same moment. A flow is
+//! given up, and its caller told, once every back end is known not to have it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::NotHeld;
+
+use crate::time::Timestamp;
+
+use super::packet::{FlowId, PacketView};
+
+/// Flows that are sought at once. More are not sought: their callers repeat.
+const MAX_SEARCHES: usize = 8_192;
+/// Packets of one flow that wait; a caller has so many under way.
+const MAX_WAITING: usize = 16;
+/// Back ends that may get a packet of a flow while its own agent is missing.
+const MAX_STRANGERS: usize = 2;
+/// How long flows are gathered, so that one message asks for many.
+const GATHERING: Duration = Duration::from_millis(3);
+/// Agents that have not answered by then are missing.
+const ROUND: Duration = Duration::from_millis(60);
+/// The time between two rounds doubles so often at most.
+const MAX_ROUND_DOUBLINGS: u32 = 3;
+/// A search whose caller was silent for so long is over.
+const SEARCH_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// What one agent said of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SearchAnswer {
+    /// It was asked and has not answered.
+    Missing,
+    /// Its back end may have the flow.
+    Uncertain,
+    /// Its back end got a packet.
+    Tried,
+    /// Its back end does not have the flow.
+    Lacks,
+}
+
+/// An agent as a search sees it.
+#[derive(Clone, Copy, Debug)]
+struct AskedAgent {
+    answer: SearchAnswer,
+    /// Whether it serves the service that the flow was opened for.
+    of_service: bool,
+    /// Whether an answer is expected; see [`SearchedAgent::is_expected`].
+    is_expected: bool,
+}
+
+/// An agent that may be asked for flows.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SearchedAgent {
+    pub(super) address: SocketAddrV4,
+    pub(super) service: u64,
+    /// Whether it answers questions, and has heard of its back end in its
+    /// present life. Otherwise its back end is taken for gone if it does not
+    /// answer.
+    pub(super) is_expected: bool,
+}
+
+/// What to do next for a flow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum SearchStep {
+    /// Nothing yet.
+    Wait,
+    /// Hand the waiting packets to these agents, all at once.
+    Try(Vec<SocketAddrV4>),
+    /// No back end has the flow.
+    Gone,
+}
+
+/// The search for one flow.
+#[derive(Debug)]
+pub(super) struct FlowSearch {
+    service: u64,
+    /// What its caller acknowledged last.
+    acknowledged: u32,
+    /// Packets that wait, the oldest first.
+    waiting: VecDeque<Vec<u8>>,
+    /// The caller has sent data and waits for an answer.
+    awaits_answer: bool,
+    /// The caller has ended the flow.
+    ended: bool,
+    started_at: Timestamp,
+    packet_at: Timestamp,
+    rounds: u32,
+    /// When the round began.
+    asked_at: Timestamp,
+    /// When the answers of the round are due.
+    due_at: Timestamp,
+    agents: BTreeMap<SocketAddrV4, AskedAgent>,
+    /// Packets that were handed to back ends to try.
+    tries: usize,
+    /// The oldest packet that waits was tried.
+    first_is_tried: bool,
+}
+
+impl FlowSearch {
+    fn new(now: Timestamp, service: u64) -> Self {
+        FlowSearch {
+            service,
+            acknowledged: 0,
+            waiting: VecDeque::new(),
+            awaits_answer: false,
+            ended: false,
+            started_at: now,
+            packet_at: now,
+            rounds: 0,
+            asked_at: now,
+            due_at: now,
+            agents: BTreeMap::new(),
+            tries: 0,
+            first_is_tried: false,
+        }
+    }
+
+    pub(super) fn service(&self) -> u64 {
+        self.service
+    }
+
+    pub(super) fn acknowledged(&self) -> u32 {
+        self.acknowledged
+    }
+
+    pub(super) fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
+    /// The packet to try: the oldest one that waits.
+    pub(super) fn packet_to_try(&self) -> Option<&Vec<u8>> {
+        self.waiting.front()
+    }
+
+    /// The packets that wait and were not tried. The one that was tried has
+    /// reached the back end if the flow was found by it.
+    pub(super) fn into_untried(mut self) -> VecDeque<Vec<u8>> {
+        if self.first_is_tried {
+            self.waiting.pop_front();
+        }
+        self.waiting
+    }
+
+    fn note_packet(&mut self, now: Timestamp, view: &PacketView, packet: &[u8]) {
+        self.packet_at = now;
+        self.acknowledged = view.acknowledged;
+        self.awaits_answer |= view.data_bytes > 0;
+        self.ended |= view.finish || view.reset;
+        let is_copy = self.waiting.iter().any(|waiting| waiting == packet);
+        if is_copy {
+            return;
+        }
+        if self.waiting.len() == MAX_WAITING {
+            self.waiting.pop_front();
+            self.first_is_tried = false;
+        }
+        self.waiting.push_back(packet.to_vec());
+    }
+
+    /// Notes that the back end beside an agent returned a packet of the flow.
+    fn note_returned(&mut self, now: Timestamp, agent: SocketAddrV4, returned: &NotHeld) {
+        self.packet_at = now;
+        self.acknowledged = returned.acknowledged;
+        self.awaits_answer |= returned.request;
+        let known = AskedAgent {
+            answer: SearchAnswer::Lacks,
+            of_service: true,
+            is_expected: true,
+        };
+        self.agents.insert(agent, known);
+    }
+
+    /// How many of `agents` have not said that they lack the flow.
+    fn unsettled(&self, agents: &[SearchedAgent]) -> usize {
+        let lacks = |agent: &SearchedAgent| {
+            let known = self.agents.get(&agent.address);
+            known.is_some_and(|it| it.answer == SearchAnswer::Lacks)
+        };
+        agents.iter().filter(|agent| !lacks(agent)).count()
+    }
+
+    /// Begins a round. Returns whom to ask of `agents`: those that have not said
+    /// that they lack the flow. That a back end lacks an open flow stays true.
+    pub(super) fn begin_round(
+        &mut self,
+        now: Timestamp,
+        agents: &[SearchedAgent],
+    ) -> Vec<SocketAddrV4> {
+        self.rounds += 1;
+        self.asked_at = now;
+        self.due_at = now + ROUND * (1 << (self.rounds - 1).min(MAX_ROUND_DOUBLINGS));
+        let lacks = |agent: &AskedAgent| agent.answer == SearchAnswer::Lacks;
+        self.agents.retain(|_, agent| lacks(agent));
+        let mut asked = Vec::new();
+        for agent in agents {
+            if self.agents.contains_key(&agent.address) {
+                continue;
+            }
+            let asked_agent = AskedAgent {
+                answer: SearchAnswer::Missing,
+                of_service: agent.service == self.service,
+                is_expected: agent.is_expected,
+            };
+            self.agents.insert(agent.address, asked_agent);
+            asked.push(agent.address);
+        }
+        asked
+    }
+
+    pub(super) fn note_lacks(&mut self, agent: SocketAddrV4, certain: bool) {
+        let Some(asked) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        if certain {
+            asked.answer = SearchAnswer::Lacks;
+        } else if asked.answer == SearchAnswer::Missing {
+            asked.answer = SearchAnswer::Uncertain;
+        }
+    }
+
+    /// What to do now. `whole_directory` says whether the balancer knows every
+    /// agent that runs.
+    pub(super) fn next_step(&mut self, now: Timestamp, whole_directory: bool) -> SearchStep {
+        if self.rounds == 0 {
+            return SearchStep::Wait;
+        }
+        let count = |of_service, answer| {
+            let counted = |it: &&AskedAgent| it.of_service == of_service && it.answer == answer;
+            self.agents.values().filter(counted).count()
+        };
+        let is_due = now >= self.due_at;
+        let missing = match is_due {
+            true => self.expected(),
+            false => count(true, SearchAnswer::Missing),
+        };
+        let uncertain = count(true, SearchAnswer::Uncertain);
+        let tried = count(true, SearchAnswer::Tried);
+        if missing > 0 && !is_due {
+            return SearchStep::Wait;
+        }
+        let is_complete = missing == 0 && whole_directory;
+        if uncertain > 0 {
+            let are_few = uncertain + self.tries <= MAX_STRANGERS;
+            let may_try = is_complete || (are_few && is_due);
+            return match may_try && !self.waiting.is_empty() {
+                true => SearchStep::Try(self.note_tried()),
+                false => SearchStep::Wait,
+            };
+        }
+        let others_answered = count(false, SearchAnswer::Missing) == 0 || is_due;
+        let may_reset = self.awaits_answer && !self.ended;
+        match is_complete && tried == 0 && others_answered && may_reset {
+            true => SearchStep::Gone,
+            false => SearchStep::Wait,
+        }
+    }
+
+    /// Agents of the service that have not answered and are expected to.
+    fn expected(&self) -> usize {
+        let is_awaited = |it: &&AskedAgent| {
+            it.of_service && it.is_expected && it.answer == SearchAnswer::Missing
+        };
+        self.agents.values().filter(is_awaited).count()
+    }
+
+    fn note_tried(&mut self) -> Vec<SocketAddrV4> {
+        let mut tried = Vec::new();
+        for (address, agent) in &mut self.agents {
+            if agent.of_service && agent.answer == SearchAnswer::Uncertain {
+                agent.answer = SearchAnswer::Tried;
+                tried.push(*address);
+            }
+        }
+        self.tries += tried.len();
+        self.first_is_tried = true;
+        tried
+    }
+
+    /// What the agents of the service said, for the log.
+    pub(super) fn summary(&self) -> String {
+        let count = |answer| {
+            let counted = |it: &&AskedAgent| it.of_service && it.answer == answer;
+            self.agents.values().filter(counted).count()
+        };
+        let missing = count(SearchAnswer::Missing);
+        let uncertain = count(SearchAnswer::Uncertain);
+        let tried = count(SearchAnswer::Tried);
+        let lacks = count(SearchAnswer::Lacks);
+        let rounds = self.rounds;
+        let expected = self.expected();
+        format!(
+            "rounds={rounds} missing={missing} expected={expected} uncertain={uncertain} tried={tried} lacks={lacks}"
+        )
+    }
+
+    /// Whether the caller has been silent for so long that it gave up.
+    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+        now.saturating_since(self.packet_at) >= SEARCH_LIMIT
+    }
+}
+
+/// All searches of a balancer.
+#[derive(Debug, Default)]
+pub(super) struct FlowSearches {
+    searches: HashMap<FlowId, FlowSearch>,
+    /// Flows with the ends of their rounds.
+    due: BTreeSet<(Timestamp, FlowId)>,
+    /// Flows whose round begins with the next questions.
+    unasked: Vec<FlowId>,
+    /// Before this no questions go out. Flows are gathered for them.
+    ask_at: Timestamp,
+}
+
+impl FlowSearches {
+    /// Notes a packet of a flow that is not known. Returns whether its search
+    /// begins with it.
+    pub(super) fn note_packet(
+        &mut self,
+        now: Timestamp,
+        service: u64,
+        view: &PacketView,
+        packet: &[u8],
+    ) -> bool {
+        let flow = view.flow_from_caller();
+        let Some((search, is_new)) = self.entry(now, flow, service) else {
+            return false;
+        };
+        search.note_packet(now, view, packet);
+        let is_settled = now.saturating_since(search.asked_at) >= ROUND;
+        let due = (search.due_at, flow);
+        if !is_new && is_settled && self.due.remove(&due) {
+            // The caller still waits.
+            self.unasked.push(flow);
+        }
+        is_new
+    }
+
+    /// Notes that a back end returned a packet of a flow.
+    pub(super) fn note_returned(
+        &mut self,
+        now: Timestamp,
+        service: u64,
+        agent: SocketAddrV4,
+        returned: &NotHeld,
+    ) {
+        if let Some((search, _)) = self.entry(now, returned.flow.into(), service) {
+            search.note_returned(now, agent, returned);
+        }
+    }
+
+    fn entry(
+        &mut self,
+        now: Timestamp,
+        flow: FlowId,
+        service: u64,
+    ) -> Option<(&mut FlowSearch, bool)> {
+        let is_new = !self.searches.contains_key(&flow);
+        if is_new && self.searches.len() >= MAX_SEARCHES {
+            return None;
+        }
+        if is_new {
+            self.searches.insert(flow, FlowSearch::new(now, service));
+            self.unasked.push(flow);
+        }
+        self.searches.get_mut(&flow).map(|search| (search, is_new))
+    }
+
+    pub(super) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowSearch> {
+        self.searches.get_mut(&flow)
+    }
+
+    pub(super) fn contains(&self, flow: FlowId) -> bool {
+        self.searches.contains_key(&flow)
+    }
+
+    pub(super) fn remove(&mut self, flow: FlowId) -> Option<FlowSearch> {
+        let search = self.searches.remove(&flow)?;
+        self.due.remove(&(search.due_at, flow));
+        Some(search)
+    }
+
+    /// When something is due.
+    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+        let round_end = self.due.first().map(|(due_at, _)| *due_at);
+        let ask_at = (!self.unasked.is_empty()).then_some(self.ask_at);
+        ask_at.into_iter().chain(round_end).min()
+    }
+
+    /// The flows whose rounds have ended. They are asked for again unless they
+    /// are removed.
+    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<FlowId> {
+        let mut due = Vec::new();
+        while let Some((due_at, flow)) = self.due.first().copied()
+            && due_at <= now
+        {
+            self.due.pop_first();
+            due.push(flow);
+        }
+        due
+    }
+
+    /// Lets the next round of a flow begin.
+    pub(super) fn ask_again(&mut self, flow: FlowId) {
+        self.unasked.push(flow);
+    }
+
+    /// The flows to ask for now, if questions are due.
+    pub(super) fn take_unasked(&mut self, now: Timestamp) -> Vec<FlowId> {
+        if now < self.ask_at || self.unasked.is_empty() {
+            return Vec::new();
+        }
+        self.ask_at = now + GATHERING;
+        std::mem::take(&mut self.unasked)
+    }
+
+    /// Begins a round of one flow, unless its agents are more than
+    /// `take_budget` allows. Returns whom to ask.
+    pub(super) fn begin_round(
+        &mut self,
+        now: Timestamp,
+        flow: FlowId,
+        agents: &[SearchedAgent],
+        take_budget: impl FnOnce(usize) -> bool,
+    ) -> Vec<SocketAddrV4> {
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return Vec::new();
+        };
+        let asked = match take_budget(search.unsettled(agents)) {
+            true => search.begin_round(now, agents),
+            false => {
+                search.due_at = now + ROUND;
+                Vec::new()
+            }
+        };
+        self.due.insert((search.due_at, flow));
+        asked
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -24,6 +24,10 @@
 /// Reports a second that a replica bears from agents without news. Balancers
 /// notice a dead agent by its silence, so these may be rare.
 const REPORTS_PER_SECOND: u32 = 50;
+/// Agents report at most so often without news.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a report may take.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Agents report at least so often.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
 /// A back end that leaves is remembered for so long after its agent told of it
@@ -60,6 +64,11 @@
     /// Back ends that leave, by the address of their agent, for its next lives.
     leaving: BTreeMap<u64, LeavingBackends>,
     changes: VecDeque<ConfigurationChange>,
+    started_at: Timestamp,
+    /// The longest time between two reports that an agent told.
+    told_interval: Duration,
+    /// A directory was taken over that was whole.
+    took_over_whole: bool,
     /// What another replica tells after the start.
     fetched: PartAssembly,
     /// Revision of the directory: changes of this life in the lower half.
@@ -71,8 +80,9 @@
 impl Followers {
     /// Starts without followers and agents. `life` tells the revisions of this
     /// life from those of others.
-    pub(super) fn new(life: u32) -> Self {
+    pub(super) fn new(now: Timestamp, life: u32) -> Self {
         Followers {
+            started_at: now,
             revision: u64::from(life.max(1)) << 32,
             ..Followers::default()
         }
@@ -82,6 +92,23 @@
         self.revision
     }
 
+    /// Whether every agent that runs is in the directory: each has reported
+    /// since the start, or another replica told of all.
+    pub(super) fn is_whole(&self, now: Timestamp) -> bool {
+        self.took_over_whole || now >= self.whole_at()
+    }
+
+    /// When all agents have reported.
+    pub(super) fn whole_at(&self) -> Timestamp {
+        let interval = self.told_interval.max(MIN_REPORT_INTERVAL);
+        self.started_at + interval + REPORT_DELAY
+    }
+
+    /// Notes that the directory that was taken over is whole.
+    pub(super) fn note_whole(&mut self) {
+        self.took_over_whole = true;
+    }
+
     pub(super) fn note_follower(&mut self, now: Timestamp, address: SocketAddrV4) {
         self.followers.insert(address, now);
     }
@@ -97,6 +124,8 @@
     /// Takes a report. Returns whether balancers should know at once.
     pub(super) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
         let leaving = std::mem::take(&mut report.leaving);
+        let interval = Duration::from_millis(u64::from(report.interval_millis));
+        self.told_interval = self.told_interval.max(interval.min(MAX_REPORT_INTERVAL));
         self.note_leaving(now, report.address, leaving);
         let known = self.agents.get(&report.address);
         if let Some(known) = known {
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -26,6 +26,7 @@
 mod contacts;
 mod digest;
 mod flow_hints;
+mod flow_search;
 mod followers;
 mod group_keeper;
 mod latency;
@@ -36,6 +37,7 @@
 mod route_table;
 mod seek_budget;
 mod service_time;
+mod tried_flows;
 
 pub use agent::{
     PassThroughAgent, PassThroughAgentCounters, PassThroughAgentLatencies, PassThroughAgentSettings,
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -41,6 +41,8 @@
     seen_alive: bool,
     /// Until when such a back end is offered.
     provisional_until: Timestamp,
+    /// Whether another back end took the place of a former one.
+    was_replaced: bool,
     /// Digests of back ends that must not be offered again.
     departed: VecDeque<u64>,
 }
@@ -63,6 +65,7 @@
             current: None,
             seen_alive: false,
             provisional_until,
+            was_replaced: false,
             departed: VecDeque::new(),
         }
     }
@@ -80,6 +83,7 @@
                 return false;
             }
         } else if let Some(former) = self.current.take() {
+            self.was_replaced = true;
             self.note_departed(backend_digest(&former.id));
         }
         self.current = Some(Current {
@@ -141,6 +145,16 @@
         }
     }
 
+    /// Whether a back end has called.
+    pub fn has_called(&self) -> bool {
+        self.current.is_some()
+    }
+
+    /// Whether the back end has begun while it was watched, after another one.
+    pub fn was_replaced(&self) -> bool {
+        self.was_replaced
+    }
+
     /// Whether the back end still warms up.
     pub fn is_cold(&self, now: Timestamp) -> bool {
         let cold = |current: &Current| now < current.cold_until;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -0,0 +1,205 @@
+//! Flows that the balancer, and the agent of their back end, have forgotten.
+
+use std::time::Duration;
+
+use super::world::{MILLI, World, agent_address, first_sequence};
+
+const AGENTS: u8 = 5;
+const CAPACITY: u32 = 4;
+
+/// A world with one open flow of this port.
+fn world_with_flow(port: u16) -> (World, std::net::SocketAddrV4) {
+    let mut world = World::new(AGENTS, CAPACITY);
+    world.open(port, 0);
+    let agent = world.answered_by(port).expect("an answer");
+    world.request(port, agent);
+    (world, agent)
+}
+
+/// All processes start again beside back ends that went on.
+fn forget_everything(world: &mut World) {
+    for index in 1..=AGENTS {
+        world.restart_agent(index, CAPACITY);
+    }
+    world.restart_balancer();
+    for backend in world.backends.values_mut() {
+        backend.received.clear();
+    }
+}
+
+/// Packets of all flows at back ends other than that beside `agent`.
+fn strays(world: &World, agent: std::net::SocketAddrV4) -> usize {
+    let others = world.backends.iter().filter(|(other, _)| **other != agent);
+    others.map(|(_, backend)| backend.received.len()).sum()
+}
+
+#[test]
+fn a_flow_that_balancer_and_agent_forgot_is_kept() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.say_whole_directory();
+    world.request(1, agent);
+    assert_eq!(
+        world.data_at(agent),
+        1,
+        "its back end has the packet at once"
+    );
+    assert!(strays(&world, agent) < usize::from(AGENTS), "one each");
+    world.speak(agent, 1);
+    world.run(500 * MILLI);
+    world.request(1, agent);
+    assert_eq!(world.data_at(agent), 2, "it is known again");
+    assert!(
+        strays(&world, agent) < usize::from(AGENTS),
+        "nobody else is tried again"
+    );
+    assert_eq!(world.resets(), 0);
+}
+
+#[test]
+fn back_ends_that_were_tried_in_vain_end_no_flow_that_was_found() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.say_whole_directory();
+    world.quick_backends = true;
+    world.request(1, agent);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.resets(), 0);
+    world.request(1, agent);
+    assert_eq!(world.data_at(agent), 2);
+}
+
+#[test]
+fn a_flow_that_its_back_end_forgot_too_is_reset_at_once() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    for backend in world.backends.values_mut() {
+        backend.flows.clear();
+    }
+    world.say_whole_directory();
+    world.request(1, agent);
+    assert_eq!(world.resets(), 1, "its caller can open another one");
+    let reset = world.callers.last().expect("the reset");
+    let expected = first_sequence(agent).wrapping_add(1);
+    assert_eq!(reset.sequence, expected, "where its caller expects it");
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.resets(), 1);
+    let tried: usize = world.backends.values().map(|it| it.received.len()).sum();
+    assert_eq!(tried, usize::from(AGENTS), "each back end is tried once");
+}
+
+#[test]
+fn nothing_is_tried_or_reset_before_all_agents_are_known() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.request(1, agent);
+    world.run(300 * MILLI);
+    assert_eq!(strays(&world, agent), 0);
+    assert_eq!(world.resets(), 0);
+    world.say_whole_directory();
+    world.run(500 * MILLI);
+    assert!(world.data_at(agent) > 0, "the packet has waited");
+}
+
+#[test]
+fn a_flow_whose_agent_stands_still_does_not_wander() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.say_whole_directory();
+    world.frozen = vec![agent];
+    for _ in 0..3 {
+        world.request(1, agent);
+        world.run(400 * MILLI);
+    }
+    assert!(
+        strays(&world, agent) < 3,
+        "{} strays",
+        strays(&world, agent)
+    );
+    assert_eq!(world.resets(), 0);
+    world.frozen.clear();
+    world.say_whole_directory();
+    world.run(600 * MILLI);
+    assert!(world.data_at(agent) > 0);
+    assert_eq!(world.resets(), 0);
+}
+
+#[test]
+fn a_slow_back_end_is_not_taken_for_one_without_the_flow() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.say_whole_directory();
+    world.request(1, agent);
+    // The back end has the packet and works on it for long.
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.resets(), 0);
+    assert!(
+        strays(&world, agent) < usize::from(AGENTS),
+        "nobody else is tried again"
+    );
+    world.speak(agent, 1);
+    world.request(1, agent);
+    assert_eq!(world.resets(), 0);
+}
+
+#[test]
+fn a_flow_of_a_back_end_that_started_again_is_reset_at_once() {
+    let (mut world, agent) = world_with_flow(1);
+    world.run(Duration::from_secs(5));
+    world.backends.get_mut(&agent).expect("known").flows.clear();
+    world.request(1, agent);
+    assert_eq!(world.resets(), 1);
+    assert_eq!(strays(&world, agent), 0, "no other back end can have it");
+}
+
+#[test]
+fn an_agent_that_vanished_holds_no_search_up_for_long() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    let gone = (1..=AGENTS).map(agent_address).find(|it| *it != agent);
+    world.frozen = vec![gone.expect("others")];
+    world.say_whole_directory();
+    world.request(1, agent);
+    world.run(Duration::from_secs(2));
+    world.say_whole_directory();
+    world.request(1, agent);
+    world.run(500 * MILLI);
+    assert!(world.data_at(agent) > 0);
+    assert_eq!(world.resets(), 0);
+}
+
+#[test]
+fn many_forgotten_flows_are_asked_for_together() {
+    let mut world = World::new(AGENTS, 100);
+    let mut agents = Vec::new();
+    for port in 1..=100 {
+        world.open(port, 0);
+        let agent = world.answered_by(port).expect("an answer");
+        world.request(port, agent);
+        agents.push((port, agent));
+    }
+    world.restart_balancer();
+    for (port, agent) in &agents {
+        world.request(*port, *agent);
+    }
+    world.run(10 * MILLI);
+    assert!(
+        world.seeks <= 3 * usize::from(AGENTS),
+        "{} questions",
+        world.seeks
+    );
+    for agent in (1..=AGENTS).map(agent_address) {
+        let flows = agents.iter().filter(|(_, it)| *it == agent).count();
+        assert_eq!(world.data_at(agent), 2 * flows, "at {agent}");
+    }
+    assert_eq!(world.resets(), 0);
+}
+
+#[test]
+fn the_end_of_a_flow_that_nobody_has_is_not_answered() {
+    let mut world = World::new(AGENTS, CAPACITY);
+    world.say_whole_directory();
+    world.finish(1, agent_address(1));
+    world.run(500 * MILLI);
+    assert_eq!(world.resets(), 0);
+}
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -6,6 +6,7 @@
 mod daemons;
 mod formation;
 mod group;
+mod lost_flows;
 mod news;
 mod queueing;
 mod replica;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -14,7 +14,7 @@
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
     Carry, CarryReason, ConfigurationChange, ConfigurationPart, Confirmed, Directory,
-    DirectoryChange, DirectoryEntry, PassThroughBody, Report, RouteRecord, ShareRecord,
+    DirectoryChange, DirectoryEntry, Group, PassThroughBody, Report, RouteRecord, ShareRecord,
     pack_address,
 };
 use prost::Message;
@@ -55,23 +55,16 @@
     pub seeks: usize,
     /// What the balancer logged of refused flows.
     pub refusals: Vec<String>,
+    /// Back ends acknowledge data at once.
+    pub quick_backends: bool,
 }
 
 impl World {
     pub fn new(agents: u8, capacity: u32) -> World {
         let now = Timestamp::from_millis(1_000);
-        let settings = PassThroughBalancerSettings {
-            zone: "a".to_owned(),
-            follow_interval: Duration::from_secs(1),
-            flow_lifetime: Duration::from_secs(60),
-            stop_delay: Duration::from_secs(2),
-        };
-        let contacts = Contacts::new(vec![REPLICA]);
-        let incarnation = Incarnation(6);
-        let balancer = PassThroughBalancer::new(now, settings, TestCodec, incarnation, contacts);
         let mut world = World {
             now,
-            balancer,
+            balancer: new_balancer(now),
             agents: BTreeMap::new(),
             backends: BTreeMap::new(),
             callers: Vec::new(),
@@ -79,6 +72,7 @@
             revision: 0,
             seeks: 0,
             refusals: Vec::new(),
+            quick_backends: false,
         };
         world.confirm();
         for index in 1..=agents {
@@ -127,6 +121,31 @@
         assert!(self.balancer.is_ready(self.now));
     }
 
+    /// The replica says that it has told of every agent that runs.
+    pub fn say_whole_directory(&mut self) {
+        let group = Group {
+            directory_revision: self.revision,
+            serves: true,
+            whole_directory: true,
+            ..Group::default()
+        };
+        let body = PassThroughBody::Group(group);
+        self.balancer.handle_message(self.now, REPLICA, body);
+    }
+
+    /// Starts the balancer again, which forgets all flows. Agents report to it.
+    pub fn restart_balancer(&mut self) {
+        self.balancer = new_balancer(self.now);
+        self.confirm();
+        self.run(600 * MILLI);
+    }
+
+    /// Starts an agent again, which forgets all flows of its back end.
+    pub fn restart_agent(&mut self, index: u8, capacity: u32) {
+        self.start_agent(index);
+        self.register(index, capacity, false, 100);
+    }
+
     pub fn start_agent(&mut self, index: u8) {
         let address = agent_address(index);
         let settings = PassThroughAgentSettings {
@@ -285,6 +304,13 @@
                     ..view
                 };
                 self.answer_from_backend(agent, &returned);
+            } else if self.quick_backends && view.data_bytes > 0 {
+                let acknowledgement = PacketView {
+                    acknowledge: true,
+                    sequence: first_sequence(agent).wrapping_add(1),
+                    ..empty(view.destination, view.source)
+                };
+                self.answer_from_backend(agent, &acknowledgement);
             }
             return;
         }
@@ -364,6 +390,18 @@
         self.settle();
     }
 
+    /// The caller ends a flow that this agent's back end answered.
+    pub fn finish(&mut self, port: u16, agent: SocketAddrV4) {
+        let packet = PacketView {
+            acknowledge: true,
+            finish: true,
+            acknowledged: first_sequence(agent).wrapping_add(1),
+            ..empty(caller(port), ROUTE)
+        };
+        self.balancer.handle_packet(self.now, &encode(&packet));
+        self.settle();
+    }
+
     /// The agent whose back end answered the caller's opening packet.
     pub fn answered_by(&self, port: u16) -> Option<SocketAddrV4> {
         let answer = self.callers.iter().rev().find(|view| {
@@ -386,6 +424,17 @@
     }
 }
 
+fn new_balancer(now: Timestamp) -> PassThroughBalancer<TestCodec> {
+    let settings = PassThroughBalancerSettings {
+        zone: "a".to_owned(),
+        follow_interval: Duration::from_secs(1),
+        flow_lifetime: Duration::from_secs(60),
+        stop_delay: Duration::from_secs(2),
+    };
+    let contacts = Contacts::new(vec![REPLICA]);
+    PassThroughBalancer::new(now, settings, TestCodec, Incarnation(6), contacts)
+}
+
 /// Each back end numbers its bytes from another place.
 pub fn first_sequence(agent: SocketAddrV4) -> u32 {
     u32::from(agent.ip().octets()[3]) << 24
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -24,7 +24,7 @@
     /// The message.
     #[prost(
         oneof = "PassThroughBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
     )]
     pub body: Option<PassThroughBody>,
 }
@@ -68,14 +68,17 @@
     /// Agent to balancer: the back end does not have the flow.
     #[prost(message, tag = "12")]
     NotHeld(NotHeld),
-    /// Balancer to agents: who has a flow.
+    /// Balancer to agents: who has these flows.
     #[prost(message, tag = "13")]
     Seek(Seek),
+    /// Agent to balancer: flows that it does not know.
+    #[prost(message, tag = "14")]
+    Lacks(Lacks),
 }
 
-/// Asks for the agent whose back end has a flow.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Seek {
+/// A flow whose agent is not known.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct SoughtFlow {
     /// The flow.
     #[prost(message, required, tag = "1")]
     pub flow: FlowMessage,
@@ -84,6 +87,27 @@
     pub acknowledged: u32,
 }
 
+/// Asks for the agents whose back ends have these flows. Each agent answers
+/// for each flow, with [`Holds`] or [`Lacks`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Seek {
+    /// The flows.
+    #[prost(message, repeated, tag = "1")]
+    pub flows: Vec<SoughtFlow>,
+}
+
+/// Flows that an agent does not know. An answer to [`Seek`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lacks {
+    /// Flows that its back end does not have for certain.
+    #[prost(message, repeated, tag = "1")]
+    pub certain: Vec<FlowMessage>,
+    /// Flows that its back end may have: the agent has started beside a back
+    /// end that may have had flows before.
+    #[prost(message, repeated, tag = "2")]
+    pub uncertain: Vec<FlowMessage>,
+}
+
 /// Why a balancer hands a packet to an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
@@ -96,6 +120,8 @@
     OpenQueued = 2,
     /// A packet of a flow that the agent is known to have.
     Deliver = 3,
+    /// A packet of a flow that the agent's back end may have.
+    Try = 4,
 }
 
 /// A caller's packet on its way to an agent.
@@ -201,6 +227,16 @@
     /// The flow.
     #[prost(message, required, tag = "1")]
     pub flow: FlowMessage,
+    /// What the packet acknowledged.
+    #[prost(fixed32, tag = "2")]
+    pub acknowledged: u32,
+    /// Whether the packet carried data, so that its caller waits for an
+    /// answer.
+    #[prost(bool, tag = "3")]
+    pub request: bool,
+    /// Whether the back end has had the flow, so that no other one has it.
+    #[prost(bool, tag = "4")]
+    pub was_open: bool,
 }
 
 /// State of the back end beside an agent.
@@ -245,6 +281,9 @@
     /// Digests of back ends that said that they leave, the latest last.
     #[prost(fixed64, repeated, tag = "9")]
     pub leaving: Vec<u64>,
+    /// The time until the next report without news, in milliseconds.
+    #[prost(uint32, tag = "10")]
+    pub interval_millis: u32,
 }
 
 /// A balancer asks for news.
@@ -304,6 +343,10 @@
     /// milliseconds. It grows with the number of agents.
     #[prost(uint32, tag = "8")]
     pub report_interval_millis: u32,
+    /// Whether the sender's directory has every agent that runs: it has listened
+    /// for as long as agents take to report, or took a whole directory over.
+    #[prost(bool, tag = "9")]
+    pub whole_directory: bool,
 }
 
 /// One agent of a [`Directory`].
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -16,7 +16,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 20] = [
+pub const METRIC_NAMES: [&str; 21] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -37,6 +37,7 @@
     "petrellatch_pass_through_registration_gap_seconds",
     "petrellatch_pass_through_acceptance_seconds",
     "petrellatch_pass_through_sync_seconds",
+    "petrellatch_pass_through_searches_total",
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -54,6 +55,7 @@
         ("not_current", counted.not_current),
         ("no_route", counted.no_route),
         ("stale", counted.stale),
+        ("tried", counted.tried),
     ] {
         raise(&packets.with_label_values(&[outcome]), total);
     }
@@ -73,6 +75,15 @@
     ] {
         raise(&counter(&registry, METRIC_NAMES[place], help), total);
     }
+    let help = "Searches for flows whose agent was not known, by their end.";
+    let searches = counters(&registry, METRIC_NAMES[20], help, "outcome");
+    for (outcome, total) in [
+        ("found", counted.found),
+        ("gone", counted.gone),
+        ("not_found", counted.not_found),
+    ] {
+        raise(&searches.with_label_values(&[outcome]), total);
+    }
     let (flows, agents) = balancer.sizes();
     set(
         &gauge(&registry, METRIC_NAMES[5], "Flows that are remembered."),
@@ -103,6 +114,7 @@
         ("delivered", counted.delivered),
         ("malformed", counted.malformed),
         ("returned", counted.returned),
+        ("tried", counted.tried),
     ] {
         raise(&packets.with_label_values(&[outcome]), total);
     }
