Search cheaply: certain agents, packets passed on, limits from answer times

(2) A packet that more than eight agents are to try goes to one of them, which passes it on; returned packets are then told with the next round of questions. (3) An answer is overdue after the mean of all answers and four deviations, 60 to 400 ms, instead of 60 ms: where all are late the balancer's link is, and each question more adds to that. (4) Lines of a process about itself are never left out; BecameReady was, and a balancer looked unready for 27 s. Tests: one agent passes on, certain agents try nothing, late answers (the last shown red with the limit fixed at 60 ms: 60 questions instead of 20).

--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -55,8 +55,8 @@
             self.service_time.record(time);
         }
         self.report_if_changed(now);
-        if let Some(balancer) = wants_to_know {
-            self.tell_held(balancer, flow);
+        if let Some(pending) = wants_to_know {
+            self.tell_held(pending.balancer, flow);
         }
         if view.synchronize && !answered_before {
             let admitted_at = self.flows.get(flow).map(|flow| flow.created_at);
@@ -72,8 +72,10 @@
         if !view.is_opening() {
             self.tried.note_returned(now, id);
         }
-        if let Some(balancer) = self.tried.take_pending(id) {
-            self.tell_not_held(balancer, view, false);
+        if let Some(pending) = self.tried.take_pending(id) {
+            if pending.tells_return {
+                self.tell_not_held(pending.balancer, view, false);
+            }
             return;
         }
         let Some(flow) = self.flows.remove(id) else {
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -5,7 +5,7 @@
 
 use petrellatch_proto::pass_through::{
     AgentState, Carry, CarryReason, DeclineReason, Declined, HeldFlow, Holds, Lacks, NotHeld,
-    PassThroughBody, Seek,
+    PassThroughBody, Seek, pack_address, unpack_address,
 };
 
 use super::PassThroughAgent;
@@ -20,6 +20,11 @@
         let Some(view) = self.codec.view(&carry.packet) else {
             return;
         };
+        let is_passed_on = carry.origin != 0;
+        let from = match is_passed_on {
+            true => unpack_address(carry.origin),
+            false => from,
+        };
         self.balancers.insert(from, now);
         let flow = view.flow_from_caller();
         let reason = carry.reason();
@@ -42,7 +47,11 @@
                 self.admit(now, from, flow, carry.packet, factor);
             }
             CarryReason::Deliver => self.deliver(now, from, &view, carry.packet),
-            CarryReason::Try => self.try_flow(now, from, &view, carry.packet),
+            CarryReason::Try => {
+                self.pass_on(from, &carry);
+                let tells_return = !is_passed_on && carry.others.is_empty();
+                self.try_flow(now, from, &view, carry.packet, tells_return);
+            }
             CarryReason::Unspecified => {}
         }
     }
@@ -76,16 +85,42 @@
 
     /// Whether every flow of the back end is known: this life of the agent has
     /// seen the back end begin, or lasts longer than any flow, or no back end
-    /// has called or spoken for so long that there is none.
+    /// has called or spoken for so long that there is none. A back end whose
+    /// first calls come here has begun with this life, if there was none before.
     fn knows_all_flows(&self, now: Timestamp) -> bool {
         let age = now.saturating_since(self.started_at);
-        self.registration.was_replaced()
+        let is_first_life = self.had_former_life == Some(false);
+        self.settings.first_start
+            || self.registration.was_replaced()
+            || (is_first_life && self.registration.called_early())
             || age >= self.settings.flow_lifetime
             || (self.state(now) == AgentState::Empty && !self.registration.has_called())
     }
 
-    /// Hands a packet to the back end to find out whether it has the flow.
-    fn try_flow(&mut self, now: Timestamp, from: SocketAddrV4, view: &PacketView, packet: Vec<u8>) {
+    /// Passes a packet on to the other agents that are to try it.
+    fn pass_on(&mut self, balancer: SocketAddrV4, carry: &Carry) {
+        for other in &carry.others {
+            let passed_on = Carry {
+                others: Vec::new(),
+                origin: pack_address(balancer),
+                ..carry.clone()
+            };
+            self.send(unpack_address(*other), PassThroughBody::Carry(passed_on));
+        }
+    }
+
+    /// Hands a packet to the back end to find out whether it has the flow. If the
+    /// back end returns it, the balancer is told at once with `tells_return`, and
+    /// otherwise when it asks again: of many that were tried, nearly all return
+    /// the packet.
+    fn try_flow(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        view: &PacketView,
+        packet: Vec<u8>,
+        tells_return: bool,
+    ) {
         let flow = view.flow_from_caller();
         let known = self.flows.get(flow);
         if known.is_some_and(|known| known.owns(view.acknowledged)) {
@@ -93,7 +128,7 @@
             self.deliver(now, from, view, packet);
         } else if self.tried.was_returned(flow) {
             self.tell_not_held(from, view, false);
-        } else if self.tried.note_tried(now, flow, from) {
+        } else if self.tried.note_tried(now, flow, from, tells_return) {
             self.counters.tried += 1;
             self.outputs.push_back(PassThroughOutput::ToBackend(packet));
         }
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -43,6 +43,9 @@
     pub zone: String,
     /// The service of the back end beside it.
     pub service: String,
+    /// Whether the whole system starts for the first time, so that no flow is
+    /// older than this life of the agent.
+    pub first_start: bool,
     /// Between two reports to the control group; the group may ask for a longer
     /// time.
     pub report_interval: Duration,
@@ -100,6 +103,8 @@
     flows: AgentFlows,
     tried: TriedFlows,
     started_at: Timestamp,
+    /// Whether replicas know of a former life of this agent, once one has said.
+    had_former_life: Option<bool>,
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
@@ -139,6 +144,7 @@
             flows: AgentFlows::default(),
             tried: TriedFlows::default(),
             started_at: now,
+            had_former_life: None,
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
@@ -222,6 +228,7 @@
             PassThroughBody::Group(group) => {
                 self.contacts.handle_group(&group);
                 self.registration.recall(&group.leaving);
+                *self.had_former_life.get_or_insert(false) |= group.had_former_life;
                 self.note_report_interval(group.report_interval_millis);
                 self.unheard = false;
                 self.report_if_changed(now);
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -12,6 +12,7 @@
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
     Declined, Follow, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek, SoughtFlow,
+    pack_address,
 };
 
 use crate::event::{Event, EventKind};
@@ -19,9 +20,10 @@
 use crate::time::Timestamp;
 
 use super::agent_directory::AgentDirectory;
+use super::answer_time::AnswerTime;
 use super::attachments::Attachments;
 use super::contacts::Contacts;
-use super::digest::is_sampled;
+use super::digest::{flow_digest, is_sampled};
 use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
 use super::flow_search::{FlowSearches, SearchStep};
 use super::latency::LatencyHistogram;
@@ -30,9 +32,6 @@
 use super::route_table::RouteTable;
 use super::seek_budget::SeekBudget;
 
-/// An agent that did not answer an opening packet by then is suspected, and
-/// another one is asked.
-const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 /// Agents that are asked to take a flow into a free slot, before full ones
 /// are asked to queue it.
 const MAX_ASKED: usize = 4;
@@ -57,6 +56,9 @@
 const SEEK_ALL_LIMIT: usize = 64;
 /// Flows in one question.
 const FLOWS_PER_QUESTION: usize = 200;
+/// A packet that is tried at more agents is sent to one of them, which passes it
+/// on to the others.
+const MAX_TRIED_DIRECTLY: usize = 8;
 /// Packets of open flows that are kept until the balancer is current.
 const MAX_EARLY_PACKETS: usize = 1_024;
 /// A process that did nothing for longer stood still: opening packets that
@@ -138,8 +140,10 @@
     seek_budget: SeekBudget,
     /// Packets of open flows that came before the balancer was current.
     early: VecDeque<Vec<u8>>,
-    /// Opening packets that wait for an answer, in the order of their limits.
+    /// Opening packets that wait for an answer, with the limits of it, in the
+    /// order of the questions.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
+    answer_time: AnswerTime,
     /// Number of the question for the newest version, until it is answered
     /// and that version is in force.
     confirm: u64,
@@ -190,6 +194,7 @@
             early: VecDeque::new(),
             seek_budget: SeekBudget::new(now),
             awaited: VecDeque::new(),
+            answer_time: AnswerTime::default(),
             confirm: incarnation.0 | 1,
             confirmed_version: None,
             current: false,
@@ -391,7 +396,7 @@
             service,
             reason: reason.into(),
             packet,
-            objective_millis: 0,
+            ..Carry::default()
         };
         self.send(agent, PassThroughBody::Carry(carry));
     }
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -107,14 +107,30 @@
             return;
         };
         let service = search.service();
+        let rounds = search.rounds();
         if is_sampled(flow) {
             let subject = format!("flow={flow} {}", search.summary());
             self.emit_event(EventKind::FlowTried, subject);
         }
         self.counters.tried += agents.len() as u64;
-        for agent in agents {
-            self.carry(*agent, service, CarryReason::Try, packet.clone());
+        if agents.len() <= MAX_TRIED_DIRECTLY {
+            for agent in agents {
+                self.carry(*agent, service, CarryReason::Try, packet.clone());
+            }
+            return;
         }
+        // Flows and rounds take turns among the agents.
+        let turn = u64::from(rounds).wrapping_add(flow_digest(flow, 0));
+        let first = agents[(turn % agents.len() as u64) as usize];
+        let others = agents.iter().filter(|agent| **agent != first);
+        let carry = Carry {
+            service,
+            reason: CarryReason::Try.into(),
+            packet,
+            others: others.map(|agent| pack_address(*agent)).collect(),
+            ..Carry::default()
+        };
+        self.send(first, PassThroughBody::Carry(carry));
     }
 
     /// Tells the caller that no back end has its flow, so that it can open
@@ -209,6 +225,7 @@
                 None => hint.candidates.push(Candidate {
                     agent: from,
                     state: CandidateState::Declined,
+                    asked_at: None,
                 }),
             }
         }
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -59,6 +59,7 @@
         hint.candidates.push(Candidate {
             agent,
             state: CandidateState::Asked,
+            asked_at: Some(now),
         });
         hint.asked.asked += 1;
         let reason = match hint.queued {
@@ -67,7 +68,8 @@
         };
         self.counters.placed += 1;
         self.agents.note_sent(agent);
-        self.awaited.push_back((now + ANSWER_LIMIT, flow, agent));
+        let limit = now + self.answer_time.limit();
+        self.awaited.push_back((limit, flow, agent));
         if is_sampled(flow) {
             let version = self.routes.version();
             let subject = format!("flow={flow} agent={agent} version={version} reason={reason:?}");
@@ -78,6 +80,7 @@
             reason: reason.into(),
             packet,
             objective_millis: self.routes.objective_millis(flow),
+            ..Carry::default()
         };
         self.send(agent, PassThroughBody::Carry(carry));
     }
@@ -156,8 +159,17 @@
         }
         let state = CandidateState::Accepted { sequence };
         match hint.candidate_mut(from) {
-            Some(candidate) => candidate.state = state,
-            None => hint.candidates.push(Candidate { agent: from, state }),
+            Some(candidate) => {
+                candidate.state = state;
+                if let Some(asked_at) = candidate.asked_at.take() {
+                    self.answer_time.record(now.saturating_since(asked_at));
+                }
+            }
+            None => hint.candidates.push(Candidate {
+                agent: from,
+                state,
+                asked_at: None,
+            }),
         }
     }
 
@@ -183,6 +195,9 @@
             return;
         };
         candidate.state = CandidateState::Declined;
+        if let Some(asked_at) = candidate.asked_at.take() {
+            self.answer_time.record(now.saturating_since(asked_at));
+        }
         match declined.reason() {
             DeclineReason::Full => hint.asked.full += 1,
             _ => hint.asked.other += 1,
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -14,6 +14,7 @@
         if news || wants_group {
             let group = Group {
                 leaving: self.followers.leaving(agent),
+                had_former_life: self.followers.had_former_life(agent),
                 ..self.group(now)
             };
             self.send(from, PassThroughBody::Group(group));
@@ -70,6 +71,7 @@
             leader: self.replica.leader().map_or(0, |leader| leader.0),
             report_interval_millis: self.followers.report_interval().as_millis() as u32,
             whole_directory: self.followers.is_whole(now),
+            had_former_life: false,
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -32,6 +32,8 @@
 pub(super) struct Candidate {
     pub(super) agent: SocketAddrV4,
     pub(super) state: CandidateState,
+    /// When it was asked; none if it answered unasked.
+    pub(super) asked_at: Option<Timestamp>,
 }
 
 /// How often agents were asked to take a flow, and what they answered.
--- a/crates/petrellatch-core/src/pass_through/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_search.rs
@@ -130,6 +130,10 @@
         self.acknowledged
     }
 
+    pub(super) fn rounds(&self) -> u32 {
+        self.rounds
+    }
+
     pub(super) fn started_at(&self) -> Timestamp {
         self.started_at
     }
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -33,6 +33,8 @@
 /// A back end that leaves is remembered for so long after its agent told of it
 /// last.
 const LEAVING_MEMORY: Duration = Duration::from_secs(60);
+/// An agent that is not heard any more is remembered for so long.
+const FORMER_MEMORY: Duration = Duration::from_secs(60);
 /// Most back ends that are remembered for one agent.
 const MAX_LEAVING_KEPT: usize = 8;
 /// Changes that are kept for balancers that are a little behind.
@@ -47,6 +49,8 @@
 struct ReportedAgent {
     report: Report,
     heard_at: Timestamp,
+    /// Another life at its address was known before.
+    had_former_life: bool,
 }
 
 /// Digests of back ends that said to one agent that they leave.
@@ -63,6 +67,8 @@
     agents: BTreeMap<u64, ReportedAgent>,
     /// Back ends that leave, by the address of their agent, for its next lives.
     leaving: BTreeMap<u64, LeavingBackends>,
+    /// Addresses of agents that are not heard any more, and since when.
+    former: BTreeMap<u64, Timestamp>,
     changes: VecDeque<ConfigurationChange>,
     started_at: Timestamp,
     /// The longest time between two reports that an agent told.
@@ -137,12 +143,20 @@
         let news = known.is_none_or(|known| {
             known.report.incarnation != report.incarnation || known.report.state != report.state
         });
+        let had_former_life = match known {
+            Some(known) if known.report.incarnation == report.incarnation => known.had_former_life,
+            Some(_) => true,
+            None => self.former.contains_key(&report.address),
+        };
         if news {
             self.touch(report.address);
         }
-        let heard_at = now;
-        self.agents
-            .insert(report.address, ReportedAgent { report, heard_at });
+        let agent = ReportedAgent {
+            report,
+            heard_at: now,
+            had_former_life,
+        };
+        self.agents.insert(agent.report.address, agent);
         news
     }
 
@@ -171,6 +185,7 @@
             let agent = ReportedAgent {
                 report: entry.report,
                 heard_at: now - age,
+                had_former_life: false,
             };
             self.agents.insert(address, agent);
             self.touch(address);
@@ -178,6 +193,12 @@
         true
     }
 
+    /// Whether another life of the agent at `address` was known before this one.
+    pub(super) fn had_former_life(&self, address: u64) -> bool {
+        let agent = self.agents.get(&address);
+        agent.is_some_and(|agent| agent.had_former_life)
+    }
+
     /// What lives of the agent at `address` told of back ends that leave.
     pub(super) fn leaving(&self, address: u64) -> Vec<u64> {
         let leaving = self.leaving.get(&address);
@@ -214,8 +235,11 @@
             .collect();
         for address in gone {
             self.agents.remove(&address);
+            self.former.insert(address, now);
             self.touch(address);
         }
+        self.former
+            .retain(|_, since| now.saturating_since(*since) < FORMER_MEMORY);
     }
 
     /// The time between two reports of an agent that this replica bears.
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -17,6 +17,7 @@
 mod agent;
 mod agent_directory;
 mod agent_flows;
+mod answer_time;
 mod attachments;
 mod balancer;
 mod change_assembly;
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -12,6 +12,8 @@
 /// Requests that a back end which has not called yet is taken to work on at
 /// once. One that has fewer slots queues or returns the rest.
 const PROVISIONAL_CAPACITY: u32 = 4;
+/// Calls that a back end may have made in vain before its agent was there.
+const EARLY_CALLS: u64 = 3;
 /// How many departed back ends are remembered, so that a late call of one of
 /// them does not bring it back.
 const MAX_DEPARTED: usize = 16;
@@ -41,6 +43,8 @@
     seen_alive: bool,
     /// Until when such a back end is offered.
     provisional_until: Timestamp,
+    /// Number of the first call that was heard.
+    first_call: Option<u64>,
     /// Whether another back end took the place of a former one.
     was_replaced: bool,
     /// Digests of back ends that must not be offered again.
@@ -65,6 +69,7 @@
             current: None,
             seen_alive: false,
             provisional_until,
+            first_call: None,
             was_replaced: false,
             departed: VecDeque::new(),
         }
@@ -76,6 +81,7 @@
             return false;
         }
         let before = self.offer();
+        self.first_call.get_or_insert(call.call_number);
         if let Some(current) = &mut self.current
             && current.id == call.id
         {
@@ -145,6 +151,11 @@
         }
     }
 
+    /// Whether one of the first calls of a back end's life was heard.
+    pub fn called_early(&self) -> bool {
+        self.first_call.is_some_and(|call| call <= EARLY_CALLS)
+    }
+
     /// Whether a back end has called.
     pub fn has_called(&self) -> bool {
         self.current.is_some()
--- a/crates/petrellatch-core/src/pass_through/tried_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/tried_flows.rs
@@ -17,11 +17,21 @@
 /// Most flows that are remembered of each kind. More are tried again.
 const MAX_REMEMBERED: usize = 1 << 16;
 
+/// A flow whose packet is at the back end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingTry {
+    /// The balancer that wants to know whether the back end has the flow.
+    pub(super) balancer: SocketAddrV4,
+    /// Whether it wants to know at once that the back end does not.
+    pub(super) tells_return: bool,
+    tried_at: Timestamp,
+}
+
 /// Which flows were tried, and which of them the back end does not have.
 #[derive(Debug, Default)]
 pub(super) struct TriedFlows {
-    /// Flows without an answer, with the balancer that wants to know.
-    pending: HashMap<FlowId, (SocketAddrV4, Timestamp)>,
+    /// Flows without an answer.
+    pending: HashMap<FlowId, PendingTry>,
     /// Flows whose packets came back.
     returned: HashMap<FlowId, Timestamp>,
 }
@@ -34,22 +44,24 @@
         now: Timestamp,
         flow: FlowId,
         balancer: SocketAddrV4,
+        tells_return: bool,
     ) -> bool {
-        let former = self.pending.get(&flow).map(|(_, at)| *at);
-        if let Some(at) = former.filter(|at| now.saturating_since(*at) < REPEAT_PAUSE) {
-            self.pending.insert(flow, (balancer, at));
-            return false;
-        }
-        if self.pending.len() < MAX_REMEMBERED {
-            self.pending.insert(flow, (balancer, now));
+        let former = self.pending.get(&flow).map(|former| former.tried_at);
+        let repeated = former.filter(|at| now.saturating_since(*at) < REPEAT_PAUSE);
+        let pending = PendingTry {
+            balancer,
+            tells_return,
+            tried_at: repeated.unwrap_or(now),
+        };
+        if former.is_some() || self.pending.len() < MAX_REMEMBERED {
+            self.pending.insert(flow, pending);
         }
-        true
+        repeated.is_none()
     }
 
-    /// Takes the balancer that wants to know whether the back end has a flow.
-    pub(super) fn take_pending(&mut self, flow: FlowId) -> Option<SocketAddrV4> {
-        let (balancer, _) = self.pending.remove(&flow)?;
-        Some(balancer)
+    /// Takes what is known of a flow whose packet is at the back end.
+    pub(super) fn take_pending(&mut self, flow: FlowId) -> Option<PendingTry> {
+        self.pending.remove(&flow)
     }
 
     /// Notes that the back end does not have a flow.
@@ -72,7 +84,8 @@
     /// Forgets old flows; `lifetime` is that of a flow.
     pub(super) fn expire(&mut self, now: Timestamp, lifetime: Duration) {
         let age = |at: Timestamp| now.saturating_since(at);
-        self.pending.retain(|_, (_, at)| age(*at) < TRY_LIMIT);
+        self.pending
+            .retain(|_, pending| age(pending.tried_at) < TRY_LIMIT);
         self.returned.retain(|_, at| age(*at) < lifetime);
     }
 }
--- a/crates/petrellatch-core/tests/pass_through/daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/daemons.rs
@@ -159,6 +159,26 @@
     );
 }
 
+#[test]
+fn agents_that_all_answer_late_are_not_all_asked_in_turn() {
+    let mut world = World::new(6, 4);
+    // Every answer takes longer than the first limit.
+    world.answers_take(150 * MILLI);
+    for port in 1..=20 {
+        world.open(port, 0);
+        world.run(200 * MILLI);
+    }
+    let before = world.balancer.counters();
+    for port in 21..=40 {
+        world.open(port, 0);
+        world.run(200 * MILLI);
+    }
+    let after = world.balancer.counters();
+    assert_eq!(after.placed - before.placed, 20, "one question a flow");
+    assert_eq!(after.unanswered, before.unanswered);
+    assert_eq!(world.resets(), 0);
+}
+
 #[test]
 fn a_balancer_that_nobody_answers_is_not_ready() {
     let mut world = World::new(2, 4);
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -203,3 +203,56 @@
     world.run(500 * MILLI);
     assert_eq!(world.resets(), 0);
 }
+
+#[test]
+fn one_agent_passes_a_packet_on_to_many_others() {
+    let mut world = World::new(20, CAPACITY);
+    world.open(1, 0);
+    let agent = world.answered_by(1).expect("an answer");
+    world.request(1, agent);
+    for index in 1..=20 {
+        world.restart_agent(index, CAPACITY);
+    }
+    world.restart_balancer();
+    world.quick_backends = true;
+    world.say_whole_directory();
+    world.request(1, agent);
+    world.run(300 * MILLI);
+    assert_eq!(world.tries_sent, 1, "by the balancer");
+    assert_eq!(world.data_at(agent), 2, "the others passed it on");
+    assert_eq!(world.resets(), 0);
+    for backend in world.backends.values_mut() {
+        backend.flows.clear();
+    }
+    world.request(2, agent);
+    world.run(300 * MILLI);
+    assert_eq!(world.resets(), 1, "nobody has the second flow");
+}
+
+#[test]
+fn agents_that_have_seen_their_back_ends_begin_try_nothing() {
+    for had_former_life in [false, true] {
+        let (mut world, agent) = world_with_flow(1);
+        forget_everything(&mut world);
+        for backend in world.backends.values_mut() {
+            backend.flows.clear();
+        }
+        // The back ends have started with their agents: these are early calls.
+        for index in 1..=AGENTS {
+            world.start_agent(index);
+            world.register(index, CAPACITY, false, 2);
+            world.tell_agent(index, had_former_life);
+        }
+        world.run(500 * MILLI);
+        world.say_whole_directory();
+        world.request(1, agent);
+        world.run(100 * MILLI);
+        assert_eq!(world.resets(), 1);
+        let tried: usize = world.backends.values().map(|it| it.received.len()).sum();
+        let expected = match had_former_life {
+            false => 0,
+            true => usize::from(AGENTS),
+        };
+        assert_eq!(tried, expected, "former life: {had_former_life}");
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -32,6 +32,7 @@
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000),
             zone: "a".to_owned(),
             service: SERVICE.to_owned(),
+            first_start: false,
             report_interval: Duration::from_millis(500),
             silence_limit: Duration::from_secs(600),
             provisional_limit: Duration::from_secs(2),
@@ -111,6 +112,7 @@
             reason: reason.into(),
             packet: encode(view),
             objective_millis,
+            ..Carry::default()
         };
         let body = PassThroughBody::Carry(carry);
         self.agent.handle_message(self.now, BALANCER, body);
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -34,6 +34,7 @@
         address: AGENT,
         zone: "a".to_owned(),
         service: SERVICE.to_owned(),
+        first_start: false,
         report_interval: Duration::from_millis(500),
         silence_limit: Duration::from_secs(6),
         provisional_limit,
@@ -81,7 +82,7 @@
         service: petrellatch_core::pass_through::service_digest(SERVICE),
         reason: reason.into(),
         packet: encode(&opening),
-        objective_millis: 0,
+        ..Carry::default()
     };
     outputs(agent);
     agent.handle_message(now, BALANCER, PassThroughBody::Carry(carry));
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -33,6 +33,7 @@
         address: agent_address(index),
         zone: "a".to_owned(),
         service: "desk".to_owned(),
+        first_start: false,
         report_interval: Duration::from_millis(500),
         silence_limit: Duration::from_secs(6),
         provisional_limit: Duration::from_secs(2),
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -1,6 +1,6 @@
 //! One balancer and its agents, between stand-ins of callers and back ends.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -55,6 +55,11 @@
     pub seeks: usize,
     /// What the balancer logged of refused flows.
     pub refusals: Vec<String>,
+    /// Packets that the balancer sent to agents to try.
+    pub tries_sent: usize,
+    /// Messages to the balancer that are under way, if they take time.
+    delayed: VecDeque<(Timestamp, SocketAddrV4, PassThroughBody)>,
+    answer_delay: Duration,
     /// Back ends acknowledge data at once.
     pub quick_backends: bool,
 }
@@ -72,6 +77,9 @@
             revision: 0,
             seeks: 0,
             refusals: Vec::new(),
+            tries_sent: 0,
+            delayed: VecDeque::new(),
+            answer_delay: Duration::ZERO,
             quick_backends: false,
         };
         world.confirm();
@@ -133,6 +141,16 @@
         self.balancer.handle_message(self.now, REPLICA, body);
     }
 
+    /// A replica answers an agent's report.
+    pub fn tell_agent(&mut self, index: u8, had_former_life: bool) {
+        let group = Group {
+            had_former_life,
+            ..Group::default()
+        };
+        let agent = self.agents.get_mut(&agent_address(index)).expect("known");
+        agent.handle_message(self.now, REPLICA, PassThroughBody::Group(group));
+    }
+
     /// Starts the balancer again, which forgets all flows. Agents report to it.
     pub fn restart_balancer(&mut self) {
         self.balancer = new_balancer(self.now);
@@ -152,6 +170,7 @@
             address,
             zone: "a".to_owned(),
             service: SERVICE.to_owned(),
+            first_start: false,
             report_interval: Duration::from_millis(500),
             silence_limit: Duration::from_secs(6),
             provisional_limit: Duration::from_secs(2),
@@ -189,6 +208,22 @@
         }
     }
 
+    /// Messages of agents take so long to reach the balancer.
+    pub fn answers_take(&mut self, duration: Duration) {
+        self.answer_delay = duration;
+    }
+
+    fn deliver_delayed(&mut self) {
+        while let Some((arrives_at, ..)) = self.delayed.front()
+            && *arrives_at <= self.now
+        {
+            let Some((_, from, body)) = self.delayed.pop_front() else {
+                return;
+            };
+            self.balancer.handle_message(self.now, from, body);
+        }
+    }
+
     /// Lets time pass without anybody noticing it.
     pub fn freeze_all(&mut self, duration: Duration) {
         self.now = self.now + duration;
@@ -197,6 +232,7 @@
     pub fn step(&mut self, duration: Duration) {
         self.now = self.now + duration;
         let now = self.now;
+        self.deliver_delayed();
         if self.balancer.poll_timeout() <= now {
             self.balancer.handle_timeout(now);
         }
@@ -241,6 +277,12 @@
     pub fn carry_out(&mut self, from: SocketAddrV4, output: PassThroughOutput) {
         let now = self.now;
         match output {
+            PassThroughOutput::Send { to, body }
+                if to == BALANCER && self.answer_delay > Duration::ZERO =>
+            {
+                let arrives_at = now + self.answer_delay;
+                self.delayed.push_back((arrives_at, from, body));
+            }
             PassThroughOutput::Send { to, body } if to == BALANCER => {
                 self.balancer.handle_message(now, from, body);
             }
@@ -251,6 +293,7 @@
             }
             PassThroughOutput::Send { to, body } => {
                 self.seeks += usize::from(matches!(body, PassThroughBody::Seek(_)));
+                self.tries_sent += usize::from(from == BALANCER && is_try(&body));
                 if self.frozen.contains(&to) {
                     return;
                 }
@@ -369,7 +412,7 @@
                 service: service_digest(SERVICE),
                 reason: CarryReason::OpenQueued.into(),
                 packet: encode(&packet),
-                objective_millis: 0,
+                ..Carry::default()
             };
             let agent = self.agents.get_mut(&agent_address(index)).expect("known");
             agent.handle_message(self.now, elsewhere, PassThroughBody::Carry(carry));
@@ -424,6 +467,10 @@
     }
 }
 
+fn is_try(body: &PassThroughBody) -> bool {
+    matches!(body, PassThroughBody::Carry(carry) if carry.reason() == CarryReason::Try)
+}
+
 fn new_balancer(now: Timestamp) -> PassThroughBalancer<TestCodec> {
     let settings = PassThroughBalancerSettings {
         zone: "a".to_owned(),
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -140,6 +140,13 @@
     /// milliseconds; zero if that is not known.
     #[prost(uint32, tag = "4")]
     pub objective_millis: u32,
+    /// With [`CarryReason::Try`]: other agents that the receiver passes the packet
+    /// on to, so that a balancer sends it once.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub others: Vec<u64>,
+    /// The balancer, if another agent passed the packet on; otherwise zero.
+    #[prost(fixed64, tag = "6")]
+    pub origin: u64,
 }
 
 /// How busy an agent's back end is.
@@ -347,6 +354,9 @@
     /// for as long as agents take to report, or took a whole directory over.
     #[prost(bool, tag = "9")]
     pub whole_directory: bool,
+    /// To an agent: whether the sender has heard of a former life at its address.
+    #[prost(bool, tag = "10")]
+    pub had_former_life: bool,
 }
 
 /// One agent of a [`Directory`].
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -69,7 +69,8 @@
         Incarnation(rand::random()),
         Contacts::new(settings.seeds.clone()),
     );
-    event_loop.log.note(now, EventKind::ProcessStarted, "agent");
+    let subject = format!("agent first_start={}", addresses.first_start);
+    event_loop.log.note(now, EventKind::ProcessStarted, subject);
     let mut more = false;
     while !agent.is_stopped() {
         let wakeup = event_loop.wait(agent.poll_timeout(), more)?;
@@ -147,6 +148,7 @@
         address: settings.messages,
         zone: settings.zone.clone(),
         service: addresses.service.clone(),
+        first_start: addresses.first_start,
         report_interval: REPORT_INTERVAL,
         silence_limit: addresses.registration_interval * MISSED_REGISTRATIONS,
         provisional_limit: addresses.registration_interval * PROVISIONAL_REGISTRATIONS,
--- a/crates/petrellatch/src/runtime/pass_through/bounded_log.rs
+++ b/crates/petrellatch/src/runtime/pass_through/bounded_log.rs
@@ -60,9 +60,12 @@
         log_event(&self.logger, event);
     }
 
-    /// Writes an event of the process itself.
+    /// Writes an event of the process itself, which is rare: its start, its stop,
+    /// its readiness. It is never left out.
     pub(super) fn note(&mut self, now: Timestamp, kind: EventKind, subject: impl Into<String>) {
-        self.write(now, &Event::new(kind, subject));
+        self.refill(now);
+        self.budget = self.budget.saturating_sub(1);
+        log_event(&self.logger, &Event::new(kind, subject));
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -58,6 +58,8 @@
     pub registrations: SocketAddrV4,
     /// Readiness (HTTP), if it has an address of its own.
     pub readiness: Option<SocketAddrV4>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// About how often a back end registers again.
     pub registration_interval: Duration,
 }
