Take no flow for gone because a balancer hears nobody

The link of a balancer in hki-b was full for seconds; all 35 agents had not answered for 1.5 s, each counted as gone, and with nobody left to ask the flow was reset (FlowGone ... missing=35 expected=0 lacks=0). Change: a flow is given up, and more than two back ends are tried, only if more than half of the service's agents have answered; and silence counts as absence only while answers in general arrive about in time (an overdue limit below 120 ms). A packet of the caller that begins a new round lets the old one be judged first: with copies each 200 ms longer rounds never came to their end.

--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -102,13 +102,19 @@
     }
 
     /// All agents, or those of one service, as a search for a flow sees them.
-    pub(super) fn searched(&self, now: Timestamp, service: Option<u64>) -> Vec<SearchedAgent> {
+    /// Unless answers arrive `in_time`, no agent is taken for gone.
+    pub(super) fn searched(
+        &self,
+        now: Timestamp,
+        service: Option<u64>,
+        in_time: bool,
+    ) -> Vec<SearchedAgent> {
         let wanted = |agent: &KnownAgent| service.is_none_or(|it| it == agent.service);
         let agents = self.agents.iter().filter(|(_, agent)| wanted(agent));
         let searched = agents.map(|(address, agent)| SearchedAgent {
             address: *address,
             service: agent.service,
-            is_expected: agent.is_expected(now),
+            is_expected: agent.is_expected(now, in_time),
         });
         searched.collect()
     }
@@ -345,10 +351,10 @@
     /// Whether it answers questions for flows, unless it is just restarted. One
     /// that has not heard of its back end in its present life counts as gone with
     /// that if it does not answer.
-    fn is_expected(&self, now: Timestamp) -> bool {
+    fn is_expected(&self, now: Timestamp, in_time: bool) -> bool {
         let has_backend = matches!(self.state, AgentState::Ready | AgentState::Draining);
         let is_absent = |since| now.saturating_since(since) >= ABSENCE_LIMIT;
-        has_backend && !self.unanswered_since.is_some_and(is_absent)
+        !in_time || (has_backend && !self.unanswered_since.is_some_and(is_absent))
     }
 
     /// Expected requests for each slot, with what speaks against the agent.
--- a/crates/petrellatch-core/src/pass_through/answer_time.rs
+++ b/crates/petrellatch-core/src/pass_through/answer_time.rs
@@ -36,6 +36,12 @@
         });
     }
 
+    /// Whether answers arrive about as fast as they should. Otherwise silence
+    /// says nothing of an agent.
+    pub(super) fn is_short(&self) -> bool {
+        self.limit() < 2 * MIN_LIMIT
+    }
+
     /// After this time an answer is overdue.
     pub(super) fn limit(&self) -> Duration {
         let Some((mean, deviation)) = self.estimate else {
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -37,6 +37,9 @@
             let subject = format!("flow={flow} agents={}", self.agents.len());
             self.emit_event(EventKind::FlowSought, subject);
         }
+        if !is_new {
+            self.take_search_step(now, flow);
+        }
         self.send_questions(now);
     }
 
@@ -68,9 +71,9 @@
                 acknowledged: search.acknowledged(),
             };
             let all = self.agents.len() <= SEEK_ALL_LIMIT;
-            let agents = self
-                .agents
-                .searched(now, (!all).then_some(search.service()));
+            let service = (!all).then_some(search.service());
+            let in_time = self.answer_time.is_short();
+            let agents = self.agents.searched(now, service, in_time);
             let take_budget = |count| self.seek_budget.take(now, count);
             let asked = self.searches.begin_round(now, flow, &agents, take_budget);
             for agent in asked {
--- a/crates/petrellatch-core/src/pass_through/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_search.rs
@@ -94,7 +94,7 @@
     rounds: u32,
     /// When the round began.
     asked_at: Timestamp,
-    /// When the answers of the round are due.
+    /// When the next round begins.
     due_at: Timestamp,
     agents: BTreeMap<SocketAddrV4, AskedAgent>,
     /// Packets that were handed to back ends to try.
@@ -239,7 +239,7 @@
             let counted = |it: &&AskedAgent| it.of_service == of_service && it.answer == answer;
             self.agents.values().filter(counted).count()
         };
-        let is_due = now >= self.due_at;
+        let is_due = now.saturating_since(self.asked_at) >= ROUND;
         let missing = match is_due {
             true => self.expected(),
             false => count(true, SearchAnswer::Missing),
@@ -249,7 +249,7 @@
         if missing > 0 && !is_due {
             return SearchStep::Wait;
         }
-        let is_complete = missing == 0 && whole_directory;
+        let is_complete = missing == 0 && whole_directory && self.most_have_answered();
         if uncertain > 0 {
             let are_few = uncertain + self.tries <= MAX_STRANGERS;
             let may_try = is_complete || (are_few && is_due);
@@ -266,6 +266,14 @@
         }
     }
 
+    /// Whether more than half of the service's agents have answered. If not, it
+    /// is the balancer that does not hear them.
+    fn most_have_answered(&self) -> bool {
+        let of_service = || self.agents.values().filter(|it| it.of_service);
+        let answered = of_service().filter(|it| it.answer != SearchAnswer::Missing);
+        answered.count() * 2 > of_service().count()
+    }
+
     /// Agents of the service that have not answered and are expected to.
     fn expected(&self) -> usize {
         let is_awaited = |it: &&AskedAgent| {
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -256,3 +256,34 @@
         assert_eq!(tried, expected, "former life: {had_former_life}");
     }
 }
+
+#[test]
+fn a_balancer_that_hears_nobody_ends_no_flow() {
+    let (mut world, agent) = world_with_flow(1);
+    world.restart_balancer();
+    world.frozen = (1..=AGENTS).map(agent_address).collect();
+    for _ in 0..20 {
+        world.say_whole_directory();
+        world.request(1, agent);
+        world.run(200 * MILLI);
+    }
+    assert_eq!(world.resets(), 0, "all agents at once are not gone");
+}
+
+#[test]
+fn a_balancer_whose_answers_are_slow_takes_no_agent_for_gone() {
+    let (mut world, agent) = world_with_flow(1);
+    world.restart_balancer();
+    world.answers_take(300 * MILLI);
+    for port in 100..=140 {
+        world.open(port, 0);
+        world.run(50 * MILLI);
+    }
+    world.frozen = vec![agent];
+    for _ in 0..20 {
+        world.say_whole_directory();
+        world.request(1, agent);
+        world.run(200 * MILLI);
+    }
+    assert_eq!(world.resets(), 0, "its answers may be under way");
+}
