--- a/crates/petrellatch-lab/src/lib.rs
+++ b/crates/petrellatch-lab/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod caller;
 pub mod experiment;
 pub mod fabric;
-pub mod hollow;
 pub mod platform;
 pub mod simulator;
 pub mod support;
--- a/crates/petrellatch-lab/src/main.rs
+++ b/crates/petrellatch-lab/src/main.rs
@@ -9,7 +9,6 @@
 use petrellatch_lab::caller::{self, CallerOptions};
 use petrellatch_lab::experiment::command::{self as experiment, ExperimentOptions};
 use petrellatch_lab::fabric::{self, FabricOptions};
-use petrellatch_lab::hollow::{self, HollowOptions};
 use petrellatch_lab::platform::{self, PlatformOptions};
 use petrellatch_lab::simulator::command::{self as sim, SimOptions};
 use petrellatch_lab::support::logging::terminal_logger;
@@ -40,8 +39,6 @@
     Caller(CallerOptions),
     /// Spray packets over balancers, with an edge for TCP clients.
     Fabric(FabricOptions),
-    /// Measure the capacity of control with hollow daemons.
-    Hollow(HollowOptions),
     /// Serve the platform's lagging list of machines.
     Platform(PlatformOptions),
     /// Simulate whole fleets with faults and check what is promised.
@@ -97,11 +94,6 @@
             fabric::run(&options, log)?;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Hollow(options) => {
-            let log = terminal_logger(options.verbose);
-            hollow::run(&options, &log)?;
-            Ok(ExitCode::SUCCESS)
-        }
         Command::Platform(options) => {
             let log = terminal_logger(options.verbose);
             platform::run(options, &log)?;
--- a/crates/petrellatch/src/logs/flow_story.rs
+++ b/crates/petrellatch/src/logs/flow_story.rs
@@ -122,6 +122,9 @@
             EventKind::FlowPlaced,
             EventKind::FlowRefused,
             EventKind::FlowSought,
+            EventKind::FlowTried,
+            EventKind::FlowGone,
+            EventKind::FlowNotFound,
         ];
         kinds.iter().any(|kind| is_event(line, *kind))
     });
@@ -147,6 +150,8 @@
             EventKind::FlowStalled,
             EventKind::PacketReturned,
             EventKind::FlowSought,
+            EventKind::FlowGone,
+            EventKind::FlowNotFound,
         ];
         kinds.iter().any(|kind| is_event(line, *kind))
     });
@@ -160,6 +165,12 @@
         let agent = outcome.value("agent").unwrap_or("its agent");
         return format!("the agent {agent} that has the flow does not answer");
     }
+    if is_event(outcome, EventKind::FlowGone) {
+        return gone(outcome);
+    }
+    if is_event(outcome, EventKind::FlowNotFound) {
+        return not_found(outcome);
+    }
     if is_event(outcome, EventKind::PacketReturned) {
         return "the back end does not have the flow any more".to_owned();
     }
@@ -174,6 +185,38 @@
     }
 }
 
+/// The flow was reset because no back end has it.
+fn gone(outcome: &LogLine) -> String {
+    if outcome.value("was_open") == Some("true") {
+        let agent = outcome.value("agent").unwrap_or("its agent");
+        return format!("the back end at {agent} had the flow and has it no more; it was reset");
+    }
+    let lacks = outcome.value("lacks").unwrap_or("all");
+    format!("no back end has the flow any more, by the word of {lacks} agents; it was reset")
+}
+
+/// The flow was sought until its caller gave up.
+fn not_found(outcome: &LogLine) -> String {
+    let reasons = [
+        ("missing", "did not answer"),
+        ("uncertain", "could not know"),
+        ("tried", "had not heard of its back end"),
+        ("lacks", "did not have it"),
+    ];
+    let told = reasons.iter().filter_map(|(name, reason)| {
+        let count = outcome.value(name)?;
+        (count != "0").then(|| format!("{count} {reason}"))
+    });
+    let told: Vec<String> = told.collect();
+    match told.is_empty() {
+        true => "nobody was asked for the flow before its caller gave up".to_owned(),
+        false => format!(
+            "the flow was not found among the agents: {}",
+            told.join(", ")
+        ),
+    }
+}
+
 /// The route is not in the version that the balancer had in force.
 fn no_route(lines: &[LogLine], outcome: &LogLine) -> String {
     let version = outcome.value("version").unwrap_or("0");
--- a/crates/petrellatch/tests/logs.rs
+++ b/crates/petrellatch/tests/logs.rs
@@ -171,3 +171,43 @@
     let unknown = refused("");
     assert_eq!(unknown, "refused: no_agent");
 }
+
+#[test]
+fn a_flow_that_nobody_held_is_explained_by_what_the_agents_answered() {
+    for (event, subject, cause) in [
+        (
+            "FlowGone",
+            "waited=61 rounds=2 missing=0 expected=0 uncertain=0 tried=0 lacks=7",
+            "no back end has the flow any more, by the word of 7 agents",
+        ),
+        (
+            "FlowGone",
+            "agent=10.1.0.4:7000 was_open=true",
+            "the back end at 10.1.0.4:7000 had the flow",
+        ),
+        (
+            "FlowNotFound",
+            "rounds=8 missing=3 expected=2 uncertain=5 tried=0 lacks=0",
+            "not found among the agents: 3 did not answer, 5 could not know",
+        ),
+        (
+            "FlowNotFound",
+            "rounds=0 missing=0 expected=0 uncertain=0 tried=0 lacks=0",
+            "nobody was asked for the flow",
+        ),
+    ] {
+        let subject = format!("flow={FLOW} {subject}");
+        let texts = [
+            line(
+                "10:00:00.1",
+                "balancer",
+                "FlowSought",
+                &format!("flow={FLOW} agents=8"),
+            ),
+            line("10:00:02.5", "balancer", event, &subject),
+        ];
+        let story = FlowStory::new(&lines(&texts), "100.64.0.7:4001");
+        assert!(story.cause().contains(cause), "{story}");
+        assert!(story.missing().is_empty(), "{story}");
+    }
+}
