Let one agent ask the others for unknown flows, and bound it by the link

Cause: after a loss of power at 163 agents the links of balancers (2.1 Mbit/s) are full of questions for flows that nobody has any more. Answers to opening packets were lost behind them: 11,016 lines AgentSuspected from 35.2 to 36.5 s, and refusals `late=8`. Ruled out: slow back ends (no first answer took 20 ms), agents' links (1,000 Mbit/s), processor time (the same with --no-cpu). Change: a question for more than eight agents goes to one of them, with the list of the others; it gathers what they lack into sets of bits. Who has a flow tells the balancer itself. The budget counts bytes, a tenth of the link, which the settings name. Silence of an agent counts only from the first gathered answer on, so that the silence of one that asks says nothing of the others. The search moves into a file of its own (balancer/searches.rs). Red first: with questions asked directly, four of the five tests in lost_flows_at_size.rs fail (1 of 10 flows found).

--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    AgentState, Carry, CarryReason, DeclineReason, Declined, HeldFlow, Holds, Lacks, NotHeld,
-    PassThroughBody, Seek, pack_address, unpack_address,
+    AgentState, Carry, CarryReason, DeclineReason, Declined, NotHeld, PassThroughBody,
+    pack_address, unpack_address,
 };
 
 use super::PassThroughAgent;
@@ -56,47 +56,6 @@
         }
     }
 
-    pub(super) fn handle_seek(&mut self, now: Timestamp, from: SocketAddrV4, seek: &Seek) {
-        self.balancers.insert(from, now);
-        let knows_all = self.knows_all_flows(now);
-        let mut holds = Holds::default();
-        let mut lacks = Lacks::default();
-        for sought in &seek.flows {
-            let flow = FlowId::from(sought.flow);
-            let known = self.flows.get(flow);
-            if let Some(known) = known.filter(|it| it.owns(sought.acknowledged)) {
-                holds.flows.push(HeldFlow {
-                    flow: sought.flow,
-                    sequence: known.sequence,
-                });
-            } else if knows_all || self.tried.was_returned(flow) {
-                lacks.certain.push(sought.flow);
-            } else {
-                lacks.uncertain.push(sought.flow);
-            }
-        }
-        if !holds.flows.is_empty() {
-            self.send(from, PassThroughBody::Holds(holds));
-        }
-        if !lacks.certain.is_empty() || !lacks.uncertain.is_empty() {
-            self.send(from, PassThroughBody::Lacks(lacks));
-        }
-    }
-
-    /// Whether every flow of the back end is known: this life of the agent has
-    /// seen the back end begin, or lasts longer than any flow, or no back end
-    /// has called or spoken for so long that there is none. A back end whose
-    /// first calls come here has begun with this life, if there was none before.
-    fn knows_all_flows(&self, now: Timestamp) -> bool {
-        let age = now.saturating_since(self.started_at);
-        let is_first_life = self.had_former_life == Some(false);
-        self.settings.first_start
-            || self.registration.was_replaced()
-            || (is_first_life && self.registration.called_early())
-            || age >= self.settings.flow_lifetime
-            || (self.state(now) == AgentState::Empty && !self.registration.has_called())
-    }
-
     /// Passes a packet on to the other agents that are to try it.
     fn pass_on(&mut self, balancer: SocketAddrV4, carry: &Carry) {
         for other in &carry.others {
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_packets;
 mod caller_packets;
+mod questions;
 mod reports;
 mod stopping;
 
@@ -19,6 +20,7 @@
 use crate::pass_through::agent_flows::AgentFlows;
 use crate::pass_through::contacts::Contacts;
 use crate::pass_through::digest::service_digest;
+use crate::pass_through::gathered_question::GatheredQuestions;
 use crate::pass_through::latency::LatencyHistogram;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
@@ -102,6 +104,8 @@
     registration: RegistrationState,
     flows: AgentFlows,
     tried: TriedFlows,
+    /// Questions that this agent asks others on behalf of balancers.
+    gathered: GatheredQuestions,
     started_at: Timestamp,
     /// Whether replicas know of a former life of this agent, once one has said.
     had_former_life: Option<bool>,
@@ -143,6 +147,7 @@
             contacts,
             flows: AgentFlows::default(),
             tried: TriedFlows::default(),
+            gathered: GatheredQuestions::default(),
             started_at: now,
             had_former_life: None,
             balancers: BTreeMap::new(),
@@ -224,7 +229,18 @@
     pub fn handle_message(&mut self, now: Timestamp, from: SocketAddrV4, body: PassThroughBody) {
         match body {
             PassThroughBody::Carry(carry) => self.handle_carry(now, from, carry),
-            PassThroughBody::Seek(seek) => self.handle_seek(now, from, &seek),
+            PassThroughBody::Seek(seek) => {
+                self.handle_seek(now, from, &seek);
+                self.tell_gathered(now);
+            }
+            PassThroughBody::Holds(holds) => {
+                self.gathered.handle_holds(now, from, &holds);
+                self.tell_gathered(now);
+            }
+            PassThroughBody::Lacks(lacks) => {
+                self.gathered.handle_lacks(now, from, &lacks);
+                self.tell_gathered(now);
+            }
             PassThroughBody::Group(group) => {
                 self.contacts.handle_group(&group);
                 self.registration.recall(&group.leaving);
@@ -250,12 +266,16 @@
         if now >= self.report_at {
             self.report(now);
         }
+        self.tell_gathered(now);
         self.continue_stop(now);
     }
 
     /// When [`PassThroughAgent::handle_timeout`] is wanted.
     pub fn poll_timeout(&self) -> Timestamp {
-        self.sweep_at.min(self.report_at)
+        let first = self.sweep_at.min(self.report_at);
+        self.gathered
+            .poll_timeout()
+            .map_or(first, |at| at.min(first))
     }
 
     /// The next thing to do.
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -11,7 +11,7 @@
 use crate::time::Timestamp;
 
 use super::change_assembly::PartAssembly;
-use super::digest::{flow_digest, service_digest};
+use super::digest::{address_digest, flow_digest, service_digest};
 use super::flow_search::SearchedAgent;
 use super::packet::FlowId;
 
@@ -40,6 +40,9 @@
 /// come later are told at once.
 const WHOLE_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// An agent that has not answered a question for flows by then asks no others:
+/// a round of questions takes so long.
+const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 /// An agent that has not answered a question for flows by then is gone, and its
 /// back end with it; one that is restarted as planned is back earlier.
 const ABSENCE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -80,14 +83,17 @@
 #[derive(Debug, Default)]
 pub(super) struct AgentDirectory {
     zone: String,
+    /// Tells the choices of this balancer from those of others.
+    salt: u64,
     replicas: BTreeMap<SocketAddrV4, ReplicaDirectory>,
     agents: BTreeMap<SocketAddrV4, KnownAgent>,
 }
 
 impl AgentDirectory {
-    pub(super) fn new(zone: String) -> Self {
+    pub(super) fn new(zone: String, salt: u64) -> Self {
         AgentDirectory {
             zone,
+            salt,
             replicas: BTreeMap::new(),
             agents: BTreeMap::new(),
         }
@@ -127,6 +133,35 @@
         }
     }
 
+    /// Notes that an agent answered a question that another one passed on.
+    pub(super) fn note_answered(&mut self, now: Timestamp, address: SocketAddrV4) {
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.heard_at = now;
+            agent.unanswered_since = None;
+        }
+    }
+
+    /// Which of some agents asks the others for flows: one that answers, another
+    /// one with each question.
+    pub(super) fn choose_asker(
+        &self,
+        now: Timestamp,
+        agents: &[SocketAddrV4],
+        question: u64,
+    ) -> SocketAddrV4 {
+        let is_safe = |address: &&SocketAddrV4| {
+            let agent = self.agents.get(address);
+            agent.is_some_and(|it| it.answers_questions(now))
+        };
+        let safe: Vec<SocketAddrV4> = agents.iter().filter(is_safe).copied().collect();
+        let choice = match safe.is_empty() {
+            true => agents,
+            false => &safe,
+        };
+        let turn = address_digest(question, self.salt) % choice.len() as u64;
+        choice[turn as usize]
+    }
+
     /// How many agents of a service are known, and how many of them take no new
     /// flows because their back ends leave.
     pub(super) fn count_leaving(&self, service: u64) -> (usize, usize) {
@@ -357,6 +392,17 @@
         !in_time || (self.has_backend() && !self.unanswered_since.is_some_and(is_absent))
     }
 
+    /// Whether it has answered all questions so far, and is not suspected.
+    fn answers_questions(&self, now: Timestamp) -> bool {
+        self.has_backend() && now >= self.suspect_until && !self.is_silent(now)
+    }
+
+    /// Whether it has left a question unanswered for as long as a round takes.
+    fn is_silent(&self, now: Timestamp) -> bool {
+        let is_overdue = |since| now.saturating_since(since) >= ANSWER_LIMIT;
+        self.unanswered_since.is_some_and(is_overdue)
+    }
+
     /// Whether it has heard of its back end in its present life.
     fn has_backend(&self) -> bool {
         matches!(self.state, AgentState::Ready | AgentState::Draining)
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod news;
 mod open_flows;
 mod openings;
+mod searches;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
@@ -11,8 +12,8 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek, SoughtFlow,
-    pack_address,
+    Declined, Follow, GatheredLacks, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek,
+    SoughtFlow, pack_address,
 };
 
 use crate::event::{Event, EventKind};
@@ -20,6 +21,7 @@
 use crate::time::Timestamp;
 
 use super::agent_directory::AgentDirectory;
+use super::agent_set::AgentSet;
 use super::answer_time::AnswerTime;
 use super::attachments::Attachments;
 use super::contacts::Contacts;
@@ -56,6 +58,18 @@
 const SEEK_ALL_LIMIT: usize = 64;
 /// Flows in one question.
 const FLOWS_PER_QUESTION: usize = 200;
+/// If more agents are to be asked for a flow, one of them asks the others: below
+/// that, a message each costs no more than the list of the others.
+const MAX_ASKED_DIRECTLY: usize = 8;
+/// Questions whose gathered answers are understood; each second a balancer asks
+/// some ten of them, and answers come within 0.6 s.
+const MAX_ASKED_QUESTIONS: usize = 64;
+/// Bytes of a question without its flows and agents, with the heads of IP and UDP.
+const QUESTION_BYTES: usize = 48;
+/// Bytes of one flow in a question.
+const FLOW_BYTES: usize = 28;
+/// Bytes of one agent that another one asks.
+const AGENT_BYTES: usize = 8;
 /// A packet that is tried at more agents is sent to one of them, which passes it
 /// on to the others.
 const MAX_TRIED_DIRECTLY: usize = 8;
@@ -83,6 +97,9 @@
     /// How long a planned stop goes on handing packets after it said that it
     /// isn't ready any more.
     pub stop_delay: Duration,
+    /// What the link of the balancer's machine carries each way, in bytes a
+    /// second; none if that is not known.
+    pub link_bytes_per_second: Option<u64>,
 }
 
 /// Counters of a balancer.
@@ -138,6 +155,10 @@
     hints: FlowHints,
     searches: FlowSearches,
     seek_budget: SeekBudget,
+    /// Number of the latest question that one agent passes on to others.
+    next_question: u64,
+    /// Such questions, with the agents in the order that their answers use.
+    asked_questions: VecDeque<(u64, Vec<SocketAddrV4>)>,
     /// Packets of open flows that came before the balancer was current.
     early: VecDeque<Vec<u8>>,
     /// Opening packets that wait for an answer, with the limits of it, in the
@@ -181,8 +202,9 @@
         incarnation: Incarnation,
         contacts: Contacts,
     ) -> Self {
+        let link_bytes_per_second = settings.link_bytes_per_second;
         PassThroughBalancer {
-            agents: AgentDirectory::new(settings.zone.clone()),
+            agents: AgentDirectory::new(settings.zone.clone(), incarnation.0),
             settings,
             codec,
             incarnation,
@@ -192,7 +214,9 @@
             hints: FlowHints::default(),
             searches: FlowSearches::default(),
             early: VecDeque::new(),
-            seek_budget: SeekBudget::new(now),
+            seek_budget: SeekBudget::new(now, link_bytes_per_second),
+            next_question: 0,
+            asked_questions: VecDeque::new(),
             awaited: VecDeque::new(),
             answer_time: AnswerTime::default(),
             confirm: incarnation.0 | 1,
@@ -318,6 +342,7 @@
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
             PassThroughBody::Holds(holds) => self.handle_holds(now, from, &holds),
             PassThroughBody::Lacks(lacks) => self.handle_lacks(now, from, &lacks),
+            PassThroughBody::GatheredLacks(gathered) => self.handle_gathered(now, &gathered),
             PassThroughBody::NotHeld(not_held) => self.handle_not_held(now, from, &not_held),
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
             PassThroughBody::Directory(directory) => {
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -0,0 +1,294 @@
+//! The search for flows that are not known.
+
+use super::*;
+
+impl<C: PacketCodec> PassThroughBalancer<C> {
+    /// Asks the agents who has the flows that are sought.
+    pub(super) fn continue_searches(&mut self, now: Timestamp) {
+        for flow in self.searches.take_due(now) {
+            self.take_search_step(now, flow);
+            let Some(search) = self.searches.get_mut(flow) else {
+                continue;
+            };
+            if search.is_over(now) {
+                self.give_up_search(flow);
+            } else {
+                self.searches.ask_again(flow);
+            }
+        }
+        self.send_questions(now);
+    }
+
+    /// Asks for the flows whose rounds begin, unless they are still gathered.
+    pub(super) fn send_questions(&mut self, now: Timestamp) {
+        let mut questions: BTreeMap<Vec<SocketAddrV4>, Vec<SoughtFlow>> = BTreeMap::new();
+        for flow in self.searches.take_unasked(now) {
+            let Some(search) = self.searches.get_mut(flow) else {
+                continue;
+            };
+            let sought = SoughtFlow {
+                flow: flow.into(),
+                acknowledged: search.acknowledged(),
+            };
+            let all = self.agents.len() <= SEEK_ALL_LIMIT;
+            let service = (!all).then_some(search.service());
+            let in_time = self.answer_time.is_short();
+            let agents = self.agents.searched(now, service, in_time);
+            let take_budget = |asked: &Vec<SocketAddrV4>| {
+                let bytes = question_bytes(asked.len(), questions.contains_key(asked));
+                self.seek_budget.take(now, bytes)
+            };
+            let asked = self.searches.begin_round(now, flow, &agents, take_budget);
+            if !asked.is_empty() {
+                questions.entry(asked).or_default().push(sought);
+            }
+        }
+        for (agents, flows) in questions {
+            for flows in flows.chunks(FLOWS_PER_QUESTION) {
+                self.ask(now, &agents, flows);
+            }
+        }
+    }
+
+    /// Asks agents for flows. If they are many, one of them asks the others.
+    fn ask(&mut self, now: Timestamp, agents: &[SocketAddrV4], flows: &[SoughtFlow]) {
+        let seek = Seek {
+            flows: flows.to_vec(),
+            ..Seek::default()
+        };
+        if agents.len() <= MAX_ASKED_DIRECTLY {
+            for agent in agents {
+                self.agents.note_asked(now, *agent);
+                self.send(*agent, PassThroughBody::Seek(seek.clone()));
+            }
+            return;
+        }
+        self.next_question += 1;
+        let question = self.next_question;
+        let first = self.agents.choose_asker(now, agents, question);
+        let others = agents.iter().copied().filter(|agent| *agent != first);
+        let others: Vec<SocketAddrV4> = others.collect();
+        let seek = Seek {
+            others: others.iter().copied().map(pack_address).collect(),
+            question,
+            ..seek
+        };
+        let asked = others.into_iter().chain([first]).collect();
+        self.asked_questions.push_back((question, asked));
+        if self.asked_questions.len() > MAX_ASKED_QUESTIONS {
+            self.asked_questions.pop_front();
+        }
+        // Whether the others were asked is known with the first answer.
+        self.agents.note_asked(now, first);
+        self.send(first, PassThroughBody::Seek(seek));
+    }
+
+    /// Does what the answers of agents allow.
+    pub(super) fn take_search_step(&mut self, now: Timestamp, flow: FlowId) {
+        let whole_directory = self.agents.is_whole(now);
+        let Some(search) = self.searches.get_mut(flow) else {
+            return;
+        };
+        match search.next_step(now, whole_directory) {
+            SearchStep::Wait => {}
+            SearchStep::Try(agents) => self.try_agents(flow, &agents),
+            SearchStep::Gone => self.reset_gone(now, flow),
+        }
+    }
+
+    fn try_agents(&mut self, flow: FlowId, agents: &[SocketAddrV4]) {
+        let Some(search) = self.searches.get_mut(flow) else {
+            return;
+        };
+        let Some(packet) = search.packet_to_try().cloned() else {
+            return;
+        };
+        let service = search.service();
+        let rounds = search.rounds();
+        if is_sampled(flow) {
+            let subject = format!("flow={flow} {}", search.summary());
+            self.emit_event(EventKind::FlowTried, subject);
+        }
+        self.counters.tried += agents.len() as u64;
+        if agents.len() <= MAX_TRIED_DIRECTLY {
+            for agent in agents {
+                self.carry(*agent, service, CarryReason::Try, packet.clone());
+            }
+            return;
+        }
+        // Flows and rounds take turns among the agents.
+        let turn = u64::from(rounds).wrapping_add(flow_digest(flow, 0));
+        let first = agents[(turn % agents.len() as u64) as usize];
+        let others = agents.iter().filter(|agent| **agent != first);
+        let carry = Carry {
+            service,
+            reason: CarryReason::Try.into(),
+            packet,
+            others: others.map(|agent| pack_address(*agent)).collect(),
+            ..Carry::default()
+        };
+        self.send(first, PassThroughBody::Carry(carry));
+    }
+
+    /// Tells the caller that no back end has its flow, so that it can open
+    /// another one.
+    fn reset_gone(&mut self, now: Timestamp, flow: FlowId) {
+        let Some(search) = self.searches.remove(flow) else {
+            return;
+        };
+        let waited = now.saturating_since(search.started_at()).as_millis();
+        let subject = format!("flow={flow} waited={waited} {}", search.summary());
+        self.emit_event(EventKind::FlowGone, subject);
+        self.reset_open(flow, search.acknowledged());
+    }
+
+    fn reset_open(&mut self, flow: FlowId, acknowledged: u32) {
+        self.counters.gone += 1;
+        self.hints.remove(flow);
+        self.outputs.push_back(PassThroughOutput::ToCaller {
+            address: *flow.caller.ip(),
+            packet: self.codec.reset(flow, acknowledged),
+        });
+    }
+
+    /// The caller has given up.
+    fn give_up_search(&mut self, flow: FlowId) {
+        let Some(search) = self.searches.remove(flow) else {
+            return;
+        };
+        self.counters.not_found += 1;
+        let subject = format!("flow={flow} {}", search.summary());
+        self.emit_event(EventKind::FlowNotFound, subject);
+    }
+
+    pub(super) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
+        self.note_heard(now, from, None);
+        let Some(service) = self.agents.get(from).map(|agent| agent.service) else {
+            return;
+        };
+        for held in &holds.flows {
+            let flow = FlowId::from(held.flow);
+            if self.hints.is_full() {
+                return;
+            }
+            let hint = self.hints.entry(now, flow, service);
+            hint.owner = Some(from);
+            hint.service = service;
+            let Some(search) = self.searches.remove(flow) else {
+                continue;
+            };
+            self.counters.found += 1;
+            for packet in search.into_untried() {
+                self.counters.delivered += 1;
+                self.carry(from, service, CarryReason::Deliver, packet);
+            }
+        }
+    }
+
+    pub(super) fn handle_lacks(&mut self, now: Timestamp, from: SocketAddrV4, lacks: &Lacks) {
+        self.note_heard(now, from, None);
+        let certain = lacks.certain.iter().map(|flow| (flow, true));
+        let uncertain = lacks.uncertain.iter().map(|flow| (flow, false));
+        for (flow, is_certain) in certain.chain(uncertain) {
+            let flow = FlowId::from(*flow);
+            if let Some(search) = self.searches.get_mut(flow) {
+                search.note_lacks(from, is_certain);
+                self.take_search_step(now, flow);
+            }
+        }
+    }
+
+    /// Takes what many agents have answered to one question.
+    pub(super) fn handle_gathered(&mut self, now: Timestamp, gathered: &GatheredLacks) {
+        let mut questions = self.asked_questions.iter();
+        let question = questions.find(|(number, _)| *number == gathered.question);
+        let Some(agents) = question.map(|(_, agents)| agents.clone()) else {
+            return;
+        };
+        let mut silent: BTreeSet<SocketAddrV4> = agents.iter().copied().collect();
+        for answers in &gathered.flows {
+            let flow = FlowId::from(answers.flow);
+            for place in AgentSet::from_bytes(&answers.held).iter() {
+                agents.get(place).map(|agent| silent.remove(agent));
+            }
+            for (set, is_certain) in [(&answers.certain, true), (&answers.uncertain, false)] {
+                let places = AgentSet::from_bytes(set);
+                for agent in places.iter().filter_map(|place| agents.get(place)) {
+                    silent.remove(agent);
+                    if let Some(search) = self.searches.get_mut(flow) {
+                        search.note_lacks(*agent, is_certain);
+                    }
+                }
+            }
+        }
+        for agent in &agents {
+            match silent.contains(agent) {
+                true => self.agents.note_asked(now, *agent),
+                false => self.agents.note_answered(now, *agent),
+            }
+        }
+        for answers in &gathered.flows {
+            self.take_search_step(now, answers.flow.into());
+        }
+    }
+
+    /// A back end returned a packet. If the flow was open there, it is gone;
+    /// otherwise another back end may have it.
+    pub(super) fn handle_not_held(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        not_held: &NotHeld,
+    ) {
+        let flow = FlowId::from(not_held.flow);
+        let mut service = None;
+        if let Some(hint) = self.hints.get_mut(flow) {
+            if hint.owner.is_some_and(|owner| owner != from) {
+                // It was tried as well before the owner was found.
+                return;
+            }
+            service = Some(hint.service);
+            if hint.owner == Some(from) {
+                hint.owner = None;
+            }
+            match hint.candidate_mut(from) {
+                Some(candidate) => candidate.state = CandidateState::Declined,
+                None => hint.candidates.push(Candidate {
+                    agent: from,
+                    state: CandidateState::Declined,
+                    asked_at: None,
+                }),
+            }
+        }
+        if not_held.was_open {
+            self.searches.remove(flow);
+            if not_held.request {
+                let subject = format!("flow={flow} agent={from} was_open=true");
+                self.emit_event(EventKind::FlowGone, subject);
+                self.reset_open(flow, not_held.acknowledged);
+            }
+            return;
+        }
+        let is_sought = self.searches.contains(flow);
+        let service = service.or_else(|| self.routes.service_for(flow));
+        if let Some(service) = service.filter(|_| is_sought || not_held.request) {
+            self.searches.note_returned(now, service, from, not_held);
+            self.take_search_step(now, flow);
+        }
+    }
+}
+
+/// Bytes of a question for one flow on the balancer's link. `is_shared` says
+/// whether another flow is asked for with the same message.
+fn question_bytes(agents: usize, is_shared: bool) -> usize {
+    if agents <= MAX_ASKED_DIRECTLY {
+        let message = if is_shared { 0 } else { QUESTION_BYTES };
+        return agents * (message + FLOW_BYTES);
+    }
+    let answer = agents * 2 / 8;
+    let message = match is_shared {
+        true => 0,
+        false => QUESTION_BYTES + agents * AGENT_BYTES,
+    };
+    message + FLOW_BYTES + answer
+}
--- a/crates/petrellatch-core/src/pass_through/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_search.rs
@@ -187,13 +187,14 @@
         self.agents.insert(agent, known);
     }
 
-    /// How many of `agents` have not said that they lack the flow.
-    fn unsettled(&self, agents: &[SearchedAgent]) -> usize {
-        let lacks = |agent: &SearchedAgent| {
+    /// Those of `agents` that have not said that they lack the flow.
+    fn unsettled(&self, agents: &[SearchedAgent]) -> Vec<SocketAddrV4> {
+        let lacks = |agent: &&SearchedAgent| {
             let known = self.agents.get(&agent.address);
             known.is_some_and(|it| it.answer == SearchAnswer::Lacks)
         };
-        agents.iter().filter(|agent| !lacks(agent)).count()
+        let unsettled = agents.iter().filter(|agent| !lacks(agent));
+        unsettled.map(|agent| agent.address).collect()
     }
 
     /// Begins a round. Returns whom to ask of `agents`: those that have not said
@@ -445,19 +446,19 @@
         std::mem::take(&mut self.unasked)
     }
 
-    /// Begins a round of one flow, unless its agents are more than
-    /// `take_budget` allows. Returns whom to ask.
+    /// Begins a round of one flow, unless `take_budget` does not allow to ask its
+    /// agents. Returns whom to ask.
     pub(super) fn begin_round(
         &mut self,
         now: Timestamp,
         flow: FlowId,
         agents: &[SearchedAgent],
-        take_budget: impl FnOnce(usize) -> bool,
+        take_budget: impl FnOnce(&Vec<SocketAddrV4>) -> bool,
     ) -> Vec<SocketAddrV4> {
         let Some(search) = self.searches.get_mut(&flow) else {
             return Vec::new();
         };
-        let asked = match take_budget(search.unsettled(agents)) {
+        let asked = match take_budget(&search.unsettled(agents)) {
             true => search.begin_round(now, agents),
             false => {
                 search.due_at = now + ROUND;
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/gathered_question.rs
@@ -0,0 +1,198 @@
+//! A question for flows that one agent asks many others on behalf of a balancer.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::{
+    FlowMessage, GatheredFlow, GatheredLacks, Holds, Lacks, Seek, unpack_address,
+};
+
+use crate::time::Timestamp;
+
+use super::agent_set::AgentSet;
+use super::packet::FlowId;
+
+/// Answers are gathered for so long at first: agents of other zones answer
+/// within a few milliseconds, and a balancer's round takes 60 ms.
+const FIRST_GATHERING: Duration = Duration::from_millis(12);
+/// The same for answers that come later.
+const LATER_GATHERING: Duration = Duration::from_millis(25);
+/// Answers that come after this are not told: the balancer has asked again.
+const QUESTION_LIMIT: Duration = Duration::from_millis(600);
+/// Most questions at once. Each balancer has a few under way, and questions are
+/// spread over all agents; older ones give way.
+const MAX_QUESTIONS: usize = 512;
+
+/// One flow of a question.
+#[derive(Debug)]
+struct GatheredAnswers {
+    flow: FlowId,
+    certain: AgentSet,
+    uncertain: AgentSet,
+    held: AgentSet,
+}
+
+/// What an agent answers for a flow.
+#[derive(Clone, Copy, Debug)]
+enum Answer {
+    Certain,
+    Uncertain,
+    Held,
+}
+
+/// One question of a balancer, with what was answered so far.
+#[derive(Debug)]
+struct GatheredQuestion {
+    balancer: SocketAddrV4,
+    number: u64,
+    /// In the order of the question, this agent last.
+    agents: Vec<SocketAddrV4>,
+    flows: Vec<GatheredAnswers>,
+    /// How many agents have not answered.
+    awaited: usize,
+    /// When the balancer is told what is new.
+    tell_at: Option<Timestamp>,
+    ends_at: Timestamp,
+}
+
+/// All questions that an agent asks others.
+#[derive(Debug, Default)]
+pub(super) struct GatheredQuestions {
+    questions: VecDeque<GatheredQuestion>,
+}
+
+impl GatheredQuestions {
+    /// Begins to gather the answers to a question of a balancer. `own` is the
+    /// address of this agent, which answers like the others.
+    pub(super) fn begin(
+        &mut self,
+        now: Timestamp,
+        balancer: SocketAddrV4,
+        seek: &Seek,
+        own: SocketAddrV4,
+    ) {
+        if self.questions.len() == MAX_QUESTIONS {
+            self.questions.pop_front();
+        }
+        let others = seek.others.iter().copied().map(unpack_address);
+        let agents: Vec<SocketAddrV4> = others.chain([own]).collect();
+        let flows = seek.flows.iter().map(|sought| GatheredAnswers {
+            flow: sought.flow.into(),
+            certain: AgentSet::default(),
+            uncertain: AgentSet::default(),
+            held: AgentSet::default(),
+        });
+        self.questions.push_back(GatheredQuestion {
+            balancer,
+            number: seek.question,
+            flows: flows.collect(),
+            awaited: agents.len(),
+            agents,
+            tell_at: None,
+            ends_at: now + QUESTION_LIMIT,
+        });
+    }
+
+    /// Takes the flows that an agent lacks.
+    pub(super) fn handle_lacks(&mut self, now: Timestamp, from: SocketAddrV4, lacks: &Lacks) {
+        let certain = lacks.certain.iter().map(|flow| (*flow, Answer::Certain));
+        let uncertain = lacks
+            .uncertain
+            .iter()
+            .map(|flow| (*flow, Answer::Uncertain));
+        self.handle_answers(now, from, certain.chain(uncertain));
+    }
+
+    /// Takes the flows that an agent has, as the balancer does.
+    pub(super) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
+        let held = holds.flows.iter().map(|held| (held.flow, Answer::Held));
+        self.handle_answers(now, from, held);
+    }
+
+    fn handle_answers(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        answers: impl Iterator<Item = (FlowMessage, Answer)>,
+    ) {
+        let answers: HashMap<FlowId, Answer> =
+            answers.map(|(flow, it)| (flow.into(), it)).collect();
+        for question in &mut self.questions {
+            question.handle_answers(now, from, &answers);
+        }
+    }
+
+    /// What balancers are to be told now.
+    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, GatheredLacks)> {
+        let mut due = Vec::new();
+        for question in &mut self.questions {
+            if question.tell_at.is_some_and(|at| at <= now) {
+                question.tell_at = None;
+                due.push((question.balancer, question.answers()));
+            }
+        }
+        self.questions
+            .retain(|question| now < question.ends_at && !question.is_complete());
+        due
+    }
+
+    /// When [`GatheredQuestions::take_due`] is wanted.
+    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+        let told = self.questions.iter().filter_map(|it| it.tell_at).min();
+        let ended = self.questions.iter().map(|it| it.ends_at).min();
+        told.into_iter().chain(ended).min()
+    }
+}
+
+impl GatheredQuestion {
+    fn handle_answers(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        answers: &HashMap<FlowId, Answer>,
+    ) {
+        let Some(agent) = self.agents.iter().position(|agent| *agent == from) else {
+            return;
+        };
+        let mut is_news = false;
+        for gathered in &mut self.flows {
+            is_news |= match answers.get(&gathered.flow) {
+                Some(Answer::Certain) => gathered.certain.insert(agent),
+                Some(Answer::Uncertain) => gathered.uncertain.insert(agent),
+                Some(Answer::Held) => gathered.held.insert(agent),
+                None => false,
+            };
+        }
+        if !is_news {
+            return;
+        }
+        self.awaited = self.awaited.saturating_sub(1);
+        let started_at = self.ends_at - QUESTION_LIMIT;
+        let first_at = started_at + FIRST_GATHERING;
+        let tell_at = match self.awaited {
+            0 => now,
+            _ if now <= first_at => first_at,
+            _ => now + LATER_GATHERING,
+        };
+        self.tell_at = Some(self.tell_at.map_or(tell_at, |at| at.min(tell_at)));
+    }
+
+    /// Whether everybody has answered and the balancer was told.
+    fn is_complete(&self) -> bool {
+        self.awaited == 0 && self.tell_at.is_none()
+    }
+
+    fn answers(&self) -> GatheredLacks {
+        let flows = self.flows.iter().map(|answers| GatheredFlow {
+            flow: answers.flow.into(),
+            certain: answers.certain.to_bytes(),
+            uncertain: answers.uncertain.to_bytes(),
+            held: answers.held.to_bytes(),
+        });
+        GatheredLacks {
+            question: self.number,
+            flows: flows.collect(),
+        }
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -17,6 +17,7 @@
 mod agent;
 mod agent_directory;
 mod agent_flows;
+mod agent_set;
 mod answer_time;
 mod attachments;
 mod balancer;
@@ -29,6 +30,7 @@
 mod flow_hints;
 mod flow_search;
 mod followers;
+mod gathered_question;
 mod group_keeper;
 mod latency;
 mod output;
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -7,6 +7,7 @@
 mod formation;
 mod group;
 mod lost_flows;
+mod lost_flows_at_size;
 mod news;
 mod queueing;
 mod replica;
--- a/crates/petrellatch-core/tests/pass_through/news.rs
+++ b/crates/petrellatch-core/tests/pass_through/news.rs
@@ -27,6 +27,7 @@
         follow_interval: Duration::from_secs(1),
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(2),
+        link_bytes_per_second: None,
     };
     let contacts = Contacts::new(vec![REPLICA]);
     let mut balancer =
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -14,8 +14,8 @@
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
     Carry, CarryReason, ConfigurationChange, ConfigurationPart, Confirmed, Directory,
-    DirectoryChange, DirectoryEntry, Group, PassThroughBody, Report, RouteRecord, ShareRecord,
-    pack_address,
+    DirectoryChange, DirectoryEntry, Group, PassThroughBody, PassThroughMessage, Report,
+    RouteRecord, ShareRecord, pack_address,
 };
 use prost::Message;
 
@@ -57,6 +57,8 @@
     pub refusals: Vec<String>,
     /// Packets that the balancer sent to agents to try.
     pub tries_sent: usize,
+    /// Bytes of messages of and to the balancer.
+    pub balancer_bytes: usize,
     /// Messages to the balancer that are under way, if they take time.
     delayed: VecDeque<(Timestamp, SocketAddrV4, PassThroughBody)>,
     answer_delay: Duration,
@@ -69,7 +71,7 @@
         let now = Timestamp::from_millis(1_000);
         let mut world = World {
             now,
-            balancer: new_balancer(now),
+            balancer: new_balancer(now, None),
             agents: BTreeMap::new(),
             backends: BTreeMap::new(),
             callers: Vec::new(),
@@ -78,6 +80,7 @@
             seeks: 0,
             refusals: Vec::new(),
             tries_sent: 0,
+            balancer_bytes: 0,
             delayed: VecDeque::new(),
             answer_delay: Duration::ZERO,
             quick_backends: false,
@@ -153,7 +156,12 @@
 
     /// Starts the balancer again, which forgets all flows. Agents report to it.
     pub fn restart_balancer(&mut self) {
-        self.balancer = new_balancer(self.now);
+        self.restart_balancer_with_link(None);
+    }
+
+    /// The same with a link of so many bytes a second.
+    pub fn restart_balancer_with_link(&mut self, link_bytes_per_second: Option<u64>) {
+        self.balancer = new_balancer(self.now, link_bytes_per_second);
         self.confirm();
         self.run(600 * MILLI);
     }
@@ -276,6 +284,11 @@
 
     pub fn carry_out(&mut self, from: SocketAddrV4, output: PassThroughOutput) {
         let now = self.now;
+        if let PassThroughOutput::Send { to, body } = &output
+            && (from == BALANCER || *to == BALANCER)
+        {
+            self.balancer_bytes += message_bytes(body);
+        }
         match output {
             PassThroughOutput::Send { to, body }
                 if to == BALANCER && self.answer_delay > Duration::ZERO =>
@@ -467,16 +480,29 @@
     }
 }
 
+/// Bytes of a datagram with this message.
+fn message_bytes(body: &PassThroughBody) -> usize {
+    const HEADS: usize = 28;
+    let message = PassThroughMessage {
+        body: Some(body.clone()),
+    };
+    HEADS + message.encoded_len()
+}
+
 fn is_try(body: &PassThroughBody) -> bool {
     matches!(body, PassThroughBody::Carry(carry) if carry.reason() == CarryReason::Try)
 }
 
-fn new_balancer(now: Timestamp) -> PassThroughBalancer<TestCodec> {
+fn new_balancer(
+    now: Timestamp,
+    link_bytes_per_second: Option<u64>,
+) -> PassThroughBalancer<TestCodec> {
     let settings = PassThroughBalancerSettings {
         zone: "a".to_owned(),
         follow_interval: Duration::from_secs(1),
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(2),
+        link_bytes_per_second,
     };
     let contacts = Contacts::new(vec![REPLICA]);
     PassThroughBalancer::new(now, settings, TestCodec, Incarnation(6), contacts)
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -24,7 +24,7 @@
     /// The message.
     #[prost(
         oneof = "PassThroughBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub body: Option<PassThroughBody>,
 }
@@ -74,6 +74,9 @@
     /// Agent to balancer: flows that it does not know.
     #[prost(message, tag = "14")]
     Lacks(Lacks),
+    /// Agent to balancer: what several agents answered to a question.
+    #[prost(message, tag = "15")]
+    GatheredLacks(GatheredLacks),
 }
 
 /// A flow whose agent is not known.
@@ -94,6 +97,47 @@
     /// The flows.
     #[prost(message, repeated, tag = "1")]
     pub flows: Vec<SoughtFlow>,
+    /// Other agents that the receiver asks too. It gathers what they lack into
+    /// [`GatheredLacks`], so that a balancer with a thin link sends one question
+    /// and gets few answers.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub others: Vec<u64>,
+    /// Number of a question with others; its answers repeat it.
+    #[prost(uint64, tag = "3")]
+    pub question: u64,
+    /// The balancer, if another agent passed the question on; otherwise zero.
+    #[prost(fixed64, tag = "4")]
+    pub origin: u64,
+}
+
+/// What the agents of one question have answered so far.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GatheredLacks {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub question: u64,
+    /// The flows of the question.
+    #[prost(message, repeated, tag = "2")]
+    pub flows: Vec<GatheredFlow>,
+}
+
+/// What agents answered for a flow. Bit `n` of each set, the lowest of each byte first,
+/// stands for agent `n` of [`Seek::others`], and the one after the last for the
+/// agent that was asked to ask them.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GatheredFlow {
+    /// The flow.
+    #[prost(message, required, tag = "1")]
+    pub flow: FlowMessage,
+    /// Agents whose back ends do not have it for certain.
+    #[prost(bytes = "vec", tag = "2")]
+    pub certain: Vec<u8>,
+    /// Agents that do not know it, but whose back ends may have it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub uncertain: Vec<u8>,
+    /// Agents whose back ends have it; they tell the balancer themselves.
+    #[prost(bytes = "vec", tag = "4")]
+    pub held: Vec<u8>,
 }
 
 /// Flows that an agent does not know. An answer to [`Seek`].
--- a/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
@@ -56,7 +56,7 @@
     let now = event_loop.clock.now();
     let mut balancer = PassThroughBalancer::new(
         now,
-        balancer_settings(&settings),
+        balancer_settings(&settings, addresses),
         codec,
         Incarnation(rand::random()),
         Contacts::new(settings.seeds.clone()),
@@ -130,11 +130,15 @@
     }
 }
 
-fn balancer_settings(settings: &PassThroughSettings) -> PassThroughBalancerSettings {
+fn balancer_settings(
+    settings: &PassThroughSettings,
+    addresses: &BalancerAddresses,
+) -> PassThroughBalancerSettings {
     PassThroughBalancerSettings {
         zone: settings.zone.clone(),
         follow_interval: FOLLOW_INTERVAL,
         flow_lifetime: settings.flow_lifetime,
         stop_delay: STOP_DELAY.min(settings.stop_limit / 2),
+        link_bytes_per_second: addresses.link_bytes_per_second,
     }
 }
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -41,6 +41,9 @@
     pub packets: SocketAddrV4,
     /// Readiness (HTTP).
     pub readiness: SocketAddrV4,
+    /// What the machine's link carries each way, in bytes a second; none if that
+    /// is not known.
+    pub link_bytes_per_second: Option<u64>,
 }
 
 /// Addresses of an agent and of the back end beside it.
