End the trust in a back end that returns opening packets

Cause: an agent that has just started admits for 2.5 s beside a back end that has not called. Ruled out: agents that leave (they decline as Draining). Change: a returned packet is no sign of life; a returned opening ends the provisional offer until the back end calls or speaks, and the state is reported at once. Such a decline goes through the one place that writes the line and counts the metric. A balancer asks such an agent last for 250 ms, so that one returned opening of a live back end costs little.

--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_proto::pass_through::{
-    Accepted, DeclineReason, Declined, HeldFlow, Holds, LoadMessage, PassThroughBody,
-};
+use petrellatch_proto::pass_through::{Accepted, DeclineReason, HeldFlow, Holds, PassThroughBody};
 
 use super::PassThroughAgent;
 use crate::event::EventKind;
@@ -20,13 +18,13 @@
             self.counters.malformed += 1;
             return;
         };
-        self.registration.note_alive(now);
         if view.returned {
             self.counters.returned += 1;
             self.handle_returned(now, &view);
             self.report_if_changed(now);
             return;
         }
+        self.registration.note_alive(now);
         let flow = view.flow_from_backend();
         let wants_to_know = self.tried.take_pending(flow);
         self.outputs.push_back(PassThroughOutput::ToCaller {
@@ -85,16 +83,8 @@
             return;
         };
         if view.is_opening() {
-            let declined = PassThroughBody::Declined(Declined {
-                flow: id.into(),
-                reason: DeclineReason::Returned.into(),
-                load: LoadMessage {
-                    busy: self.flows.busy(),
-                    capacity: self.registration.capacity(),
-                    cold: false,
-                },
-            });
-            self.send(balancer, declined);
+            self.registration.note_returned_opening();
+            self.decline(now, balancer, id, DeclineReason::Returned);
         } else {
             self.emit_event(EventKind::PacketReturned, format!("flow={id}"));
             let was_open = flow.sequence.is_some() && flow.owns(view.acknowledged);
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/agent_directory.rs
@@ -22,6 +22,12 @@
 const OTHER_ZONE_COST: f64 = 0.3;
 /// What an agent costs whose back end was not heard yet.
 const STARTING_COST: f64 = 500.0;
+/// How long an agent is avoided whose back end returned an opening packet. A
+/// back end that is only full works some 50 ms on a request; one that is gone is
+/// silent to its agent for seconds.
+const RETURNED_AVOIDANCE: Duration = Duration::from_millis(250);
+/// What such an agent costs: it comes after all others but the suspected ones.
+const RETURNED_COST: f64 = 750.0;
 /// What a suspected agent costs: it comes after all others.
 const SUSPECT_COST: f64 = 1_000.0;
 /// How much slower a back end is that still warms up.
@@ -67,6 +73,8 @@
     sent_since: u32,
     misses: u32,
     suspect_until: Timestamp,
+    /// Its back end returned an opening packet.
+    returned_until: Timestamp,
 }
 
 /// What one replica told of the agents.
@@ -276,6 +284,7 @@
                 sent_since: 0,
                 misses: 0,
                 suspect_until: Timestamp::ZERO,
+                returned_until: Timestamp::ZERO,
             };
             self.agents.insert(address, agent);
             return;
@@ -329,6 +338,13 @@
         }
     }
 
+    /// Notes that the back end beside an agent returned an opening packet.
+    pub(super) fn note_returned(&mut self, now: Timestamp, address: SocketAddrV4) {
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.returned_until = now + RETURNED_AVOIDANCE;
+        }
+    }
+
     pub(super) fn note_sent(&mut self, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.sent_since += 1;
@@ -425,6 +441,9 @@
         if self.state == AgentState::Starting {
             cost += STARTING_COST;
         }
+        if now < self.returned_until {
+            cost += RETURNED_COST;
+        }
         if now < self.suspect_until {
             cost += SUSPECT_COST;
         }
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -185,7 +185,8 @@
             DeclineReason::NoBackend | DeclineReason::WrongService => {
                 self.agents.note_state(from, AgentState::Empty);
             }
-            _ => {}
+            DeclineReason::Returned => self.agents.note_returned(now, from),
+            DeclineReason::Full | DeclineReason::Unspecified => {}
         }
         let flow = FlowId::from(declined.flow);
         let Some(hint) = self.hints.get_mut(flow) else {
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/registration.rs
@@ -43,6 +43,8 @@
     seen_alive: bool,
     /// Until when such a back end is offered.
     provisional_until: Timestamp,
+    /// Whether the latest sign of it was a returned opening packet.
+    returned_opening: bool,
     /// Number of the first call that was heard.
     first_call: Option<u64>,
     /// Whether another back end took the place of a former one.
@@ -69,6 +71,7 @@
             current: None,
             seen_alive: false,
             provisional_until,
+            returned_opening: false,
             first_call: None,
             was_replaced: false,
             departed: VecDeque::new(),
@@ -117,14 +120,22 @@
         before != self.offer()
     }
 
-    /// Notes that the back end gave another sign of life.
+    /// Notes that the back end gave another sign of life. A packet that it
+    /// returned is none: those of a back end that is gone come back as well.
     pub fn note_alive(&mut self, now: Timestamp) {
         self.seen_alive = true;
+        self.returned_opening = false;
         if let Some(current) = &mut self.current {
             current.heard_at = now;
         }
     }
 
+    /// Notes that an opening packet came back. A back end that has not called is
+    /// not offered any more, until it calls or speaks.
+    pub fn note_returned_opening(&mut self) {
+        self.returned_opening = true;
+    }
+
     /// What the back end offers; one that was silent for longer than `limit`
     /// counts as gone.
     pub fn state(&self, now: Timestamp, limit: Duration) -> AgentState {
@@ -140,7 +151,7 @@
     /// Whether a back end is offered although it has not called. If one of this
     /// machine has left, packets may be its.
     fn is_provisional(&self, now: Timestamp) -> bool {
-        self.departed.is_empty() && now < self.provisional_until
+        self.departed.is_empty() && !self.returned_opening && now < self.provisional_until
     }
 
     /// Requests that the back end works on at once.
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -12,5 +12,6 @@
 mod queueing;
 mod replica;
 mod restarted_agents;
+mod returned_openings;
 mod scale;
 mod world;
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -3,12 +3,12 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use petrellatch_core::Timestamp;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
     ConfigurationNode, ConfigurationOutput, Contacts, PacketView, PassThroughAgent,
     PassThroughAgentSettings, PassThroughOutput, Registration,
 };
+use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
     AgentState, Carry, CarryReason, DeclineReason, PassThroughBody,
 };
@@ -229,3 +229,75 @@
     let_backend_speak(&mut agent, later);
     assert_eq!(open(&mut agent, later, 2), Some(DeclineReason::NoBackend));
 }
+
+/// The back end's address returns the opening packet of a flow.
+fn return_opening(agent: &mut Agent, now: Timestamp, port: u16) -> Vec<PassThroughOutput> {
+    let returned = PacketView {
+        synchronize: true,
+        returned: true,
+        ..empty(caller(port), ROUTE)
+    };
+    outputs(agent);
+    agent.handle_backend_packet(now, &encode(&returned));
+    outputs(agent)
+}
+
+#[test]
+fn a_returned_opening_ends_the_trust_in_a_back_end_that_has_not_called() {
+    let now = Timestamp::from_millis(1_000);
+    let mut agent = start_agent(now);
+    agent.handle_timeout(now);
+    assert_eq!(offer(&mut agent, now, 1, CarryReason::OpenQueued), None);
+    let told = return_opening(&mut agent, now, 1);
+    let is_decline = |output: &PassThroughOutput| {
+        matches!(output, PassThroughOutput::Send { body: PassThroughBody::Declined(it), .. }
+            if it.reason() == DeclineReason::Returned)
+    };
+    assert!(told.iter().any(is_decline));
+    let is_line = |output: &PassThroughOutput| {
+        matches!(output, PassThroughOutput::Event(event)
+            if event.kind == EventKind::FlowDeclined && event.subject.contains("Returned"))
+    };
+    assert!(told.iter().any(is_line), "no decline without a line");
+    let is_report = |output: &PassThroughOutput| {
+        matches!(output, PassThroughOutput::Send { body: PassThroughBody::Report(it), .. }
+            if it.state() == AgentState::Empty)
+    };
+    assert!(told.iter().any(is_report), "balancers learn of it at once");
+    let declined = offer(&mut agent, now, 2, CarryReason::OpenQueued);
+    assert_eq!(declined, Some(DeclineReason::NoBackend));
+}
+
+#[test]
+fn a_back_end_that_sheds_and_then_speaks_is_trusted_again() {
+    let now = Timestamp::from_millis(1_000);
+    let mut agent = start_agent(now);
+    assert_eq!(offer(&mut agent, now, 1, CarryReason::OpenQueued), None);
+    return_opening(&mut agent, now, 1);
+    let_backend_speak(&mut agent, now);
+    assert_eq!(open(&mut agent, now, 2), None);
+}
+
+#[test]
+fn a_back_end_that_sheds_and_then_calls_is_offered_flows() {
+    let now = Timestamp::from_millis(1_000);
+    let mut agent = start_agent(now);
+    assert_eq!(offer(&mut agent, now, 1, CarryReason::OpenQueued), None);
+    return_opening(&mut agent, now, 1);
+    register(&mut agent, now, 7, false);
+    assert_eq!(open(&mut agent, now, 2), None);
+}
+
+#[test]
+fn returned_packets_do_not_keep_a_silent_back_end_in_service() {
+    let mut now = Timestamp::from_millis(1_000);
+    let mut agent = start_agent(now);
+    register(&mut agent, now, 1, false);
+    for port in 1..=14 {
+        now = now + Duration::from_millis(500);
+        offer(&mut agent, now, port, CarryReason::Open);
+        return_opening(&mut agent, now, port);
+    }
+    let declined = open(&mut agent, now, 99);
+    assert_eq!(declined, Some(DeclineReason::NoBackend));
+}
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -50,6 +50,8 @@
     pub backends: BTreeMap<SocketAddrV4, Backend>,
     pub callers: Vec<PacketView>,
     pub frozen: Vec<SocketAddrV4>,
+    /// Agents whose back ends return all opening packets.
+    pub shedding: Vec<SocketAddrV4>,
     pub revision: u64,
     /// Questions for unknown flows.
     pub seeks: usize,
@@ -76,6 +78,7 @@
             backends: BTreeMap::new(),
             callers: Vec::new(),
             frozen: Vec::new(),
+            shedding: Vec::new(),
             revision: 0,
             seeks: 0,
             refusals: Vec::new(),
@@ -370,6 +373,14 @@
             }
             return;
         }
+        if self.shedding.contains(&agent) {
+            let returned = PacketView {
+                returned: true,
+                ..view
+            };
+            self.answer_from_backend(agent, &returned);
+            return;
+        }
         backend.flows.insert(view.source);
         let answer = PacketView {
             synchronize: true,
