Let replicas remember daemons, and agents report to new replicas at once

Cause: after a loss of power balancers and agents know only the replicas of their settings. And an agent that had been told of the group took any word of a replica for an answer to its report: it told the other replicas 0.5 to 4 s later, so balancers attached to those knew 7 to 155 of 163 agents (`agents=53` in refusals until 35.9 s). Ruled out: the election (11 ms after the fifth replica's log), the leader's confirmation. Change: a replica saves the addresses of its balancers and agents (every 5 s if they changed, by the thread that writes the log), and tells them where the group is once it hears a leader in its next life; an agent is told by three replicas of an order of its own. An agent reports to replicas that it did not know as soon as it is told of them, and takes only an answer to its report for one. Red first: an_agent_that_is_told_of_more_replicas_reports_to_them_at_once; the tests of the memory are of new functions and failed before there was an output.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -152,6 +152,9 @@
     WriteFailed = 534, Error;
     /// Entries were left out to keep the log's volume bounded.
     EntriesLeftOut = 535, Warning;
+    /// The daemons of the former life can't be read or saved; they find the group
+    /// by their settings.
+    DaemonMemoryFailed = 536, Warning;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use petrellatch_proto::pass_through::{AgentState, DeclineReason, PassThroughBody};
+use petrellatch_proto::pass_through::{AgentState, DeclineReason, Group, PassThroughBody};
 
 use crate::event::{Event, EventKind};
 use crate::identity::Incarnation;
@@ -241,18 +241,30 @@
                 self.gathered.handle_lacks(now, from, &lacks);
                 self.tell_gathered(now);
             }
-            PassThroughBody::Group(group) => {
-                self.contacts.handle_group(&group);
-                self.registration.recall(&group.leaving);
-                *self.had_former_life.get_or_insert(false) |= group.had_former_life;
-                self.note_report_interval(group.report_interval_millis);
-                self.unheard = false;
-                self.report_if_changed(now);
-            }
+            PassThroughBody::Group(group) => self.handle_group(now, &group),
             _ => {}
         }
     }
 
+    /// Takes what a replica tells. Replicas that were not known before are
+    /// reported to at once: otherwise balancers that ask them would learn of this
+    /// agent only with its next report without news, seconds later.
+    fn handle_group(&mut self, now: Timestamp, group: &Group) {
+        let known = self.contacts.all();
+        self.contacts.handle_group(group);
+        let has_more = !self.contacts.all().is_subset(&known);
+        self.registration.recall(&group.leaving);
+        if group.answers_report {
+            *self.had_former_life.get_or_insert(false) |= group.had_former_life;
+            self.note_report_interval(group.report_interval_millis);
+            self.unheard = false;
+        }
+        match has_more {
+            true => self.report(now),
+            false => self.report_if_changed(now),
+        }
+    }
+
     /// Does what has become due.
     pub fn handle_timeout(&mut self, now: Timestamp) {
         if now >= self.sweep_at {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -15,6 +15,7 @@
             let group = Group {
                 leaving: self.followers.leaving(agent),
                 had_former_life: self.followers.had_former_life(agent),
+                answers_report: true,
                 ..self.group(now)
             };
             self.send(from, PassThroughBody::Group(group));
@@ -72,6 +73,7 @@
             report_interval_millis: self.followers.report_interval().as_millis() as u32,
             whole_directory: self.followers.is_whole(now),
             had_former_life: false,
+            answers_report: false,
         }
     }
 
@@ -122,18 +124,36 @@
     }
 
     /// Tells the followers once this replica hears a leader again: some of
-    /// them may wait for a leader to confirm what is newest.
+    /// them may wait for a leader to confirm what is newest. After a start the
+    /// daemons of the former life are told, as they may know no replica that runs.
     pub(super) fn tell_return(&mut self, now: Timestamp) {
         let serves = self.serves(now);
         if serves && !self.served {
             let group = self.group(now);
-            for follower in self.followers.followers() {
+            let own = self.replica.id().node.0;
+            let former = self.daemon_memory.take_untold(own, &group.replicas);
+            let followers: BTreeSet<SocketAddrV4> = self
+                .followers
+                .followers()
+                .into_iter()
+                .chain(former)
+                .collect();
+            for follower in followers {
                 self.send(follower, PassThroughBody::Group(group.clone()));
             }
         }
         self.served = serves;
     }
 
+    /// Has the addresses of daemons saved for the next life.
+    pub(super) fn save_daemons(&mut self, now: Timestamp) {
+        let followers = &self.followers;
+        let current = || remembered(followers.followers(), followers.agents());
+        if let Some(bytes) = self.daemon_memory.save(now, current) {
+            self.outputs.push_back(ConfigurationOutput::Remember(bytes));
+        }
+    }
+
     /// Tells the followers once the directory is whole.
     pub(super) fn tell_whole(&mut self, now: Timestamp) {
         if self.told_whole || !self.followers.is_whole(now) {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -5,7 +5,7 @@
 mod replica_outputs;
 mod requests;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -28,6 +28,7 @@
 use super::configuration::Configuration;
 use super::configuration_state::ConfigurationState;
 use super::contacts::Contacts;
+use super::daemon_memory::{DaemonMemory, remembered};
 use super::followers::Followers;
 use super::group_keeper::GroupKeeper;
 use super::latency::LatencyHistogram;
@@ -143,6 +144,9 @@
     },
     /// Write and sync, then call [`ConfigurationNode::handle_persisted`].
     Persist(PersistRequest),
+    /// Save this for the next life's [`ConfigurationNode::recall_daemons`], in
+    /// place of what was saved before. It may get lost.
+    Remember(Vec<u8>),
     /// Answer a request.
     Respond {
         /// Token of the request.
@@ -177,6 +181,7 @@
     /// The version before the first change that balancers were not told.
     news_since: Option<u64>,
     keeper: GroupKeeper,
+    daemon_memory: DaemonMemory,
     directory_at: Option<Timestamp>,
     directory_fetch: DirectoryFetch,
     /// The replica whose directory was taken over, until it has said whether
@@ -226,6 +231,7 @@
             followers,
             contacts: Contacts::new(seeds),
             news_since: None,
+            daemon_memory: DaemonMemory::new(now),
             directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
             took_over_from: None,
@@ -240,6 +246,12 @@
         }
     }
 
+    /// Takes what a former life asked to be remembered. Returns whether it could
+    /// be read.
+    pub fn recall_daemons(&mut self, saved: &[u8]) -> bool {
+        self.daemon_memory.recall(saved)
+    }
+
     /// The replica of the log.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -334,6 +346,7 @@
             self.directory_at = None;
             self.push_directory(now);
         }
+        self.save_daemons(now);
         self.fetch_directory(now);
         self.tell_whole(now);
         self.expire_requests(now);
@@ -347,6 +360,7 @@
             self.replica.poll_timeout(),
             Some(self.keeper.poll_timeout()),
             Some(self.sweep_at),
+            Some(self.daemon_memory.poll_timeout()),
             self.directory_at,
             self.directory_fetch.poll_timeout(),
             (!self.told_whole).then(|| self.followers.whole_at()),
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/followers.rs
@@ -127,6 +127,11 @@
         self.followers.keys().copied().collect()
     }
 
+    /// Addresses of the agents that report.
+    pub(super) fn agents(&self) -> impl Iterator<Item = u64> + '_ {
+        self.agents.keys().copied()
+    }
+
     /// Takes a report. Returns whether balancers should know at once.
     pub(super) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
         let leaving = std::mem::take(&mut report.leaving);
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -26,6 +26,7 @@
 mod configuration_node;
 mod configuration_state;
 mod contacts;
+mod daemon_memory;
 mod digest;
 mod flow_hints;
 mod flow_search;
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -331,7 +331,7 @@
                 ConfigurationOutput::Respond { token, response } => {
                     self.answers.insert(token, response);
                 }
-                ConfigurationOutput::Event(_) => {}
+                ConfigurationOutput::Remember(_) | ConfigurationOutput::Event(_) => {}
             }
         }
     }
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -10,6 +10,7 @@
 mod lost_flows_at_size;
 mod news;
 mod queueing;
+mod remembered_daemons;
 mod replica;
 mod restarted_agents;
 mod returned_openings;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/remembered_daemons.rs
@@ -0,0 +1,105 @@
+//! Daemons that find the group after a loss of power, although none of the
+//! replicas that their settings name runs yet.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::pass_through::{ConfigurationNode, ConfigurationOutput};
+use petrellatch_proto::pass_through::{
+    AgentState, Follow, LoadMessage, PassThroughBody, Report, pack_address,
+};
+
+use super::replica::start_replica;
+
+const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
+const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
+const STEP: Duration = Duration::from_millis(5);
+
+/// What a replica that is alone in its group does for so long: what it asks to
+/// be saved, and to whom it tells where the group is.
+fn run(
+    node: &mut ConfigurationNode,
+    now: &mut Timestamp,
+    time: Duration,
+) -> (Vec<Vec<u8>>, Vec<SocketAddrV4>) {
+    let end = *now + time;
+    let (mut saved, mut told) = (Vec::new(), Vec::new());
+    while *now < end {
+        *now = *now + STEP;
+        if node.poll_timeout() <= *now {
+            node.handle_timeout(*now);
+        }
+        while let Some(output) = node.poll_output() {
+            match output {
+                ConfigurationOutput::Persist(request) => {
+                    node.handle_persisted(*now, request.ticket);
+                }
+                ConfigurationOutput::Remember(bytes) => saved.push(bytes),
+                ConfigurationOutput::Send {
+                    to,
+                    body: PassThroughBody::Group(group),
+                } if group.serves => told.push(to),
+                _ => {}
+            }
+        }
+    }
+    (saved, told)
+}
+
+fn report() -> PassThroughBody {
+    PassThroughBody::Report(Report {
+        address: pack_address(AGENT),
+        incarnation: 1,
+        sequence: 1,
+        service: "desk".to_owned(),
+        zone: "a".to_owned(),
+        state: AgentState::Ready.into(),
+        load: LoadMessage::default(),
+        leaving: Vec::new(),
+        interval_millis: 60_000,
+    })
+}
+
+fn attach(incarnation: u64) -> PassThroughBody {
+    PassThroughBody::Follow(Follow {
+        incarnation,
+        attached: true,
+        ..Follow::default()
+    })
+}
+
+#[test]
+fn a_replica_that_starts_again_tells_its_daemons_where_the_group_is() {
+    let mut now = Timestamp::from_millis(1_000);
+    let mut node = start_replica(now, REPLICA, REPLICA);
+    run(&mut node, &mut now, Duration::from_secs(2));
+    node.handle_message(now, BALANCER, attach(1));
+    node.handle_message(now, AGENT, report());
+    let (saved, _) = run(&mut node, &mut now, Duration::from_secs(6));
+    let saved = saved.last().expect("something is saved");
+    let mut node = start_replica(now, REPLICA, REPLICA);
+    assert!(node.recall_daemons(saved));
+    let (_, told) = run(&mut node, &mut now, Duration::from_secs(2));
+    let times = |daemon| told.iter().filter(|to| **to == daemon).count();
+    assert_eq!(times(BALANCER), 1, "once, as soon as there is a leader");
+    assert_eq!(times(AGENT), 1);
+}
+
+#[test]
+fn what_was_saved_stays_when_nobody_is_heard_any_more() {
+    let mut now = Timestamp::from_millis(1_000);
+    let mut node = start_replica(now, REPLICA, REPLICA);
+    run(&mut node, &mut now, Duration::from_secs(3));
+    node.handle_message(now, AGENT, report());
+    let (saved, _) = run(&mut node, &mut now, Duration::from_secs(20));
+    assert_eq!(saved.len(), 1);
+}
+
+#[test]
+fn what_cannot_be_read_is_left_out() {
+    let now = Timestamp::from_millis(1_000);
+    let mut node = start_replica(now, REPLICA, REPLICA);
+    assert!(!node.recall_daemons(&[0xFF; 9]));
+}
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -10,7 +10,7 @@
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
-    AgentState, Carry, CarryReason, DeclineReason, PassThroughBody,
+    AgentState, Carry, CarryReason, DeclineReason, Group, PassThroughBody, pack_address,
 };
 
 use super::codec::{TestCodec, empty, encode};
@@ -301,3 +301,40 @@
     let declined = open(&mut agent, now, 99);
     assert_eq!(declined, Some(DeclineReason::NoBackend));
 }
+
+#[test]
+fn an_agent_that_is_told_of_more_replicas_reports_to_them_at_once() {
+    let now = Timestamp::from_millis(1_000);
+    let mut agent = start_agent(now);
+    agent.handle_timeout(now);
+    outputs(&mut agent);
+    let other = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 2), 7000);
+    let group = Group {
+        replicas: vec![pack_address(other)],
+        index: 1,
+        serves: true,
+        ..Group::default()
+    };
+    agent.handle_message(now, other, PassThroughBody::Group(group.clone()));
+    let is_report = |output: &PassThroughOutput| {
+        matches!(output, PassThroughOutput::Send { to, body: PassThroughBody::Report(_) }
+            if *to == other)
+    };
+    assert!(outputs(&mut agent).iter().any(is_report));
+    let soon = now + Duration::from_millis(100);
+    assert!(agent.poll_timeout() < soon, "nobody has heard of it yet");
+    let answer = Group {
+        answers_report: true,
+        ..group
+    };
+    agent.handle_message(now, other, PassThroughBody::Group(answer));
+    let mut reports = 0;
+    for step in 1..=40 {
+        agent.handle_timeout(now + Duration::from_millis(10) * step);
+        reports += outputs(&mut agent)
+            .iter()
+            .filter(|it| is_report(it))
+            .count();
+    }
+    assert_eq!(reports, 1, "then it reports as rarely as it was told");
+}
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -151,6 +151,7 @@
     pub fn tell_agent(&mut self, index: u8, had_former_life: bool) {
         let group = Group {
             had_former_life,
+            answers_report: true,
             ..Group::default()
         };
         let agent = self.agents.get_mut(&agent_address(index)).expect("known");
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -401,6 +401,21 @@
     /// To an agent: whether the sender has heard of a former life at its address.
     #[prost(bool, tag = "10")]
     pub had_former_life: bool,
+    /// To an agent: whether the sender has heard a report of its present life.
+    #[prost(bool, tag = "11")]
+    pub answers_report: bool,
+}
+
+/// The daemons that a replica remembers from one life to the next, to tell them
+/// where the group is. It may be old, and is never more than a hint.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RememberedDaemons {
+    /// Addresses of balancers that were attached to the replica.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub balancers: Vec<u64>,
+    /// Addresses of agents that reported to it.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub agents: Vec<u64>,
 }
 
 /// One agent of a [`Directory`].
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -14,7 +14,7 @@
     ConfigurationResponse, node_at,
 };
 use petrellatch_core::{EventKind, Timestamp};
-use petrellatch_storage::{FolderIdentity, LogStore, OpenedStore, StorageError};
+use petrellatch_storage::{FolderIdentity, LogStore, OpenedStore, SnapshotFile, StorageError};
 
 use crate::error::ProgramError;
 use crate::http::{ConnectionId, EventServer, HttpRequest, ReceivedRequest};
@@ -34,6 +34,8 @@
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Between two tries to open the data folder.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The file of the data folder with the daemons of the former life.
+const DAEMONS_FILE: &str = "daemons";
 /// The cluster that a folder belongs to, where no key tells them apart.
 const CLUSTER: u64 = 1;
 
@@ -77,10 +79,17 @@
     })?;
     let opened = open_folder(&mut event_loop, &settings, addresses);
     let start = replica_start(&settings, &opened);
-    let writer =
-        RetryingLogWriter::start(addresses.data_folder.clone(), opened.store, Arc::new(waker))?;
+    let daemons = SnapshotFile::new(addresses.data_folder.join(DAEMONS_FILE));
+    let remembered = daemons.read();
+    let writer = RetryingLogWriter::start(
+        addresses.data_folder.clone(),
+        opened.store,
+        daemons,
+        Arc::new(waker),
+    )?;
     let now = event_loop.clock.now();
     let mut node = ConfigurationNode::new(now, node_settings(addresses), start);
+    recall_daemons(&mut event_loop, &mut node, remembered);
     event_loop
         .log
         .note(now, EventKind::ProcessStarted, "replica");
@@ -104,6 +113,11 @@
                     let message = error.to_string();
                     event_loop.log.note(now, EventKind::WriteFailed, message);
                 }
+                WriteOutcome::DaemonsNotSaved(error) => {
+                    let message = error.to_string();
+                    let kind = EventKind::DaemonMemoryFailed;
+                    event_loop.log.note(now, kind, message);
+                }
             }
         }
         more = messages.receive(|from, body| node.handle_message(now, from, body)) == Batch::Full;
@@ -143,6 +157,7 @@
             match output {
                 ConfigurationOutput::Send { to, body } => messages.send(to, body),
                 ConfigurationOutput::Persist(request) => writer.write(request),
+                ConfigurationOutput::Remember(bytes) => writer.save_daemons(bytes),
                 ConfigurationOutput::Respond { token, response } => {
                     if let Some(waiting) = waiting.remove(&token) {
                         let answer = call_answer(response, addresses.operators.port());
@@ -228,6 +243,23 @@
     }
 }
 
+/// Hands the node what its former life saved of daemons.
+fn recall_daemons(
+    event_loop: &mut EventLoop,
+    node: &mut ConfigurationNode,
+    saved: Result<Option<Vec<u8>>, StorageError>,
+) {
+    let failure = match saved {
+        Ok(Some(bytes)) if node.recall_daemons(&bytes) => return,
+        Ok(Some(_)) => "the saved daemons can't be decoded".to_owned(),
+        Ok(None) => return,
+        Err(error) => error.to_string(),
+    };
+    let now = event_loop.clock.now();
+    let kind = EventKind::DaemonMemoryFailed;
+    event_loop.log.note(now, kind, failure);
+}
+
 /// The seeds found the group when all of it starts for the first time.
 fn is_founder(settings: &PassThroughSettings, addresses: &ReplicaAddresses) -> bool {
     addresses.first_start && settings.seeds.contains(&settings.messages)
--- a/crates/petrellatch/src/runtime/pass_through/retrying_log_writer.rs
+++ b/crates/petrellatch/src/runtime/pass_through/retrying_log_writer.rs
@@ -1,5 +1,6 @@
 //! Writes the replicated log on a thread of its own, and tries again when the
-//! disk refuses a write.
+//! disk refuses a write. What else is saved goes the same way, as a disk that
+//! stands still must hold up nobody else.
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 
 use mio::Waker;
 use petrellatch_core::consensus::{PersistRequest, PersistTicket};
-use petrellatch_storage::{FolderIdentity, LogStore, StorageError};
+use petrellatch_storage::{FolderIdentity, LogStore, SnapshotFile, StorageError};
 
 use crate::error::ProgramError;
 
@@ -25,12 +26,22 @@
     Done(PersistTicket),
     /// It failed and is tried again.
     Failed(StorageError),
+    /// The daemons were not saved; that is not tried again.
+    DaemonsNotSaved(StorageError),
+}
+
+/// What to write.
+#[derive(Debug)]
+enum WriteRequest {
+    Log(PersistRequest),
+    /// The daemons to remember.
+    Daemons(Vec<u8>),
 }
 
 /// The thread's ends of the channels.
 #[derive(Debug)]
 pub(super) struct RetryingLogWriter {
-    requests: Sender<PersistRequest>,
+    requests: Sender<WriteRequest>,
     outcomes: Receiver<WriteOutcome>,
 }
 
@@ -38,6 +49,7 @@
     path: PathBuf,
     identity: FolderIdentity,
     store: Option<LogStore>,
+    daemons: SnapshotFile,
     outcomes: Sender<WriteOutcome>,
     waker: Arc<Waker>,
 }
@@ -46,14 +58,16 @@
     pub(super) fn start(
         path: PathBuf,
         store: LogStore,
+        daemons: SnapshotFile,
         waker: Arc<Waker>,
     ) -> Result<Self, ProgramError> {
-        let (requests, request_receiver) = channel::<PersistRequest>();
+        let (requests, request_receiver) = channel::<WriteRequest>();
         let (outcome_sender, outcomes) = channel();
         let mut worker = Worker {
             path,
             identity: store.identity(),
             store: Some(store),
+            daemons,
             outcomes: outcome_sender,
             waker,
         };
@@ -62,7 +76,10 @@
             .stack_size(STACK_BYTES)
             .spawn(move || {
                 while let Ok(request) = request_receiver.recv() {
-                    worker.write(request);
+                    match request {
+                        WriteRequest::Log(request) => worker.write(request),
+                        WriteRequest::Daemons(bytes) => worker.save_daemons(&bytes),
+                    }
                 }
             })
             .map_err(|source| ProgramError::System {
@@ -74,7 +91,14 @@
 
     pub(super) fn write(&self, request: PersistRequest) {
         // The thread ends only with this sender.
-        let _ = self.requests.send(request);
+        let _ = self.requests.send(WriteRequest::Log(request));
+    }
+
+    /// Saves the daemons to remember. A failure is told, and not more: they are
+    /// saved again when they change.
+    pub(super) fn save_daemons(&self, bytes: Vec<u8>) {
+        // As above.
+        let _ = self.requests.send(WriteRequest::Daemons(bytes));
     }
 
     pub(super) fn poll(&self) -> Option<WriteOutcome> {
@@ -111,6 +135,12 @@
         self.store.insert(store).write(request)
     }
 
+    fn save_daemons(&self, bytes: &[u8]) {
+        if let Err(error) = self.daemons.replace(bytes) {
+            self.tell(WriteOutcome::DaemonsNotSaved(error));
+        }
+    }
+
     fn tell(&self, outcome: WriteOutcome) {
         let _ = self.outcomes.send(outcome);
         let _ = self.waker.wake();
