--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -15,4 +15,5 @@
 mod restarted_agents;
 mod returned_openings;
 mod scale;
+mod waiting_openings;
 mod world;
