--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -97,18 +97,19 @@
             return;
         }
         if self.followers.handle_directory(now, directory) {
-            self.directory_fetch.finish();
             self.took_over_from = Some(from);
             self.ask_for_directory(from, true);
             self.directory_at.get_or_insert(now + DIRECTORY_DELAY);
         }
     }
 
-    /// Takes the word of another replica on the directory that it told before.
+    /// Takes the word of another replica on the directory that it told before. As
+    /// long as that is not whole, others are asked: they may have started as well.
     pub(super) fn note_whole_takeover(&mut self, from: SocketAddrV4, group: &Group) {
         if self.took_over_from == Some(from) {
             self.took_over_from = None;
             if group.whole_directory {
+                self.directory_fetch.finish();
                 self.followers.note_whole();
             }
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/directory_fetch.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/directory_fetch.rs
@@ -9,8 +9,8 @@
 
 /// Between two replicas that are asked.
 const INTERVAL: Duration = Duration::from_millis(150);
-/// Replicas that are asked at most. If none answers, the whole group starts,
-/// and agents report by themselves.
+/// Replicas that are asked at most. If none has a whole directory by then, the
+/// whole group starts, and agents report by themselves.
 const MAX_TRIES: usize = 8;
 
 /// Whom to ask next, until somebody has answered.
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -147,13 +147,10 @@
     assert_eq!(reports.known(), 300);
 }
 
-#[test]
-fn a_replica_that_starts_takes_over_which_agents_there_are() {
-    let mut reports = Reports::new(300);
-    reports.run(20 * SECOND);
+/// Carries messages between a replica that has started and the first one.
+fn exchange(started: &mut ConfigurationNode, reports: &mut Reports) {
     let (first, newcomer) = (replica_address(1), replica_address(2));
     let now = reports.now;
-    let mut started = start_replica(now, newcomer, first);
     started.handle_timeout(now);
     for _ in 0..3 {
         while let Some(output) = started.poll_output() {
@@ -171,6 +168,27 @@
             }
         }
     }
+}
+
+#[test]
+fn a_replica_that_starts_takes_over_which_agents_there_are() {
+    let mut reports = Reports::new(300);
+    reports.run(20 * SECOND);
+    let mut started = start_replica(reports.now, replica_address(2), replica_address(1));
+    exchange(&mut started, &mut reports);
+    reports.replica = started;
+    assert_eq!(reports.known(), 300);
+}
+
+#[test]
+fn a_replica_that_starts_asks_on_while_others_have_just_started_too() {
+    let mut reports = Reports::new(300);
+    let mut started = start_replica(reports.now, replica_address(2), replica_address(1));
+    exchange(&mut started, &mut reports);
+    for _ in 0..5 {
+        reports.run(Duration::from_millis(200));
+        exchange(&mut started, &mut reports);
+    }
     reports.replica = started;
     assert_eq!(reports.known(), 300);
 }
