--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -118,7 +118,10 @@
         let objective = Duration::from_millis(self.routes.objective_millis(flow).into());
         let age = now.saturating_since(hint.began_at);
         let is_late = !objective.is_zero() && age >= objective.mul_f64(LATE_SHARE);
-        if !hint.queued && !is_late {
+        // If nobody could be asked, all agents may have just started, and have queues
+        // that nobody else needs.
+        let yields = is_late && !hint.candidates.is_empty();
+        if !hint.queued && !yields {
             hint.queued = true;
             hint.candidates.clear();
             self.ask_next(now, flow);
--- a/crates/petrellatch-core/tests/pass_through/waiting_openings.rs
+++ b/crates/petrellatch-core/tests/pass_through/waiting_openings.rs
@@ -104,3 +104,15 @@
     assert!(world.answered_by(1).is_some(), "it gets a free slot");
     assert_eq!(world.resets(), 0);
 }
+
+#[test]
+fn a_late_flow_is_offered_to_agents_that_have_just_started() {
+    let mut world = World::new(AGENTS, CAPACITY);
+    world.restart_balancer_with_objective(OBJECTIVE_MILLIS);
+    for index in 1..=AGENTS {
+        world.start_agent(index);
+    }
+    world.run(50 * MILLI);
+    world.open(1, 2);
+    assert!(world.answered_by(1).is_some());
+}
