Name gathered answers after what they are, and split their handling

Cause: the message GatheredLacks also tells who has a flow; its handler did two things; the file had the singular of its type's name. Change: GatheredAnswers, gathered_questions.rs, note_who_answered as a step of its own.

--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -20,7 +20,7 @@
 use crate::pass_through::agent_flows::AgentFlows;
 use crate::pass_through::contacts::Contacts;
 use crate::pass_through::digest::service_digest;
-use crate::pass_through::gathered_question::GatheredQuestions;
+use crate::pass_through::gathered_questions::GatheredQuestions;
 use crate::pass_through::latency::LatencyHistogram;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
--- a/crates/petrellatch-core/src/pass_through/agent/questions.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/questions.rs
@@ -76,7 +76,7 @@
     /// Tells balancers what others have answered.
     pub(super) fn tell_gathered(&mut self, now: Timestamp) {
         for (balancer, lacks) in self.gathered.take_due(now) {
-            self.send(balancer, PassThroughBody::GatheredLacks(lacks));
+            self.send(balancer, PassThroughBody::GatheredAnswers(lacks));
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -12,7 +12,7 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, GatheredLacks, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek,
+    Declined, Follow, GatheredAnswers, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek,
     SoughtFlow, pack_address,
 };
 
@@ -361,7 +361,7 @@
             PassThroughBody::Declined(declined) => self.handle_declined(now, from, &declined),
             PassThroughBody::Holds(holds) => self.handle_holds(now, from, &holds),
             PassThroughBody::Lacks(lacks) => self.handle_lacks(now, from, &lacks),
-            PassThroughBody::GatheredLacks(gathered) => self.handle_gathered(now, &gathered),
+            PassThroughBody::GatheredAnswers(gathered) => self.handle_gathered(now, &gathered),
             PassThroughBody::NotHeld(not_held) => self.handle_not_held(now, from, &not_held),
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
             PassThroughBody::Directory(directory) => {
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -43,6 +43,7 @@
                 questions.entry(asked).or_default().push(sought);
             }
         }
+        // Flows of one service mostly have the same agents, and share a message.
         for (agents, flows) in questions {
             for flows in flows.chunks(FLOWS_PER_QUESTION) {
                 self.ask(now, &agents, flows);
@@ -199,37 +200,48 @@
     }
 
     /// Takes what many agents have answered to one question.
-    pub(super) fn handle_gathered(&mut self, now: Timestamp, gathered: &GatheredLacks) {
+    pub(super) fn handle_gathered(&mut self, now: Timestamp, gathered: &GatheredAnswers) {
         let mut questions = self.asked_questions.iter();
         let question = questions.find(|(number, _)| *number == gathered.question);
         let Some(agents) = question.map(|(_, agents)| agents.clone()) else {
             return;
         };
-        let mut silent: BTreeSet<SocketAddrV4> = agents.iter().copied().collect();
+        self.note_who_answered(now, &agents, gathered);
         for answers in &gathered.flows {
             let flow = FlowId::from(answers.flow);
-            for place in AgentSet::from_bytes(&answers.held).iter() {
-                agents.get(place).map(|agent| silent.remove(agent));
-            }
             for (set, is_certain) in [(&answers.certain, true), (&answers.uncertain, false)] {
                 let places = AgentSet::from_bytes(set);
                 for agent in places.iter().filter_map(|place| agents.get(place)) {
-                    silent.remove(agent);
                     if let Some(search) = self.searches.get_mut(flow) {
                         search.note_lacks(*agent, is_certain);
                     }
                 }
             }
+            self.take_search_step(now, flow);
         }
-        for agent in &agents {
-            match silent.contains(agent) {
-                true => self.agents.note_asked(now, *agent),
-                false => self.agents.note_answered(now, *agent),
+    }
+
+    /// Notes which agents of a question have answered, and that the others were
+    /// asked.
+    fn note_who_answered(
+        &mut self,
+        now: Timestamp,
+        agents: &[SocketAddrV4],
+        gathered: &GatheredAnswers,
+    ) {
+        let sets = gathered
+            .flows
+            .iter()
+            .flat_map(|flow| [&flow.certain, &flow.uncertain, &flow.held]);
+        let answered: BTreeSet<usize> = sets
+            .flat_map(|set| AgentSet::from_bytes(set).iter().collect::<Vec<_>>())
+            .collect();
+        for (place, agent) in agents.iter().enumerate() {
+            match answered.contains(&place) {
+                true => self.agents.note_answered(now, *agent),
+                false => self.agents.note_asked(now, *agent),
             }
         }
-        for answers in &gathered.flows {
-            self.take_search_step(now, answers.flow.into());
-        }
     }
 
     /// A back end returned a packet. If the flow was open there, it is gone;
--- a/crates/petrellatch-core/src/pass_through/gathered_question.rs
+++ b/crates/petrellatch-core/src/pass_through/gathered_questions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    FlowMessage, GatheredFlow, GatheredLacks, Holds, Lacks, Seek, unpack_address,
+    FlowMessage, GatheredAnswers, GatheredFlow, Holds, Lacks, Seek, unpack_address,
 };
 
 use crate::time::Timestamp;
@@ -26,7 +26,7 @@
 
 /// One flow of a question.
 #[derive(Debug)]
-struct GatheredAnswers {
+struct FlowAnswers {
     flow: FlowId,
     certain: AgentSet,
     uncertain: AgentSet,
@@ -48,7 +48,7 @@
     number: u64,
     /// In the order of the question, this agent last.
     agents: Vec<SocketAddrV4>,
-    flows: Vec<GatheredAnswers>,
+    flows: Vec<FlowAnswers>,
     /// How many agents have not answered.
     awaited: usize,
     /// When the balancer is told what is new.
@@ -77,7 +77,7 @@
         }
         let others = seek.others.iter().copied().map(unpack_address);
         let agents: Vec<SocketAddrV4> = others.chain([own]).collect();
-        let flows = seek.flows.iter().map(|sought| GatheredAnswers {
+        let flows = seek.flows.iter().map(|sought| FlowAnswers {
             flow: sought.flow.into(),
             certain: AgentSet::default(),
             uncertain: AgentSet::default(),
@@ -124,7 +124,7 @@
     }
 
     /// What balancers are to be told now.
-    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, GatheredLacks)> {
+    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, GatheredAnswers)> {
         let mut due = Vec::new();
         for question in &mut self.questions {
             if question.tell_at.is_some_and(|at| at <= now) {
@@ -183,14 +183,14 @@
         self.awaited == 0 && self.tell_at.is_none()
     }
 
-    fn answers(&self) -> GatheredLacks {
+    fn answers(&self) -> GatheredAnswers {
         let flows = self.flows.iter().map(|answers| GatheredFlow {
             flow: answers.flow.into(),
             certain: answers.certain.to_bytes(),
             uncertain: answers.uncertain.to_bytes(),
             held: answers.held.to_bytes(),
         });
-        GatheredLacks {
+        GatheredAnswers {
             question: self.number,
             flows: flows.collect(),
         }
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -31,7 +31,7 @@
 mod flow_hints;
 mod flow_search;
 mod followers;
-mod gathered_question;
+mod gathered_questions;
 mod group_keeper;
 mod latency;
 mod output;
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -76,7 +76,7 @@
     Lacks(Lacks),
     /// Agent to balancer: what several agents answered to a question.
     #[prost(message, tag = "15")]
-    GatheredLacks(GatheredLacks),
+    GatheredAnswers(GatheredAnswers),
 }
 
 /// A flow whose agent is not known.
@@ -98,7 +98,7 @@
     #[prost(message, repeated, tag = "1")]
     pub flows: Vec<SoughtFlow>,
     /// Other agents that the receiver asks too. It gathers what they lack into
-    /// [`GatheredLacks`], so that a balancer with a thin link sends one question
+    /// [`GatheredAnswers`], so that a balancer with a thin link sends one question
     /// and gets few answers.
     #[prost(fixed64, repeated, tag = "2")]
     pub others: Vec<u64>,
@@ -112,7 +112,7 @@
 
 /// What the agents of one question have answered so far.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct GatheredLacks {
+pub struct GatheredAnswers {
     /// Number of the question.
     #[prost(uint64, tag = "1")]
     pub question: u64,
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -34,7 +34,7 @@
     Replica(ReplicaAddresses),
 }
 
-/// Addresses of a balancer.
+/// Addresses of a balancer, and what it can't observe of its link and callers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BalancerAddresses {
     /// Callers' packets (UDP). Callers get packets at the same port.
