--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -152,7 +152,6 @@
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(1),
         link_bytes_per_second: None,
-        copy_ages: Vec::new(),
     };
     let contacts = Contacts::new(vec![REPLICA]);
     let mut balancer = PassThroughBalancer::new(now, settings, Codec, Incarnation(6), contacts);
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -33,24 +33,12 @@
 use super::packet::{FlowId, PacketCodec, PacketView};
 use super::route_table::RouteTable;
 use super::seek_budget::SeekBudget;
-use super::waiting_openings::WaitingOpenings;
 
 /// Agents that are asked to take a flow into a free slot, before full ones
 /// are asked to queue it.
 const MAX_ASKED: usize = 4;
 /// Agents that are asked to queue a flow.
 const MAX_QUEUE_ASKED: usize = 4;
-/// The first pause of a flow that nobody has a place for: a back end works some
-/// 20 to 100 ms on a request, so that of many one has a place by then.
-const WAIT_PAUSE: Duration = Duration::from_millis(20);
-/// The pause doubles so often at most, to 80 ms.
-const MAX_WAIT_DOUBLINGS: u32 = 2;
-/// The longest that a flow waits for a place: the burst after a loss of power is
-/// over by then, and its caller can still try elsewhere.
-const MAX_OPENING_WAIT: Duration = Duration::from_millis(500);
-/// The part of its objective after which a new flow counts as late: what is left
-/// is about what a request takes at a cold back end, with a short queue.
-const LATE_SHARE: f64 = 0.7;
 /// When nobody was heard for so long, replicas are asked.
 const SILENCE_LIMIT: Duration = Duration::from_millis(300);
 /// When nobody was heard for so long, the balancer counts as cut off.
@@ -109,9 +97,6 @@
     /// How long a planned stop goes on handing packets after it said that it
     /// isn't ready any more.
     pub stop_delay: Duration,
-    /// How old a new flow is when a copy of its opening packet comes, by the
-    /// number of the copy.
-    pub copy_ages: Vec<Duration>,
     /// What the link of the balancer's machine carries each way, in bytes a
     /// second; none if that is not known.
     pub link_bytes_per_second: Option<u64>,
@@ -132,8 +117,6 @@
     pub refused: u64,
     /// Opening packets that came while the process stood still.
     pub stale: u64,
-    /// Times that a new flow waited for a free place.
-    pub waited: u64,
     /// Opening packets that an agent did not answer in time.
     pub unanswered: u64,
     /// Packets of flows whose agent was not known.
@@ -181,7 +164,6 @@
     /// Opening packets that wait for an answer, with the limits of it, in the
     /// order of the questions.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
-    waiting_openings: WaitingOpenings,
     answer_time: AnswerTime,
     /// Number of the question for the newest version, until it is answered
     /// and that version is in force.
@@ -236,7 +218,6 @@
             next_question: 0,
             asked_questions: VecDeque::new(),
             awaited: VecDeque::new(),
-            waiting_openings: WaitingOpenings::default(),
             answer_time: AnswerTime::default(),
             confirm: incarnation.0 | 1,
             confirmed_version: None,
@@ -383,7 +364,6 @@
             self.awaited.pop_front();
             self.handle_unanswered(now, flow, agent);
         }
-        self.continue_waiting_openings(now);
         self.continue_searches(now);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
@@ -408,7 +388,6 @@
             Some(self.follow_at),
             Some(self.silence_check_at()),
             self.attachments.overdue_at(),
-            self.waiting_openings.poll_timeout(),
             self.searches.poll_timeout(),
             awaited,
             self.stop_at,
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -26,28 +26,10 @@
         } else {
             self.hints.insert(flow, FlowHint::new(now, service));
         }
-        let age = self.settings.copy_ages.get(view.acknowledged as usize);
         if let Some(hint) = self.hints.get_mut(flow) {
             hint.opening = Some(packet.to_vec());
-            let age = age.copied().unwrap_or_default();
-            hint.began_at = hint.began_at.min(now - age);
-        }
-        if !self.waiting_openings.contains(flow) {
-            self.ask_next(now, flow);
-        }
-    }
-
-    /// Asks again for the flows that have waited long enough for a free place.
-    pub(super) fn continue_waiting_openings(&mut self, now: Timestamp) {
-        for flow in self.waiting_openings.take_due(now) {
-            let Some(hint) = self.hints.get_mut(flow) else {
-                continue;
-            };
-            // Those that answered late may still accept.
-            hint.candidates
-                .retain(|it| it.state != CandidateState::Declined);
-            self.ask_next(now, flow);
         }
+        self.ask_next(now, flow);
     }
 
     /// Asks the next agent to take a flow; refuses it if nobody is left.
@@ -59,8 +41,6 @@
             return;
         };
         let service = hint.service;
-        let objective = Duration::from_millis(self.routes.objective_millis(flow).into());
-        let remaining = objective.saturating_sub(now.saturating_since(hint.began_at));
         let limit = match hint.queued {
             false => MAX_ASKED,
             true => MAX_QUEUE_ASKED,
@@ -99,15 +79,13 @@
             service,
             reason: reason.into(),
             packet,
-            objective_millis: remaining.as_millis() as u32,
+            objective_millis: self.routes.objective_millis(flow),
             ..Carry::default()
         };
         self.send(agent, PassThroughBody::Carry(carry));
     }
 
-    /// Nobody has a free slot: asks whether somebody queues the flow. One that
-    /// can't meet its objective any more leaves the queues to those that can, and
-    /// waits for a free slot.
+    /// Nobody has a free slot: asks whether somebody queues the flow.
     fn ask_to_queue(&mut self, now: Timestamp, flow: FlowId) {
         let Some(hint) = self.hints.get_mut(flow) else {
             return;
@@ -115,54 +93,17 @@
         if hint.is_awaited() {
             return;
         }
-        let objective = Duration::from_millis(self.routes.objective_millis(flow).into());
-        let age = now.saturating_since(hint.began_at);
-        let is_late = !objective.is_zero() && age >= objective.mul_f64(LATE_SHARE);
-        // If nobody could be asked, all agents may have just started, and have queues
-        // that nobody else needs.
-        let yields = is_late && !hint.candidates.is_empty();
-        if !hint.queued && !yields {
+        if !hint.queued {
             hint.queued = true;
             hint.candidates.clear();
             self.ask_next(now, flow);
             return;
         }
-        hint.queued &= !is_late;
-        if !self.wait_for_place(now, flow, objective) {
-            self.refuse_unplaced(now, flow);
-        }
-    }
-
-    /// Lets a flow wait until places may have become free. Returns whether it
-    /// waits; it does not if it has waited for as long as it may.
-    fn wait_for_place(&mut self, now: Timestamp, flow: FlowId, objective: Duration) -> bool {
-        let Some(hint) = self.hints.get_mut(flow) else {
-            return false;
-        };
-        let limit = match objective.is_zero() {
-            true => hint.created_at,
-            false => hint.created_at + MAX_OPENING_WAIT,
-        };
-        let (agents, _) = self.agents.count_leaving(hint.service);
-        let pause = WAIT_PAUSE * (1 << hint.waits.min(MAX_WAIT_DOUBLINGS));
-        if agents == 0 || now + pause > limit || self.waiting_openings.is_full() {
-            return false;
-        }
-        hint.waits += 1;
-        self.counters.waited += 1;
-        self.waiting_openings.insert(now + pause, flow);
-        true
-    }
-
-    fn refuse_unplaced(&mut self, now: Timestamp, flow: FlowId) {
-        let Some(hint) = self.hints.remove(flow) else {
-            return;
-        };
         let service = hint.service;
-        let asked = hint.asked;
-        let waited = now.saturating_since(hint.created_at).as_millis();
+        let hint = self.hints.remove(flow);
+        let asked = hint.map(|hint| hint.asked).unwrap_or_default();
         let (agents, leaving) = self.agents.count_leaving(service);
-        let detail = format!(" {asked} agents={agents} leaving={leaving} waited={waited}");
+        let detail = format!(" {asked} agents={agents} leaving={leaving}");
         self.refuse(flow, "no_agent", &detail);
     }
 
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flow_hints.rs
@@ -74,15 +74,10 @@
     pub(super) owner: Option<SocketAddrV4>,
     /// Whether full agents were asked to queue it.
     pub(super) queued: bool,
-    /// How often it has waited for a free place.
-    pub(super) waits: u32,
     pub(super) ended: bool,
     /// The owner was suspected at the latest packet.
     pub(super) stalled: bool,
     pub(super) created_at: Timestamp,
-    /// When its caller began to open it, as far as the copies of the opening
-    /// packet tell.
-    pub(super) began_at: Timestamp,
     pub(super) used_at: Timestamp,
 }
 
@@ -95,11 +90,9 @@
             opening: None,
             owner: None,
             queued: false,
-            waits: 0,
             ended: false,
             stalled: false,
             created_at: now,
-            began_at: now,
             used_at: now,
         }
     }
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -15,5 +15,4 @@
 mod restarted_agents;
 mod returned_openings;
 mod scale;
-mod waiting_openings;
 mod world;
--- a/crates/petrellatch-core/tests/pass_through/news.rs
+++ b/crates/petrellatch-core/tests/pass_through/news.rs
@@ -28,7 +28,6 @@
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(2),
         link_bytes_per_second: None,
-        copy_ages: Vec::new(),
     };
     let contacts = Contacts::new(vec![REPLICA]);
     let mut balancer =
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -215,7 +215,6 @@
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(2),
         link_bytes_per_second: None,
-        copy_ages: Vec::new(),
     };
     let contacts = Contacts::new((1..=REPLICAS).map(replica_address).collect());
     let incarnation = Incarnation(incarnation);
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -99,11 +99,6 @@
 
     /// Makes the balancer current with one route.
     pub fn confirm(&mut self) {
-        self.confirm_with_objective(0);
-    }
-
-    /// The same with an objective for the route's requests, in milliseconds.
-    pub fn confirm_with_objective(&mut self, objective_millis: u32) {
         let change = ConfigurationChange {
             base_version: 0,
             version: 3,
@@ -115,7 +110,7 @@
                 }],
                 annotation: Vec::new(),
                 position: 0,
-                objective_millis,
+                objective_millis: 0,
             }],
             removed: Vec::new(),
             annotation: None,
@@ -175,13 +170,6 @@
         self.run(600 * MILLI);
     }
 
-    /// The same with an objective for the route's requests, in milliseconds.
-    pub fn restart_balancer_with_objective(&mut self, objective_millis: u32) {
-        self.balancer = new_balancer(self.now, None);
-        self.confirm_with_objective(objective_millis);
-        self.run(600 * MILLI);
-    }
-
     /// Starts an agent again, which forgets all flows of its back end.
     pub fn restart_agent(&mut self, index: u8, capacity: u32) {
         self.start_agent(index);
@@ -458,27 +446,6 @@
         self.callers.clear();
     }
 
-    /// Another balancer hands data of a flow to an agent.
-    pub fn request_at(&mut self, index: u8, port: u16) {
-        let elsewhere = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 98), 7000);
-        let address = agent_address(index);
-        let packet = PacketView {
-            acknowledge: true,
-            acknowledged: first_sequence(address).wrapping_add(1),
-            data_bytes: 50,
-            ..empty(caller(port), ROUTE)
-        };
-        let carry = Carry {
-            service: service_digest(SERVICE),
-            reason: CarryReason::Deliver.into(),
-            packet: encode(&packet),
-            ..Carry::default()
-        };
-        let agent = self.agents.get_mut(&address).expect("known");
-        agent.handle_message(self.now, elsewhere, PassThroughBody::Carry(carry));
-        self.settle();
-    }
-
     /// The caller sends data on a flow that this agent's back end answered.
     pub fn request(&mut self, port: u16, agent: SocketAddrV4) {
         let packet = PacketView {
@@ -548,7 +515,6 @@
         flow_lifetime: Duration::from_secs(60),
         stop_delay: Duration::from_secs(2),
         link_bytes_per_second,
-        copy_ages: vec![Duration::ZERO, 200 * MILLI, 600 * MILLI],
     };
     let contacts = Contacts::new(vec![REPLICA]);
     PassThroughBalancer::new(now, settings, TestCodec, Incarnation(6), contacts)
--- a/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/balancer_loop.rs
@@ -140,6 +140,5 @@
         flow_lifetime: settings.flow_lifetime,
         stop_delay: STOP_DELAY.min(settings.stop_limit / 2),
         link_bytes_per_second: addresses.link_bytes_per_second,
-        copy_ages: addresses.copy_ages.clone(),
     }
 }
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -16,7 +16,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 22] = [
+pub const METRIC_NAMES: [&str; 21] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -38,7 +38,6 @@
     "petrellatch_pass_through_acceptance_seconds",
     "petrellatch_pass_through_sync_seconds",
     "petrellatch_pass_through_searches_total",
-    "petrellatch_pass_through_waits_total",
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -73,11 +72,6 @@
             "Packets of flows whose agent was not known.",
             counted.sought,
         ),
-        (
-            21,
-            "Times that a new flow waited for a free place.",
-            counted.waited,
-        ),
     ] {
         raise(&counter(&registry, METRIC_NAMES[place], help), total);
     }
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -44,9 +44,6 @@
     /// What the machine's link carries each way, in bytes a second; none if that
     /// is not known.
     pub link_bytes_per_second: Option<u64>,
-    /// How old a new flow is when a copy of its opening packet comes, by the
-    /// number of the copy.
-    pub copy_ages: Vec<Duration>,
 }
 
 /// Addresses of an agent and of the back end beside it.
