--- a/crates/petrellatch-core/src/pass_through/cold_admission.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/cold_admission.rs
@@ -24,7 +24,7 @@
 
 /// Counts the flows that were admitted within the last span.
 #[derive(Debug)]
-pub(super) struct ColdAdmission {
+pub(crate) struct ColdAdmission {
     bounds: ColdBounds,
     /// Requests that the back end bears in 1,000 s; zero if nobody has told.
     millirequests_per_second: u32,
@@ -32,7 +32,7 @@
 }
 
 impl ColdAdmission {
-    pub(super) fn new(bounds: ColdBounds) -> Self {
+    pub(crate) fn new(bounds: ColdBounds) -> Self {
         ColdAdmission {
             bounds,
             millirequests_per_second: 0,
@@ -42,7 +42,7 @@
 
     /// Notes what the back end bears, as a balancer tells it. Zero tells nothing: a
     /// balancer may not have the configuration that says it.
-    pub(super) fn note_rate(&mut self, millirequests_per_second: u32) {
+    pub(crate) fn note_rate(&mut self, millirequests_per_second: u32) {
         if millirequests_per_second > 0 {
             self.millirequests_per_second = millirequests_per_second;
         }
@@ -50,13 +50,13 @@
 
     /// Whether one more flow fits within the bounds. Nothing is bounded as long as
     /// nobody has told what the back end bears.
-    pub(super) fn admits(&mut self, now: Timestamp) -> bool {
+    pub(crate) fn admits(&mut self, now: Timestamp) -> bool {
         self.forget_old(now);
         self.millirequests_per_second == 0 || self.admitted.len() < self.limit()
     }
 
     /// Notes that a flow was admitted.
-    pub(super) fn note_admitted(&mut self, now: Timestamp) {
+    pub(crate) fn note_admitted(&mut self, now: Timestamp) {
         self.forget_old(now);
         if self.admitted.len() == MAX_REMEMBERED {
             self.admitted.pop_front();
--- a/crates/petrellatch-core/src/pass_through/failure_watch.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/failure_watch.rs
@@ -23,7 +23,7 @@
 
 /// What an agent has seen of its back end's failures.
 #[derive(Debug)]
-pub(super) struct FailureWatch {
+pub(crate) struct FailureWatch {
     /// Failures since the latest answer.
     failures: u32,
     /// Who was failed last.
@@ -52,7 +52,7 @@
 impl FailureWatch {
     /// Notes that the back end reset a flow whose request it had not answered. Returns
     /// whether it is left out from now on.
-    pub(super) fn note_failure(&mut self, now: Timestamp, caller: Ipv4Addr) -> bool {
+    pub(crate) fn note_failure(&mut self, now: Timestamp, caller: Ipv4Addr) -> bool {
         let is_same_caller = self.failed_caller.replace(caller) == Some(caller);
         if now.saturating_since(self.failed_at) >= FORGIVEN_AFTER {
             self.pause = FIRST_PAUSE;
@@ -76,7 +76,7 @@
     }
 
     /// Notes that the back end answered a request. Returns whether it was left out.
-    pub(super) fn note_answer(&mut self, now: Timestamp) -> bool {
+    pub(crate) fn note_answer(&mut self, now: Timestamp) -> bool {
         self.failures = 0;
         self.failed_caller = None;
         match self.left_out_until {
@@ -88,20 +88,20 @@
 
     /// Whether a new flow is to go elsewhere: the back end is left out, or another
     /// flow tries it.
-    pub(super) fn declines(&self, now: Timestamp) -> bool {
+    pub(crate) fn declines(&self, now: Timestamp) -> bool {
         self.left_out_until
             .is_some_and(|until| now < until || now < self.probed_until)
     }
 
     /// Notes that a new flow goes to the back end.
-    pub(super) fn note_admitted(&mut self, now: Timestamp) {
+    pub(crate) fn note_admitted(&mut self, now: Timestamp) {
         if self.left_out_until.is_some() {
             self.probed_until = now + PROBE_LIMIT;
         }
     }
 
     /// How much longer balancers need not ask.
-    pub(super) fn left_out(&self, now: Timestamp) -> Duration {
+    pub(crate) fn left_out(&self, now: Timestamp) -> Duration {
         let until = self.left_out_until;
         let until = until.map_or(Timestamp::ZERO, |until| until.max(self.probed_until));
         until.saturating_since(now)
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/admission/mod.rs
@@ -0,0 +1,8 @@
+//! Admission at an agent: what its back end says of itself, how fast it works, and
+//! which new flows it gets.
+
+pub(crate) mod cold_admission;
+pub(crate) mod failure_watch;
+pub(crate) mod registration;
+pub(crate) mod service_time;
+pub(crate) mod waiting_openings;
--- a/crates/petrellatch-core/src/pass_through/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -7,7 +7,7 @@
 
 use crate::time::Timestamp;
 
-use super::digest::backend_digest;
+use crate::pass_through::digest::backend_digest;
 
 /// Requests that a back end which has not called yet is taken to work on at
 /// once. One that has fewer slots queues or returns the rest.
--- a/crates/petrellatch-core/src/pass_through/service_time.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/service_time.rs
@@ -17,14 +17,14 @@
 
 /// The mean time of requests from when they got a slot.
 #[derive(Debug, Default)]
-pub(super) struct ServiceTime {
+pub(crate) struct ServiceTime {
     mean_seconds: f64,
     samples: u32,
 }
 
 impl ServiceTime {
     /// Notes the time of a request from when it got a slot.
-    pub(super) fn record(&mut self, time: Duration) {
+    pub(crate) fn record(&mut self, time: Duration) {
         let seconds = time.as_secs_f64();
         self.samples = self.samples.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
@@ -32,7 +32,7 @@
     }
 
     /// The mean time; zero if none is known.
-    pub(super) fn mean(&self) -> Duration {
+    pub(crate) fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.mean_seconds)
     }
 
@@ -40,7 +40,7 @@
     /// the last one is likely to be answered within the objective: at least as many
     /// as it works on. If its times or the objective are not known, `unknown` for
     /// each slot.
-    pub(super) fn queue_limit(&self, objective: Duration, capacity: u32, unknown: u32) -> u32 {
+    pub(crate) fn queue_limit(&self, objective: Duration, capacity: u32, unknown: u32) -> u32 {
         if self.samples < MIN_SAMPLES || self.mean_seconds <= 0.0 || objective.is_zero() {
             return unknown.saturating_mul(capacity);
         }
--- a/crates/petrellatch-core/src/pass_through/waiting_openings.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/waiting_openings.rs
@@ -10,7 +10,7 @@
 
 use crate::time::Timestamp;
 
-use super::packet::{FlowId, OPENING_PATIENCE};
+use crate::pass_through::packet::{FlowId, OPENING_PATIENCE};
 
 /// The longest that a packet waits. In an outage that is over, places are left within
 /// a second; where they are not, the caller is told.
@@ -26,24 +26,24 @@
 
 /// A caller's opening packet at an agent.
 #[derive(Clone, Debug)]
-pub(super) struct Opening {
-    pub(super) flow: FlowId,
+pub(crate) struct Opening {
+    pub(crate) flow: FlowId,
     /// Who is told what became of it.
-    pub(super) balancer: SocketAddrV4,
-    pub(super) packet: Vec<u8>,
+    pub(crate) balancer: SocketAddrV4,
+    pub(crate) packet: Vec<u8>,
     /// By when a request should be answered; zero if that is not known.
-    pub(super) objective: Duration,
+    pub(crate) objective: Duration,
     /// How long its caller has waited, at least.
-    pub(super) age: Duration,
+    pub(crate) age: Duration,
     /// Whether it may wait for a place, here or at the back end: others have none.
-    pub(super) may_queue: bool,
+    pub(crate) may_queue: bool,
     /// Whether it is taken although the back end fails requests.
-    pub(super) despite_failures: bool,
+    pub(crate) despite_failures: bool,
 }
 
 /// Packets that wait, the oldest first.
 #[derive(Debug, Default)]
-pub(super) struct WaitingOpenings {
+pub(crate) struct WaitingOpenings {
     waiting: VecDeque<(Timestamp, Opening)>,
     paused_until: Timestamp,
 }
@@ -51,7 +51,7 @@
 impl WaitingOpenings {
     /// Lets a packet wait, if one is likely to get a place beside a back end with so
     /// many slots. Returns whether it waits.
-    pub(super) fn add(&mut self, now: Timestamp, opening: &Opening, slots: u32) -> bool {
+    pub(crate) fn add(&mut self, now: Timestamp, opening: &Opening, slots: u32) -> bool {
         let limit = slots.saturating_mul(WAITING_PER_SLOT) as usize;
         let patience = OPENING_PATIENCE.saturating_sub(opening.age + WAY_BACK);
         let has_place = now >= self.paused_until && self.waiting.len() < limit;
@@ -65,12 +65,12 @@
     }
 
     /// The packet that gets the next place.
-    pub(super) fn pop(&mut self) -> Option<Opening> {
+    pub(crate) fn pop(&mut self) -> Option<Opening> {
         self.waiting.pop_front().map(|(_, opening)| opening)
     }
 
     /// Takes out the packets that have waited in vain.
-    pub(super) fn take_expired(&mut self, now: Timestamp) -> Vec<Opening> {
+    pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<Opening> {
         let mut expired = Vec::new();
         self.waiting.retain(|(until, opening)| {
             let waits = now < *until;
@@ -85,7 +85,7 @@
         expired
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
 }
--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -7,7 +7,7 @@
 
 use super::PassThroughAgent;
 use crate::event::EventKind;
-use crate::pass_through::agent_flows::{AgentFlow, BackendPacket};
+use crate::pass_through::flows::agent_flows::{AgentFlow, BackendPacket};
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::{FlowId, PacketCodec, PacketView};
 use crate::time::Timestamp;
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -10,10 +10,10 @@
 
 use super::PassThroughAgent;
 use crate::event::EventKind;
-use crate::pass_through::agent_flows::CallerPacket;
+use crate::pass_through::admission::waiting_openings::Opening;
+use crate::pass_through::flows::agent_flows::CallerPacket;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::{FlowId, PacketCodec, PacketView};
-use crate::pass_through::waiting_openings::Opening;
 use crate::time::Timestamp;
 
 impl<C: PacketCodec> PassThroughAgent<C> {
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -20,20 +20,20 @@
 use crate::identity::Incarnation;
 use crate::time::Timestamp;
 
-use crate::pass_through::agent_flows::AgentFlows;
-use crate::pass_through::cold_admission::{ColdAdmission, ColdBounds};
-use crate::pass_through::contacts::Contacts;
+use crate::pass_through::admission::cold_admission::{ColdAdmission, ColdBounds};
+use crate::pass_through::admission::failure_watch::FailureWatch;
+use crate::pass_through::admission::registration::{Registration, RegistrationState};
+use crate::pass_through::admission::service_time::ServiceTime;
+use crate::pass_through::admission::waiting_openings::WaitingOpenings;
 use crate::pass_through::digest::service_digest;
-use crate::pass_through::evacuations::Evacuations;
-use crate::pass_through::failure_watch::FailureWatch;
-use crate::pass_through::gathered_questions::GatheredQuestions;
+use crate::pass_through::flows::agent_flows::AgentFlows;
+use crate::pass_through::flows::gathered_questions::GatheredQuestions;
+use crate::pass_through::flows::tried_flows::TriedFlows;
+use crate::pass_through::group::contacts::Contacts;
+use crate::pass_through::group::evacuations::Evacuations;
 use crate::pass_through::latency::LatencyHistogram;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
-use crate::pass_through::registration::{Registration, RegistrationState};
-use crate::pass_through::service_time::ServiceTime;
-use crate::pass_through::tried_flows::TriedFlows;
-use crate::pass_through::waiting_openings::WaitingOpenings;
 
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -20,20 +20,20 @@
 use crate::identity::Incarnation;
 use crate::time::Timestamp;
 
-use super::agent_directory::{AgentDirectory, ChosenAgent};
-use super::agent_set::AgentSet;
-use super::answer_time::AnswerTime;
-use super::attachments::Attachments;
-use super::contacts::Contacts;
+use super::choice::agent_directory::{AgentDirectory, ChosenAgent};
+use super::choice::answer_time::AnswerTime;
 use super::digest::{flow_digest, is_sampled};
-use super::evacuations::Evacuations;
-use super::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
-use super::flow_search::{FlowSearches, SearchStep};
+use super::flows::agent_set::AgentSet;
+use super::flows::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
+use super::flows::flow_search::{FlowSearches, SearchStep};
+use super::flows::seek_budget::SeekBudget;
+use super::group::attachments::Attachments;
+use super::group::contacts::Contacts;
+use super::group::evacuations::Evacuations;
 use super::latency::LatencyHistogram;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, OPENING_PATIENCE, PacketCodec, PacketView};
-use super::route_table::RouteTable;
-use super::seek_budget::SeekBudget;
+use super::routes::route_table::RouteTable;
 
 /// Agents that are asked to take a flow into a free slot, before full ones
 /// are asked to queue it.
--- a/crates/petrellatch-core/src/pass_through/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -11,12 +11,12 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::PartAssembly;
-use super::digest::{address_digest, flow_digest, service_digest, zone_digest};
-use super::evacuations::Evacuations;
-use super::flow_search::SearchedAgent;
 use super::known_agent::KnownAgent;
-use super::packet::FlowId;
+use crate::pass_through::digest::{address_digest, flow_digest, service_digest, zone_digest};
+use crate::pass_through::flows::flow_search::SearchedAgent;
+use crate::pass_through::group::evacuations::Evacuations;
+use crate::pass_through::packet::FlowId;
+use crate::pass_through::routes::change_assembly::PartAssembly;
 
 /// How long an agent is avoided whose back end returned an opening packet, or
 /// whose zone is out of service without this balancer knowing. A back end that is
@@ -44,10 +44,10 @@
 
 /// The agent that a new flow is offered to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ChosenAgent {
-    pub(super) address: SocketAddrV4,
+pub(crate) struct ChosenAgent {
+    pub(crate) address: SocketAddrV4,
     /// So many back ends of the service fail that none is left out for that.
-    pub(super) despite_failures: bool,
+    pub(crate) despite_failures: bool,
 }
 
 /// The agent with the lowest cost so far.
@@ -59,7 +59,7 @@
 
 /// Agents of one service, and how many of them take no new flows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct AgentCounts {
+pub(crate) struct AgentCounts {
     agents: usize,
     /// Their back ends leave.
     leaving: usize,
@@ -93,7 +93,7 @@
 
 /// All agents that a balancer knows.
 #[derive(Debug, Default)]
-pub(super) struct AgentDirectory {
+pub(crate) struct AgentDirectory {
     /// Digest of the balancer's own zone.
     zone: u64,
     /// Digests of the zones out of service.
@@ -105,7 +105,7 @@
 }
 
 impl AgentDirectory {
-    pub(super) fn new(zone: &str, salt: u64) -> Self {
+    pub(crate) fn new(zone: &str, salt: u64) -> Self {
         AgentDirectory {
             zone: zone_digest(zone),
             evacuated: BTreeSet::new(),
@@ -115,17 +115,17 @@
         }
     }
 
-    pub(super) fn get(&self, address: SocketAddrV4) -> Option<&KnownAgent> {
+    pub(crate) fn get(&self, address: SocketAddrV4) -> Option<&KnownAgent> {
         self.agents.get(&address)
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.agents.len()
     }
 
     /// All agents, or those of one service, as a search for a flow sees them.
     /// Unless answers arrive `in_time`, no agent is taken for gone.
-    pub(super) fn searched(
+    pub(crate) fn searched(
         &self,
         now: Timestamp,
         service: Option<u64>,
@@ -143,14 +143,14 @@
     }
 
     /// Notes that an agent was asked for flows.
-    pub(super) fn note_asked(&mut self, now: Timestamp, address: SocketAddrV4) {
+    pub(crate) fn note_asked(&mut self, now: Timestamp, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.unanswered_since.get_or_insert(now);
         }
     }
 
     /// Notes that an agent answered a question that another one passed on.
-    pub(super) fn note_answered(&mut self, now: Timestamp, address: SocketAddrV4) {
+    pub(crate) fn note_answered(&mut self, now: Timestamp, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.heard_at = now;
             agent.unanswered_since = None;
@@ -159,7 +159,7 @@
 
     /// Which of some agents asks the others for flows: one that answers, another
     /// one with each question.
-    pub(super) fn choose_asker(
+    pub(crate) fn choose_asker(
         &self,
         now: Timestamp,
         agents: &[SocketAddrV4],
@@ -179,18 +179,18 @@
     }
 
     /// Takes the zones out of service.
-    pub(super) fn set_evacuated(&mut self, evacuations: &Evacuations) {
+    pub(crate) fn set_evacuated(&mut self, evacuations: &Evacuations) {
         let zones = evacuations.evacuated();
         self.evacuated = zones.map(|record| zone_digest(&record.zone)).collect();
     }
 
     /// Whether an agent of a service is known.
-    pub(super) fn knows(&self, service: u64) -> bool {
+    pub(crate) fn knows(&self, service: u64) -> bool {
         self.agents.values().any(|agent| agent.service == service)
     }
 
     /// How many agents of a service are known, and why some take no new flows.
-    pub(super) fn count(&self, service: u64) -> AgentCounts {
+    pub(crate) fn count(&self, service: u64) -> AgentCounts {
         let of_service = |agent: &&KnownAgent| agent.service == service;
         let mut counts = AgentCounts::default();
         for agent in self.agents.values().filter(of_service) {
@@ -202,13 +202,13 @@
     }
 
     /// The revision that a replica told last; zero for none.
-    pub(super) fn revision_of(&self, replica: SocketAddrV4) -> u64 {
+    pub(crate) fn revision_of(&self, replica: SocketAddrV4) -> u64 {
         let told = self.replicas.get(&replica);
         told.map_or(0, |told| told.revision)
     }
 
     /// Whether every agent that runs is known.
-    pub(super) fn is_whole(&self, now: Timestamp) -> bool {
+    pub(crate) fn is_whole(&self, now: Timestamp) -> bool {
         let is_fresh = |at| now.saturating_since(at) < WHOLE_LIMIT;
         let mut replicas = self.replicas.values();
         replicas.any(|told| told.whole_at.is_some_and(is_fresh))
@@ -217,7 +217,7 @@
     /// A replica says that its directory has this revision, and whether that is
     /// whole. If it is the one that it told, it still hears from all agents in
     /// it.
-    pub(super) fn handle_revision(
+    pub(crate) fn handle_revision(
         &mut self,
         now: Timestamp,
         replica: SocketAddrV4,
@@ -239,7 +239,7 @@
     }
 
     /// Takes a part of what a replica knows.
-    pub(super) fn handle_directory(
+    pub(crate) fn handle_directory(
         &mut self,
         now: Timestamp,
         replica: SocketAddrV4,
@@ -328,7 +328,7 @@
 
     /// Notes a message that an agent sent itself. Returns whether it had been
     /// suspected.
-    pub(super) fn note_heard(
+    pub(crate) fn note_heard(
         &mut self,
         now: Timestamp,
         address: SocketAddrV4,
@@ -350,25 +350,25 @@
     }
 
     /// Whether an agent has not answered lately.
-    pub(super) fn is_suspected(&self, now: Timestamp, address: SocketAddrV4) -> bool {
+    pub(crate) fn is_suspected(&self, now: Timestamp, address: SocketAddrV4) -> bool {
         self.get(address).is_some_and(|it| now < it.suspect_until)
     }
 
     /// Notes that an agent takes nothing new, until it reports otherwise.
-    pub(super) fn note_state(&mut self, address: SocketAddrV4, state: AgentState) {
+    pub(crate) fn note_state(&mut self, address: SocketAddrV4, state: AgentState) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.state = state;
         }
     }
 
     /// Notes that an agent declined for a reason that holds for a while.
-    pub(super) fn note_avoided(&mut self, now: Timestamp, address: SocketAddrV4) {
+    pub(crate) fn note_avoided(&mut self, now: Timestamp, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.avoided_until = now + AVOIDANCE;
         }
     }
 
-    pub(super) fn note_sent(&mut self, address: SocketAddrV4) {
+    pub(crate) fn note_sent(&mut self, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.sent_since += 1;
         }
@@ -376,7 +376,7 @@
 
     /// Notes that an agent did not answer an opening packet in time. Returns
     /// whether that is news.
-    pub(super) fn note_missed(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+    pub(crate) fn note_missed(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
         let Some(agent) = self.agents.get_mut(&address) else {
             return false;
         };
@@ -389,7 +389,7 @@
 
     /// The agent of a service that is the best for a new flow. Those that have
     /// just started come after the others, if they are to be asked at all.
-    pub(super) fn choose(
+    pub(crate) fn choose(
         &self,
         now: Timestamp,
         service: u64,
--- a/crates/petrellatch-core/src/pass_through/answer_time.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/answer_time.rs
@@ -17,14 +17,14 @@
 /// become slow, the balancer or its link is overloaded, and asking others
 /// would add to that.
 #[derive(Debug, Default)]
-pub(super) struct AnswerTime {
+pub(crate) struct AnswerTime {
     /// Smoothed time and deviation, in seconds; none without a sample.
     estimate: Option<(f64, f64)>,
 }
 
 impl AnswerTime {
     /// Notes the time from a question to its answer.
-    pub(super) fn record(&mut self, time: Duration) {
+    pub(crate) fn record(&mut self, time: Duration) {
         let sample = time.as_secs_f64();
         self.estimate = Some(match self.estimate {
             None => (sample, sample / 2.0),
@@ -38,12 +38,12 @@
 
     /// Whether answers arrive about as fast as they should. Otherwise silence
     /// says nothing of an agent.
-    pub(super) fn is_short(&self) -> bool {
+    pub(crate) fn is_short(&self) -> bool {
         self.limit() < 2 * MIN_LIMIT
     }
 
     /// After this time an answer is overdue.
-    pub(super) fn limit(&self) -> Duration {
+    pub(crate) fn limit(&self) -> Duration {
         let Some((mean, deviation)) = self.estimate else {
             return MIN_LIMIT;
         };
--- a/crates/petrellatch-core/src/pass_through/known_agent.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
@@ -29,33 +29,33 @@
 
 /// One agent.
 #[derive(Debug)]
-pub(super) struct KnownAgent {
-    pub(super) service: u64,
-    pub(super) state: AgentState,
+pub(crate) struct KnownAgent {
+    pub(crate) service: u64,
+    pub(crate) state: AgentState,
     /// Digest of its zone.
-    pub(super) zone: u64,
-    pub(super) incarnation: u64,
-    pub(super) sequence: u64,
+    pub(crate) zone: u64,
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
     /// When it made its latest report, or sent something else.
-    pub(super) reported_at: Timestamp,
+    pub(crate) reported_at: Timestamp,
     /// When it was heard last, or a replica said last that it is there.
-    pub(super) heard_at: Timestamp,
+    pub(crate) heard_at: Timestamp,
     /// Since when it has not answered questions for flows.
-    pub(super) unanswered_since: Option<Timestamp>,
-    pub(super) load: LoadMessage,
-    pub(super) load_at: Timestamp,
+    pub(crate) unanswered_since: Option<Timestamp>,
+    pub(crate) load: LoadMessage,
+    pub(crate) load_at: Timestamp,
     /// Opening packets sent since the load was told.
-    pub(super) sent_since: u32,
-    pub(super) misses: u32,
-    pub(super) suspect_until: Timestamp,
+    pub(crate) sent_since: u32,
+    pub(crate) misses: u32,
+    pub(crate) suspect_until: Timestamp,
     /// Until then it is asked after the others.
-    pub(super) avoided_until: Timestamp,
+    pub(crate) avoided_until: Timestamp,
     /// Until then its back end is left out, by its own word.
-    pub(super) left_out_until: Timestamp,
+    pub(crate) left_out_until: Timestamp,
 }
 
 impl KnownAgent {
-    pub(super) fn note_load(&mut self, now: Timestamp, load: LoadMessage) {
+    pub(crate) fn note_load(&mut self, now: Timestamp, load: LoadMessage) {
         self.load = load;
         self.load_at = now;
         self.sent_since = 0;
@@ -65,30 +65,30 @@
     /// Whether it answers questions for flows, unless it is just restarted. One
     /// that has not heard of its back end in its present life counts as gone with
     /// that if it does not answer.
-    pub(super) fn is_expected(&self, now: Timestamp, in_time: bool) -> bool {
+    pub(crate) fn is_expected(&self, now: Timestamp, in_time: bool) -> bool {
         let is_absent = |since| now.saturating_since(since) >= ABSENCE_LIMIT;
         !in_time || (self.has_backend() && !self.unanswered_since.is_some_and(is_absent))
     }
 
     /// Whether it has answered all questions so far, and is not suspected.
-    pub(super) fn answers_questions(&self, now: Timestamp) -> bool {
+    pub(crate) fn answers_questions(&self, now: Timestamp) -> bool {
         self.has_backend() && now >= self.suspect_until && !self.is_silent(now)
     }
 
     /// Whether it has left a question unanswered for as long as a round takes.
-    pub(super) fn is_silent(&self, now: Timestamp) -> bool {
+    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
         let is_overdue = |since| now.saturating_since(since) >= ANSWER_LIMIT;
         self.unanswered_since.is_some_and(is_overdue)
     }
 
     /// Whether it has heard of its back end in its present life.
-    pub(super) fn has_backend(&self) -> bool {
+    pub(crate) fn has_backend(&self) -> bool {
         matches!(self.state, AgentState::Ready | AgentState::Draining)
     }
 
     /// Expected requests for each slot, with what speaks against the agent for a
     /// balancer in `zone`.
-    pub(super) fn cost(&self, now: Timestamp, zone: u64) -> f64 {
+    pub(crate) fn cost(&self, now: Timestamp, zone: u64) -> f64 {
         let age = now.saturating_since(self.load_at);
         let half_lives = age.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
         let told = f64::from(self.load.busy) * 0.5_f64.powf(half_lives);
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/choice/mod.rs
@@ -0,0 +1,6 @@
+//! The choice of an agent for a new flow: which agents there are, how busy they
+//! are, and which of them answer.
+
+pub(crate) mod agent_directory;
+pub(crate) mod answer_time;
+pub(crate) mod known_agent;
--- a/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
@@ -7,7 +7,7 @@
 
 use crate::consensus::PersistRequest;
 use crate::event::Event;
-use crate::pass_through::configuration::Configuration;
+use crate::pass_through::routes::configuration::Configuration;
 
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -30,15 +30,15 @@
 use crate::identity::NodeId;
 use crate::time::Timestamp;
 
-use super::configuration::Configuration;
-use super::configuration_state::ConfigurationState;
-use super::contacts::Contacts;
-use super::daemon_memory::{DaemonMemory, remembered};
-use super::evacuations::Evacuations;
-use super::followers::Followers;
-use super::group_keeper::GroupKeeper;
+use super::group::contacts::Contacts;
+use super::group::daemon_memory::{DaemonMemory, remembered};
+use super::group::evacuations::Evacuations;
+use super::group::followers::Followers;
+use super::group::group_keeper::GroupKeeper;
 use super::latency::LatencyHistogram;
-use super::replacements::Replacements;
+use super::routes::configuration::Configuration;
+use super::routes::configuration_state::ConfigurationState;
+use super::routes::replacements::Replacements;
 
 pub use calls::{
     ConfigurationOutput, ConfigurationRequest, ConfigurationResponse, ZoneOrderRefusal,
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -1,7 +1,7 @@
 //! What the node does with the outputs of its replica.
 
 use super::*;
-use crate::pass_through::configuration_state::{Applied, AppliedChange};
+use crate::pass_through::routes::configuration_state::{Applied, AppliedChange};
 
 impl ConfigurationNode {
     /// Carries out the replica's outputs.
--- a/crates/petrellatch-core/src/pass_through/configuration_node/zone_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/zone_news.rs
@@ -5,7 +5,7 @@
 //! knows: they report by themselves too rarely in a large fleet.
 
 use super::*;
-use crate::pass_through::followers::AgentsToTell;
+use crate::pass_through::group::followers::AgentsToTell;
 
 /// Between two messages to an agent that has not answered: some round trips.
 const RETELL_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/petrellatch-core/src/pass_through/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -6,7 +6,7 @@
 
 use crate::time::Timestamp;
 
-use super::packet::FlowId;
+use crate::pass_through::packet::FlowId;
 
 /// How far a caller's acknowledgement may be ahead of the first sequence
 /// number of the back end that it belongs to.
@@ -22,18 +22,18 @@
 
 /// One flow.
 #[derive(Clone, Debug)]
-pub(super) struct AgentFlow {
+pub(crate) struct AgentFlow {
     /// Who sent its packets last.
-    pub(super) balancer: Option<SocketAddrV4>,
+    pub(crate) balancer: Option<SocketAddrV4>,
     /// First sequence number of the back end, if it answered here.
-    pub(super) sequence: Option<u32>,
+    pub(crate) sequence: Option<u32>,
     /// The caller has acknowledged the back end's answer.
-    pub(super) open: bool,
+    pub(crate) open: bool,
     /// A request waits for its answer.
     busy: bool,
     /// One end has ended it.
     ended: bool,
-    pub(super) created_at: Timestamp,
+    pub(crate) created_at: Timestamp,
     /// What its request waits for.
     request: RequestState,
     active_at: Timestamp,
@@ -53,12 +53,12 @@
 
 impl AgentFlow {
     /// Whether the back end has a request of it that it has not begun to answer.
-    pub(super) fn has_request(&self) -> bool {
+    pub(crate) fn has_request(&self) -> bool {
         self.request != RequestState::None && !self.ended
     }
 
     /// Whether a packet with this acknowledgement belongs to the back end.
-    pub(super) fn owns(&self, acknowledged: u32) -> bool {
+    pub(crate) fn owns(&self, acknowledged: u32) -> bool {
         match self.sequence {
             Some(sequence) => acknowledged.wrapping_sub(sequence) < SEQUENCE_WINDOW,
             None => self.open,
@@ -68,7 +68,7 @@
 
 /// All flows of one agent, with the number of those that wait for an answer.
 #[derive(Debug, Default)]
-pub(super) struct AgentFlows {
+pub(crate) struct AgentFlows {
     flows: HashMap<FlowId, AgentFlow>,
     busy: u32,
     /// Requests that have a slot.
@@ -82,16 +82,16 @@
 }
 
 impl AgentFlows {
-    pub(super) fn get(&self, flow: FlowId) -> Option<&AgentFlow> {
+    pub(crate) fn get(&self, flow: FlowId) -> Option<&AgentFlow> {
         self.flows.get(&flow)
     }
 
-    pub(super) fn busy(&self) -> u32 {
+    pub(crate) fn busy(&self) -> u32 {
         self.busy
     }
 
     /// Frees the slots of flows that their callers did not open in time.
-    pub(super) fn release_half_open(&mut self, now: Timestamp) {
+    pub(crate) fn release_half_open(&mut self, now: Timestamp) {
         while let Some((limit, id)) = self.half_open.front().copied() {
             if now < limit {
                 return;
@@ -104,17 +104,17 @@
     }
 
     /// How many flows have not ended.
-    pub(super) fn unfinished(&self) -> usize {
+    pub(crate) fn unfinished(&self) -> usize {
         self.flows.values().filter(|flow| !flow.ended).count()
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&FlowId, &AgentFlow)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&FlowId, &AgentFlow)> {
         self.flows.iter()
     }
 
     /// Notes a packet from the caller's side. The back end works on `capacity`
     /// requests at once.
-    pub(super) fn note_from_caller(
+    pub(crate) fn note_from_caller(
         &mut self,
         now: Timestamp,
         id: FlowId,
@@ -142,7 +142,7 @@
 
     /// Notes a packet from the back end. Returns how long it worked on a request,
     /// with the packet of its answer that comes first.
-    pub(super) fn note_from_backend(
+    pub(crate) fn note_from_backend(
         &mut self,
         now: Timestamp,
         id: FlowId,
@@ -207,14 +207,14 @@
         Some(now.saturating_since(since))
     }
 
-    pub(super) fn remove(&mut self, now: Timestamp, id: FlowId) -> Option<AgentFlow> {
+    pub(crate) fn remove(&mut self, now: Timestamp, id: FlowId) -> Option<AgentFlow> {
         self.finish_request(now, id);
         self.set_busy(id, false);
         self.flows.remove(&id)
     }
 
     /// Forgets flows that are over, or that rested for `idle_limit`.
-    pub(super) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
+    pub(crate) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
         let rest = |flow: &AgentFlow| now.saturating_since(flow.active_at);
         let limit = |flow: &AgentFlow| match flow {
             flow if flow.ended => ENDED_LIMIT,
@@ -291,7 +291,7 @@
 
 /// What a packet from the caller's side means for its flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallerPacket {
+pub(crate) enum CallerPacket {
     Opening,
     Established,
     Request,
@@ -300,7 +300,7 @@
 
 /// What a packet from the back end means for its flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BackendPacket {
+pub(crate) enum BackendPacket {
     OpeningAnswer { sequence: u32 },
     Established,
     Answer,
--- a/crates/petrellatch-core/src/pass_through/agent_set.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_set.rs
@@ -2,20 +2,20 @@
 
 /// One bit for each agent, the lowest of each byte first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct AgentSet {
+pub(crate) struct AgentSet {
     bytes: Vec<u8>,
 }
 
 impl AgentSet {
     /// Reads what [`AgentSet::to_bytes`] made.
-    pub(super) fn from_bytes(bytes: &[u8]) -> AgentSet {
+    pub(crate) fn from_bytes(bytes: &[u8]) -> AgentSet {
         AgentSet {
             bytes: bytes.to_vec(),
         }
     }
 
     /// Adds an agent. Returns whether it was not in the set.
-    pub(super) fn insert(&mut self, agent: usize) -> bool {
+    pub(crate) fn insert(&mut self, agent: usize) -> bool {
         let (byte, bit) = (agent / 8, 1 << (agent % 8));
         if self.bytes.len() <= byte {
             self.bytes.resize(byte + 1, 0);
@@ -26,12 +26,12 @@
     }
 
     /// The places of the agents in the set.
-    pub(super) fn iter(&self) -> impl Iterator<Item = usize> + '_ {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = usize> + '_ {
         let bits = self.bytes.len() * 8;
         (0..bits).filter(|bit| self.bytes[bit / 8] & (1 << (bit % 8)) != 0)
     }
 
-    pub(super) fn to_bytes(&self) -> Vec<u8> {
+    pub(crate) fn to_bytes(&self) -> Vec<u8> {
         self.bytes.clone()
     }
 }
--- a/crates/petrellatch-core/src/pass_through/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_hints.rs
@@ -7,7 +7,7 @@
 
 use crate::time::Timestamp;
 
-use super::packet::FlowId;
+use crate::pass_through::packet::FlowId;
 
 /// How far a caller's acknowledgement may be ahead of the first sequence
 /// number of the back end that it belongs to.
@@ -20,7 +20,7 @@
 
 /// How an agent answered the opening packet of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CandidateState {
+pub(crate) enum CandidateState {
     Asked,
     /// The flow waits there for a place.
     Waiting,
@@ -33,23 +33,23 @@
 
 /// An agent that was asked to take a flow.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Candidate {
-    pub(super) agent: SocketAddrV4,
-    pub(super) state: CandidateState,
+pub(crate) struct Candidate {
+    pub(crate) agent: SocketAddrV4,
+    pub(crate) state: CandidateState,
     /// When it was asked; none if it answered unasked.
-    pub(super) asked_at: Option<Timestamp>,
+    pub(crate) asked_at: Option<Timestamp>,
 }
 
 /// How often agents were asked to take a flow, and what they answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct AskedAgents {
-    pub(super) asked: u32,
+pub(crate) struct AskedAgents {
+    pub(crate) asked: u32,
     /// Declined because they had no room.
-    pub(super) full: u32,
+    pub(crate) full: u32,
     /// Did not answer in time.
-    pub(super) late: u32,
+    pub(crate) late: u32,
     /// Declined for another reason.
-    pub(super) other: u32,
+    pub(crate) other: u32,
 }
 
 impl fmt::Display for AskedAgents {
@@ -69,26 +69,26 @@
 
 /// What is known of one flow.
 #[derive(Debug)]
-pub(super) struct FlowHint {
-    pub(super) service: u64,
-    pub(super) candidates: Vec<Candidate>,
-    pub(super) asked: AskedAgents,
+pub(crate) struct FlowHint {
+    pub(crate) service: u64,
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) asked: AskedAgents,
     /// The opening packet, as long as nobody has accepted it.
-    pub(super) opening: Option<Vec<u8>>,
-    pub(super) owner: Option<SocketAddrV4>,
+    pub(crate) opening: Option<Vec<u8>>,
+    pub(crate) owner: Option<SocketAddrV4>,
     /// Whether full agents were asked to queue it.
-    pub(super) queued: bool,
+    pub(crate) queued: bool,
     /// How long the caller had waited, at least, when its first packet came here.
-    pub(super) age: Duration,
-    pub(super) ended: bool,
+    pub(crate) age: Duration,
+    pub(crate) ended: bool,
     /// The owner was suspected at the latest packet.
-    pub(super) stalled: bool,
-    pub(super) created_at: Timestamp,
-    pub(super) used_at: Timestamp,
+    pub(crate) stalled: bool,
+    pub(crate) created_at: Timestamp,
+    pub(crate) used_at: Timestamp,
 }
 
 impl FlowHint {
-    pub(super) fn new(now: Timestamp, service: u64) -> Self {
+    pub(crate) fn new(now: Timestamp, service: u64) -> Self {
         FlowHint {
             service,
             candidates: Vec::new(),
@@ -104,34 +104,34 @@
         }
     }
 
-    pub(super) fn candidate_mut(&mut self, agent: SocketAddrV4) -> Option<&mut Candidate> {
+    pub(crate) fn candidate_mut(&mut self, agent: SocketAddrV4) -> Option<&mut Candidate> {
         self.candidates.iter_mut().find(|it| it.agent == agent)
     }
 
-    pub(super) fn was_asked(&self, agent: SocketAddrV4) -> bool {
+    pub(crate) fn was_asked(&self, agent: SocketAddrV4) -> bool {
         self.candidates.iter().any(|it| it.agent == agent)
     }
 
-    pub(super) fn accepted(&self) -> Option<SocketAddrV4> {
+    pub(crate) fn accepted(&self) -> Option<SocketAddrV4> {
         let accepted = |it: &&Candidate| matches!(it.state, CandidateState::Accepted { .. });
         self.candidates.iter().find(accepted).map(|it| it.agent)
     }
 
     /// Whether an answer to the opening packet is expected. A late one is not.
-    pub(super) fn is_awaited(&self) -> bool {
+    pub(crate) fn is_awaited(&self) -> bool {
         let awaited =
             |it: &Candidate| matches!(it.state, CandidateState::Asked | CandidateState::Waiting);
         self.candidates.iter().any(awaited)
     }
 
     /// Whether it waits for a place at an agent.
-    pub(super) fn is_waiting(&self) -> bool {
+    pub(crate) fn is_waiting(&self) -> bool {
         let waits = |it: &Candidate| it.state == CandidateState::Waiting;
         self.candidates.iter().any(waits)
     }
 
     /// The agent whose back end's sequence numbers the caller acknowledges.
-    pub(super) fn acknowledged(&self, acknowledged: u32) -> Option<SocketAddrV4> {
+    pub(crate) fn acknowledged(&self, acknowledged: u32) -> Option<SocketAddrV4> {
         let matches = |it: &&Candidate| match it.state {
             CandidateState::Accepted { sequence } => {
                 acknowledged.wrapping_sub(sequence) < SEQUENCE_WINDOW
@@ -142,7 +142,7 @@
     }
 
     /// The only agent that can have the flow, if there is only one.
-    pub(super) fn sole_candidate(&self) -> Option<SocketAddrV4> {
+    pub(crate) fn sole_candidate(&self) -> Option<SocketAddrV4> {
         let mut possible = self
             .candidates
             .iter()
@@ -154,40 +154,40 @@
 
 /// All hints of a balancer.
 #[derive(Debug, Default)]
-pub(super) struct FlowHints {
+pub(crate) struct FlowHints {
     hints: HashMap<FlowId, FlowHint>,
 }
 
 impl FlowHints {
-    pub(super) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowHint> {
+    pub(crate) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowHint> {
         self.hints.get_mut(&flow)
     }
 
-    pub(super) fn entry(&mut self, now: Timestamp, flow: FlowId, service: u64) -> &mut FlowHint {
+    pub(crate) fn entry(&mut self, now: Timestamp, flow: FlowId, service: u64) -> &mut FlowHint {
         let hint = self.hints.entry(flow);
         hint.or_insert_with(|| FlowHint::new(now, service))
     }
 
-    pub(super) fn insert(&mut self, flow: FlowId, hint: FlowHint) {
+    pub(crate) fn insert(&mut self, flow: FlowId, hint: FlowHint) {
         self.hints.insert(flow, hint);
     }
 
-    pub(super) fn remove(&mut self, flow: FlowId) -> Option<FlowHint> {
+    pub(crate) fn remove(&mut self, flow: FlowId) -> Option<FlowHint> {
         self.hints.remove(&flow)
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.hints.len()
     }
 
     /// Whether no more flows can be remembered.
-    pub(super) fn is_full(&self) -> bool {
+    pub(crate) fn is_full(&self) -> bool {
         self.hints.len() >= MAX_HINTS
     }
 
     /// Forgets flows that are over or never opened, and those that rested for
     /// `idle_limit`.
-    pub(super) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
+    pub(crate) fn expire(&mut self, now: Timestamp, idle_limit: Duration) {
         self.hints.retain(|_, hint| {
             let rest = now.saturating_since(hint.used_at);
             let is_open = hint.owner.is_some() && !hint.ended;
--- a/crates/petrellatch-core/src/pass_through/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -15,7 +15,7 @@
 
 use crate::time::Timestamp;
 
-use super::packet::{FlowId, PacketView};
+use crate::pass_through::packet::{FlowId, PacketView};
 
 /// Flows that are sought at once. More are not sought: their callers repeat.
 const MAX_SEARCHES: usize = 8_192;
@@ -59,21 +59,21 @@
 
 /// An agent that may be asked for flows.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct SearchedAgent {
-    pub(super) address: SocketAddrV4,
-    pub(super) service: u64,
+pub(crate) struct SearchedAgent {
+    pub(crate) address: SocketAddrV4,
+    pub(crate) service: u64,
     /// Whether it answers questions, and has heard of its back end in its
     /// present life. Otherwise its back end is taken for gone if it does not
     /// answer.
-    pub(super) is_expected: bool,
+    pub(crate) is_expected: bool,
     /// Whether it has heard of its back end in its present life. As long as
     /// replicas hear of it and it has not answered, no flow is given up.
-    pub(super) has_backend: bool,
+    pub(crate) has_backend: bool,
 }
 
 /// What to do next for a flow.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum SearchStep {
+pub(crate) enum SearchStep {
     /// Nothing yet.
     Wait,
     /// Hand the waiting packets to these agents, all at once.
@@ -84,7 +84,7 @@
 
 /// The search for one flow.
 #[derive(Debug)]
-pub(super) struct FlowSearch {
+pub(crate) struct FlowSearch {
     service: u64,
     /// What its caller acknowledged last.
     acknowledged: u32,
@@ -127,30 +127,30 @@
         }
     }
 
-    pub(super) fn service(&self) -> u64 {
+    pub(crate) fn service(&self) -> u64 {
         self.service
     }
 
-    pub(super) fn acknowledged(&self) -> u32 {
+    pub(crate) fn acknowledged(&self) -> u32 {
         self.acknowledged
     }
 
-    pub(super) fn rounds(&self) -> u32 {
+    pub(crate) fn rounds(&self) -> u32 {
         self.rounds
     }
 
-    pub(super) fn started_at(&self) -> Timestamp {
+    pub(crate) fn started_at(&self) -> Timestamp {
         self.started_at
     }
 
     /// The packet to try: the oldest one that waits.
-    pub(super) fn packet_to_try(&self) -> Option<&Vec<u8>> {
+    pub(crate) fn packet_to_try(&self) -> Option<&Vec<u8>> {
         self.waiting.front()
     }
 
     /// The packets that wait and were not tried. The one that was tried has
     /// reached the back end if the flow was found by it.
-    pub(super) fn into_untried(mut self) -> VecDeque<Vec<u8>> {
+    pub(crate) fn into_untried(mut self) -> VecDeque<Vec<u8>> {
         if self.first_is_tried {
             self.waiting.pop_front();
         }
@@ -199,7 +199,7 @@
 
     /// Begins a round. Returns whom to ask of `agents`: those that have not said
     /// that they lack the flow. That a back end lacks an open flow stays true.
-    pub(super) fn begin_round(
+    pub(crate) fn begin_round(
         &mut self,
         now: Timestamp,
         agents: &[SearchedAgent],
@@ -226,7 +226,7 @@
         asked
     }
 
-    pub(super) fn note_lacks(&mut self, agent: SocketAddrV4, certain: bool) {
+    pub(crate) fn note_lacks(&mut self, agent: SocketAddrV4, certain: bool) {
         let Some(asked) = self.agents.get_mut(&agent) else {
             return;
         };
@@ -239,7 +239,7 @@
 
     /// What to do now. `whole_directory` says whether the balancer knows every
     /// agent that runs.
-    pub(super) fn next_step(&mut self, now: Timestamp, whole_directory: bool) -> SearchStep {
+    pub(crate) fn next_step(&mut self, now: Timestamp, whole_directory: bool) -> SearchStep {
         if self.rounds == 0 {
             return SearchStep::Wait;
         }
@@ -310,7 +310,7 @@
     }
 
     /// What the agents of the service said, for the log.
-    pub(super) fn summary(&self) -> String {
+    pub(crate) fn summary(&self) -> String {
         let count = |answer| {
             let counted = |it: &&AskedAgent| it.of_service && it.answer == answer;
             self.agents.values().filter(counted).count()
@@ -327,14 +327,14 @@
     }
 
     /// Whether the caller has been silent for so long that it gave up.
-    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+    pub(crate) fn is_over(&self, now: Timestamp) -> bool {
         now.saturating_since(self.packet_at) >= SEARCH_LIMIT
     }
 }
 
 /// All searches of a balancer.
 #[derive(Debug, Default)]
-pub(super) struct FlowSearches {
+pub(crate) struct FlowSearches {
     searches: HashMap<FlowId, FlowSearch>,
     /// Flows with the ends of their rounds.
     due: BTreeSet<(Timestamp, FlowId)>,
@@ -347,7 +347,7 @@
 impl FlowSearches {
     /// Notes a packet of a flow that is not known. Returns whether its search
     /// begins with it.
-    pub(super) fn note_packet(
+    pub(crate) fn note_packet(
         &mut self,
         now: Timestamp,
         service: u64,
@@ -369,7 +369,7 @@
     }
 
     /// Notes that a back end returned a packet of a flow.
-    pub(super) fn note_returned(
+    pub(crate) fn note_returned(
         &mut self,
         now: Timestamp,
         service: u64,
@@ -398,22 +398,22 @@
         self.searches.get_mut(&flow).map(|search| (search, is_new))
     }
 
-    pub(super) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowSearch> {
+    pub(crate) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowSearch> {
         self.searches.get_mut(&flow)
     }
 
-    pub(super) fn contains(&self, flow: FlowId) -> bool {
+    pub(crate) fn contains(&self, flow: FlowId) -> bool {
         self.searches.contains_key(&flow)
     }
 
-    pub(super) fn remove(&mut self, flow: FlowId) -> Option<FlowSearch> {
+    pub(crate) fn remove(&mut self, flow: FlowId) -> Option<FlowSearch> {
         let search = self.searches.remove(&flow)?;
         self.due.remove(&(search.due_at, flow));
         Some(search)
     }
 
     /// When something is due.
-    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+    pub(crate) fn poll_timeout(&self) -> Option<Timestamp> {
         let round_end = self.due.first().map(|(due_at, _)| *due_at);
         let ask_at = (!self.unasked.is_empty()).then_some(self.ask_at);
         ask_at.into_iter().chain(round_end).min()
@@ -421,7 +421,7 @@
 
     /// The flows whose rounds have ended. They are asked for again unless they
     /// are removed.
-    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<FlowId> {
+    pub(crate) fn take_due(&mut self, now: Timestamp) -> Vec<FlowId> {
         let mut due = Vec::new();
         while let Some((due_at, flow)) = self.due.first().copied()
             && due_at <= now
@@ -433,12 +433,12 @@
     }
 
     /// Lets the next round of a flow begin.
-    pub(super) fn ask_again(&mut self, flow: FlowId) {
+    pub(crate) fn ask_again(&mut self, flow: FlowId) {
         self.unasked.push(flow);
     }
 
     /// The flows to ask for now, if questions are due.
-    pub(super) fn take_unasked(&mut self, now: Timestamp) -> Vec<FlowId> {
+    pub(crate) fn take_unasked(&mut self, now: Timestamp) -> Vec<FlowId> {
         if now < self.ask_at || self.unasked.is_empty() {
             return Vec::new();
         }
@@ -448,7 +448,7 @@
 
     /// Begins a round of one flow, unless `take_budget` does not allow to ask its
     /// agents. Returns whom to ask.
-    pub(super) fn begin_round(
+    pub(crate) fn begin_round(
         &mut self,
         now: Timestamp,
         flow: FlowId,
--- a/crates/petrellatch-core/src/pass_through/gathered_questions.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/gathered_questions.rs
@@ -11,7 +11,7 @@
 use crate::time::Timestamp;
 
 use super::agent_set::AgentSet;
-use super::packet::FlowId;
+use crate::pass_through::packet::FlowId;
 
 /// Answers are gathered for so long at first: agents of other zones answer
 /// within a few milliseconds, and a balancer's round takes 60 ms.
@@ -58,14 +58,14 @@
 
 /// All questions that an agent asks others.
 #[derive(Debug, Default)]
-pub(super) struct GatheredQuestions {
+pub(crate) struct GatheredQuestions {
     questions: VecDeque<GatheredQuestion>,
 }
 
 impl GatheredQuestions {
     /// Begins to gather the answers to a question of a balancer. `own` is the
     /// address of this agent, which answers like the others.
-    pub(super) fn begin(
+    pub(crate) fn begin(
         &mut self,
         now: Timestamp,
         balancer: SocketAddrV4,
@@ -95,7 +95,7 @@
     }
 
     /// Takes the flows that an agent lacks.
-    pub(super) fn handle_lacks(&mut self, now: Timestamp, from: SocketAddrV4, lacks: &Lacks) {
+    pub(crate) fn handle_lacks(&mut self, now: Timestamp, from: SocketAddrV4, lacks: &Lacks) {
         let certain = lacks.certain.iter().map(|flow| (*flow, Answer::Certain));
         let uncertain = lacks
             .uncertain
@@ -105,7 +105,7 @@
     }
 
     /// Takes the flows that an agent has, as the balancer does.
-    pub(super) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
+    pub(crate) fn handle_holds(&mut self, now: Timestamp, from: SocketAddrV4, holds: &Holds) {
         let held = holds.flows.iter().map(|held| (held.flow, Answer::Held));
         self.handle_answers(now, from, held);
     }
@@ -124,7 +124,7 @@
     }
 
     /// What balancers are to be told now.
-    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, GatheredAnswers)> {
+    pub(crate) fn take_due(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, GatheredAnswers)> {
         let mut due = Vec::new();
         for question in &mut self.questions {
             if question.tell_at.is_some_and(|at| at <= now) {
@@ -138,7 +138,7 @@
     }
 
     /// When [`GatheredQuestions::take_due`] is wanted.
-    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+    pub(crate) fn poll_timeout(&self) -> Option<Timestamp> {
         let told = self.questions.iter().filter_map(|it| it.tell_at).min();
         let ended = self.questions.iter().map(|it| it.ends_at).min();
         told.into_iter().chain(ended).min()
--- a/crates/petrellatch-core/src/pass_through/tried_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/tried_flows.rs
@@ -7,7 +7,7 @@
 
 use crate::time::Timestamp;
 
-use super::packet::FlowId;
+use crate::pass_through::packet::FlowId;
 
 /// Between two packets of one flow that are tried.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
@@ -19,17 +19,17 @@
 
 /// A flow whose packet is at the back end.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PendingTry {
+pub(crate) struct PendingTry {
     /// The balancer that wants to know whether the back end has the flow.
-    pub(super) balancer: SocketAddrV4,
+    pub(crate) balancer: SocketAddrV4,
     /// Whether it wants to know at once that the back end does not.
-    pub(super) tells_return: bool,
+    pub(crate) tells_return: bool,
     tried_at: Timestamp,
 }
 
 /// Which flows were tried, and which of them the back end does not have.
 #[derive(Debug, Default)]
-pub(super) struct TriedFlows {
+pub(crate) struct TriedFlows {
     /// Flows without an answer.
     pending: HashMap<FlowId, PendingTry>,
     /// Flows whose packets came back.
@@ -39,7 +39,7 @@
 impl TriedFlows {
     /// Notes that a balancer wants a packet to be tried. Returns whether it goes
     /// to the back end: not if another one went there a moment ago.
-    pub(super) fn note_tried(
+    pub(crate) fn note_tried(
         &mut self,
         now: Timestamp,
         flow: FlowId,
@@ -60,29 +60,29 @@
     }
 
     /// Takes what is known of a flow whose packet is at the back end.
-    pub(super) fn take_pending(&mut self, flow: FlowId) -> Option<PendingTry> {
+    pub(crate) fn take_pending(&mut self, flow: FlowId) -> Option<PendingTry> {
         self.pending.remove(&flow)
     }
 
     /// Notes that the back end does not have a flow.
-    pub(super) fn note_returned(&mut self, now: Timestamp, flow: FlowId) {
+    pub(crate) fn note_returned(&mut self, now: Timestamp, flow: FlowId) {
         if self.returned.len() < MAX_REMEMBERED {
             self.returned.insert(flow, now);
         }
     }
 
     /// Whether the back end said that it does not have a flow.
-    pub(super) fn was_returned(&self, flow: FlowId) -> bool {
+    pub(crate) fn was_returned(&self, flow: FlowId) -> bool {
         self.returned.contains_key(&flow)
     }
 
     /// Forgets what was known of a flow, since it opens anew.
-    pub(super) fn forget(&mut self, flow: FlowId) {
+    pub(crate) fn forget(&mut self, flow: FlowId) {
         self.returned.remove(&flow);
     }
 
     /// Forgets old flows; `lifetime` is that of a flow.
-    pub(super) fn expire(&mut self, now: Timestamp, lifetime: Duration) {
+    pub(crate) fn expire(&mut self, now: Timestamp, lifetime: Duration) {
         let age = |at: Timestamp| now.saturating_since(at);
         self.pending
             .retain(|_, pending| age(pending.tried_at) < TRY_LIMIT);
--- a/crates/petrellatch-core/src/pass_through/attachments.rs
+++ b/crates/petrellatch-core/src/pass_through/group/attachments.rs
@@ -8,7 +8,7 @@
 
 use crate::time::Timestamp;
 
-use super::digest::address_digest;
+use crate::pass_through::digest::address_digest;
 
 /// A replica that did not answer by then is avoided for a while.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
@@ -29,7 +29,7 @@
 /// group: each daemon has an order of its own, and takes the first ones that
 /// answer and hear a leader.
 #[derive(Debug)]
-pub(super) struct Attachments {
+pub(crate) struct Attachments {
     /// Stands for the daemon in its order of replicas.
     salt: u64,
     replicas: BTreeMap<SocketAddrV4, Attachment>,
@@ -37,7 +37,7 @@
 }
 
 impl Attachments {
-    pub(super) fn new(salt: u64) -> Self {
+    pub(crate) fn new(salt: u64) -> Self {
         Attachments {
             salt,
             replicas: BTreeMap::new(),
@@ -47,7 +47,7 @@
 
     /// The replicas to ask now, at most `count` of those that are known. They
     /// are expected to answer.
-    pub(super) fn choose(
+    pub(crate) fn choose(
         &mut self,
         now: Timestamp,
         known: &BTreeSet<SocketAddrV4>,
@@ -70,12 +70,12 @@
     }
 
     /// Whether a replica was chosen last.
-    pub(super) fn contains(&self, replica: SocketAddrV4) -> bool {
+    pub(crate) fn contains(&self, replica: SocketAddrV4) -> bool {
         self.chosen.contains(&replica)
     }
 
     /// Notes an answer. A replica that does not serve is avoided.
-    pub(super) fn note_answer(&mut self, now: Timestamp, replica: SocketAddrV4, serves: bool) {
+    pub(crate) fn note_answer(&mut self, now: Timestamp, replica: SocketAddrV4, serves: bool) {
         let attachment = self.replicas.entry(replica).or_default();
         attachment.asked_at = None;
         if serves {
@@ -87,7 +87,7 @@
     }
 
     /// When the first answer is overdue.
-    pub(super) fn overdue_at(&self) -> Option<Timestamp> {
+    pub(crate) fn overdue_at(&self) -> Option<Timestamp> {
         let asked = self.replicas.values().filter_map(|it| it.asked_at);
         asked.min().map(|asked| asked + ANSWER_LIMIT)
     }
--- a/crates/petrellatch-core/src/pass_through/daemon_memory.rs
+++ b/crates/petrellatch-core/src/pass_through/group/daemon_memory.rs
@@ -12,7 +12,7 @@
 
 use crate::time::Timestamp;
 
-use super::digest::address_digest;
+use crate::pass_through::digest::address_digest;
 
 /// Between two looks at whether daemons changed: a write takes the disk from the
 /// log for some 15 ms, and what is told is only a hint.
@@ -23,7 +23,7 @@
 
 /// The daemons of the former life, and what is on disk.
 #[derive(Debug)]
-pub(super) struct DaemonMemory {
+pub(crate) struct DaemonMemory {
     /// Daemons that have not been told in this life.
     untold: RememberedDaemons,
     saved: RememberedDaemons,
@@ -31,7 +31,7 @@
 }
 
 impl DaemonMemory {
-    pub(super) fn new(now: Timestamp) -> Self {
+    pub(crate) fn new(now: Timestamp) -> Self {
         DaemonMemory {
             untold: RememberedDaemons::default(),
             saved: RememberedDaemons::default(),
@@ -40,7 +40,7 @@
     }
 
     /// Takes what a former life saved. Returns whether it could be read.
-    pub(super) fn recall(&mut self, bytes: &[u8]) -> bool {
+    pub(crate) fn recall(&mut self, bytes: &[u8]) -> bool {
         let Ok(saved) = RememberedDaemons::decode(bytes) else {
             return false;
         };
@@ -49,13 +49,13 @@
         true
     }
 
-    pub(super) fn poll_timeout(&self) -> Timestamp {
+    pub(crate) fn poll_timeout(&self) -> Timestamp {
         self.save_at
     }
 
     /// What to save, if that is due and `current` differs from what is saved. A
     /// replica that hears nobody may be cut off; it keeps what it has.
-    pub(super) fn save(
+    pub(crate) fn save(
         &mut self,
         now: Timestamp,
         current: impl FnOnce() -> RememberedDaemons,
@@ -75,7 +75,7 @@
 
     /// The daemons that this replica, one of `replicas`, tells where the group
     /// is. Each is told once in a life.
-    pub(super) fn take_untold(&mut self, own: u64, replicas: &[u64]) -> Vec<SocketAddrV4> {
+    pub(crate) fn take_untold(&mut self, own: u64, replicas: &[u64]) -> Vec<SocketAddrV4> {
         let untold = std::mem::take(&mut self.untold);
         let agents = untold.agents.into_iter();
         let agents = agents.filter(|agent| is_told_by(*agent, own, replicas));
@@ -85,7 +85,7 @@
 }
 
 /// Packs the addresses of daemons.
-pub(super) fn remembered(
+pub(crate) fn remembered(
     balancers: Vec<SocketAddrV4>,
     agents: impl Iterator<Item = u64>,
 ) -> RememberedDaemons {
--- a/crates/petrellatch-core/src/pass_through/evacuations.rs
+++ b/crates/petrellatch-core/src/pass_through/group/evacuations.rs
@@ -30,13 +30,13 @@
     }
 
     /// Index of the latest order about a zone; zero if there was none.
-    pub(super) fn index_of(&self, zone: &str) -> u64 {
+    pub(crate) fn index_of(&self, zone: &str) -> u64 {
         self.zones.get(zone).map_or(0, |record| record.index)
     }
 
     /// Applies an order. A repeated one keeps what the first one noted. Returns
     /// whether it changed something.
-    pub(super) fn apply(&mut self, index: u64, order: &ZoneOrder) -> bool {
+    pub(crate) fn apply(&mut self, index: u64, order: &ZoneOrder) -> bool {
         if self.contains(&order.zone) == order.evacuated {
             return false;
         }
@@ -53,7 +53,7 @@
     }
 
     /// Takes what another process told, if that is newer. Returns whether it is.
-    pub(super) fn take_newer(&mut self, told: &ZoneRecords) -> bool {
+    pub(crate) fn take_newer(&mut self, told: &ZoneRecords) -> bool {
         let is_newer = told.index > self.index;
         if is_newer {
             *self = Evacuations::from_message(told);
@@ -61,7 +61,7 @@
         is_newer
     }
 
-    pub(super) fn from_message(told: &ZoneRecords) -> Evacuations {
+    pub(crate) fn from_message(told: &ZoneRecords) -> Evacuations {
         let zones = told.zones.iter();
         let zones = zones.map(|record| (record.zone.clone(), record.clone()));
         Evacuations {
@@ -70,7 +70,7 @@
         }
     }
 
-    pub(super) fn to_message(&self) -> ZoneRecords {
+    pub(crate) fn to_message(&self) -> ZoneRecords {
         ZoneRecords {
             index: self.index,
             zones: self.zones.values().cloned().collect(),
@@ -78,7 +78,7 @@
     }
 
     /// What somebody who knows the orders up to `known` has to be told, if anything.
-    pub(super) fn news_since(&self, known: u64) -> Option<ZoneRecords> {
+    pub(crate) fn news_since(&self, known: u64) -> Option<ZoneRecords> {
         (self.index > known).then(|| self.to_message())
     }
 }
--- a/crates/petrellatch-core/src/pass_through/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -12,9 +12,9 @@
 
 use crate::time::Timestamp;
 
-use super::change_assembly::{PartAssembly, compress, split};
-use super::configuration::Configuration;
 use super::evacuations::Evacuations;
+use crate::pass_through::routes::change_assembly::{PartAssembly, compress, split};
+use crate::pass_through::routes::configuration::Configuration;
 
 /// A balancer that did not ask for so long is forgotten.
 const FOLLOWER_LIMIT: Duration = Duration::from_secs(10);
@@ -65,13 +65,13 @@
 
 /// Agents that are told of orders about zones.
 #[derive(Debug, Default)]
-pub(super) struct AgentsToTell {
+pub(crate) struct AgentsToTell {
     /// Those that are told now.
-    pub(super) told: Vec<SocketAddrV4>,
+    pub(crate) told: Vec<SocketAddrV4>,
     /// Others are due as well.
-    pub(super) more_are_due: bool,
+    pub(crate) more_are_due: bool,
     /// Others were told a moment ago and have not answered.
-    pub(super) some_wait: bool,
+    pub(crate) some_wait: bool,
 }
 
 /// Digests of back ends that said to one agent that they leave.
@@ -83,7 +83,7 @@
 
 /// Soft state of a replica: who follows it, and which agents there are.
 #[derive(Debug, Default)]
-pub(super) struct Followers {
+pub(crate) struct Followers {
     followers: BTreeMap<SocketAddrV4, Timestamp>,
     agents: BTreeMap<u64, ReportedAgent>,
     /// Back ends that leave, by the address of their agent, for its next lives.
@@ -107,7 +107,7 @@
 impl Followers {
     /// Starts without followers and agents. `life` tells the revisions of this
     /// life from those of others.
-    pub(super) fn new(now: Timestamp, life: u32) -> Self {
+    pub(crate) fn new(now: Timestamp, life: u32) -> Self {
         Followers {
             started_at: now,
             revision: u64::from(life.max(1)) << 32,
@@ -115,46 +115,46 @@
         }
     }
 
-    pub(super) fn revision(&self) -> u64 {
+    pub(crate) fn revision(&self) -> u64 {
         self.revision
     }
 
     /// Whether every agent that runs is in the directory: each has reported
     /// since the start, or another replica told of all.
-    pub(super) fn is_whole(&self, now: Timestamp) -> bool {
+    pub(crate) fn is_whole(&self, now: Timestamp) -> bool {
         self.took_over_whole || now >= self.whole_at()
     }
 
     /// When all agents have reported.
-    pub(super) fn whole_at(&self) -> Timestamp {
+    pub(crate) fn whole_at(&self) -> Timestamp {
         let interval = self.told_interval.max(MIN_REPORT_INTERVAL);
         self.started_at + interval + REPORT_DELAY
     }
 
     /// Notes that the directory that was taken over is whole.
-    pub(super) fn note_whole(&mut self) {
+    pub(crate) fn note_whole(&mut self) {
         self.took_over_whole = true;
     }
 
-    pub(super) fn note_follower(&mut self, now: Timestamp, address: SocketAddrV4) {
+    pub(crate) fn note_follower(&mut self, now: Timestamp, address: SocketAddrV4) {
         self.followers.insert(address, now);
     }
 
-    pub(super) fn forget_follower(&mut self, address: SocketAddrV4) {
+    pub(crate) fn forget_follower(&mut self, address: SocketAddrV4) {
         self.followers.remove(&address);
     }
 
-    pub(super) fn followers(&self) -> Vec<SocketAddrV4> {
+    pub(crate) fn followers(&self) -> Vec<SocketAddrV4> {
         self.followers.keys().copied().collect()
     }
 
     /// Addresses of the agents that report.
-    pub(super) fn agents(&self) -> impl Iterator<Item = u64> + '_ {
+    pub(crate) fn agents(&self) -> impl Iterator<Item = u64> + '_ {
         self.agents.keys().copied()
     }
 
     /// Takes a report. Returns whether balancers should know at once.
-    pub(super) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
+    pub(crate) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
         let leaving = std::mem::take(&mut report.leaving);
         let interval = Duration::from_millis(u64::from(report.interval_millis));
         self.told_interval = self.told_interval.max(interval.min(MAX_REPORT_INTERVAL));
@@ -195,7 +195,7 @@
 
     /// Takes a part of what another replica knows of agents. Returns whether
     /// that is complete. What this replica heard itself goes before it.
-    pub(super) fn handle_directory(&mut self, now: Timestamp, directory: Directory) -> bool {
+    pub(crate) fn handle_directory(&mut self, now: Timestamp, directory: Directory) -> bool {
         if directory.base_revision != 0 {
             return false;
         }
@@ -223,13 +223,13 @@
     }
 
     /// Whether another life of the agent at `address` was known before this one.
-    pub(super) fn had_former_life(&self, address: u64) -> bool {
+    pub(crate) fn had_former_life(&self, address: u64) -> bool {
         let agent = self.agents.get(&address);
         agent.is_some_and(|agent| agent.had_former_life)
     }
 
     /// Notes that an agent knows the orders about zones up to an index.
-    pub(super) fn note_evacuations_known(&mut self, address: u64, index: u64) {
+    pub(crate) fn note_evacuations_known(&mut self, address: u64, index: u64) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.evacuations_index = agent.evacuations_index.max(index);
             agent.tellings = 0;
@@ -238,7 +238,7 @@
 
     /// Addresses of agents that have not said that they know the latest order
     /// about their zone.
-    pub(super) fn agents_behind(&self, evacuations: &Evacuations) -> impl Iterator<Item = u64> {
+    pub(crate) fn agents_behind(&self, evacuations: &Evacuations) -> impl Iterator<Item = u64> {
         let behind = self.agents.iter();
         let behind = behind.filter(|(_, agent)| agent.is_behind(evacuations));
         behind.map(|(address, _)| *address)
@@ -246,7 +246,7 @@
 
     /// At most `limit` of those agents that were not told within `interval`. They
     /// count as told now. One that never answers is told again when it reports.
-    pub(super) fn agents_to_tell(
+    pub(crate) fn agents_to_tell(
         &mut self,
         now: Timestamp,
         evacuations: &Evacuations,
@@ -274,7 +274,7 @@
     }
 
     /// A service none of whose agents is in a zone that `stays` in service.
-    pub(super) fn service_without_zone(&self, stays: impl Fn(&str) -> bool) -> Option<String> {
+    pub(crate) fn service_without_zone(&self, stays: impl Fn(&str) -> bool) -> Option<String> {
         let mut services: BTreeMap<&str, bool> = BTreeMap::new();
         for agent in self.agents.values() {
             let has_zone = services.entry(agent.report.service.as_str()).or_default();
@@ -285,7 +285,7 @@
     }
 
     /// What lives of the agent at `address` told of back ends that leave.
-    pub(super) fn leaving(&self, address: u64) -> Vec<u64> {
+    pub(crate) fn leaving(&self, address: u64) -> Vec<u64> {
         let leaving = self.leaving.get(&address);
         leaving.map_or_else(Vec::new, |leaving| leaving.digests.clone())
     }
@@ -305,7 +305,7 @@
         known.digests.drain(..excess);
     }
 
-    pub(super) fn expire(&mut self, now: Timestamp) {
+    pub(crate) fn expire(&mut self, now: Timestamp) {
         self.leaving
             .retain(|_, leaving| now.saturating_since(leaving.told_at) < LEAVING_MEMORY);
         self.followers
@@ -328,7 +328,7 @@
     }
 
     /// The time between two reports of an agent that this replica bears.
-    pub(super) fn report_interval(&self) -> Duration {
+    pub(crate) fn report_interval(&self) -> Duration {
         let interval = Duration::from_secs(1) * self.agents.len() as u32 / REPORTS_PER_SECOND;
         interval.min(MAX_REPORT_INTERVAL)
     }
@@ -343,7 +343,7 @@
     }
 
     /// Keeps a change for balancers that are a little behind.
-    pub(super) fn note_change(&mut self, change: &ConfigurationChange) {
+    pub(crate) fn note_change(&mut self, change: &ConfigurationChange) {
         let mut change = change.clone();
         strip(&mut change);
         self.changes.push_back(change);
@@ -352,12 +352,12 @@
         }
     }
 
-    pub(super) fn forget_changes(&mut self) {
+    pub(crate) fn forget_changes(&mut self) {
         self.changes.clear();
     }
 
     /// What a balancer with `version` needs to have the newest one.
-    pub(super) fn news(&self, version: u64, newest: &Configuration) -> Vec<PassThroughBody> {
+    pub(crate) fn news(&self, version: u64, newest: &Configuration) -> Vec<PassThroughBody> {
         if version >= newest.version {
             return Vec::new();
         }
@@ -377,7 +377,7 @@
 
     /// How the directory differs from `base`, as messages for balancers; none
     /// if it does not.
-    pub(super) fn directory(&self, now: Timestamp, base: u64) -> Vec<PassThroughBody> {
+    pub(crate) fn directory(&self, now: Timestamp, base: u64) -> Vec<PassThroughBody> {
         if base == self.revision {
             return Vec::new();
         }
--- a/crates/petrellatch-core/src/pass_through/group_keeper.rs
+++ b/crates/petrellatch-core/src/pass_through/group/group_keeper.rs
@@ -19,7 +19,7 @@
 
 /// Decisions of a leader about the members of its group, one at a time.
 #[derive(Debug)]
-pub(super) struct GroupKeeper {
+pub(crate) struct GroupKeeper {
     /// How many machines may be lost at once.
     losses: usize,
     /// How many zones may be lost at once; zero or one.
@@ -36,7 +36,7 @@
 }
 
 impl GroupKeeper {
-    pub(super) fn new(losses: usize, zone_losses: usize, silence_limit: Duration) -> Self {
+    pub(crate) fn new(losses: usize, zone_losses: usize, silence_limit: Duration) -> Self {
         GroupKeeper {
             losses,
             zone_losses,
@@ -49,14 +49,14 @@
     }
 
     /// Notes which nodes belong to the group.
-    pub(super) fn note_membership(&mut self, now: Timestamp, membership: &Membership) {
+    pub(crate) fn note_membership(&mut self, now: Timestamp, membership: &Membership) {
         let members = membership.members().iter().map(|it| it.replica.node);
         let known = |node| (node, *self.nodes.get(&node).unwrap_or(&now));
         self.nodes = members.map(known).collect();
     }
 
     /// Notes where a replica runs.
-    pub(super) fn note_zone(&mut self, node: NodeId, zone: String) {
+    pub(crate) fn note_zone(&mut self, node: NodeId, zone: String) {
         if self.zones.len() >= MAX_ZONES_KNOWN {
             let members = &self.nodes;
             self.zones.retain(|known, _| members.contains_key(known));
@@ -65,16 +65,16 @@
     }
 
     /// Forgets what an earlier leadership heard.
-    pub(super) fn restart(&mut self) {
+    pub(crate) fn restart(&mut self) {
         self.heard.clear();
     }
 
-    pub(super) fn poll_timeout(&self) -> Timestamp {
+    pub(crate) fn poll_timeout(&self) -> Timestamp {
         self.due_at
     }
 
     /// Proposes the next change, if one is due.
-    pub(super) fn handle_timeout(&mut self, now: Timestamp, replica: &mut Replica) {
+    pub(crate) fn handle_timeout(&mut self, now: Timestamp, replica: &mut Replica) {
         if now < self.due_at {
             return;
         }
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -14,40 +14,21 @@
 //! * A [`ConfigurationNode`] is a replica of the group that holds the
 //!   configuration, and passes on which agents there are.
 
+mod admission;
 mod agent;
-mod agent_directory;
-mod agent_flows;
-mod agent_set;
-mod answer_time;
-mod attachments;
 mod balancer;
-mod change_assembly;
-mod cold_admission;
-mod configuration;
+mod choice;
 mod configuration_node;
-mod configuration_state;
-mod contacts;
-mod daemon_memory;
 mod digest;
-mod evacuations;
-mod failure_watch;
-mod flow_hints;
-mod flow_search;
-mod followers;
-mod gathered_questions;
-mod group_keeper;
-mod known_agent;
+mod flows;
+mod group;
 mod latency;
 mod output;
 mod packet;
-mod registration;
-mod replacements;
-mod route_table;
-mod seek_budget;
-mod service_time;
-mod tried_flows;
-mod waiting_openings;
+mod routes;
 
+pub use admission::cold_admission::ColdBounds;
+pub use admission::registration::Registration;
 pub use agent::{
     PassThroughAgent, PassThroughAgentCounters, PassThroughAgentLatencies, PassThroughAgentSettings,
 };
@@ -55,17 +36,15 @@
     PassThroughBalancer, PassThroughBalancerCounters, PassThroughBalancerLatencies,
     PassThroughBalancerSettings,
 };
-pub use cold_admission::ColdBounds;
-pub use configuration::{Configuration, ConfigurationError};
 pub use configuration_node::{
     ConfigurationNode, ConfigurationNodeLatencies, ConfigurationNodeSettings, ConfigurationOutput,
     ConfigurationRequest, ConfigurationResponse, ZoneOrderRefusal, node_address, node_at,
 };
-pub use contacts::Contacts;
 pub use digest::service_digest;
-pub use evacuations::Evacuations;
+pub use group::contacts::Contacts;
+pub use group::evacuations::Evacuations;
 pub use latency::LatencyHistogram;
 pub use output::PassThroughOutput;
 pub use packet::{FlowId, PacketCodec, PacketView};
-pub use registration::Registration;
-pub use route_table::RouteTable;
+pub use routes::configuration::{Configuration, ConfigurationError};
+pub use routes::route_table::RouteTable;
--- a/crates/petrellatch-core/src/pass_through/configuration_state.rs
+++ b/crates/petrellatch-core/src/pass_through/routes/configuration_state.rs
@@ -5,23 +5,23 @@
 
 use super::change_assembly::{PartAssembly, compress, decompress, split};
 use super::configuration::Configuration;
-use super::evacuations::Evacuations;
+use crate::pass_through::group::evacuations::Evacuations;
 
 /// Largest part of a change in one command, in bytes.
 const COMMAND_PART_BYTES: usize = 6 * 1024;
 
 /// A change that took effect, or did not, when its last part was applied.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct AppliedChange {
+pub(crate) struct AppliedChange {
     /// Number of the change.
-    pub(super) id: u64,
+    pub(crate) id: u64,
     /// What it changed; `None` if it was based on another version.
-    pub(super) change: Option<ConfigurationChange>,
+    pub(crate) change: Option<ConfigurationChange>,
 }
 
 /// What a command has led to.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum Applied {
+pub(crate) enum Applied {
     /// A change of the configuration is complete.
     Change(AppliedChange),
     /// An order about a zone holds.
@@ -36,7 +36,7 @@
 /// The configuration, the zones out of service, and the change whose parts are
 /// being applied.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct ConfigurationState {
+pub(crate) struct ConfigurationState {
     configuration: Configuration,
     evacuations: Evacuations,
     assembly: PartAssembly,
@@ -55,16 +55,16 @@
 }
 
 impl ConfigurationState {
-    pub(super) fn configuration(&self) -> &Configuration {
+    pub(crate) fn configuration(&self) -> &Configuration {
         &self.configuration
     }
 
-    pub(super) fn evacuations(&self) -> &Evacuations {
+    pub(crate) fn evacuations(&self) -> &Evacuations {
         &self.evacuations
     }
 
     /// The command that makes an order about a zone.
-    pub(super) fn zone_command(order: &ZoneOrder) -> Vec<u8> {
+    pub(crate) fn zone_command(order: &ZoneOrder) -> Vec<u8> {
         let command = GroupCommand {
             zone_order: Some(order.clone()),
             ..GroupCommand::default()
@@ -73,7 +73,7 @@
     }
 
     /// The commands that make a change.
-    pub(super) fn commands(id: u64, change: &ConfigurationChange) -> Vec<Vec<u8>> {
+    pub(crate) fn commands(id: u64, change: &ConfigurationChange) -> Vec<Vec<u8>> {
         let bytes = compress(&change.encode_to_vec());
         let parts = split(&bytes, COMMAND_PART_BYTES);
         let count = parts.len() as u32;
@@ -90,7 +90,7 @@
 
     /// Applies the command at `index` of the log. One that can't be decoded has no
     /// effect at any replica.
-    pub(super) fn apply(&mut self, index: u64, bytes: &[u8]) -> Option<Applied> {
+    pub(crate) fn apply(&mut self, index: u64, bytes: &[u8]) -> Option<Applied> {
         let command = GroupCommand::decode(bytes).ok()?;
         if let Some(order) = command.zone_order {
             let changed = self.evacuations.apply(index, &order);
@@ -115,7 +115,7 @@
         Some(AppliedChange { id, change })
     }
 
-    pub(super) fn encode_snapshot(&self) -> Vec<u8> {
+    pub(crate) fn encode_snapshot(&self) -> Vec<u8> {
         let snapshot = StateSnapshot {
             configuration: Some(Configuration::default().change_to(&self.configuration)),
             pending: self.pending.clone(),
@@ -124,7 +124,7 @@
         compress(&snapshot.encode_to_vec())
     }
 
-    pub(super) fn decode_snapshot(bytes: &[u8]) -> Option<ConfigurationState> {
+    pub(crate) fn decode_snapshot(bytes: &[u8]) -> Option<ConfigurationState> {
         let snapshot = StateSnapshot::decode(decompress(bytes)?.as_slice()).ok()?;
         let mut state = ConfigurationState::default();
         state.configuration.apply(&snapshot.configuration?);
--- a/crates/petrellatch-core/src/pass_through/replacements.rs
+++ b/crates/petrellatch-core/src/pass_through/routes/replacements.rs
@@ -16,14 +16,14 @@
 /// Replacements by version. Only the highest is proposed; the others are
 /// overtaken by it and acknowledged with it.
 #[derive(Debug, Default)]
-pub(super) struct Replacements {
+pub(crate) struct Replacements {
     waiting: BTreeMap<u64, Waiting>,
     /// Number of the change that is in the log, not yet committed.
     proposed: Option<u64>,
 }
 
 impl Replacements {
-    pub(super) fn add(&mut self, token: u64, deadline: Timestamp, configuration: Configuration) {
+    pub(crate) fn add(&mut self, token: u64, deadline: Timestamp, configuration: Configuration) {
         let waiting = self.waiting.entry(configuration.version);
         let waiting = waiting.or_insert_with(|| Waiting {
             configuration,
@@ -33,7 +33,7 @@
     }
 
     /// The replacement to propose next, unless one is under way.
-    pub(super) fn next(&self) -> Option<&Configuration> {
+    pub(crate) fn next(&self) -> Option<&Configuration> {
         if self.proposed.is_some() {
             return None;
         }
@@ -41,12 +41,12 @@
         last.map(|(_, waiting)| &waiting.configuration)
     }
 
-    pub(super) fn note_proposed(&mut self, change: u64) {
+    pub(crate) fn note_proposed(&mut self, change: u64) {
         self.proposed = Some(change);
     }
 
     /// Notes that a change was applied or lost.
-    pub(super) fn note_finished(&mut self, change: u64) {
+    pub(crate) fn note_finished(&mut self, change: u64) {
         if self.proposed == Some(change) {
             self.proposed = None;
         }
@@ -54,21 +54,21 @@
 
     /// Takes out all who wait for a version up to `version`, with the times by
     /// which they want their answers.
-    pub(super) fn take_reached(&mut self, version: u64) -> Vec<(u64, Timestamp)> {
+    pub(crate) fn take_reached(&mut self, version: u64) -> Vec<(u64, Timestamp)> {
         let higher = self.waiting.split_off(&(version + 1));
         let reached = std::mem::replace(&mut self.waiting, higher);
         tokens(reached)
     }
 
     /// Takes out all.
-    pub(super) fn take_all(&mut self) -> Vec<(u64, Timestamp)> {
+    pub(crate) fn take_all(&mut self) -> Vec<(u64, Timestamp)> {
         self.proposed = None;
         tokens(std::mem::take(&mut self.waiting))
     }
 
     /// Takes out those who have waited too long. Their replacements may still
     /// be accepted.
-    pub(super) fn take_expired(&mut self, now: Timestamp) -> Vec<u64> {
+    pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<u64> {
         let mut expired = Vec::new();
         for waiting in self.waiting.values_mut() {
             let is_due = |(_, deadline): &(u64, Timestamp)| *deadline <= now;
--- a/crates/petrellatch-core/src/pass_through/route_table.rs
+++ b/crates/petrellatch-core/src/pass_through/routes/route_table.rs
@@ -8,8 +8,8 @@
 };
 
 use super::change_assembly::PartAssembly;
-use super::digest::{flow_digest, service_digest};
-use super::packet::FlowId;
+use crate::pass_through::digest::{flow_digest, service_digest};
+use crate::pass_through::packet::FlowId;
 
 /// Salt of the hash that spreads a route's flows over its shares.
 const SHARE_SALT: u64 = 0x5348_4152;
