Carry priority, deadline and times of work in routes and messages

Cause: no decision knows how urgent a request is, when its caller gives up, or how long a back end works on one. The users' routes say the first two, agents measure the third. Ruled out: a table of classes beside the routes (a second thing to keep in step). Change: records of routes carry priority and deadline, opening packets hand them to agents, load figures have the time of work, open flows and their demand, declines the balancer's turn at a place. No decision changes yet.

--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -68,6 +68,7 @@
         annotation: annotation.into_bytes(),
         position: 0,
         objective_millis: 0,
+        ..RouteRecord::default()
     }
 }
 
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -149,6 +149,7 @@
             flow: flow.into(),
             reason: reason.into(),
             load,
+            turn_micros: 0,
         };
         self.send(to, PassThroughBody::Declined(declined));
     }
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -26,6 +26,9 @@
             capacity: self.registration.capacity(),
             cold: self.registration.is_cold(now),
             left_out_millis: self.failure_watch.left_out(now).as_millis() as u32,
+            work_micros: self.service_time.mean().as_micros() as u32,
+            open_flows: 0,
+            demand_millislots: 0,
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -58,8 +58,8 @@
         waited: Duration,
     ) -> FlowHint {
         let age = view.least_age() + waited;
-        let objective = self.routes.objective_millis(view.flow_from_caller());
-        let objective = Duration::from_millis(u64::from(objective));
+        let class = self.routes.class(view.flow_from_caller());
+        let objective = Duration::from_millis(u64::from(class.objective_millis));
         FlowHint {
             age,
             queued: !objective.is_zero() && age >= objective,
@@ -115,11 +115,14 @@
             let subject = format!("flow={flow} agent={agent} version={version} reason={reason:?}");
             self.emit_event(EventKind::FlowPlaced, subject);
         }
+        let class = self.routes.class(flow);
         let carry = Carry {
             service,
             reason: reason.into(),
             packet,
-            objective_millis: self.routes.objective_millis(flow),
+            objective_millis: class.objective_millis,
+            deadline_millis: class.deadline_millis,
+            priority: class.priority,
             cold_millirequests_per_second: self.routes.cold_rate(service),
             age_millis: age.as_millis() as u32,
             despite_failures,
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -47,4 +47,4 @@
 pub use output::PassThroughOutput;
 pub use packet::{FlowId, PacketCodec, PacketView};
 pub use routes::configuration::{Configuration, ConfigurationError};
-pub use routes::route_table::RouteTable;
+pub use routes::route_table::{RequestClass, RouteTable};
--- a/crates/petrellatch-core/src/pass_through/routes/route_table.rs
+++ b/crates/petrellatch-core/src/pass_through/routes/route_table.rs
@@ -34,7 +34,20 @@
 #[derive(Debug)]
 struct Route {
     shares: Vec<Share>,
-    objective_millis: u32,
+    class: RequestClass,
+}
+
+/// What the configuration says of the requests of a route. Times are in milliseconds,
+/// zero if they are not known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestClass {
+    /// By when a request should be answered.
+    pub objective_millis: u32,
+    /// When callers give a request up.
+    pub deadline_millis: u32,
+    /// How urgent they are among those that compete for a place: zero is the most
+    /// urgent.
+    pub priority: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,11 +89,10 @@
         None
     }
 
-    /// By when requests of this flow should be answered, in milliseconds; zero
-    /// if that is not known.
-    pub fn objective_millis(&self, flow: FlowId) -> u32 {
+    /// What is said of the requests of this flow.
+    pub fn class(&self, flow: FlowId) -> RequestClass {
         let route = self.routes.get(&flow.route);
-        route.map_or(0, |route| route.objective_millis)
+        route.map(|route| route.class).unwrap_or_default()
     }
 
     /// Requests that a back end of a service bears in 1,000 s while it warms up; zero
@@ -137,7 +149,11 @@
         for record in &change.put {
             let route = Route {
                 shares: shares(record),
-                objective_millis: record.objective_millis,
+                class: RequestClass {
+                    objective_millis: record.objective_millis,
+                    deadline_millis: record.deadline_millis,
+                    priority: record.priority,
+                },
             };
             self.routes.insert(unpack_address(record.address), route);
         }
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -41,6 +41,7 @@
         annotation: vec![index; 40],
         position: 0,
         objective_millis: 0,
+        ..RouteRecord::default()
     };
     let services = vec![ServiceRecord {
         service: "desk".to_owned(),
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -159,6 +159,7 @@
                 annotation: Vec::new(),
                 position: 0,
                 objective_millis: self.objective_millis,
+                ..RouteRecord::default()
             }],
             removed: Vec::new(),
             annotation: None,
--- a/crates/petrellatch-proto/src/pass_through.rs
+++ b/crates/petrellatch-proto/src/pass_through.rs
@@ -282,6 +282,12 @@
     /// left out for that.
     #[prost(bool, tag = "9")]
     pub despite_failures: bool,
+    /// With an opening packet: [`RouteRecord::priority`].
+    #[prost(uint32, tag = "10")]
+    pub priority: u32,
+    /// With an opening packet: [`RouteRecord::deadline_millis`].
+    #[prost(uint32, tag = "11")]
+    pub deadline_millis: u32,
 }
 
 /// How busy an agent's back end is.
@@ -300,6 +306,17 @@
     /// requests that it got.
     #[prost(uint32, tag = "4")]
     pub left_out_millis: u32,
+    /// The mean time that the back end works on a request from when it got a slot, in
+    /// microseconds; zero if that is not known.
+    #[prost(uint32, tag = "5")]
+    pub work_micros: u32,
+    /// Flows that are open at the back end, also those that rest.
+    #[prost(uint32, tag = "6")]
+    pub open_flows: u32,
+    /// Slots that the open flows keep busy in the mean of the last seconds, in
+    /// thousandths of a slot.
+    #[prost(uint32, tag = "7")]
+    pub demand_millislots: u32,
 }
 
 /// The back end answered an opening packet.
@@ -364,6 +381,11 @@
     /// The load.
     #[prost(message, required, tag = "3")]
     pub load: LoadMessage,
+    /// With [`DeclineReason::Full`]: the time in which one place for a flow of this
+    /// priority is likely to come free here for the balancer, among all balancers that
+    /// ask, in microseconds; zero if that can't be foretold.
+    #[prost(uint32, tag = "4")]
+    pub turn_micros: u32,
 }
 
 /// One flow that an agent's back end has.
@@ -614,6 +636,14 @@
     /// not known.
     #[prost(uint32, tag = "5")]
     pub objective_millis: u32,
+    /// How urgent its requests are among those that compete for a place: zero is the
+    /// most urgent.
+    #[prost(uint32, tag = "6")]
+    pub priority: u32,
+    /// When callers give a request up, in milliseconds after they sent it; zero if
+    /// that is not known.
+    #[prost(uint32, tag = "7")]
+    pub deadline_millis: u32,
 }
 
 /// What the configuration says of a service.
