Ask the agents of all services before a flow is told as gone

Cause: above 64 agents a search asked only the agents of the service that the route names now, and took their word for the whole; below that it neither tried nor waited for agents of other services. An open flow stays where it is when its route moves, so a living flow was reset.

Ruled out: all agents with the first question (a living flow costs more), the services that a route has named within the life of a flow (a balancer that has just started does not know them), the packet to agents of other services (strangers, and no truer).

Change: the service of the route first, then all others; tries, silence and the verdict count every agent. One agent asks 1,000 others at most. An agent that is handed a packet of another service's flow says that it does not hold it.

Conclusion: an open flow is sought wherever it may be.

--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -29,14 +29,14 @@
         self.balancers.insert(from, now);
         let flow = view.flow_from_caller();
         let reason = carry.reason();
-        let opens = matches!(reason, CarryReason::Open | CarryReason::OpenQueued);
-        if carry.service != self.service {
-            if opens {
+        match reason {
+            CarryReason::Open | CarryReason::OpenQueued if carry.service != self.service => {
                 self.decline(now, from, flow, DeclineReason::WrongService);
             }
-            return;
-        }
-        match reason {
+            // It is for the agent that was at this address before.
+            CarryReason::Deliver if carry.service != self.service && !self.holds(&view) => {
+                self.tell_not_held(from, &view, false);
+            }
             CarryReason::Open if self.state(now) == AgentState::Starting => {
                 self.decline(now, from, flow, DeclineReason::NoBackend);
             }
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Whether the back end has the flow of a packet, as far as is known.
+    fn holds(&self, view: &PacketView) -> bool {
+        let known = self.flows.get(view.flow_from_caller());
+        known.is_some_and(|known| known.owns(view.acknowledged))
+    }
+
     /// Passes a packet on to the other agents that are to try it.
     fn pass_on(&mut self, balancer: SocketAddrV4, carry: &Carry) {
         for other in &carry.others {
@@ -89,8 +95,7 @@
         tells_return: bool,
     ) {
         let flow = view.flow_from_caller();
-        let known = self.flows.get(flow);
-        if known.is_some_and(|known| known.owns(view.acknowledged)) {
+        if self.holds(view) {
             self.tell_held(from, flow);
             self.deliver(now, from, view, packet);
         } else if self.tried.was_returned(flow) {
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -55,8 +55,13 @@
 const ATTACHMENTS: usize = 2;
 /// Replicas that are asked when nobody is heard.
 const ASKED_IN_SILENCE: usize = 5;
-/// In a directory of at most so many agents all are asked for a flow.
+/// In a directory of at most so many agents all are asked for a flow at once. Among
+/// more, those of the service that its route names now are asked first: they have
+/// most flows, and a list of all costs more than a second message.
 const SEEK_ALL_LIMIT: usize = 64;
+/// Agents that one agent asks, or passes a packet on to: their addresses take 8 KB,
+/// an eighth of the largest datagram.
+const AGENTS_PER_QUESTION: usize = 1_000;
 /// Flows in one question.
 const FLOWS_PER_QUESTION: usize = 200;
 /// If more agents are to be asked for a flow, one of them asks the others: below
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -30,8 +30,10 @@
                 flow: flow.into(),
                 acknowledged: search.acknowledged(),
             };
-            let all = self.agents.len() <= SEEK_ALL_LIMIT;
-            let service = (!all).then_some(search.service());
+            if self.agents.len() <= SEEK_ALL_LIMIT {
+                search.ask_all();
+            }
+            let service = (!search.asks_all()).then_some(search.service());
             let in_time = self.answer_time.is_short();
             let agents = self.agents.searched(now, service, in_time);
             let take_budget = |asked: &Vec<SocketAddrV4>| {
@@ -46,7 +48,9 @@
         // Flows of one service mostly have the same agents, and share a message.
         for (agents, flows) in questions {
             for flows in flows.chunks(FLOWS_PER_QUESTION) {
-                self.ask(now, &agents, flows);
+                for agents in agents.chunks(AGENTS_PER_QUESTION) {
+                    self.ask(now, agents, flows);
+                }
             }
         }
     }
@@ -92,6 +96,7 @@
         };
         match search.next_step(now, whole_directory) {
             SearchStep::Wait => {}
+            SearchStep::AskAll => self.searches.ask_all(flow),
             SearchStep::Try(agents) => self.try_agents(flow, &agents),
             SearchStep::Gone => self.reset_gone(now, flow),
         }
@@ -117,18 +122,20 @@
             }
             return;
         }
-        // Flows and rounds take turns among the agents.
-        let turn = u64::from(rounds).wrapping_add(flow_digest(flow, 0));
-        let first = agents[(turn % agents.len() as u64) as usize];
-        let others = agents.iter().filter(|agent| **agent != first);
-        let carry = Carry {
-            service,
-            reason: CarryReason::Try.into(),
-            packet,
-            others: others.map(|agent| pack_address(*agent)).collect(),
-            ..Carry::default()
-        };
-        self.send(first, PassThroughBody::Carry(carry));
+        for agents in agents.chunks(AGENTS_PER_QUESTION) {
+            // Flows and rounds take turns among the agents.
+            let turn = u64::from(rounds).wrapping_add(flow_digest(flow, 0));
+            let first = agents[(turn % agents.len() as u64) as usize];
+            let others = agents.iter().filter(|agent| **agent != first);
+            let carry = Carry {
+                service,
+                reason: CarryReason::Try.into(),
+                packet: packet.clone(),
+                others: others.map(|agent| pack_address(*agent)).collect(),
+                ..Carry::default()
+            };
+            self.send(first, PassThroughBody::Carry(carry));
+        }
     }
 
     /// Tells the caller that no back end has its flow, so that it can open
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -135,7 +135,6 @@
         let agents = self.agents.iter().filter(|(_, agent)| wanted(agent));
         let searched = agents.map(|(address, agent)| SearchedAgent {
             address: *address,
-            service: agent.service,
             is_expected: agent.is_expected(now, in_time),
             has_backend: agent.has_backend(),
         });
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -2,10 +2,12 @@
 //! not know.
 //!
 //! A flow is open at one back end only, and packets that reach others are a
-//! fault. So the agents are asked first. Those that may have forgotten flows get
-//! the packet only if the flow's own agent is certainly among them: all agents
-//! of the service have answered, and all get it at the same moment. A flow is
-//! given up, and its caller told, once every back end is known not to have it.
+//! fault. So the agents are asked first: those of the service that the route names
+//! now, if there are many, and then the others, since an open flow stays where it
+//! is when its route moves. Those that may have forgotten flows get the packet only
+//! if the flow's own agent is certainly among them: all agents have answered, and
+//! all get it at the same moment. A flow is given up, and its caller told, once
+//! every back end is known not to have it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -49,8 +51,6 @@
 #[derive(Clone, Copy, Debug)]
 struct AskedAgent {
     answer: SearchAnswer,
-    /// Whether it serves the service that the flow was opened for.
-    of_service: bool,
     /// See [`SearchedAgent::is_expected`].
     is_expected: bool,
     /// See [`SearchedAgent::has_backend`].
@@ -61,7 +61,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SearchedAgent {
     pub(crate) address: SocketAddrV4,
-    pub(crate) service: u64,
     /// Whether it answers questions, and has heard of its back end in its
     /// present life. Otherwise its back end is taken for gone if it does not
     /// answer.
@@ -76,16 +75,31 @@
 pub(crate) enum SearchStep {
     /// Nothing yet.
     Wait,
+    /// Ask the agents of other services as well.
+    AskAll,
     /// Hand the waiting packets to these agents, all at once.
     Try(Vec<SocketAddrV4>),
     /// No back end has the flow.
     Gone,
 }
 
+/// Whom a search asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SearchScope {
+    /// The agents of one service, which have most of the flows that are sought.
+    Service,
+    /// All from the next round on.
+    AllNext,
+    /// All have been asked: what they say is the whole truth.
+    All,
+}
+
 /// The search for one flow.
 #[derive(Debug)]
 pub(crate) struct FlowSearch {
+    /// The service that is asked first.
     service: u64,
+    scope: SearchScope,
     /// What its caller acknowledged last.
     acknowledged: u32,
     /// Packets that wait, the oldest first.
@@ -112,6 +126,7 @@
     fn new(now: Timestamp, service: u64) -> Self {
         FlowSearch {
             service,
+            scope: SearchScope::Service,
             acknowledged: 0,
             waiting: VecDeque::new(),
             awaits_answer: false,
@@ -131,6 +146,18 @@
         self.service
     }
 
+    /// Whether agents of other services are asked as well.
+    pub(crate) fn asks_all(&self) -> bool {
+        self.scope != SearchScope::Service
+    }
+
+    /// Lets the next round go to the agents of all services.
+    pub(crate) fn ask_all(&mut self) {
+        if self.scope == SearchScope::Service {
+            self.scope = SearchScope::AllNext;
+        }
+    }
+
     pub(crate) fn acknowledged(&self) -> u32 {
         self.acknowledged
     }
@@ -180,7 +207,6 @@
         self.awaits_answer |= returned.request;
         let known = AskedAgent {
             answer: SearchAnswer::Lacks,
-            of_service: true,
             is_expected: true,
             has_backend: true,
         };
@@ -205,6 +231,9 @@
         agents: &[SearchedAgent],
     ) -> Vec<SocketAddrV4> {
         self.rounds += 1;
+        if self.scope == SearchScope::AllNext {
+            self.scope = SearchScope::All;
+        }
         self.asked_at = now;
         self.due_at = now + ROUND * (1 << (self.rounds - 1).min(MAX_ROUND_DOUBLINGS));
         let lacks = |agent: &AskedAgent| agent.answer == SearchAnswer::Lacks;
@@ -216,7 +245,6 @@
             }
             let asked_agent = AskedAgent {
                 answer: SearchAnswer::Missing,
-                of_service: agent.service == self.service,
                 is_expected: agent.is_expected,
                 has_backend: agent.has_backend,
             };
@@ -243,20 +271,21 @@
         if self.rounds == 0 {
             return SearchStep::Wait;
         }
-        let count = |of_service, answer| {
-            let counted = |it: &&AskedAgent| it.of_service == of_service && it.answer == answer;
-            self.agents.values().filter(counted).count()
-        };
         let is_due = now.saturating_since(self.asked_at) >= ROUND;
         let missing = match is_due {
             true => self.expected(),
-            false => count(true, SearchAnswer::Missing),
+            false => self.count(SearchAnswer::Missing),
         };
-        let uncertain = count(true, SearchAnswer::Uncertain);
-        let tried = count(true, SearchAnswer::Tried);
         if missing > 0 && !is_due {
             return SearchStep::Wait;
         }
+        match self.scope {
+            SearchScope::Service => return SearchStep::AskAll,
+            SearchScope::AllNext => return SearchStep::Wait,
+            SearchScope::All => {}
+        }
+        let uncertain = self.count(SearchAnswer::Uncertain);
+        let tried = self.count(SearchAnswer::Tried);
         let is_complete = missing == 0 && whole_directory && self.most_have_answered();
         if uncertain > 0 {
             let are_few = uncertain + self.tries <= MAX_STRANGERS;
@@ -266,40 +295,42 @@
                 false => SearchStep::Wait,
             };
         }
-        let others_answered = count(false, SearchAnswer::Missing) == 0 || is_due;
         let may_reset = self.awaits_answer && !self.ended && !self.may_be_at_silent_agent();
-        match is_complete && tried == 0 && others_answered && may_reset {
+        match is_complete && tried == 0 && may_reset {
             true => SearchStep::Gone,
             false => SearchStep::Wait,
         }
     }
 
+    /// How many agents have given this answer.
+    fn count(&self, answer: SearchAnswer) -> usize {
+        let agents = self.agents.values();
+        agents.filter(|agent| agent.answer == answer).count()
+    }
+
     /// Whether an agent that has not answered may have the flow.
     fn may_be_at_silent_agent(&self) -> bool {
         let mut agents = self.agents.values();
-        agents.any(|it| it.of_service && it.has_backend && it.answer == SearchAnswer::Missing)
+        agents.any(|it| it.has_backend && it.answer == SearchAnswer::Missing)
     }
 
-    /// Whether more than half of the service's agents have answered. If not, it
-    /// is the balancer that does not hear them.
+    /// Whether more than half of the agents have answered. If not, it is the
+    /// balancer that does not hear them.
     fn most_have_answered(&self) -> bool {
-        let of_service = || self.agents.values().filter(|it| it.of_service);
-        let answered = of_service().filter(|it| it.answer != SearchAnswer::Missing);
-        answered.count() * 2 > of_service().count()
+        let missing = self.count(SearchAnswer::Missing);
+        missing * 2 < self.agents.len()
     }
 
-    /// Agents of the service that have not answered and are expected to.
+    /// Agents that have not answered and are expected to.
     fn expected(&self) -> usize {
-        let is_awaited = |it: &&AskedAgent| {
-            it.of_service && it.is_expected && it.answer == SearchAnswer::Missing
-        };
+        let is_awaited = |it: &&AskedAgent| it.is_expected && it.answer == SearchAnswer::Missing;
         self.agents.values().filter(is_awaited).count()
     }
 
     fn note_tried(&mut self) -> Vec<SocketAddrV4> {
         let mut tried = Vec::new();
         for (address, agent) in &mut self.agents {
-            if agent.of_service && agent.answer == SearchAnswer::Uncertain {
+            if agent.answer == SearchAnswer::Uncertain {
                 agent.answer = SearchAnswer::Tried;
                 tried.push(*address);
             }
@@ -309,16 +340,12 @@
         tried
     }
 
-    /// What the agents of the service said, for the log.
+    /// What the agents said, for the log.
     pub(crate) fn summary(&self) -> String {
-        let count = |answer| {
-            let counted = |it: &&AskedAgent| it.of_service && it.answer == answer;
-            self.agents.values().filter(counted).count()
-        };
-        let missing = count(SearchAnswer::Missing);
-        let uncertain = count(SearchAnswer::Uncertain);
-        let tried = count(SearchAnswer::Tried);
-        let lacks = count(SearchAnswer::Lacks);
+        let missing = self.count(SearchAnswer::Missing);
+        let uncertain = self.count(SearchAnswer::Uncertain);
+        let tried = self.count(SearchAnswer::Tried);
+        let lacks = self.count(SearchAnswer::Lacks);
         let rounds = self.rounds;
         let expected = self.expected();
         format!(
@@ -437,6 +464,17 @@
         self.unasked.push(flow);
     }
 
+    /// Lets the next round of a flow begin now, with the agents of all services.
+    pub(crate) fn ask_all(&mut self, flow: FlowId) {
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return;
+        };
+        search.ask_all();
+        if self.due.remove(&(search.due_at, flow)) {
+            self.unasked.push(flow);
+        }
+    }
+
     /// The flows to ask for now, if questions are due.
     pub(crate) fn take_unasked(&mut self, now: Timestamp) -> Vec<FlowId> {
         if now < self.ask_at || self.unasked.is_empty() {
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -14,6 +14,7 @@
 mod late_calls;
 mod lost_flows;
 mod lost_flows_at_size;
+mod moved_routes;
 mod news;
 mod queueing;
 mod remembered_daemons;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -22,6 +22,7 @@
 use super::codec::{TestCodec, empty, encode};
 
 pub const SERVICE: &str = "desk";
+pub const OTHER_SERVICE: &str = "files";
 /// As wide as nobody notices.
 pub const COLD_BOUNDS: ColdBounds = ColdBounds {
     excess: 1.5,
@@ -87,10 +88,20 @@
     /// What the configuration says that a cold back end bears, in requests in
     /// 1,000 s.
     pub cold_rate: u32,
+    /// The service of each agent.
+    service_of: fn(u8) -> &'static str,
+    version: u64,
+    /// Services of the route, with their weights; none if it is dropped.
+    shares: Vec<(&'static str, u32)>,
 }
 
 impl World {
     pub fn new(agents: u8, capacity: u32) -> World {
+        World::with_services(agents, capacity, |_| SERVICE)
+    }
+
+    /// A world whose route names [`SERVICE`], with agents of others beside.
+    pub fn with_services(agents: u8, capacity: u32, service_of: fn(u8) -> &'static str) -> World {
         let now = Timestamp::from_millis(1_000);
         let mut world = World {
             now,
@@ -112,6 +123,9 @@
             quick_backends: false,
             cold_rate: 0,
             objective_millis: 0,
+            service_of,
+            version: 3,
+            shares: vec![(SERVICE, 1)],
         };
         world.confirm();
         for index in 1..=agents {
@@ -140,27 +154,37 @@
     pub fn confirm(&mut self) {
         let confirmed = Confirmed {
             confirm: 7,
-            version: 3,
+            version: self.version,
             zones: None,
         };
         self.confirm_with(confirmed);
     }
 
+    /// A newer version in which the route names these services, or is dropped.
+    pub fn change_route(&mut self, shares: &[(&'static str, u32)]) {
+        self.version += 1;
+        self.shares = shares.to_vec();
+        self.confirm();
+    }
+
     fn confirm_with(&mut self, confirmed: Confirmed) {
+        let share = |(service, weight): &(&str, u32)| ShareRecord {
+            service: (*service).to_owned(),
+            weight: *weight,
+        };
+        let route = RouteRecord {
+            address: pack_address(ROUTE),
+            shares: self.shares.iter().map(share).collect(),
+            annotation: Vec::new(),
+            position: 0,
+            objective_millis: self.objective_millis,
+            ..RouteRecord::default()
+        };
+        let is_dropped = self.shares.is_empty();
         let change = ConfigurationChange {
             base_version: 0,
-            version: 3,
-            put: vec![RouteRecord {
-                address: pack_address(ROUTE),
-                shares: vec![ShareRecord {
-                    service: SERVICE.to_owned(),
-                    weight: 1,
-                }],
-                annotation: Vec::new(),
-                position: 0,
-                objective_millis: self.objective_millis,
-                ..RouteRecord::default()
-            }],
+            version: self.version,
+            put: if is_dropped { Vec::new() } else { vec![route] },
             removed: Vec::new(),
             annotation: None,
             put_services: vec![ServiceRecord {
@@ -171,7 +195,7 @@
         };
         let part = ConfigurationPart {
             base_version: 0,
-            version: 3,
+            version: self.version,
             part: 0,
             parts: 1,
             bytes: compress_prepend_size(&change.encode_to_vec()),
@@ -231,7 +255,7 @@
         let settings = PassThroughAgentSettings {
             address,
             zone: "a".to_owned(),
-            service: SERVICE.to_owned(),
+            service: (self.service_of)(index).to_owned(),
             first_start: false,
             report_interval: Duration::from_millis(500),
             silence_limit: Duration::from_secs(6),
