Leave places in queues to urgent flows, and foretell turns with refusals

Cause: an agent knew no urgency. And a balancer that was refused for lack of room could not know when to ask again. Change: admission/priorities.rs leaves so many places behind the slots to more urgent flows that one in 50 finds none, from the rate at which they were lately taken; after an urgent one is refused, less urgent ones get free slots only for 100 ms; after 16 more urgent ones a less urgent one may use the whole queue. admission/turns.rs counts the balancers that offered flows within a second; a refusal for lack of room carries time of work x balancers / slots. Counter of such refusals by priority. The tests' desk tells what the agent says and takes the fields of an opening packet; no assertion of it changed.

--- a/crates/petrellatch-core/src/pass_through/admission/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/mod.rs
@@ -3,6 +3,8 @@
 
 pub(crate) mod cold_admission;
 pub(crate) mod failure_watch;
+pub(crate) mod priorities;
 pub(crate) mod registration;
 pub(crate) mod service_time;
+pub(crate) mod turns;
 pub(crate) mod waiting_openings;
--- a/crates/petrellatch-core/src/pass_through/admission/service_time.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/service_time.rs
@@ -36,6 +36,11 @@
         Duration::from_secs_f64(self.mean_seconds)
     }
 
+    /// The mean time, once it rests on enough requests.
+    pub(crate) fn known_mean(&self) -> Option<Duration> {
+        (self.samples >= MIN_SAMPLES).then(|| self.mean())
+    }
+
     /// How many requests a back end that works on `capacity` at once may have so that
     /// the last one is likely to be answered within the objective: at least as many
     /// as it works on. If its times or the objective are not known, `unknown` for
--- a/crates/petrellatch-core/src/pass_through/admission/waiting_openings.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/waiting_openings.rs
@@ -33,6 +33,8 @@
     pub(crate) packet: Vec<u8>,
     /// By when a request should be answered; zero if that is not known.
     pub(crate) objective: Duration,
+    /// How urgent it is; zero is the most urgent.
+    pub(crate) priority: u32,
     /// How long its caller has waited, at least.
     pub(crate) age: Duration,
     /// Whether it may wait for a place, here or at the back end: others have none.
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -43,11 +43,13 @@
             CarryReason::Open | CarryReason::OpenQueued => {
                 self.cold_admission
                     .note_rate(carry.cold_millirequests_per_second);
+                self.asking.note_asked(now, from);
                 let opening = Opening {
                     flow,
                     balancer: from,
                     objective: Duration::from_millis(u64::from(carry.objective_millis)),
                     age: Duration::from_millis(u64::from(carry.age_millis)),
+                    priority: carry.priority,
                     may_queue: reason == CarryReason::OpenQueued,
                     despite_failures: carry.despite_failures,
                     packet: carry.packet,
@@ -138,6 +140,16 @@
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
     }
 
+    /// How long a balancer need not ask, if a new flow is declined for this reason.
+    fn turn(&self, now: Timestamp, reason: DeclineReason) -> Duration {
+        let work = match reason {
+            DeclineReason::Full => self.service_time.known_mean(),
+            _ => None,
+        };
+        let slots = self.registration.capacity();
+        work.map_or(Duration::ZERO, |work| self.asking.turn(now, work, slots))
+    }
+
     pub(super) fn decline(
         &mut self,
         now: Timestamp,
@@ -154,7 +166,7 @@
             flow: flow.into(),
             reason: reason.into(),
             load,
-            turn_micros: 0,
+            turn_micros: self.turn(now, reason).as_micros() as u32,
         };
         self.send(to, PassThroughBody::Declined(declined));
     }
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -22,8 +22,10 @@
 
 use crate::pass_through::admission::cold_admission::{ColdAdmission, ColdBounds};
 use crate::pass_through::admission::failure_watch::FailureWatch;
+use crate::pass_through::admission::priorities::PriorityWatch;
 use crate::pass_through::admission::registration::{Registration, RegistrationState};
 use crate::pass_through::admission::service_time::ServiceTime;
+use crate::pass_through::admission::turns::AskingBalancers;
 use crate::pass_through::admission::waiting_openings::WaitingOpenings;
 use crate::pass_through::digest::service_digest;
 use crate::pass_through::flows::agent_flows::AgentFlows;
@@ -88,6 +90,8 @@
     pub delivered: u64,
     /// New flows that were declined, by reason.
     pub declined: BTreeMap<DeclineReason, u64>,
+    /// New flows that were declined for lack of room, by priority.
+    pub declined_full: BTreeMap<u32, u64>,
     /// New flows that were let wait for a place.
     pub waiting: u64,
     /// Packets handed to the back end to find out whether it has their flows.
@@ -98,6 +102,12 @@
     pub malformed: u64,
 }
 
+impl PassThroughAgentCounters {
+    fn note_full(&mut self, priority: u32) {
+        *self.declined_full.entry(priority).or_default() += 1;
+    }
+}
+
 /// Times that an agent measures.
 #[derive(Clone, Debug, Default)]
 pub struct PassThroughAgentLatencies {
@@ -139,6 +149,8 @@
     service_time: ServiceTime,
     cold_admission: ColdAdmission,
     failure_watch: FailureWatch,
+    priorities: PriorityWatch,
+    asking: AskingBalancers,
     waiting: WaitingOpenings,
     /// When places that nobody told of are looked for, while packets wait.
     waiting_check_at: Timestamp,
@@ -163,6 +175,8 @@
             registration: RegistrationState::new(now + provisional_limit),
             cold_admission: ColdAdmission::new(settings.cold_bounds),
             failure_watch: FailureWatch::default(),
+            priorities: PriorityWatch::default(),
+            asking: AskingBalancers::default(),
             waiting: WaitingOpenings::default(),
             waiting_check_at: now,
             evacuations: Evacuations::default(),
@@ -322,6 +336,7 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.flows.expire(now, self.settings.flow_lifetime);
             self.tried.expire(now, self.settings.flow_lifetime);
+            self.asking.expire(now);
             self.balancers
                 .retain(|_, heard| now.saturating_since(*heard) < BALANCER_MEMORY);
             self.report_if_changed(now);
--- a/crates/petrellatch-core/src/pass_through/agent/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/openings.rs
@@ -18,15 +18,21 @@
         self.flows.release_half_open(now);
         let is_copy = self.flows.get(opening.flow).is_some();
         let is_late = self.is_late(&opening);
+        if !is_copy {
+            self.priorities.note_asked(now, opening.priority);
+        }
         let slots = self.registration.capacity();
         let limit = match opening.may_queue && !is_late {
             false => slots,
-            true => self.queue_limit(&opening),
+            true => self.queue_limit(now, &opening),
         };
         let refusal = match is_copy {
             true => self.refusal_by_state(now),
             false => self.refusal(now, &opening, limit),
         };
+        if refusal == Some(DeclineReason::Full) && opening.may_queue && !is_late {
+            self.priorities.note_refused(now, opening.priority);
+        }
         match refusal {
             None => self.admit(now, opening),
             Some(DeclineReason::Full)
@@ -34,8 +40,15 @@
             {
                 self.tell_waiting(now, &opening);
             }
-            Some(reason) => self.decline(now, opening.balancer, opening.flow, reason),
+            Some(reason) => self.decline_opening(now, &opening, reason),
+        }
+    }
+
+    fn decline_opening(&mut self, now: Timestamp, opening: &Opening, reason: DeclineReason) {
+        if reason == DeclineReason::Full {
+            self.counters.note_full(opening.priority);
         }
+        self.decline(now, opening.balancer, opening.flow, reason);
     }
 
     /// Hands an opening packet to the back end.
@@ -44,6 +57,7 @@
             self.cold_admission.note_admitted(now);
         }
         self.counters.admitted += 1;
+        self.priorities.note_admitted(now, opening.priority);
         self.registration.note_offered(now);
         self.failure_watch.note_admitted(now);
         self.tried.forget(opening.flow);
@@ -63,12 +77,15 @@
     }
 
     /// How many requests the back end may have beside this one, so that it is answered
-    /// within what is left of its objective.
-    fn queue_limit(&self, opening: &Opening) -> u32 {
+    /// within what is left of its objective and leaves room for more urgent ones.
+    fn queue_limit(&self, now: Timestamp, opening: &Opening) -> u32 {
         let left = opening.objective.saturating_sub(opening.age);
         let unknown = self.settings.queue_factor;
         let capacity = self.registration.capacity();
-        self.service_time.queue_limit(left, capacity, unknown)
+        let limit = self.service_time.queue_limit(left, capacity, unknown);
+        let work = self.service_time.known_mean();
+        self.priorities
+            .queue_limit(now, opening.priority, limit, capacity, work)
     }
 
     /// Gives free places to opening packets that wait, and declines those that have
@@ -78,7 +95,7 @@
             return;
         }
         for opening in self.waiting.take_expired(now) {
-            self.decline(now, opening.balancer, opening.flow, DeclineReason::Full);
+            self.decline_opening(now, &opening, DeclineReason::Full);
         }
         self.flows.release_half_open(now);
         let slots = self.registration.capacity();
@@ -88,7 +105,7 @@
             };
             match self.refusal(now, &opening, slots) {
                 None => self.admit(now, opening),
-                Some(reason) => self.decline(now, opening.balancer, opening.flow, reason),
+                Some(reason) => self.decline_opening(now, &opening, reason),
             }
         }
     }
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -22,5 +22,6 @@
 mod restarted_agents;
 mod returned_openings;
 mod scale;
+mod urgent_flows;
 mod world;
 mod zone_losses;
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -16,19 +16,35 @@
 use super::world::COLD_BOUNDS;
 
 const SERVICE: &str = "desk";
-const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+pub const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
 const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80);
-const SLOTS: u32 = 3;
+pub const SLOTS: u32 = 3;
 
-struct Desk {
-    now: Timestamp,
-    agent: PassThroughAgent<TestCodec>,
+pub struct Desk {
+    pub now: Timestamp,
+    pub agent: PassThroughAgent<TestCodec>,
     next_port: u16,
+    /// What balancers say of the route and the caller with opening packets.
+    pub opening: Carry,
+    pub balancer: SocketAddrV4,
+    /// What the agent has answered to balancers, until it is taken.
+    pub told: Vec<PassThroughBody>,
 }
 
 impl Desk {
     /// An agent whose back end has answered some requests after `work`.
-    fn new(work: Duration) -> Desk {
+    pub fn new(work: Duration) -> Desk {
+        let mut desk = Desk::without_answers();
+        for _ in 0..30 {
+            let flow = desk.request(0, CarryReason::Open).expect("slots are free");
+            desk.now = desk.now + work;
+            desk.answer(flow);
+        }
+        desk
+    }
+
+    /// An agent whose back end has answered nothing yet.
+    pub fn without_answers() -> Desk {
         let now = Timestamp::from_millis(1_000);
         let settings = PassThroughAgentSettings {
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000),
@@ -53,21 +69,18 @@
             cold: Duration::ZERO,
         };
         agent.handle_registration(now, &call);
-        let mut desk = Desk {
+        Desk {
             now,
             agent,
             next_port: 1,
-        };
-        for _ in 0..30 {
-            let flow = desk.request(0, CarryReason::Open).expect("slots are free");
-            desk.now = desk.now + work;
-            desk.answer(flow);
+            opening: Carry::default(),
+            balancer: BALANCER,
+            told: Vec::new(),
         }
-        desk
     }
 
     /// Offers a flow with a request; returns it if it was taken.
-    fn request(&mut self, objective_millis: u32, reason: CarryReason) -> Option<SocketAddrV4> {
+    pub fn request(&mut self, objective_millis: u32, reason: CarryReason) -> Option<SocketAddrV4> {
         self.next_port += 1;
         let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), self.next_port);
         let opening = PacketView {
@@ -76,9 +89,10 @@
         };
         self.outputs();
         self.carry(&opening, reason, objective_millis);
-        let mut outputs = self.outputs().into_iter();
-        let is_taken = |output| matches!(output, PassThroughOutput::ToBackend(_));
-        if !outputs.any(is_taken) {
+        let outputs = self.outputs();
+        let is_taken =
+            |output: &PassThroughOutput| matches!(output, PassThroughOutput::ToBackend(_));
+        if !outputs.iter().any(is_taken) {
             return None;
         }
         let answer = PacketView {
@@ -97,10 +111,17 @@
     }
 
     fn outputs(&mut self) -> Vec<PassThroughOutput> {
-        std::iter::from_fn(|| self.agent.poll_output()).collect()
+        let outputs: Vec<PassThroughOutput> =
+            std::iter::from_fn(|| self.agent.poll_output()).collect();
+        let told = outputs.iter().filter_map(|output| match output {
+            PassThroughOutput::Send { body, .. } => Some(body.clone()),
+            _ => None,
+        });
+        self.told.extend(told);
+        outputs
     }
 
-    fn answer(&mut self, caller: SocketAddrV4) {
+    pub fn answer(&mut self, caller: SocketAddrV4) {
         let answer = PacketView {
             acknowledge: true,
             data_bytes: 500,
@@ -125,14 +146,14 @@
             reason: reason.into(),
             packet: encode(view),
             objective_millis,
-            ..Carry::default()
+            ..self.opening.clone()
         };
         let body = PassThroughBody::Carry(carry);
-        self.agent.handle_message(self.now, BALANCER, body);
+        self.agent.handle_message(self.now, self.balancer, body);
     }
 
     /// Requests that are taken until one is declined.
-    fn fill(&mut self, objective_millis: u32) -> u32 {
+    pub fn fill(&mut self, objective_millis: u32) -> u32 {
         let mut taken = 0;
         while self
             .request(objective_millis, CarryReason::OpenQueued)
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/urgent_flows.rs
@@ -0,0 +1,160 @@
+//! Flows of several priorities ask an agent for more than its back end can do.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::{
+    Carry, CarryReason, DeclineReason, Declined, PassThroughBody,
+};
+
+use super::queueing::{Desk, SLOTS};
+use super::world::MILLI;
+
+const URGENT: u32 = 1;
+const LESS_URGENT: u32 = 4;
+const OBJECTIVE_MILLIS: u32 = 250;
+/// Three slots that work for so long do 100 requests a second.
+const WORK: Duration = Duration::from_millis(30);
+const CAPACITY: u32 = 100;
+
+/// What became of the flows of one priority.
+#[derive(Default)]
+struct Outcome {
+    taken_at: Vec<u64>,
+    /// Those of them that found no slot free.
+    queued_at: Vec<u64>,
+    refused_at: Vec<u64>,
+}
+
+/// An agent whose back end has answered requests, the last ones a while ago.
+fn rested_desk() -> Desk {
+    let mut desk = Desk::new(WORK);
+    desk.now = desk.now + Duration::from_secs(1);
+    desk
+}
+
+/// Offers flows of some priorities, at so many a second each, for ten seconds.
+fn offer(rates: &[(u32, u32)]) -> BTreeMap<u32, Outcome> {
+    let mut desk = rested_desk();
+    let mut outcomes: BTreeMap<u32, Outcome> = BTreeMap::new();
+    let mut inside: VecDeque<SocketAddrV4> = VecDeque::new();
+    let mut working: VecDeque<(u64, SocketAddrV4)> = VecDeque::new();
+    let mut random = 7_u64;
+    for millis in 0..10_000 {
+        while working.front().is_some_and(|(ends, _)| *ends <= millis) {
+            let (_, flow) = working.pop_front().expect("seen");
+            desk.answer(flow);
+        }
+        for (priority, rate) in rates {
+            random = random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            if (random >> 33) % 1_000 >= u64::from(*rate) {
+                continue;
+            }
+            desk.opening.priority = *priority;
+            let taken = desk.request(OBJECTIVE_MILLIS, CarryReason::OpenQueued);
+            let outcome = outcomes.entry(*priority).or_default();
+            match taken {
+                Some(flow) => inside.push_back(flow),
+                None => outcome.refused_at.push(millis),
+            }
+            outcome.taken_at.extend(taken.map(|_| millis));
+            let is_queued = working.len() + inside.len() > SLOTS as usize;
+            let queued = taken.filter(|_| is_queued);
+            outcome.queued_at.extend(queued.map(|_| millis));
+        }
+        while working.len() < SLOTS as usize
+            && let Some(flow) = inside.pop_front()
+        {
+            working.push_back((millis + WORK.as_millis() as u64, flow));
+        }
+        desk.now = desk.now + MILLI;
+    }
+    outcomes
+}
+
+/// The urgent class comes at twice its ordinary load, the other one at four times what
+/// the back end can do.
+#[test]
+fn the_urgent_find_a_place_beside_a_flood_of_less_urgent_ones() {
+    let outcomes = offer(&[(URGENT, CAPACITY * 6 / 10), (LESS_URGENT, CAPACITY * 4)]);
+    let (urgent, other) = (&outcomes[&URGENT], &outcomes[&LESS_URGENT]);
+    let asked = urgent.taken_at.len() + urgent.refused_at.len();
+    let share = urgent.taken_at.len() as f64 / asked as f64;
+    assert!(share >= 0.97, "{share:.3} of {asked} urgent ones taken");
+    let all = urgent.taken_at.len() + other.taken_at.len();
+    assert!(all >= 980, "{all} of 1,000 possible ones taken");
+    for refused in &urgent.refused_at {
+        let inverted = |queued: &&u64| (1..100).contains(&queued.saturating_sub(*refused));
+        let inverted = other.queued_at.iter().find(inverted);
+        assert_eq!(inverted, None, "an urgent one was refused at {refused} ms");
+    }
+}
+
+#[test]
+fn the_less_urgent_do_not_starve_beside_a_flood_of_urgent_ones() {
+    let outcomes = offer(&[(URGENT, CAPACITY * 2), (LESS_URGENT, CAPACITY * 4)]);
+    let taken = outcomes[&LESS_URGENT].taken_at.len();
+    assert!((50..=100).contains(&taken), "{taken} of 1,000 places");
+}
+
+#[test]
+fn priorities_that_come_alone_have_the_whole_queue() {
+    for priority in [0, URGENT, LESS_URGENT] {
+        let mut desk = rested_desk();
+        desk.opening.priority = priority;
+        assert_eq!(desk.fill(OBJECTIVE_MILLIS), SLOTS * 4);
+    }
+}
+
+#[test]
+fn a_less_urgent_flow_gets_a_free_slot_and_the_queue_once_urgent_ones_stay_away() {
+    let mut desk = rested_desk();
+    desk.opening.priority = URGENT;
+    let first = desk.request(OBJECTIVE_MILLIS, CarryReason::Open);
+    desk.answer(first.expect("slots are free"));
+    desk.opening.priority = LESS_URGENT;
+    // One of twelve places is left to so few urgent ones.
+    assert_eq!(desk.fill(OBJECTIVE_MILLIS), 11);
+    desk.now = desk.now + Duration::from_millis(500);
+    assert_eq!(desk.fill(OBJECTIVE_MILLIS), 1);
+}
+
+/// The foretold turns of the declined flows, in microseconds.
+fn turns(desk: &mut Desk) -> Vec<u32> {
+    desk.agent.poll_output();
+    let told = desk.told.drain(..).filter_map(|body| match body {
+        PassThroughBody::Declined(declined) => Some(declined),
+        _ => None,
+    });
+    let full = |declined: &Declined| declined.reason() == DeclineReason::Full;
+    told.filter(full)
+        .map(|declined| declined.turn_micros)
+        .collect()
+}
+
+#[test]
+fn a_refusal_foretells_the_turn_of_each_balancer_that_asks() {
+    let mut desk = rested_desk();
+    desk.fill(OBJECTIVE_MILLIS);
+    assert_eq!(turns(&mut desk), [10_000], "one place each 10 ms");
+    for last in 1..=4 {
+        desk.balancer = SocketAddrV4::new(Ipv4Addr::new(10, 0, 2, last), 7000);
+        desk.request(OBJECTIVE_MILLIS, CarryReason::OpenQueued);
+    }
+    let grown = turns(&mut desk);
+    assert_eq!(grown, [20_000, 30_000, 40_000, 50_000]);
+    desk.now = desk.now + Duration::from_secs(1);
+    desk.request(OBJECTIVE_MILLIS, CarryReason::OpenQueued);
+    assert_eq!(turns(&mut desk), [10_000], "the others ask no more");
+}
+
+#[test]
+fn no_turn_is_foretold_without_known_times() {
+    let mut desk = Desk::without_answers();
+    desk.opening = Carry::default();
+    desk.fill(OBJECTIVE_MILLIS);
+    assert_eq!(turns(&mut desk), [0]);
+}
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -16,7 +16,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 24] = [
+pub const METRIC_NAMES: [&str; 25] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -41,6 +41,7 @@
     "petrellatch_pass_through_zones_evacuated",
     "petrellatch_pass_through_agents_behind",
     "petrellatch_pass_through_waiting_total",
+    "petrellatch_pass_through_full_total",
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -135,6 +136,11 @@
     for (reason, total) in &counted.declined {
         raise(&declined.with_label_values(&[reason_name(*reason)]), *total);
     }
+    let help = "New flows that were declined for lack of room, by priority.";
+    let full = counters(&registry, METRIC_NAMES[24], help, "priority");
+    for (priority, total) in &counted.declined_full {
+        raise(&full.with_label_values(&[&priority.to_string()]), *total);
+    }
     tell_evacuated(&registry, usize::from(agent.is_evacuated()));
     let (busy, _) = agent.load();
     let help = "Requests that wait for their answers.";
