Summarize logs by time slice, with the first causes

Cause: why a minute was bad took counting lines by hand. A congestion collapse and one agent that silences the verdict about all dead flows stood in the lines, unseen among tens of thousands of others.

A collapse is named when half of all agents are suspected while some decline as full and half as many flows are refused as agents suspected; a silenced verdict when few agents that nobody expects are missing and all others lack the flow. Nothing was changed in the existing tests.

After: six of six pass.

--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -32,7 +32,8 @@
     Ctl(CtlOptions),
     /// Check a settings file and print everything that is wrong in it.
     Check(CheckOptions),
-    /// Print what the logs say about one flow or one configuration version.
+    /// Print what the logs say about one flow, one configuration version, or
+    /// all flows by time.
     Logs(LogsOptions),
 }
 
@@ -116,7 +117,8 @@
 }
 
 /// Prints what processes logged about one flow or one version of the
-/// configuration, in the order of their clocks, with what is missing.
+/// configuration, in the order of their clocks, with what is missing; or a
+/// summary of all flows by slices of time, with the first causes.
 ///
 /// Without files, standard input is read. Lines that are no log lines are
 /// ignored.
@@ -130,6 +132,15 @@
     /// The configuration version.
     #[options(meta = "VERSION", no_short)]
     pub configuration: Option<u64>,
+    /// Count all lines by slices of time, and tell the first causes.
+    #[options(no_short)]
+    pub summary: bool,
+    /// Width of a slice; by default a screen holds the table.
+    #[options(meta = "MILLISECONDS", no_short)]
+    pub slice: Option<u64>,
+    /// Print the summary as one JSON document.
+    #[options(no_short)]
+    pub json: bool,
     /// Files with log lines, of any processes in any order.
     #[options(free)]
     pub files: Vec<PathBuf>,
--- a/crates/petrellatch/src/logs/log_line.rs
+++ b/crates/petrellatch/src/logs/log_line.rs
@@ -7,6 +7,10 @@
 /// Digits of a second's fraction in the times of log lines, at most.
 const FRACTION_DIGITS: usize = 9;
 const MILLIS_PER_SECOND: u64 = 1_000;
+const MILLIS_PER_DAY: u64 = 86_400_000;
+/// Days from the first of March of year 0 to the start of 1970, and one, since
+/// days of a month count from 1.
+const DAYS_BEFORE_1970: u64 = 719_469;
 
 /// One line, as a process wrote it. Lines are ordered by their time, which is
 /// that of the machine's own clock.
@@ -67,6 +71,30 @@
         let whole = (hours * 60 + minutes) * 60 * MILLIS_PER_SECOND;
         Some(whole + (seconds * MILLIS_PER_SECOND as f64) as u64)
     }
+
+    /// Milliseconds since the start of 1970, so that lines of several days are
+    /// in their order.
+    pub fn millis(&self) -> Option<u64> {
+        let (date, _) = self.time.split_once('T')?;
+        let mut parts = date.splitn(3, '-').map(|part| part.parse::<u64>().ok());
+        let (year, month, day) = (parts.next()??, parts.next()??, parts.next()??);
+        let days = days_since_1970(year, month, day)?;
+        Some(days * MILLIS_PER_DAY + self.millis_of_day()?)
+    }
+}
+
+/// Days from the start of 1970 to a date of the common calendar, counted in
+/// years that begin in March, so that leap days come last.
+fn days_since_1970(year: u64, month: u64, day: u64) -> Option<u64> {
+    let years = if month > 2 {
+        year
+    } else {
+        year.checked_sub(1)?
+    };
+    let months = (month + 9) % 12;
+    let leap_days = years / 4 - years / 100 + years / 400;
+    let days = years * 365 + leap_days + (months * 153 + 2) / 5 + day;
+    days.checked_sub(DAYS_BEFORE_1970)
 }
 
 impl fmt::Display for LogLine {
--- a/crates/petrellatch/src/logs/mod.rs
+++ b/crates/petrellatch/src/logs/mod.rs
@@ -1,27 +1,41 @@
 //! The `logs` command: what the processes logged about one flow or one
-//! version of the configuration, in order, with what is missing.
+//! version of the configuration, in order, with what is missing; or a summary
+//! of all lines by time.
 
 mod flow_story;
 mod log_line;
+mod summary;
 mod version_story;
 
-use std::io::Read;
+use std::io::{BufRead, Read};
 use std::path::PathBuf;
 
 pub use flow_story::FlowStory;
 pub use log_line::LogLine;
+pub use summary::{Cause, Column, Summary, SummaryReport};
 pub use version_story::VersionStory;
 
 use crate::command_line::LogsOptions;
 use crate::error::ProgramError;
 
+/// Bytes of a line, at most; the processes write lines under 1 KB.
+const LONGEST_LINE: u64 = 65_536;
+
 /// Prints the story that the options ask for.
 ///
 /// # Errors
 ///
-/// Neither or both of a flow and a version are named, or a file can't be read.
+/// Not exactly one of a flow, a version and the summary is asked for, or a file
+/// can't be read.
 pub fn run(options: &LogsOptions) -> Result<(), ProgramError> {
     let story = match (&options.flow, options.configuration) {
+        (None, None) if options.summary => summarize(options)?,
+        _ if options.summary || options.json || options.slice.is_some() => {
+            let message = "name either --summary, or a flow, or a configuration version; \
+                           --slice and --json go with --summary"
+                .to_owned();
+            return Err(ProgramError::Usage { message });
+        }
         (Some(flow), None) => {
             let lines = read_lines(&options.files)?;
             FlowStory::new(&lines, flow).to_string()
@@ -31,7 +45,8 @@
             VersionStory::new(&lines, version).to_string()
         }
         _ => {
-            let message = "name either a flow or a configuration version".to_owned();
+            let message =
+                "name either a flow or a configuration version, or ask for --summary".to_owned();
             return Err(ProgramError::Usage { message });
         }
     };
@@ -39,6 +54,42 @@
     Ok(())
 }
 
+/// Counts the lines of all files, or of standard input if there is none, one
+/// after the other, and prints the report.
+fn summarize(options: &LogsOptions) -> Result<String, ProgramError> {
+    let mut summary = Summary::default();
+    if options.files.is_empty() {
+        let read = count_lines(&mut summary, std::io::stdin().lock());
+        read.map_err(|error| unreadable("standard input", &error))?;
+    }
+    for path in &options.files {
+        let file = std::fs::File::open(path);
+        let read = file.and_then(|file| count_lines(&mut summary, std::io::BufReader::new(file)));
+        read.map_err(|error| unreadable(&path.display().to_string(), &error))?;
+    }
+    let report = summary.report(options.slice);
+    Ok(match options.json {
+        true => format!("{}\n", report.to_json()),
+        false => report.to_string(),
+    })
+}
+
+/// Counts lines, with one of them in memory; the rest of one that is longer
+/// than any log line is read as lines of its own, which say nothing.
+fn count_lines(summary: &mut Summary, mut input: impl BufRead) -> std::io::Result<()> {
+    let mut bytes = Vec::new();
+    loop {
+        bytes.clear();
+        let mut part = input.by_ref().take(LONGEST_LINE);
+        if part.read_until(b'\n', &mut bytes)? == 0 {
+            return Ok(());
+        }
+        if let Some(line) = LogLine::parse(&String::from_utf8_lossy(&bytes)) {
+            summary.add(&line);
+        }
+    }
+}
+
 /// Reads the lines of all files, or of standard input if there is none, in the
 /// order of their times.
 fn read_lines(files: &[PathBuf]) -> Result<Vec<LogLine>, ProgramError> {
--- /dev/null
+++ b/crates/petrellatch/src/logs/summary/mod.rs
@@ -0,0 +1,134 @@
+//! What happened to all flows, by slices of time, and the first causes.
+//!
+//! Lines are counted as they come, in any order, and not kept: the memory that
+//! it takes is bounded by the number of slices and names, not by the lines.
+
+mod causes;
+mod column;
+mod report;
+mod slice;
+
+use std::collections::BTreeMap;
+
+use petrellatch_core::EventKind;
+
+pub use causes::Cause;
+pub use column::Column;
+pub use report::SummaryReport;
+use slice::Slice;
+
+use super::LogLine;
+
+/// Width of the finest slice, in milliseconds: a collapse begins within 200 ms.
+const FINEST_MILLIS: u64 = 100;
+/// Slices kept, at most; the width is doubled beyond, so a day fits with 12.8 s.
+const MOST_SLICES: usize = 8_192;
+/// Names of nodes and agents kept, at most: four for each of 1,000 machines.
+const MOST_NAMES: usize = 4_096;
+/// Starts and stops kept one by one, at most: eight for each of 1,000 machines.
+const MOST_STARTS: usize = 8_192;
+/// Pairs of reason and priority kept, at most; there are about ten.
+const MOST_REASONS: usize = 64;
+
+/// A process that started or was asked to stop.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Step {
+    millis: u64,
+    node: u32,
+    /// What started; `None` for a stop.
+    role: Option<String>,
+}
+
+/// Counts lines and makes the report of them.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    width: u64,
+    slices: BTreeMap<u64, Slice>,
+    names: BTreeMap<String, u32>,
+    first_seen: BTreeMap<u32, u64>,
+    steps: Vec<Step>,
+    refusals: BTreeMap<(String, String), u64>,
+}
+
+impl Default for Summary {
+    fn default() -> Summary {
+        Summary {
+            width: FINEST_MILLIS,
+            slices: BTreeMap::new(),
+            names: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
+            steps: Vec::new(),
+            refusals: BTreeMap::new(),
+        }
+    }
+}
+
+impl Summary {
+    /// Counts a line; lines without a known event or time are ignored.
+    pub fn add(&mut self, line: &LogLine) {
+        let kind = EventKind::ALL.iter().find(|it| it.name() == line.event);
+        let (Some(kind), Some(millis)) = (kind, line.millis()) else {
+            return;
+        };
+        let node = self.number(&line.node);
+        let seen = self.first_seen.entry(node).or_insert(millis);
+        *seen = millis.min(*seen);
+        self.note_step(*kind, line, millis, node);
+        if *kind == EventKind::FlowRefused {
+            self.note_refusal(line);
+        }
+        let agent = line.value("agent").map(|agent| self.number(agent));
+        let slice = self.slices.entry(millis / self.width).or_default();
+        slice.lines += 1;
+        slice.add(*kind, line, node, agent);
+        if self.slices.len() > MOST_SLICES {
+            self.double_width();
+        }
+    }
+
+    /// What the lines say, with slices of this many milliseconds in the table;
+    /// by itself it takes a width with which a screen holds the table.
+    pub fn report(&self, slice_millis: Option<u64>) -> SummaryReport {
+        let causes = causes::causes(self);
+        SummaryReport::new(self, causes, slice_millis)
+    }
+
+    fn note_step(&mut self, kind: EventKind, line: &LogLine, millis: u64, node: u32) {
+        let role = match kind {
+            EventKind::ProcessStarted => line.subject.split(' ').next().map(str::to_owned),
+            EventKind::ProcessStopping => None,
+            _ => return,
+        };
+        if self.steps.len() < MOST_STARTS {
+            self.steps.push(Step { millis, node, role });
+        }
+    }
+
+    fn note_refusal(&mut self, line: &LogLine) {
+        let value = |name| line.value(name).unwrap_or("-").to_owned();
+        let mut key = (value("reason"), value("priority"));
+        if self.refusals.len() >= MOST_REASONS && !self.refusals.contains_key(&key) {
+            key = ("others".to_owned(), "-".to_owned());
+        }
+        *self.refusals.entry(key).or_default() += 1;
+    }
+
+    /// The number of a name; all names beyond the limit share the last one.
+    fn number(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.names.get(name) {
+            return *number;
+        }
+        let next = self.names.len();
+        if next < MOST_NAMES {
+            self.names.insert(name.to_owned(), next as u32);
+        }
+        next as u32
+    }
+
+    fn double_width(&mut self) {
+        self.width *= 2;
+        for (index, slice) in std::mem::take(&mut self.slices) {
+            self.slices.entry(index / 2).or_default().merge(&slice);
+        }
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/src/logs/summary/slice.rs
@@ -0,0 +1,89 @@
+//! The counts of one slice of time.
+
+use std::collections::BTreeSet;
+
+use petrellatch_core::EventKind;
+
+use super::column::{Column, counts, number};
+use crate::logs::LogLine;
+
+/// Names kept for each slice and kind, at most; the sets say "at least" beyond.
+/// 512 agents are more than half of the largest deployment's thousand.
+const MOST_NAMES: usize = 512;
+
+/// Counts of a slice, with what the causes need to be told from each other.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Slice {
+    counts: [u64; Column::ALL.len()],
+    /// Lines of any kind.
+    pub(super) lines: u64,
+    /// Addresses of agents that were suspected.
+    pub(super) suspected: BTreeSet<u32>,
+    /// Balancers that suspected or refused.
+    pub(super) balancers: BTreeSet<u32>,
+    /// Most agents missing in a search that only gone agents held up.
+    pub(super) missing: u64,
+    /// Most agents that lacked the flow in such a search.
+    pub(super) lacks: u64,
+    /// Most agents of a service that a balancer knew when it refused.
+    pub(super) agents: u64,
+}
+
+impl Slice {
+    /// Counts a line. `node` and `agent` are the numbers of the names in it.
+    pub(super) fn add(&mut self, kind: EventKind, line: &LogLine, node: u32, agent: Option<u32>) {
+        for (column, count) in counts(kind, line) {
+            self.counts[column as usize] += count;
+            match column {
+                Column::HeldByGone => {
+                    self.missing = self.missing.max(number(line, "missing").unwrap_or(0));
+                    self.lacks = self.lacks.max(number(line, "lacks").unwrap_or(0));
+                }
+                Column::Suspected => insert(&mut self.suspected, agent),
+                _ => {}
+            }
+        }
+        if matches!(kind, EventKind::FlowRefused | EventKind::AgentSuspected) {
+            insert(&mut self.balancers, Some(node));
+            self.agents = self.agents.max(number(line, "agents").unwrap_or(0));
+        }
+    }
+
+    /// Takes the counts of a later slice in.
+    pub(super) fn merge(&mut self, other: &Slice) {
+        for (own, more) in self.counts.iter_mut().zip(other.counts) {
+            *own += more;
+        }
+        self.lines += other.lines;
+        self.missing = self.missing.max(other.missing);
+        self.lacks = self.lacks.max(other.lacks);
+        self.agents = self.agents.max(other.agents);
+        for name in &other.suspected {
+            insert(&mut self.suspected, Some(*name));
+        }
+        for name in &other.balancers {
+            insert(&mut self.balancers, Some(*name));
+        }
+    }
+
+    pub(super) fn count(&self, column: Column) -> u64 {
+        self.counts[column as usize]
+    }
+
+    /// Flows refused because no agent takes them, whatever agents said.
+    pub(super) fn refused(&self) -> u64 {
+        let reasons = [
+            Column::RefusedFull,
+            Column::RefusedLate,
+            Column::RefusedUnknown,
+            Column::RefusedOther,
+        ];
+        reasons.iter().map(|column| self.count(*column)).sum()
+    }
+}
+
+fn insert(names: &mut BTreeSet<u32>, name: Option<u32>) {
+    if names.len() < MOST_NAMES {
+        names.extend(name);
+    }
+}
--- /dev/null
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -0,0 +1,236 @@
+//! The summary of the `logs` command: what happened by time, and the first
+//! causes, from lines of all processes in any order.
+
+use std::process::Command;
+
+use petrellatch::logs::{Column, LogLine, Summary, SummaryReport};
+
+fn line(millis: u64, node: &str, event: &str, subject: &str) -> String {
+    let (seconds, millis) = (millis / 1_000, millis % 1_000);
+    serde_json::json!({
+        "msg": event, "level": "INFO", "ts": format!("2026-07-27T10:00:{seconds:02}.{millis:03}Z"),
+        "node": node, "subject": subject, "event": 1,
+    })
+    .to_string()
+}
+
+fn report(texts: &[String]) -> SummaryReport {
+    let mut summary = Summary::default();
+    // Files of many processes come one after the other, not by time.
+    for line in texts.iter().rev().filter_map(|text| LogLine::parse(text)) {
+        summary.add(&line);
+    }
+    summary.report(None)
+}
+
+fn told(report: &SummaryReport) -> Vec<&str> {
+    let causes = report.causes().iter();
+    causes.map(|cause| cause.text.as_str()).collect()
+}
+
+/// A second in which eight balancers ask eight full agents for each flow, and
+/// suspect all of 42, a thousand times.
+fn collapse() -> Vec<String> {
+    let lines = (0..1_000).flat_map(|number: u64| {
+        let (at, balancer) = (5_000 + number, format!("front-{}", number % 8));
+        let flow = format!("flow=100.64.0.7:{number}>198.18.0.1:80");
+        let refused = format!(
+            "{flow} reason=no_agent priority=2 version=4 \
+             asked=8 full=8 late=0 other=0 agents=42 leaving=0 evacuated=0"
+        );
+        let suspected = format!("agent=10.1.0.{}:7000 {flow}", number % 42);
+        [
+            line(at, &balancer, "FlowRefused", &refused),
+            line(at, &balancer, "AgentSuspected", &suspected),
+        ]
+    });
+    lines.collect()
+}
+
+#[test]
+fn a_collapse_is_named_and_one_dead_agent_is_none() {
+    let collapsed = report(&collapse());
+    let causes = told(&collapsed);
+    assert_eq!(causes.len(), 1, "{causes:?}");
+    assert!(causes[0].contains("1000 flows refused"), "{causes:?}");
+    assert!(
+        causes[0].contains("1000 suspicions (1000 a second)"),
+        "{causes:?}"
+    );
+    assert!(causes[0].contains("42 agents at 8 balancers"), "{causes:?}");
+    assert!(causes[0].contains("CONGESTION COLLAPSE"), "{causes:?}");
+    let text = collapsed.to_string();
+    assert!(
+        text.contains("refused: 1000 reason=no_agent priority=2"),
+        "{text}"
+    );
+    assert!(text.lines().count() < 50, "a screen holds it: {text}");
+
+    let one_dead = collapse().into_iter().map(|text| {
+        let (head, tail) = text.split_once("10.1.0.").unwrap_or((&text, ""));
+        match tail.split_once(':') {
+            Some((_, rest)) => format!("{head}10.1.0.1:{rest}"),
+            None => text,
+        }
+    });
+    let one_dead = report(&one_dead.collect::<Vec<_>>());
+    assert_eq!(one_dead.total(Column::Suspected), 1_000);
+    assert!(!one_dead.to_string().contains("COLLAPSE"), "{one_dead}");
+}
+
+#[test]
+fn a_collapse_in_which_answers_are_late_is_named_too() {
+    let late = collapse().into_iter().enumerate().map(|(number, text)| {
+        let is_late = number % 8 > 1;
+        let counts = if is_late {
+            "full=1 late=8"
+        } else {
+            "full=8 late=0"
+        };
+        text.replace("full=8 late=0", counts)
+    });
+    let mut texts: Vec<String> = late.collect();
+    let lost = "flow=100.64.0.7:1>198.18.0.1:80 rounds=4 missing=42 expected=0 uncertain=0 tried=0 lacks=0";
+    texts.push(line(6_000, "front-1", "FlowNotFound", lost));
+    let report = report(&texts);
+    assert_eq!(report.total(Column::RefusedLate), 750);
+    assert!(
+        report.to_string().contains("CONGESTION COLLAPSE"),
+        "{report}"
+    );
+    // Most agents are silent here, not one that stopped.
+    assert_eq!(report.total(Column::HeldByGone), 0);
+    assert_eq!(report.total(Column::HeldByLate), 1);
+}
+
+#[test]
+fn an_agent_that_silences_the_verdicts_is_named() {
+    let lost = |number: u64, held: &str| {
+        let subject = format!("flow=100.64.0.7:{number}>198.18.0.1:80 {held}");
+        line(8_000 + number, "front-1", "FlowNotFound", &subject)
+    };
+    let stopped = "rounds=5 missing=1 expected=0 uncertain=0 tried=0 lacks=44";
+    let mut texts: Vec<String> = (0..700).map(|number| lost(number, stopped)).collect();
+    for (number, held) in [
+        (
+            700,
+            "rounds=5 missing=3 expected=2 uncertain=0 tried=0 lacks=42",
+        ),
+        (
+            701,
+            "rounds=5 missing=1 expected=0 uncertain=4 tried=0 lacks=40",
+        ),
+        (
+            702,
+            "rounds=9 missing=0 expected=0 uncertain=0 tried=0 lacks=45",
+        ),
+        (
+            703,
+            "rounds=0 missing=0 expected=0 uncertain=0 tried=0 lacks=0",
+        ),
+    ] {
+        texts.push(lost(number, held));
+    }
+    let report = report(&texts);
+    let causes = told(&report);
+    assert_eq!(causes.len(), 1, "{causes:?}");
+    for part in [
+        "704 flows sought without a verdict",
+        "700 of them SILENCED BY A STOPPED AGENT: up to 44 agents lack the flow, all but at most 1 that",
+        "for 1 agents that should have answered, or most agents, did not",
+        "for 1 agents or back ends could not know",
+        "for 1 all agents had answered that they lack the flow",
+    ] {
+        assert!(causes[0].contains(part), "{part}: {causes:?}");
+    }
+    let held = [
+        Column::HeldByGone,
+        Column::HeldByLate,
+        Column::HeldByUnsure,
+        Column::HeldByNone,
+    ];
+    assert_eq!(held.map(|column| report.total(column)), [700, 1, 1, 1]);
+}
+
+#[test]
+fn starts_come_before_the_refusals_that_they_cause() {
+    let mut texts = vec![
+        line(1_000, "side-1", "ProcessStarted", "agent first_start=true"),
+        line(1_000, "front-1", "ProcessStarted", "balancer"),
+        line(3_000, "front-1", "ProcessStopping", "asked to stop"),
+        line(4_000, "side-1", "ProcessStarted", "agent first_start=false"),
+        line(4_100, "front-1", "ProcessStarted", "balancer"),
+        line(4_900, "side-1", "EntriesLeftOut", "40 entries"),
+    ];
+    texts.extend((0..50).map(|number| {
+        let refused = "reason=no_agent version=4 asked=4 full=4 late=0 other=0 agents=7";
+        let subject = format!("flow=100.64.0.7:{number}>198.18.0.1:80 {refused}");
+        line(4_200 + number, "front-1", "FlowRefused", &subject)
+    }));
+    let report = report(&texts);
+    let causes = told(&report);
+    assert_eq!(
+        causes,
+        [
+            "2 processes started again (1 agent, 1 balancer), 1 without having been asked to \
+             stop, after 900 ms without a line of anyone",
+            "50 flows refused (50 all that answered were full); beside 2 processes that had \
+             started again",
+        ]
+    );
+    assert!(
+        report
+            .to_string()
+            .contains("missing: 40 entries were left out"),
+        "{report}"
+    );
+}
+
+#[test]
+fn a_day_of_lines_is_held_in_few_slices() {
+    let mut summary = Summary::default();
+    for second in 0..86_400_u64 {
+        let clock = format!(
+            "{:02}:{:02}:{:02}",
+            second / 3_600,
+            second / 60 % 60,
+            second % 60
+        );
+        let text =
+            format!("{{\"msg\":\"FlowWaits\",\"ts\":\"2026-02-28T{clock}Z\",\"node\":\"side-1\"}}");
+        summary.add(&LogLine::parse(&text).expect("a line"));
+    }
+    let next_day = "{\"msg\":\"FlowWaits\",\"ts\":\"2026-03-01T00:00:00Z\",\"node\":\"side-1\"}";
+    summary.add(&LogLine::parse(next_day).expect("a line"));
+    let report = summary.report(None);
+    assert_eq!(report.total(Column::Waits), 86_401);
+    let slices = report.to_json()["slices"].as_array().map_or(0, Vec::len);
+    assert!((20..=30).contains(&slices), "{slices} slices");
+}
+
+#[test]
+fn the_command_prints_json_for_tools_and_refuses_mixed_questions() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("all.log");
+    std::fs::write(&file, collapse().join("\n")).expect("it is written");
+    let logs = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_petrellatch"));
+        let output = command.arg("logs").args(arguments).arg(&file).output();
+        output.expect("it starts")
+    };
+    let output = logs(&["--summary", "--json", "--slice", "500"]);
+    assert!(output.status.success());
+    let json: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(json["slice_millis"], 500);
+    let full = json["slices"].as_array().expect("slices").iter();
+    let full: Vec<u64> = full.filter_map(|slice| slice["full"].as_u64()).collect();
+    assert_eq!(full, [500, 500]);
+    assert_eq!(json["refusals"][0]["priority"], "2");
+    for wrong in [
+        vec!["--summary", "--configuration", "3"],
+        vec!["--json", "--configuration", "3"],
+        vec!["--slice", "500", "--flow", "100.64.0.7:1"],
+    ] {
+        assert_eq!(logs(&wrong).status.code(), Some(2), "{wrong:?}");
+    }
+}
