Say in the line of a search without a verdict what it lacked

The line has no word of why nobody was told.

Ruled out: a line for each step of a search (volume).

Change: `FlowNotFound` ends with directory_whole, awaits and ended: whether the balancer knew all agents, whether the caller waited for an answer, whether it had ended the flow. These are the inputs of the decision that the line left out. The harness of the tier's tests keeps these lines.

Conclusion: the summary can tell the cases apart.

--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -11,7 +11,7 @@
                 continue;
             };
             if search.is_over(now) {
-                self.give_up_search(flow);
+                self.give_up_search(now, flow);
             } else {
                 self.searches.ask_again(flow);
             }
@@ -160,12 +160,14 @@
     }
 
     /// The caller has given up.
-    fn give_up_search(&mut self, flow: FlowId) {
+    fn give_up_search(&mut self, now: Timestamp, flow: FlowId) {
         let Some(search) = self.searches.remove(flow) else {
             return;
         };
         self.counters.not_found += 1;
-        let subject = format!("flow={flow} {}", search.summary());
+        let (asked, caller) = (search.summary(), search.caller_summary());
+        let whole = self.agents.is_whole(now);
+        let subject = format!("flow={flow} {asked} directory_whole={whole} {caller}");
         self.emit_event(EventKind::FlowNotFound, subject);
     }
 
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -353,6 +353,12 @@
         )
     }
 
+    /// What the caller waits for, for the log: without an answer to wait for,
+    /// or once it has ended the flow, nobody is told that the flow is gone.
+    pub(crate) fn caller_summary(&self) -> String {
+        format!("awaits={} ended={}", self.awaits_answer, self.ended)
+    }
+
     /// Whether the caller has been silent for so long that it gave up.
     pub(crate) fn is_over(&self, now: Timestamp) -> bool {
         now.saturating_since(self.packet_at) >= SEARCH_LIMIT
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -101,6 +101,19 @@
     assert!(world.data_at(agent) > 0, "the packet has waited");
 }
 
+#[test]
+fn a_search_without_a_verdict_says_what_it_lacked() {
+    let (mut world, agent) = world_with_flow(1);
+    forget_everything(&mut world);
+    world.request(1, agent);
+    world.run(Duration::from_secs(15));
+    let [told] = world.not_found.as_slice() else {
+        panic!("one line, not {:?}", world.not_found);
+    };
+    let inputs = "directory_whole=false awaits=true ended=false";
+    assert!(told.contains(inputs), "{told}");
+}
+
 #[test]
 fn a_flow_whose_agent_stands_still_does_not_wander() {
     let (mut world, agent) = world_with_flow(1);
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -74,6 +74,8 @@
     pub seeks: usize,
     /// What the balancer logged of refused flows.
     pub refusals: Vec<String>,
+    /// What the balancer logged of searches without a verdict.
+    pub not_found: Vec<String>,
     /// Packets that the balancer sent to agents to try.
     pub tries_sent: usize,
     /// Bytes of messages of and to the balancer.
@@ -116,6 +118,7 @@
             revision: 0,
             seeks: 0,
             refusals: Vec::new(),
+            not_found: Vec::new(),
             tries_sent: 0,
             balancer_bytes: 0,
             delayed: VecDeque::new(),
@@ -406,6 +409,9 @@
             PassThroughOutput::Event(event) if event.kind == EventKind::FlowRefused => {
                 self.refusals.push(event.subject);
             }
+            PassThroughOutput::Event(event) if event.kind == EventKind::FlowNotFound => {
+                self.not_found.push(event.subject);
+            }
             PassThroughOutput::Event(_) => {}
         }
     }
