Tell by the summary why a verdict is missing

Cause: the summary could not tell a caller that nobody owes a word from a list of agents that was not whole.

Ruled out: counting both as held up by nobody, as before.

Change: two columns and their words, from the fields that `FlowNotFound` got. `an_agent_that_silences_the_verdicts_is_named` was extended by two lines and two counts.

Conclusion: what is left under `l.none` is a fault of ours.

--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -136,12 +136,20 @@
 }
 
 /// What else holds a verdict up.
-const HELD_UP: [(Column, &str); 3] = [
+const HELD_UP: [(Column, &str); 5] = [
     (
         Column::HeldByLate,
         "agents that should have answered, or most agents, did not",
     ),
     (Column::HeldByUnsure, "agents or back ends could not know"),
+    (
+        Column::HeldByList,
+        "the balancer's list of agents was not whole",
+    ),
+    (
+        Column::NobodyWaits,
+        "the caller had ended the flow or waits for no answer",
+    ),
     (
         Column::HeldByNone,
         "all agents had answered that they lack the flow",
--- a/crates/petrellatch/src/logs/summary/column.rs
+++ b/crates/petrellatch/src/logs/summary/column.rs
@@ -48,6 +48,8 @@
     HeldByGone "l.gone" "Of those, held up only by few agents that nobody expects to answer.";
     HeldByLate "l.late" "Of those, held up by agents that should have answered, or by most agents.";
     HeldByUnsure "l.unsu" "Of those, held up by agents or back ends that could not know.";
+    HeldByList "l.list" "Of those, held up because the balancer's list of agents was not whole.";
+    NobodyWaits "l.end" "Of those, with nobody to tell: the caller had ended or waits for no answer.";
     HeldByNone "l.none" "Of those, held up by no agent: all answered that they lack the flow.";
     Bounced "reset" "Flows reset inside: a back end does not have them any more.";
     Stalled "stall" "Flows whose agent does not answer.";
@@ -108,9 +110,12 @@
     let count = |name| number(line, name).unwrap_or(0);
     let mut columns = vec![(Column::NotFound, 1)];
     let unsure = count("uncertain") + count("tried");
+    let is = |name, value| line.value(name) == Some(value);
     let held_by = match (count("expected"), unsure, count("missing"), count("lacks")) {
         (1.., ..) => Some(Column::HeldByLate),
         (0, 1.., ..) => Some(Column::HeldByUnsure),
+        _ if is("awaits", "false") || is("ended", "true") => Some(Column::NobodyWaits),
+        _ if is("directory_whole", "false") => Some(Column::HeldByList),
         (0, 0, missing @ 1.., lacks) if missing < lacks => Some(Column::HeldByGone),
         (0, 0, 1.., _) => Some(Column::HeldByLate),
         (0, 0, 0, 1..) => Some(Column::HeldByNone),
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -124,6 +124,14 @@
             702,
             "rounds=9 missing=0 expected=0 uncertain=0 tried=0 lacks=45",
         ),
+        (
+            704,
+            "rounds=9 missing=1 expected=0 uncertain=0 tried=0 lacks=45 directory_whole=false awaits=true ended=false",
+        ),
+        (
+            705,
+            "rounds=9 missing=0 expected=0 uncertain=0 tried=0 lacks=45 directory_whole=false awaits=false ended=false",
+        ),
         (
             703,
             "rounds=0 missing=0 expected=0 uncertain=0 tried=0 lacks=0",
@@ -135,10 +143,12 @@
     let causes = told(&report);
     assert_eq!(causes.len(), 1, "{causes:?}");
     for part in [
-        "704 flows sought without a verdict",
+        "706 flows sought without a verdict",
         "700 of them SILENCED BY A STOPPED AGENT: up to 44 agents lack the flow, all but at most 1 that",
         "for 1 agents that should have answered, or most agents, did not",
         "for 1 agents or back ends could not know",
+        "for 1 the balancer's list of agents was not whole",
+        "for 1 the caller had ended the flow or waits for no answer",
         "for 1 all agents had answered that they lack the flow",
     ] {
         assert!(causes[0].contains(part), "{part}: {causes:?}");
@@ -148,8 +158,13 @@
         Column::HeldByLate,
         Column::HeldByUnsure,
         Column::HeldByNone,
+        Column::HeldByList,
+        Column::NobodyWaits,
     ];
-    assert_eq!(held.map(|column| report.total(column)), [700, 1, 1, 1]);
+    assert_eq!(
+        held.map(|column| report.total(column)),
+        [700, 1, 1, 1, 1, 1]
+    );
 }
 
 #[test]
