Place flows by expected completion, and long ones by what open flows need

Cause: back ends of two speeds counted as equal, by requests a slot, and a flow that lives long was placed by the moment.

Ruled out: expected completion alone.

Change: agents tell their mean time of work, warm and cold apart, their open flows and the slots that these keep busy. Balancers compare milliseconds: time of work, with its share of the work before it; the cost of another zone and the tie are parts of the service's mean time. As the share of requests on flows older than a second grows, the slots that open flows need count instead of the requests in hand; a new flow counts as one like the others.

--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -64,6 +64,7 @@
         };
         if let Some(time) = self.flows.note_from_backend(now, flow, meaning) {
             self.service_time.record(time);
+            self.work_times.record(time, self.registration.is_cold(now));
             if self.failure_watch.note_answer(now) {
                 let subject = self.settings.service.clone();
                 self.emit_event(EventKind::BackendRecovered, subject);
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -7,6 +7,7 @@
 mod questions;
 mod reports;
 mod stopping;
+mod work_times;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -37,6 +38,8 @@
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 
+use work_times::WorkTimes;
+
 /// Between two sweeps over the flows.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest time in which a new agent admits before its back end has called:
@@ -147,6 +150,7 @@
     counters: PassThroughAgentCounters,
     latencies: PassThroughAgentLatencies,
     service_time: ServiceTime,
+    work_times: WorkTimes,
     cold_admission: ColdAdmission,
     failure_watch: FailureWatch,
     priorities: PriorityWatch,
@@ -200,6 +204,7 @@
             counters: PassThroughAgentCounters::default(),
             latencies: PassThroughAgentLatencies::default(),
             service_time: ServiceTime::default(),
+            work_times: WorkTimes::default(),
             registered_at: None,
             outputs: VecDeque::new(),
         }
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -21,14 +21,15 @@
 
 impl<C: PacketCodec> PassThroughAgent<C> {
     pub(super) fn load_message(&self, now: Timestamp) -> LoadMessage {
+        let is_cold = self.registration.is_cold(now);
         LoadMessage {
             busy: self.flows.busy(),
             capacity: self.registration.capacity(),
-            cold: self.registration.is_cold(now),
+            cold: is_cold,
             left_out_millis: self.failure_watch.left_out(now).as_millis() as u32,
-            work_micros: self.service_time.mean().as_micros() as u32,
-            open_flows: 0,
-            demand_millislots: 0,
+            work_micros: self.work_times.micros(is_cold),
+            open_flows: self.flows.open_flows(),
+            demand_millislots: self.flows.demand_millislots(now),
         }
     }
 
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/agent/work_times.rs
@@ -0,0 +1,63 @@
+//! How long the back end works on a request, as its agent tells balancers.
+
+use std::time::Duration;
+
+/// Weight of a new sample: one in thirty takes seven times as long as the others, and a
+/// mean over fewer would tell equal back ends apart by these.
+const SAMPLE_WEIGHT: f64 = 1.0 / 32.0;
+/// Samples before a mean is told.
+const MIN_SAMPLES: u32 = 8;
+
+/// The mean times of work, warm and cold apart.
+#[derive(Debug, Default)]
+pub(crate) struct WorkTimes {
+    warm: MeanTime,
+    cold: MeanTime,
+    is_cold: bool,
+}
+
+#[derive(Debug, Default)]
+struct MeanTime {
+    seconds: f64,
+    samples: u32,
+}
+
+impl WorkTimes {
+    /// Notes the time of a request from when it got a slot.
+    pub(crate) fn record(&mut self, time: Duration, is_cold: bool) {
+        if is_cold && !self.is_cold {
+            self.cold = MeanTime::default();
+        }
+        self.is_cold = is_cold;
+        match is_cold {
+            true => self.cold.record(time),
+            false => self.warm.record(time),
+        }
+    }
+
+    /// The mean time of work of the back end as it is now, in microseconds; zero if it
+    /// isn't known.
+    pub(crate) fn micros(&self, is_cold: bool) -> u32 {
+        match (is_cold, self.is_cold) {
+            (false, _) => self.warm.micros(),
+            (true, true) => self.cold.micros(),
+            // It has just started again.
+            (true, false) => 0,
+        }
+    }
+}
+
+impl MeanTime {
+    fn record(&mut self, time: Duration) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.seconds += (time.as_secs_f64() - self.seconds) * weight;
+    }
+
+    fn micros(&self) -> u32 {
+        match self.samples >= MIN_SAMPLES {
+            true => (self.seconds * 1e6) as u32,
+            false => 0,
+        }
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/open_flows.rs
@@ -16,12 +16,16 @@
             let owner = hint.owner;
             if let Some(owner) = owner.filter(|owner| self.agents.get(*owner).is_some()) {
                 let service = hint.service;
+                let flow_age = now.saturating_since(hint.created_at);
                 let was_stalled = hint.stalled;
                 hint.stalled = self.agents.is_suspected(now, owner);
                 if hint.stalled && !was_stalled {
                     let subject = format!("flow={flow} agent={owner}");
                     self.emit_event(EventKind::FlowStalled, subject);
                 }
+                if view.data_bytes > 0 {
+                    self.agents.note_request(service, flow_age);
+                }
                 self.counters.delivered += 1;
                 self.carry(owner, service, CarryReason::Deliver, packet.to_vec());
                 return;
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -11,7 +11,9 @@
 
 use crate::time::Timestamp;
 
+use super::expected_completion::usual_work_millis;
 use super::known_agent::KnownAgent;
+use super::service_pattern::ServicePattern;
 use crate::pass_through::digest::{address_digest, flow_digest, service_digest, zone_digest};
 use crate::pass_through::flows::flow_search::SearchedAgent;
 use crate::pass_through::group::evacuations::Evacuations;
@@ -23,10 +25,12 @@
 /// only full works some 50 ms on a request; one that is gone is silent to its agent
 /// for seconds.
 const AVOIDANCE: Duration = Duration::from_millis(250);
-/// Spreads flows over agents of the same cost.
-const TIE_COST: f64 = 0.05;
-/// What an agent costs whose back end is left out as it fails requests.
-const LEFT_OUT_COST: f64 = 900.0;
+/// Spreads flows over agents of the same cost, as a part of the service's mean time of
+/// work: less than one request more on a slot costs.
+const TIE_SHARE: f64 = 0.05;
+/// What an agent costs whose back end is left out as it fails requests, in
+/// milliseconds: it comes before those that are suspected only.
+const LEFT_OUT_COST: f64 = 900_000.0;
 /// The share of a service's back ends that may be left out as they fail. If more fail,
 /// the fault is elsewhere, and the others could not bear their flows.
 const MAX_LEFT_OUT_SHARE: f64 = 0.34;
@@ -102,6 +106,8 @@
     salt: u64,
     replicas: BTreeMap<SocketAddrV4, ReplicaDirectory>,
     agents: BTreeMap<SocketAddrV4, KnownAgent>,
+    /// What is common to each service, by its digest.
+    patterns: BTreeMap<u64, ServicePattern>,
 }
 
 impl AgentDirectory {
@@ -112,6 +118,7 @@
             salt,
             replicas: BTreeMap::new(),
             agents: BTreeMap::new(),
+            patterns: BTreeMap::new(),
         }
     }
 
@@ -321,6 +328,8 @@
             known.sequence = report.sequence;
             if reported_at > known.load_at {
                 known.note_load(reported_at, report.load);
+                let pattern = self.patterns.entry(known.service).or_default();
+                pattern.note_load(&report.load);
             }
         }
     }
@@ -344,6 +353,8 @@
         agent.suspect_until = Timestamp::ZERO;
         if let Some(load) = load {
             agent.note_load(now, load);
+            let pattern = self.patterns.entry(agent.service).or_default();
+            pattern.note_load(&load);
         }
         was_suspected
     }
@@ -367,6 +378,13 @@
         }
     }
 
+    /// Notes a request on a flow of a service that is known for `flow_age`.
+    pub(crate) fn note_request(&mut self, service: u64, flow_age: Duration) {
+        if let Some(pattern) = self.patterns.get_mut(&service) {
+            pattern.note_request(flow_age);
+        }
+    }
+
     pub(crate) fn note_sent(&mut self, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
             agent.sent_since += 1;
@@ -401,6 +419,8 @@
             AgentState::Starting => include_starting,
             AgentState::Empty | AgentState::Draining => false,
         };
+        let pattern = self.patterns.get(&service).copied().unwrap_or_default();
+        let tie_millis = usual_work_millis(pattern.work_millis()) * TIE_SHARE;
         let mut serving = 0;
         let mut failing = 0;
         let mut best = Best::default();
@@ -418,7 +438,7 @@
             }
             let salt = petrellatch_proto::pass_through::pack_address(*address);
             let tie = flow_digest(flow, salt) as f64 / u64::MAX as f64;
-            let cost = agent.cost(now, self.zone) + tie * TIE_COST;
+            let cost = agent.cost(now, self.zone, &pattern) + tie * tie_millis;
             best_of_all.note(*address, cost);
             let penalty = if is_left_out { LEFT_OUT_COST } else { 0.0 };
             best.note(*address, cost + penalty);
--- a/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
@@ -4,22 +4,27 @@
 
 use petrellatch_proto::pass_through::{AgentState, LoadMessage};
 
+use super::expected_completion::{
+    completion_millis, usual_work_millis, waiting_millis, work_millis,
+};
+use super::service_pattern::ServicePattern;
 use crate::time::Timestamp;
 
 /// A load figure loses half of its weight in this time, since the requests
 /// behind it come to their ends.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(120);
-/// What an agent of another zone costs, in requests a slot.
-const OTHER_ZONE_COST: f64 = 0.3;
-/// What an agent costs whose back end was not heard yet.
-const STARTING_COST: f64 = 500.0;
+/// What an agent of another zone costs, as a part of the service's mean time of work:
+/// traffic between zones is dear, and a caller hardly notices an answer that takes a
+/// third longer.
+const OTHER_ZONE_SHARE: f64 = 0.3;
+/// What an agent costs whose back end was not heard yet, in milliseconds. This and the
+/// costs below are longer than any request takes: they put agents in an order.
+const STARTING_COST: f64 = 500_000.0;
 /// What an agent costs that is avoided, as it declined for a reason that lasts: it comes
-/// after all others but those that fail or are suspected.
-const AVOIDED_COST: f64 = 750.0;
-/// What a suspected agent costs: it comes after all others.
-const SUSPECT_COST: f64 = 1_000.0;
-/// How much slower a back end is that still warms up.
-const COLD_FACTOR: f64 = 1.6;
+/// after all others but those that fail or are suspected. In milliseconds.
+const AVOIDED_COST: f64 = 750_000.0;
+/// What a suspected agent costs, in milliseconds: it comes after all others.
+const SUSPECT_COST: f64 = 1_000_000.0;
 /// An agent that has not answered a question for flows by then asks no others:
 /// a round of questions takes so long.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
@@ -86,20 +91,13 @@
         matches!(self.state, AgentState::Ready | AgentState::Draining)
     }
 
-    /// Expected requests for each slot, with what speaks against the agent for a
-    /// balancer in `zone`.
-    pub(crate) fn cost(&self, now: Timestamp, zone: u64) -> f64 {
-        let age = now.saturating_since(self.load_at);
-        let half_lives = age.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        let told = f64::from(self.load.busy) * 0.5_f64.powf(half_lives);
-        let busy = told + f64::from(self.sent_since) * 0.5_f64.powf(half_lives);
-        let capacity = f64::from(self.load.capacity.max(1));
-        let mut cost = busy / capacity;
-        if self.load.cold {
-            cost = (cost + 1.0 / capacity) * COLD_FACTOR;
-        }
+    /// What it costs to place a flow there, in milliseconds: how long its requests are
+    /// likely to take, and what speaks against the agent for a balancer in `zone`.
+    pub(crate) fn cost(&self, now: Timestamp, zone: u64, pattern: &ServicePattern) -> f64 {
+        let usual = usual_work_millis(pattern.work_millis());
+        let mut cost = self.expected_millis(now, pattern);
         if self.zone != zone {
-            cost += OTHER_ZONE_COST;
+            cost += usual * OTHER_ZONE_SHARE;
         }
         if self.state == AgentState::Starting {
             cost += STARTING_COST;
@@ -112,4 +110,39 @@
         }
         cost
     }
+
+    /// How long the requests of a new flow are likely to take until their answers, in
+    /// milliseconds: by the requests in hand as far as flows are short, and by what the
+    /// open flows need as far as they live long.
+    fn expected_millis(&self, now: Timestamp, pattern: &ServicePattern) -> f64 {
+        let slots = self.load.capacity;
+        let work = work_millis(&self.load, pattern.work_millis());
+        let usual = usual_work_millis(pattern.work_millis());
+        let requests = self.expected_requests(now);
+        let soon = completion_millis(work, requests, slots);
+        let needed = self.expected_demand(work / usual, pattern);
+        let lasting = completion_millis(usual, needed, slots);
+        let weight = pattern.demand_weight();
+        let waiting = waiting_millis(work, requests, slots);
+        soon * (1.0 - weight) + (lasting + waiting) * weight
+    }
+
+    /// Slots that the open flows, those sent since and a new one need in the mean, on a
+    /// back end whose work takes this many times as long as usual. A flow that has just
+    /// come has not shown what it needs: it counts as one like the others.
+    fn expected_demand(&self, relative_work: f64, pattern: &ServicePattern) -> f64 {
+        let of_one = pattern.flow_demand() * relative_work;
+        let told = f64::from(self.load.demand_millislots) / 1_000.0;
+        let sent = f64::from(self.sent_since);
+        let flows = f64::from(self.load.open_flows) + sent;
+        (told + sent * of_one).max(flows * of_one) + of_one
+    }
+
+    /// Requests in hand, as far as old news and what was sent since tell.
+    fn expected_requests(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_since(self.load_at);
+        let half_lives = age.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        let known = f64::from(self.load.busy) + f64::from(self.sent_since);
+        known * 0.5_f64.powf(half_lives)
+    }
 }
--- a/crates/petrellatch-core/src/pass_through/choice/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/mod.rs
@@ -3,4 +3,6 @@
 
 pub(crate) mod agent_directory;
 pub(crate) mod answer_time;
+pub(crate) mod expected_completion;
 pub(crate) mod known_agent;
+pub(crate) mod service_pattern;
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -6,6 +6,7 @@
 
 use crate::time::Timestamp;
 
+use super::flow_demand::FlowDemand;
 use crate::pass_through::packet::FlowId;
 
 /// How far a caller's acknowledgement may be ahead of the first sequence
@@ -57,6 +58,11 @@
         self.request != RequestState::None && !self.ended
     }
 
+    /// Whether its caller has opened it, and neither end has ended it.
+    fn is_open(&self) -> bool {
+        self.open && !self.ended
+    }
+
     /// Whether a packet with this acknowledgement belongs to the back end.
     pub(crate) fn owns(&self, acknowledged: u32) -> bool {
         match self.sequence {
@@ -71,6 +77,9 @@
 pub(crate) struct AgentFlows {
     flows: HashMap<FlowId, AgentFlow>,
     busy: u32,
+    /// Flows that are open and have not ended.
+    open_flows: u32,
+    demand: FlowDemand,
     /// Requests that have a slot.
     working: u32,
     /// Flows with requests that wait for one, in the order in which they came. Some
@@ -90,6 +99,16 @@
         self.busy
     }
 
+    /// Flows that are open and have not ended, also those that rest.
+    pub(crate) fn open_flows(&self) -> u32 {
+        self.open_flows
+    }
+
+    /// Slots that the flows kept busy in the last seconds, in thousandths of a slot.
+    pub(crate) fn demand_millislots(&self, now: Timestamp) -> u32 {
+        self.demand.millislots(now)
+    }
+
     /// Frees the slots of flows that their callers did not open in time.
     pub(crate) fn release_half_open(&mut self, now: Timestamp) {
         while let Some((limit, id)) = self.half_open.front().copied() {
@@ -152,9 +171,9 @@
         flow.active_at = now;
         match packet {
             BackendPacket::OpeningAnswer { sequence } => flow.sequence = Some(sequence),
-            BackendPacket::Established => flow.open = true,
+            BackendPacket::Established => self.open(id),
             BackendPacket::Answer => {
-                flow.open = true;
+                self.open(id);
                 let time = self.finish_request(now, id);
                 self.set_busy(id, false);
                 return time;
@@ -180,6 +199,7 @@
         if self.working < capacity {
             flow.request = RequestState::Working { since: now };
             self.working += 1;
+            self.demand.note_busy(now, self.working);
         } else {
             flow.request = RequestState::Waiting;
             self.waiting.push_back(id);
@@ -204,13 +224,16 @@
                 break;
             }
         }
+        self.demand.note_busy(now, self.working);
         Some(now.saturating_since(since))
     }
 
     pub(crate) fn remove(&mut self, now: Timestamp, id: FlowId) -> Option<AgentFlow> {
         self.finish_request(now, id);
         self.set_busy(id, false);
-        self.flows.remove(&id)
+        let flow = self.flows.remove(&id)?;
+        self.open_flows -= u32::from(flow.is_open());
+        Some(flow)
     }
 
     /// Forgets flows that are over, or that rested for `idle_limit`.
@@ -261,7 +284,9 @@
 
     fn open(&mut self, id: FlowId) {
         if let Some(flow) = self.flows.get_mut(&id) {
+            let was_open = flow.is_open();
             flow.open = true;
+            self.open_flows += u32::from(flow.is_open() && !was_open);
         }
     }
 
@@ -269,6 +294,7 @@
         self.finish_request(now, id);
         self.set_busy(id, false);
         if let Some(flow) = self.flows.get_mut(&id) {
+            self.open_flows -= u32::from(flow.is_open());
             flow.ended = true;
         }
     }
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_demand.rs
@@ -0,0 +1,41 @@
+//! How much of a back end the open flows need.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// Seconds until a change of the load counts for 63 % in the demand: longer than
+/// callers pause between two requests, and short beside the time that flows live.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// Busy slots in the mean of the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FlowDemand {
+    mean: f64,
+    slots: u32,
+    noted_at: Option<Timestamp>,
+}
+
+impl FlowDemand {
+    /// Notes that so many slots are busy from now on.
+    pub(crate) fn note_busy(&mut self, now: Timestamp, slots: u32) {
+        self.mean = self.mean_at(now);
+        self.slots = slots;
+        self.noted_at = Some(now);
+    }
+
+    /// The demand, in thousandths of a slot.
+    pub(crate) fn millislots(&self, now: Timestamp) -> u32 {
+        (self.mean_at(now) * 1_000.0).round() as u32
+    }
+
+    fn mean_at(&self, now: Timestamp) -> f64 {
+        let Some(noted_at) = self.noted_at else {
+            return 0.0;
+        };
+        let passed = now.saturating_since(noted_at).as_secs_f64();
+        let kept = (-passed / MEMORY.as_secs_f64()).exp();
+        let slots = f64::from(self.slots);
+        slots + (self.mean - slots) * kept
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/flows/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod agent_flows;
 pub(crate) mod agent_set;
+pub(crate) mod flow_demand;
 pub(crate) mod flow_hints;
 pub(crate) mod flow_search;
 pub(crate) mod gathered_questions;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/uneven_backends.rs
@@ -0,0 +1,111 @@
+//! Load of back ends of several speeds: who gets a new flow.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_core::pass_through::Registration;
+
+use super::world::{FIRST_OWN_PORT, MILLI, World, agent_address};
+
+const SLOTS: u32 = 3;
+const FAST: u8 = 1;
+const SLOW: u8 = 2;
+
+/// One back end answers after 20 ms, the other after 60 ms, and both have done so.
+fn known_speeds() -> World {
+    let mut world = World::new(2, SLOTS);
+    for round in 0..12 {
+        serve(&mut world, FIRST_OWN_PORT + 2 * round, 2);
+    }
+    world.run(Duration::from_secs(1));
+    world
+}
+
+/// Some callers at once, each with one request on a flow of its own.
+fn serve(world: &mut World, first_port: u16, callers: u16) {
+    let mut flows = Vec::new();
+    for port in first_port..first_port + callers {
+        world.open(port, 0);
+        if let Some(agent) = world.answered_by(port) {
+            world.request(port, agent);
+            flows.push((port, agent));
+        }
+    }
+    for (index, millis) in [(FAST, 20), (SLOW, 40)] {
+        world.run(millis * MILLI);
+        answer(world, &flows, agent_address(index));
+    }
+    world.run(20 * MILLI);
+}
+
+fn answer(world: &mut World, flows: &[(u16, SocketAddrV4)], agent: SocketAddrV4) {
+    for (port, _) in flows.iter().filter(|(_, it)| *it == agent) {
+        world.speak(agent, *port);
+        world.finish(*port, agent);
+    }
+}
+
+fn placed_at(world: &World, ports: std::ops::Range<u16>, index: u8) -> usize {
+    let placed = ports.filter(|port| world.answered_by(*port) == Some(agent_address(index)));
+    placed.count()
+}
+
+#[test]
+fn three_callers_at_once_go_where_they_are_answered_first() {
+    let mut world = known_speeds();
+    for port in 50_001..50_004 {
+        world.open(port, 0);
+    }
+    // Even the third is answered after 20 ms there, and after 60 ms at the other.
+    assert_eq!(placed_at(&world, 50_001..50_004, FAST), 3);
+}
+
+#[test]
+fn a_back_end_that_is_slow_gets_what_the_others_have_no_room_for() {
+    let mut world = known_speeds();
+    for port in 50_001..50_007 {
+        world.open(port, 0);
+    }
+    assert_eq!(placed_at(&world, 50_001..50_007, FAST), 3);
+    assert_eq!(placed_at(&world, 50_001..50_007, SLOW), 3);
+}
+
+#[test]
+fn a_back_end_that_has_told_no_time_counts_as_one_like_the_others() {
+    let mut world = known_speeds();
+    world.start_agent(3);
+    world.register(3, SLOTS, false, 1);
+    world.run(20 * MILLI);
+    for port in 50_001..50_007 {
+        world.open(port, 0);
+    }
+    // Its service's mean lies between 20 and 60 ms.
+    assert_eq!(placed_at(&world, 50_001..50_007, FAST), 3);
+    assert_eq!(placed_at(&world, 50_001..50_007, 3), 3);
+}
+
+#[test]
+fn a_cold_back_end_is_told_by_its_own_time() {
+    let mut world = World::new(2, SLOTS);
+    let call = Registration {
+        id: "backend-2".to_owned(),
+        call_number: 2,
+        capacity: SLOTS,
+        draining: false,
+        cold: Duration::from_secs(60),
+    };
+    // It warms up, and yet answers earlier than the warm one.
+    world.call(
+        FAST,
+        &Registration {
+            id: "backend-1".to_owned(),
+            ..call
+        },
+    );
+    for round in 0..12 {
+        serve(&mut world, FIRST_OWN_PORT + 6 * round, 6);
+    }
+    world.run(Duration::from_secs(1));
+    world.open(50_001, 0);
+    assert_eq!(placed_at(&world, 50_001..50_002, FAST), 1);
+}
