Call no return of callers a collapse

Ruled out: a rate of suspicions (it depends on the size of the fleet).

Change: a collapse also needs that most balancers suspect most agents.

Figures: red before: `callers_that_come_back_at_once_to_full_agents_are_no_collapse` found "CONGESTION COLLAPSE" with 42 suspicions of 42 agents. After: passes.

--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -125,7 +125,9 @@
     let mut text = format!(
         "; {count} suspicions ({rate} a second) of {suspected} agents at {balancers} balancers"
     );
-    let most_at_once = agents > 0 && suspected * 2 >= agents;
+    // Most balancers suspect most agents; a single late answer says little.
+    let by_most = count * 2 >= suspected * balancers as u64;
+    let most_at_once = agents > 0 && suspected * 2 >= agents && by_most;
     if most_at_once && slice.count(Column::RefusedFull) > 0 && slice.refused() * 2 >= count {
         text.push_str(
             ": CONGESTION COLLAPSE, most agents are late at once while some decline as full; \
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -78,6 +78,18 @@
     assert!(!one_dead.to_string().contains("COLLAPSE"), "{one_dead}");
 }
 
+#[test]
+fn callers_that_come_back_at_once_to_full_agents_are_no_collapse() {
+    let suspected = |text: &String| text.contains("AgentSuspected");
+    let (suspicions, mut texts): (Vec<String>, Vec<String>) =
+        collapse().into_iter().partition(suspected);
+    // Each agent is late once, for one balancer.
+    texts.extend(suspicions.into_iter().take(42));
+    let report = report(&texts);
+    assert_eq!(report.total(Column::Suspected), 42);
+    assert!(!report.to_string().contains("COLLAPSE"), "{report}");
+}
+
 #[test]
 fn a_collapse_in_which_answers_are_late_is_named_too() {
     let late = collapse().into_iter().enumerate().map(|(number, text)| {
