Give the age of a search in the line of its end

Cause: `FlowNotFound` comes some seconds after the caller's last packet; when the caller began to wait can't be told from it.

Ruled out: the time of the first packet (clocks of machines differ).

Change: `waited`, in milliseconds since the search began, as `FlowGone` has it. The test of the line asks for it.

--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -167,7 +167,9 @@
         self.counters.not_found += 1;
         let (asked, caller) = (search.summary(), search.caller_summary());
         let whole = self.agents.is_whole(now);
-        let subject = format!("flow={flow} {asked} directory_whole={whole} {caller}");
+        let waited = now.saturating_since(search.started_at()).as_millis();
+        let subject =
+            format!("flow={flow} waited={waited} {asked} directory_whole={whole} {caller}");
         self.emit_event(EventKind::FlowNotFound, subject);
     }
 
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -112,6 +112,7 @@
     };
     let inputs = "directory_whole=false awaits=true ended=false";
     assert!(told.contains(inputs), "{told}");
+    assert!(told.contains(" waited="), "the age of the question: {told}");
 }
 
 #[test]
