Tell callers that wait from those that only close

The summary put both into one column, so those that were owed a word were hidden.

Ruled out: leaving closed flows out (a caller that gives up closes too).

Change: only a caller that waits for no answer is nobody to tell; one that waited and then closed counts by what held the verdict up. The extended test has both (the stopped agent's lines are half with a caller that closed).

--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -150,11 +150,11 @@
     ),
     (
         Column::NobodyWaits,
-        "the caller had ended the flow or waits for no answer",
+        "the caller waits for no answer (it closed the flow)",
     ),
     (
         Column::HeldByNone,
-        "all agents had answered that they lack the flow",
+        "all agents lack the flow, and the caller may have closed it first",
     ),
 ];
 
--- a/crates/petrellatch/src/logs/summary/column.rs
+++ b/crates/petrellatch/src/logs/summary/column.rs
@@ -49,8 +49,8 @@
     HeldByLate "l.late" "Of those, held up by agents that should have answered, or by most agents.";
     HeldByUnsure "l.unsu" "Of those, held up by agents or back ends that could not know.";
     HeldByList "l.list" "Of those, held up because the balancer's list of agents was not whole.";
-    NobodyWaits "l.end" "Of those, with nobody to tell: the caller had ended or waits for no answer.";
-    HeldByNone "l.none" "Of those, held up by no agent: all answered that they lack the flow.";
+    NobodyWaits "l.end" "Of those, with nobody to tell: the caller waits for no answer.";
+    HeldByNone "l.none" "Of those, held up by no agent: all lack the flow; the caller may have closed it first.";
     Bounced "reset" "Flows reset inside: a back end does not have them any more.";
     Stalled "stall" "Flows whose agent does not answer.";
     BackendSilent "silent" "Back ends that fell silent.";
@@ -114,7 +114,7 @@
     let held_by = match (count("expected"), unsure, count("missing"), count("lacks")) {
         (1.., ..) => Some(Column::HeldByLate),
         (0, 1.., ..) => Some(Column::HeldByUnsure),
-        _ if is("awaits", "false") || is("ended", "true") => Some(Column::NobodyWaits),
+        _ if is("awaits", "false") => Some(Column::NobodyWaits),
         _ if is("directory_whole", "false") => Some(Column::HeldByList),
         (0, 0, missing @ 1.., lacks) if missing < lacks => Some(Column::HeldByGone),
         (0, 0, 1.., _) => Some(Column::HeldByLate),
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -122,7 +122,11 @@
         line(8_000 + number, "front-1", "FlowNotFound", &subject)
     };
     let stopped = "rounds=5 missing=1 expected=0 uncertain=0 tried=0 lacks=44";
-    let mut texts: Vec<String> = (0..700).map(|number| lost(number, stopped)).collect();
+    // One that waited for an answer before it closed the flow was owed a word.
+    let closed = "rounds=5 missing=1 expected=0 uncertain=0 tried=0 lacks=44 \
+                  directory_whole=true awaits=true ended=true";
+    let held = |number| if number % 2 == 0 { stopped } else { closed };
+    let mut texts: Vec<String> = (0..700).map(|number| lost(number, held(number))).collect();
     for (number, held) in [
         (
             700,
@@ -142,7 +146,7 @@
         ),
         (
             705,
-            "rounds=9 missing=0 expected=0 uncertain=0 tried=0 lacks=45 directory_whole=false awaits=false ended=false",
+            "rounds=9 missing=0 expected=0 uncertain=0 tried=0 lacks=45 directory_whole=false awaits=false ended=true",
         ),
         (
             703,
@@ -160,8 +164,8 @@
         "for 1 agents that should have answered, or most agents, did not",
         "for 1 agents or back ends could not know",
         "for 1 the balancer's list of agents was not whole",
-        "for 1 the caller had ended the flow or waits for no answer",
-        "for 1 all agents had answered that they lack the flow",
+        "for 1 the caller waits for no answer (it closed the flow)",
+        "for 1 all agents lack the flow, and the caller may have closed it first",
     ] {
         assert!(causes[0].contains(part), "{part}: {causes:?}");
     }
