Say in the line of a refusal how many agents are cold

Cause: after a return a refusal says that all agents are full, not that their back ends are cold.

Ruled out: the reason of each declining agent (a message field); the balancer knows it from the load that agents tell.

Change: `FlowRefused` ends with cold=N beside agents, leaving and evacuated.

Figures: red before: `a_refusal_says_how_many_agents_are_cold` got "agents=1 leaving=0 evacuated=0".

--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -69,6 +69,8 @@
     leaving: usize,
     /// Their zones are out of service.
     evacuated: usize,
+    /// Their back ends are cold, by their last word.
+    cold: usize,
 }
 
 impl fmt::Display for AgentCounts {
@@ -77,10 +79,11 @@
             agents,
             leaving,
             evacuated,
+            cold,
         } = self;
         write!(
             formatter,
-            "agents={agents} leaving={leaving} evacuated={evacuated}"
+            "agents={agents} leaving={leaving} evacuated={evacuated} cold={cold}"
         )
     }
 }
@@ -203,6 +206,7 @@
             counts.agents += 1;
             counts.leaving += usize::from(agent.state == AgentState::Draining);
             counts.evacuated += usize::from(self.evacuated.contains(&agent.zone));
+            counts.cold += usize::from(agent.load.cold);
         }
         counts
     }
--- a/crates/petrellatch-core/tests/pass_through/cold_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/cold_backends.rs
@@ -74,6 +74,16 @@
     assert!(times.len() >= 40, "it gets what it bears: {}", times.len());
 }
 
+#[test]
+fn a_refusal_says_how_many_agents_are_cold() {
+    let mut world = world();
+    call(&mut world, "one", 1, 4 * SECOND);
+    arrivals(&mut world, 1_000, SECOND);
+    let told = world.refusals.last().expect("more came than it bears");
+    assert!(told.contains("agents=1 "), "{told}");
+    assert!(told.ends_with(" cold=1"), "{told}");
+}
+
 #[test]
 fn a_warm_back_end_is_not_bounded() {
     let mut world = world();
