Tell cold back ends in the story of a flow and in the summary

Cause: incidents after a loss of power could not be told from plain overload by lines.

Ruled out: a column (cold is a state, not a count of flows).

`a_refusal_is_explained_by_its_own_line_when_others_were_left_out` got a case more; `starts_come_before_the_refusals_that_they_cause` expects the words.

--- a/crates/petrellatch/src/logs/flow_story.rs
+++ b/crates/petrellatch/src/logs/flow_story.rs
@@ -266,5 +266,10 @@
             "; of {agents} known agents {evacuated} are in zones out of service"
         ));
     }
+    if let (Some(agents), Some(cold @ 1..)) = (count("agents"), count("cold")) {
+        cause.push_str(&format!(
+            "; of {agents} known agents {cold} have cold back ends"
+        ));
+    }
     cause
 }
--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -73,6 +73,10 @@
     let agents = summary.slices.values().map(|slice| slice.agents).max();
     let causes = runs.into_iter().map(|(from, until, slice)| {
         let mut text = refusals(&slice);
+        if slice.cold > 0 {
+            let Slice { cold, agents, .. } = slice;
+            text.push_str(&format!(", up to {cold} of {agents} agents cold"));
+        }
         text.push_str(&suspicions(&slice, agents.unwrap_or(0), until - from));
         let started = starts
             .iter()
--- a/crates/petrellatch/src/logs/summary/slice.rs
+++ b/crates/petrellatch/src/logs/summary/slice.rs
@@ -27,6 +27,8 @@
     pub(super) lacks: u64,
     /// Most agents of a service that a balancer knew when it refused.
     pub(super) agents: u64,
+    /// Most of them that were cold.
+    pub(super) cold: u64,
 }
 
 impl Slice {
@@ -46,6 +48,7 @@
         if matches!(kind, EventKind::FlowRefused | EventKind::AgentSuspected) {
             insert(&mut self.balancers, Some(node));
             self.agents = self.agents.max(number(line, "agents").unwrap_or(0));
+            self.cold = self.cold.max(number(line, "cold").unwrap_or(0));
         }
     }
 
@@ -58,6 +61,7 @@
         self.missing = self.missing.max(other.missing);
         self.lacks = self.lacks.max(other.lacks);
         self.agents = self.agents.max(other.agents);
+        self.cold = self.cold.max(other.cold);
         for name in &other.suspected {
             insert(&mut self.suspected, Some(*name));
         }
--- a/crates/petrellatch/tests/logs.rs
+++ b/crates/petrellatch/tests/logs.rs
@@ -165,6 +165,11 @@
         full.contains("7 declined as full, 1 did not answer"),
         "{full}"
     );
+    let cold = refused("asked=8 full=8 late=0 other=0 agents=9 leaving=0 evacuated=0 cold=9");
+    assert!(
+        cold.contains("of 9 known agents 9 have cold back ends"),
+        "{cold}"
+    );
     let nobody = refused("asked=0 full=0 late=0 other=0");
     assert!(nobody.contains("knew no agent"), "{nobody}");
     // Without the counts the line says nothing about agents.
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -194,7 +194,7 @@
         line(4_900, "side-1", "EntriesLeftOut", "40 entries"),
     ];
     texts.extend((0..50).map(|number| {
-        let refused = "reason=no_agent version=4 asked=4 full=4 late=0 other=0 agents=7";
+        let refused = "reason=no_agent version=4 asked=4 full=4 late=0 other=0 agents=7 cold=6";
         let subject = format!("flow=100.64.0.7:{number}>198.18.0.1:80 {refused}");
         line(4_200 + number, "front-1", "FlowRefused", &subject)
     }));
@@ -205,7 +205,7 @@
         [
             "2 processes started again (1 agent, 1 balancer), 1 without having been asked to \
              stop, after 900 ms without a line of anyone",
-            "50 flows refused (50 all that answered were full); beside 2 processes that had \
+            "50 flows refused (50 all that answered were full), up to 6 of 7 agents cold; beside 2 processes that had \
              started again",
         ]
     );
