Pause new flows of a service that has no room at the balancer

Cause: a flow that nobody has room for cost a balancer eight questions with their answers, and its caller was back at once, three times over. On links of 3.7 Mbit/s the messages delayed all answers, agents were suspected for it, and after a burst of 2.6 times nothing was served any more.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -138,6 +138,10 @@
     BackendLeftOut = 515, Warning;
     /// A back end that was left out answers requests again.
     BackendRecovered = 516, Info;
+    /// A service has no room for new flows of a priority, or for more or fewer priorities than before.
+    ServicePressed = 517, Warning;
+    /// A service has had room for all new flows for a second.
+    PressureEnded = 518, Info;
     /// A balancer has a newer configuration in force.
     ConfigurationApplied = 520, Info;
     /// The configuration was replaced under a newer version.
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -0,0 +1,146 @@
+//! New flows that are refused without asking an agent, and how much is asked for those
+//! that are not.
+
+use super::*;
+
+/// Agents that are asked for a flow while its service is under pressure, other ones
+/// than those that have just declined. With two, twice as many messages go into flows
+/// that are refused.
+const PRESSED_ASKED: usize = 1;
+
+impl<C: PacketCodec> PassThroughBalancer<C> {
+    /// New flows that were refused without asking an agent, by priority.
+    pub fn refused_at_edge(&self) -> &BTreeMap<u32, u64> {
+        &self.refused_at_edge
+    }
+
+    /// What a new flow is for the room that it needs, if its caller had waited for
+    /// `age` when it came.
+    pub(super) fn flow_kind(&self, flow: FlowId, service: u64, age: Duration) -> FlowKind {
+        let class = self.routes.class(flow);
+        let objective = Duration::from_millis(u64::from(class.objective_millis));
+        FlowKind {
+            service,
+            is_late: !objective.is_zero() && age >= objective,
+            priority: class.priority,
+        }
+    }
+
+    /// Whether agents are asked for a new flow; otherwise it is refused.
+    pub(super) fn admits_at_edge(&mut self, now: Timestamp, flow: FlowId, hint: &FlowHint) -> bool {
+        let kind = self.flow_kind(flow, hint.service, hint.age);
+        if self.pressure.decide(now, kind) == EdgeDecision::Ask {
+            return true;
+        }
+        self.counters.refused += 1;
+        *self.refused_at_edge.entry(kind.priority).or_default() += 1;
+        if is_sampled(flow) {
+            let version = self.routes.version();
+            let subject = format!("flow={flow} reason=no_room version={version}");
+            self.emit_event(EventKind::FlowRefused, subject);
+        }
+        self.reset(flow);
+        false
+    }
+
+    /// How many agents are asked for a flow, in each of the two rounds.
+    pub(super) fn ask_limit(&mut self, now: Timestamp, flow: FlowId) -> usize {
+        let Some(hint) = self.hints.get_mut(flow) else {
+            return 0;
+        };
+        let (service, age, queued) = (hint.service, hint.age, hint.queued);
+        let kind = self.flow_kind(flow, service, age);
+        match (self.pressure.is_pressed(now, kind), queued) {
+            (true, _) => PRESSED_ASKED,
+            (false, false) => MAX_ASKED,
+            (false, true) => MAX_QUEUE_ASKED,
+        }
+    }
+
+    /// Notes that a flow was taken, or waits for a place.
+    pub(super) fn note_taken(&mut self, flow: FlowId, hint: (u64, Duration, Timestamp)) {
+        let (service, age, created_at) = hint;
+        let kind = self.flow_kind(flow, service, age);
+        self.pressure.note_taken(kind, created_at);
+    }
+
+    /// Notes that no agent takes a flow. If most of those that were asked had no room,
+    /// the next ones are refused for a while. Silence, or back ends that leave, are no
+    /// lack of room.
+    pub(super) fn note_refused(&mut self, now: Timestamp, flow: FlowId, hint: &FlowHint) {
+        let kind = self.flow_kind(flow, hint.service, hint.age);
+        let AskedAgents { asked, full, .. } = hint.asked;
+        if full * 2 <= asked {
+            self.pressure.note_unknown(kind);
+            return;
+        }
+        let agents = self.agents.count(hint.service).serving();
+        let created_at = hint.created_at;
+        if self
+            .pressure
+            .note_full(now, kind, created_at, agents, flow.route)
+        {
+            self.counters.pauses += 1;
+            self.tell_pressure(now);
+        }
+    }
+
+    /// Notes how long an agent took to answer.
+    pub(super) fn note_answer(&mut self, now: Timestamp, agent: SocketAddrV4, asked_at: Timestamp) {
+        let time = now.saturating_since(asked_at);
+        self.answer_time.record(time);
+        self.own_delay.record(now, agent, time);
+    }
+
+    /// Logs which services have come under pressure, or are under none any more.
+    pub(super) fn tell_pressure(&mut self, now: Timestamp) {
+        for change in self.pressure.take_changes(now) {
+            let PressureChange {
+                level,
+                before,
+                route,
+                ..
+            } = change;
+            let name = |level: Option<u32>| level.map_or("none".to_owned(), |it| it.to_string());
+            let subject = format!(
+                "route={route} level={} before={}",
+                name(level),
+                name(before)
+            );
+            let kind = match level {
+                Some(_) => EventKind::ServicePressed,
+                None => EventKind::PressureEnded,
+            };
+            self.emit_event(kind, subject);
+        }
+    }
+
+    /// Resets a flow. `detail` goes into the log, after a blank.
+    pub(super) fn refuse(&mut self, flow: FlowId, reason: &str, detail: &str) {
+        self.counters.refused += 1;
+        let version = self.routes.version();
+        let subject = format!("flow={flow} reason={reason} version={version}{detail}");
+        self.emit_event(EventKind::FlowRefused, subject);
+        self.reset(flow);
+    }
+
+    fn reset(&mut self, flow: FlowId) {
+        self.outputs.push_back(PassThroughOutput::ToCaller {
+            address: *flow.caller.ip(),
+            packet: self.codec.reset(flow, 0),
+        });
+    }
+}
+
+/// Whether a caller that has waited for `age` has given up its opening packet, or its
+/// request. The deadline is in milliseconds, zero if it is not known.
+pub(super) fn has_passed(age: Duration, deadline_millis: u32) -> bool {
+    let deadline = Duration::from_millis(u64::from(deadline_millis));
+    age >= OPENING_PATIENCE || (!deadline.is_zero() && age >= deadline)
+}
+
+/// Whether the caller of a flow that nobody has taken has given it up.
+pub(super) fn has_left(now: Timestamp, hint: &FlowHint) -> bool {
+    let age = hint.age + now.saturating_since(hint.created_at);
+    hint.opening.is_some() && has_passed(age, 0)
+}
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer: chooses an agent for each new flow, and hands on the packets
 //! of open ones.
 
+mod edge;
 mod news;
 mod open_flows;
 mod openings;
@@ -22,9 +23,12 @@
 
 use super::choice::agent_directory::{AgentDirectory, ChosenAgent};
 use super::choice::answer_time::AnswerTime;
+use super::choice::ask_budget::AskBudget;
+use super::choice::own_delay::OwnDelay;
+use super::choice::service_pressure::{EdgeDecision, FlowKind, PressureChange, ServicePressure};
 use super::digest::{flow_digest, is_sampled};
 use super::flows::agent_set::AgentSet;
-use super::flows::flow_hints::{Candidate, CandidateState, FlowHint, FlowHints};
+use super::flows::flow_hints::{AskedAgents, Candidate, CandidateState, FlowHint, FlowHints};
 use super::flows::flow_search::{FlowSearches, SearchStep};
 use super::flows::seek_budget::SeekBudget;
 use super::group::attachments::Attachments;
@@ -142,6 +146,14 @@
     pub not_found: u64,
     /// Packets handed on.
     pub delivered: u64,
+    /// Times that a service's new flows are refused at once, as it has no room.
+    pub pauses: u64,
+    /// Flows whose callers left before an agent took them.
+    pub left: u64,
+    /// Questions beyond the first of a flow.
+    pub further_asked: u64,
+    /// Such questions that were not asked, as the link's budget was used.
+    pub further_unpaid: u64,
 }
 
 /// Times that a balancer measures.
@@ -177,6 +189,10 @@
     /// order of the questions.
     awaited: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
     answer_time: AnswerTime,
+    own_delay: OwnDelay,
+    ask_budget: AskBudget,
+    pressure: ServicePressure,
+    refused_at_edge: BTreeMap<u32, u64>,
     /// Flows that wait for a place at an agent, with the time by which it is to say
     /// what became of them, in that order.
     waiting: VecDeque<(Timestamp, FlowId, SocketAddrV4)>,
@@ -236,6 +252,10 @@
             asked_questions: VecDeque::new(),
             awaited: VecDeque::new(),
             answer_time: AnswerTime::default(),
+            own_delay: OwnDelay::default(),
+            ask_budget: AskBudget::new(now, link_bytes_per_second),
+            pressure: ServicePressure::default(),
+            refused_at_edge: BTreeMap::new(),
             waiting: VecDeque::new(),
             confirm: incarnation.0 | 1,
             confirmed_version: None,
@@ -418,6 +438,7 @@
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
+            self.tell_pressure(now);
         }
         let overdue = self.attachments.overdue_at();
         let follow_at = overdue.map_or(self.follow_at, |at| self.follow_at.min(at));
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -1,5 +1,6 @@
 //! New flows: which agent is asked, and what its answer leads to.
 
+use super::edge::{has_left, has_passed};
 use super::*;
 
 impl<C: PacketCodec> PassThroughBalancer<C> {
@@ -24,6 +25,7 @@
         if let Some(hint) = self.hints.get_mut(flow)
             && hint.service == service
             && !hint.ended
+            && !has_left(now, hint)
         {
             hint.used_at = now;
             let asked = hint.owner.or_else(|| hint.accepted());
@@ -36,11 +38,15 @@
             return;
         } else {
             let hint = self.new_hint(now, service, view, waited);
+            if !self.admits_at_edge(now, flow, &hint) {
+                return;
+            }
             self.hints.insert(flow, hint);
         }
+        let is_own_delay = self.own_delay.is_own(now);
         if let Some(hint) = self.hints.get_mut(flow) {
             hint.opening = Some(packet.to_vec());
-            if hint.is_waiting() {
+            if hint.is_waiting() || (is_own_delay && hint.is_awaited()) {
                 return;
             }
         }
@@ -49,7 +55,8 @@
 
     /// What is known of a flow with its first packet here. If its caller has waited
     /// for as long as an answer may take, agents are asked at once to queue it: they
-    /// let it wait behind fresh ones.
+    /// let it wait behind fresh ones. So are they while the service is under pressure,
+    /// when to ask for a free slot first is a question in vain.
     fn new_hint(
         &self,
         now: Timestamp,
@@ -58,17 +65,18 @@
         waited: Duration,
     ) -> FlowHint {
         let age = view.least_age() + waited;
-        let class = self.routes.class(view.flow_from_caller());
-        let objective = Duration::from_millis(u64::from(class.objective_millis));
+        let kind = self.flow_kind(view.flow_from_caller(), service, age);
         FlowHint {
             age,
-            queued: !objective.is_zero() && age >= objective,
+            queued: kind.is_late || self.pressure.is_pressed(now, kind),
             ..FlowHint::new(now, service)
         }
     }
 
-    /// Asks the next agent to take a flow; refuses it if nobody is left.
-    fn ask_next(&mut self, now: Timestamp, flow: FlowId) {
+    /// Asks the next agent to take a flow; refuses it if nobody is left, or no further
+    /// question can be paid. For a caller that has left nobody is asked.
+    pub(super) fn ask_next(&mut self, now: Timestamp, flow: FlowId) {
+        let limit = self.ask_limit(now, flow);
         let Some(hint) = self.hints.get_mut(flow) else {
             return;
         };
@@ -77,15 +85,16 @@
         };
         let service = hint.service;
         let age = hint.age + now.saturating_since(hint.created_at);
-        let limit = match hint.queued {
-            false => MAX_ASKED,
-            true => MAX_QUEUE_ASKED,
-        };
-        let was_asked = |agent| hint.was_asked(agent);
-        let found = match hint.candidates.len() < limit {
-            true => self
-                .agents
-                .choose(now, service, flow, hint.queued, was_asked),
+        let class = self.routes.class(flow);
+        let has_left = has_passed(age, class.deadline_millis);
+        self.counters.left += u64::from(has_left);
+        let may_ask = !has_left && hint.candidates.len() < limit;
+        let is_further = may_ask && hint.asked.asked > 0;
+        let is_paid = !is_further || self.ask_budget.pay(now, packet.len());
+        self.counters.further_asked += u64::from(is_further && is_paid);
+        self.counters.further_unpaid += u64::from(!is_paid);
+        let found = match may_ask && is_paid {
+            true => choose_other(now, flow, hint, &self.agents, &self.pressure),
             false => None,
         };
         let Some(ChosenAgent {
@@ -115,7 +124,6 @@
             let subject = format!("flow={flow} agent={agent} version={version} reason={reason:?}");
             self.emit_event(EventKind::FlowPlaced, subject);
         }
-        let class = self.routes.class(flow);
         let carry = Carry {
             service,
             reason: reason.into(),
@@ -145,26 +153,16 @@
             self.ask_next(now, flow);
             return;
         }
-        let service = hint.service;
-        let hint = self.hints.remove(flow);
-        let asked = hint.map(|hint| hint.asked).unwrap_or_default();
-        let counts = self.agents.count(service);
+        let Some(hint) = self.hints.remove(flow) else {
+            return;
+        };
+        self.note_refused(now, flow, &hint);
+        let asked = hint.asked;
+        let counts = self.agents.count(hint.service);
         let detail = format!(" {asked} {counts}");
         self.refuse(flow, "no_agent", &detail);
     }
 
-    /// Resets a flow. `detail` goes into the log, after a blank.
-    fn refuse(&mut self, flow: FlowId, reason: &str, detail: &str) {
-        self.counters.refused += 1;
-        let version = self.routes.version();
-        let subject = format!("flow={flow} reason={reason} version={version}{detail}");
-        self.emit_event(EventKind::FlowRefused, subject);
-        self.outputs.push_back(PassThroughOutput::ToCaller {
-            address: *flow.caller.ip(),
-            packet: self.codec.reset(flow, 0),
-        });
-    }
-
     pub(super) fn handle_unanswered(&mut self, now: Timestamp, flow: FlowId, agent: SocketAddrV4) {
         let Some(hint) = self.hints.get_mut(flow) else {
             return;
@@ -179,6 +177,9 @@
         hint.asked.late += 1;
         let is_open = hint.opening.is_none();
         self.counters.unanswered += 1;
+        if self.own_delay.is_own(now) {
+            return;
+        }
         if self.agents.note_missed(now, agent) {
             let subject = format!("agent={agent} flow={flow}");
             self.emit_event(EventKind::AgentSuspected, subject);
@@ -200,9 +201,12 @@
             return;
         };
         candidate.state = CandidateState::Waiting;
-        if let Some(asked_at) = candidate.asked_at.take() {
-            self.answer_time.record(now.saturating_since(asked_at));
+        let asked_at = candidate.asked_at.take();
+        let known = (hint.service, hint.age, hint.created_at);
+        if let Some(asked_at) = asked_at {
+            self.note_answer(now, from, asked_at);
         }
+        self.note_taken(flow, known);
         let limit = now + OPENING_PATIENCE;
         self.waiting.push_back((limit, flow, from));
     }
@@ -232,27 +236,37 @@
         accepted: &Accepted,
     ) {
         self.note_heard(now, from, Some(accepted.load));
-        let Some(hint) = self.hints.get_mut(accepted.flow.into()) else {
+        let flow = FlowId::from(accepted.flow);
+        let Some(hint) = self.hints.get_mut(flow) else {
             return;
         };
         let sequence = accepted.sequence;
-        if hint.opening.take().is_some() {
+        let known = (hint.service, hint.age, hint.created_at);
+        let is_first = hint.opening.take().is_some();
+        if is_first {
             let time = now.saturating_since(hint.created_at);
             self.latencies.placement.record(time);
         }
         let state = CandidateState::Accepted { sequence };
-        match hint.candidate_mut(from) {
+        let asked_at = match hint.candidate_mut(from) {
             Some(candidate) => {
                 candidate.state = state;
-                if let Some(asked_at) = candidate.asked_at.take() {
-                    self.answer_time.record(now.saturating_since(asked_at));
-                }
+                candidate.asked_at.take()
             }
-            None => hint.candidates.push(Candidate {
-                agent: from,
-                state,
-                asked_at: None,
-            }),
+            None => {
+                hint.candidates.push(Candidate {
+                    agent: from,
+                    state,
+                    asked_at: None,
+                });
+                None
+            }
+        };
+        if let Some(asked_at) = asked_at {
+            self.note_answer(now, from, asked_at);
+        }
+        if is_first {
+            self.note_taken(flow, known);
         }
     }
 
@@ -284,15 +298,43 @@
             return;
         };
         candidate.state = CandidateState::Declined;
-        if let Some(asked_at) = candidate.asked_at.take() {
-            self.answer_time.record(now.saturating_since(asked_at));
-        }
+        let asked_at = candidate.asked_at.take();
+        let service = hint.service;
+        let is_open = hint.accepted().is_some();
         match declined.reason() {
-            DeclineReason::Full | DeclineReason::Cold => hint.asked.full += 1,
+            DeclineReason::Full | DeclineReason::Cold => {
+                hint.asked.full += 1;
+                let turn = Duration::from_micros(u64::from(declined.turn_micros));
+                self.pressure.note_turn(service, turn);
+                if hint.queued {
+                    self.pressure.note_declined(now, from);
+                }
+            }
             _ => hint.asked.other += 1,
         }
-        if hint.accepted().is_none() {
+        if let Some(asked_at) = asked_at {
+            self.note_answer(now, from, asked_at);
+        }
+        if !is_open {
             self.ask_next(now, flow);
         }
     }
 }
+
+/// The agent that is asked next: another one than those that have just had no room, as
+/// long as one is there that answers.
+fn choose_other(
+    now: Timestamp,
+    flow: FlowId,
+    hint: &FlowHint,
+    agents: &AgentDirectory,
+    pressure: &ServicePressure,
+) -> Option<ChosenAgent> {
+    let choose = |is_excluded: &dyn Fn(SocketAddrV4) -> bool| {
+        agents.choose(now, hint.service, flow, hint.queued, is_excluded)
+    };
+    let was_asked = |agent| hint.was_asked(agent);
+    let other = choose(&|agent| was_asked(agent) || pressure.has_declined(now, agent));
+    let answers = |it: &ChosenAgent| !agents.is_suspected(now, it.address);
+    other.filter(answers).or_else(|| choose(&was_asked))
+}
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -73,6 +73,13 @@
     cold: usize,
 }
 
+impl AgentCounts {
+    /// Agents that may take new flows.
+    pub(crate) fn serving(&self) -> usize {
+        self.agents.saturating_sub(self.leaving.max(self.evacuated))
+    }
+}
+
 impl fmt::Display for AgentCounts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let AgentCounts {
--- a/crates/petrellatch-core/src/pass_through/choice/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/mod.rs
@@ -1,8 +1,11 @@
 //! The choice of an agent for a new flow: which agents there are, how busy they
-//! are, and which of them answer.
+//! are, and which of them answer; and when none is asked.
 
 pub(crate) mod agent_directory;
 pub(crate) mod answer_time;
+pub(crate) mod ask_budget;
 pub(crate) mod expected_completion;
 pub(crate) mod known_agent;
+pub(crate) mod own_delay;
 pub(crate) mod service_pattern;
+pub(crate) mod service_pressure;
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -16,7 +16,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 25] = [
+pub const METRIC_NAMES: [&str; 28] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -42,6 +42,9 @@
     "petrellatch_pass_through_agents_behind",
     "petrellatch_pass_through_waiting_total",
     "petrellatch_pass_through_full_total",
+    "petrellatch_pass_through_refused_at_edge_total",
+    "petrellatch_pass_through_pauses_total",
+    "petrellatch_pass_through_further_questions_total",
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -88,6 +91,24 @@
     ] {
         raise(&searches.with_label_values(&[outcome]), total);
     }
+    let help = "New flows that were refused without asking an agent, by priority.";
+    let refused = counters(&registry, METRIC_NAMES[24], help, "priority");
+    for (priority, total) in balancer.refused_at_edge() {
+        raise(
+            &refused.with_label_values(&[priority.to_string().as_str()]),
+            *total,
+        );
+    }
+    let help = "Times that new flows of a service are refused for a while.";
+    raise(&counter(&registry, METRIC_NAMES[25], help), counted.pauses);
+    let help = "Questions beyond the first of a flow, by whether the link bore them.";
+    let questions = counters(&registry, METRIC_NAMES[26], help, "outcome");
+    for (outcome, total) in [
+        ("asked", counted.further_asked),
+        ("unpaid", counted.further_unpaid),
+    ] {
+        raise(&questions.with_label_values(&[outcome]), total);
+    }
     let (flows, agents) = balancer.sizes();
     set(
         &gauge(&registry, METRIC_NAMES[5], "Flows that are remembered."),
