Let agents that stop say that they leave no open flow

Cause: an agent that has stopped answers no question, and as long as replicas list it, it may have any flow: every verdict waited for it. A test beside it found another fault: a flow was reset when the directory became whole by agents that the round had not asked.

Ruled out: not to wait for agents that aren't expected to answer (ends flows that live behind a restarting agent); lists of the flows that stay, through replicas (a second table; not built).

Change: the last report of an agent says "empty" if it has no unfinished flow and has seen every flow of its back end. One that has not heard of its back end stays until it has, or the time for that is over, within its stop limit. A verdict counts only for the agents that the directory had when they were asked.

--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -147,6 +147,8 @@
     unheard: bool,
     stop_at: Option<Timestamp>,
     stopped: bool,
+    /// It has stopped, and its back end certainly has no open flow.
+    leaves_nothing: bool,
     counters: PassThroughAgentCounters,
     latencies: PassThroughAgentLatencies,
     service_time: ServiceTime,
@@ -201,6 +203,7 @@
             unheard: true,
             stop_at: None,
             stopped: false,
+            leaves_nothing: false,
             counters: PassThroughAgentCounters::default(),
             latencies: PassThroughAgentLatencies::default(),
             service_time: ServiceTime::default(),
--- a/crates/petrellatch-core/src/pass_through/agent/questions.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/questions.rs
@@ -84,7 +84,7 @@
     /// seen the back end begin, or lasts longer than any flow, or no back end
     /// has called or spoken for so long that there is none. A back end whose
     /// first calls come here has begun with this life, if there was none before.
-    fn knows_all_flows(&self, now: Timestamp) -> bool {
+    pub(super) fn knows_all_flows(&self, now: Timestamp) -> bool {
         let age = now.saturating_since(self.started_at);
         let is_first_life = self.had_former_life == Some(false);
         self.settings.first_start
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -34,6 +34,9 @@
     }
 
     pub(super) fn state(&self, now: Timestamp) -> AgentState {
+        if self.leaves_nothing {
+            return AgentState::Empty;
+        }
         let limit = self.settings.silence_limit;
         match self.registration.state(now, limit) {
             AgentState::Ready | AgentState::Starting if self.stop_at.is_some() => {
--- a/crates/petrellatch-core/src/pass_through/agent/stopping.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/stopping.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_proto::pass_through::{HeldFlow, Holds, PassThroughBody};
+use petrellatch_proto::pass_through::{AgentState, HeldFlow, Holds, PassThroughBody};
 
 use super::PassThroughAgent;
 use crate::pass_through::packet::PacketCodec;
@@ -12,8 +12,8 @@
 const HELD_FLOWS_PER_MESSAGE: usize = 200;
 
 impl<C: PacketCodec> PassThroughAgent<C> {
-    /// Begins a planned stop: no new flows, and an end once the open ones are
-    /// over or the limit is reached.
+    /// Begins a planned stop: no new flows, and an end once the open ones are over and
+    /// it is known whether the back end lives, or the limit is reached.
     pub fn begin_stop(&mut self, now: Timestamp) {
         if self.stop_at.is_none() {
             self.stop_at = Some(now + self.settings.stop_limit);
@@ -24,11 +24,21 @@
 
     pub(super) fn continue_stop(&mut self, now: Timestamp) {
         let Some(stop_at) = self.stop_at else { return };
-        if self.stopped || (now < stop_at && self.flows.unfinished() > 0) {
+        let must_stay = self.flows.unfinished() > 0 || self.awaits_backend(now);
+        if self.stopped || (now < stop_at && must_stay) {
             return;
         }
         self.stopped = true;
         self.leave_flows();
+        self.leaves_nothing = self.flows.unfinished() == 0 && self.knows_all_flows(now);
+        // The last word: balancers wait for the answers of one that may have flows.
+        self.report(now);
+    }
+
+    /// Whether nothing was heard of the back end yet: it may live and have flows that
+    /// this life has not seen. Who goes now leaves balancers in doubt about them.
+    fn awaits_backend(&self, now: Timestamp) -> bool {
+        self.registration.state(now, self.settings.silence_limit) == AgentState::Starting
     }
 
     /// Tells the balancers which flows stay at the back end.
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -40,7 +40,10 @@
                 let bytes = question_bytes(asked.len(), questions.contains_key(asked));
                 self.seek_budget.take(now, bytes)
             };
-            let asked = self.searches.begin_round(now, flow, &agents, take_budget);
+            let added = self.agents.added();
+            let asked = self
+                .searches
+                .begin_round(now, flow, &agents, added, take_budget);
             if !asked.is_empty() {
                 questions.entry(asked).or_default().push(sought);
             }
@@ -90,10 +93,11 @@
 
     /// Does what the answers of agents allow.
     pub(super) fn take_search_step(&mut self, now: Timestamp, flow: FlowId) {
-        let whole_directory = self.agents.is_whole(now);
         let Some(search) = self.searches.get_mut(flow) else {
             return;
         };
+        let asked_latest = search.asked_of() == self.agents.added();
+        let whole_directory = asked_latest && self.agents.is_whole(now);
         match search.next_step(now, whole_directory) {
             SearchStep::Wait => {}
             SearchStep::AskAll => self.searches.ask_all(flow),
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -118,6 +118,8 @@
     agents: BTreeMap<SocketAddrV4, KnownAgent>,
     /// What is common to each service, by its digest.
     patterns: BTreeMap<u64, ServicePattern>,
+    /// How many agents have been added since the start.
+    added: u64,
 }
 
 impl AgentDirectory {
@@ -129,6 +131,7 @@
             replicas: BTreeMap::new(),
             agents: BTreeMap::new(),
             patterns: BTreeMap::new(),
+            added: 0,
         }
     }
 
@@ -140,6 +143,12 @@
         self.agents.len()
     }
 
+    /// How many agents have been added since the start. Who asked all before the
+    /// latest was added has not asked that one.
+    pub(crate) fn added(&self) -> u64 {
+        self.added
+    }
+
     /// All agents, or those of one service, as a search for a flow sees them.
     /// Unless answers arrive `in_time`, no agent is taken for gone.
     pub(crate) fn searched(
@@ -326,7 +335,8 @@
                 avoided_until: Timestamp::ZERO,
                 left_out_until: Timestamp::ZERO,
             };
-            self.agents.insert(address, agent);
+            let is_added = self.agents.insert(address, agent).is_none();
+            self.added += u64::from(is_added);
             return;
         }
         let Some(known) = self.agents.get_mut(&address) else {
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -113,6 +113,8 @@
     rounds: u32,
     /// When the round began.
     asked_at: Timestamp,
+    /// How many agents the directory had got by then.
+    asked_of: u64,
     /// When the next round begins.
     due_at: Timestamp,
     agents: BTreeMap<SocketAddrV4, AskedAgent>,
@@ -135,6 +137,7 @@
             packet_at: now,
             rounds: 0,
             asked_at: now,
+            asked_of: 0,
             due_at: now,
             agents: BTreeMap::new(),
             tries: 0,
@@ -158,6 +161,11 @@
         }
     }
 
+    /// How many agents the directory had got when the round began.
+    pub(crate) fn asked_of(&self) -> u64 {
+        self.asked_of
+    }
+
     pub(crate) fn acknowledged(&self) -> u32 {
         self.acknowledged
     }
@@ -225,12 +233,15 @@
 
     /// Begins a round. Returns whom to ask of `agents`: those that have not said
     /// that they lack the flow. That a back end lacks an open flow stays true.
+    /// `added` is how many agents the directory has got so far.
     pub(crate) fn begin_round(
         &mut self,
         now: Timestamp,
         agents: &[SearchedAgent],
+        added: u64,
     ) -> Vec<SocketAddrV4> {
         self.rounds += 1;
+        self.asked_of = added;
         if self.scope == SearchScope::AllNext {
             self.scope = SearchScope::All;
         }
@@ -265,8 +276,8 @@
         }
     }
 
-    /// What to do now. `whole_directory` says whether the balancer knows every
-    /// agent that runs.
+    /// What to do now. `whole_directory` says whether the balancer knew every agent
+    /// that runs when the round began.
     pub(crate) fn next_step(&mut self, now: Timestamp, whole_directory: bool) -> SearchStep {
         if self.rounds == 0 {
             return SearchStep::Wait;
@@ -497,13 +508,14 @@
         now: Timestamp,
         flow: FlowId,
         agents: &[SearchedAgent],
+        added: u64,
         take_budget: impl FnOnce(&Vec<SocketAddrV4>) -> bool,
     ) -> Vec<SocketAddrV4> {
         let Some(search) = self.searches.get_mut(&flow) else {
             return Vec::new();
         };
         let asked = match take_budget(&search.unsettled(agents)) {
-            true => search.begin_round(now, agents),
+            true => search.begin_round(now, agents, added),
             false => {
                 search.due_at = now + ROUND;
                 Vec::new()
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -314,3 +314,19 @@
     }
     assert_eq!(world.resets(), 0, "its answers may be under way");
 }
+
+#[test]
+fn a_flow_is_not_given_up_before_an_agent_that_was_told_of_later_is_asked() {
+    let (mut world, agent) = world_with_flow(1);
+    world.frozen = vec![agent];
+    world.restart_balancer();
+    world.answers_take(20 * MILLI);
+    world.request(1, agent);
+    world.run(5 * MILLI);
+    world.frozen.clear();
+    world.repeat_reports();
+    world.say_whole_directory();
+    world.run(200 * MILLI);
+    assert_eq!(world.resets(), 0);
+    assert_eq!(world.data_at(agent), 2);
+}
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -11,6 +11,7 @@
 mod failing_backends;
 mod fleet;
 mod formation;
+mod goodbyes;
 mod group;
 mod late_callers;
 mod late_calls;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -93,6 +93,8 @@
     /// The service of each agent.
     service_of: fn(u8) -> &'static str,
     version: u64,
+    /// What the replica knows: the latest report of each agent.
+    reports: BTreeMap<u64, Report>,
     /// Services of the route, with their weights; none if it is dropped.
     shares: Vec<(&'static str, u32)>,
 }
@@ -128,6 +130,7 @@
             objective_millis: 0,
             service_of,
             version: 3,
+            reports: BTreeMap::new(),
             shares: vec![(SERVICE, 1)],
         };
         world.confirm();
@@ -416,7 +419,14 @@
         }
     }
 
+    /// The replica tells a balancer of agents that may report no more.
+    pub fn repeat_reports(&mut self) {
+        let reports: Vec<Report> = self.reports.values().cloned().collect();
+        reports.into_iter().for_each(|it| self.pass_report(it));
+    }
+
     pub fn pass_report(&mut self, report: Report) {
+        self.reports.insert(report.address, report.clone());
         let entry = DirectoryEntry {
             report,
             age_millis: 0,
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -6,7 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
 pub enum AgentState {
-    /// No back end has registered in this life of the agent, or it is silent.
+    /// No back end has registered in this life of the agent, or it is silent, or the
+    /// agent has stopped and its back end certainly has no open flow.
     Empty = 0,
     /// New flows are welcome.
     Ready = 1,
