Let flows wait for a foretold place, in order of priority

Cause: who found the queue full was refused at once, came again after 18 ms and had used up its tries within 55 ms, while places came free a second later. Change: who finds no place waits if the rate at which places are left, assumed for 0.3 s and measured after that, foretells one before its deadline and its patience of 1.4 s; others are refused at once, and those without hope after 0.3 s. Places go by priority, then to those in time, then by age; a newcomer is not queued before a more urgent one that waits; after eight more urgent ones a less urgent one gets the next place. The room for the urgent is gone, and with it its test (a_less_urgent_flow_gets_a_free_slot...: 11 and 1 places); the test of the flood now counts every refusal and looks 100 ms both ways at every flow taken. In the test of a back end that turns slow while full, flows that waited are answered too; its assertion stays.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -132,7 +132,7 @@
     BackendSilent = 512, Warning;
     /// The search for a flow ended without an answer; its caller has given up.
     FlowNotFound = 513, Info;
-    /// A new flow whose caller has waited for long waits for a place that fresh ones leave.
+    /// A new flow that found the queue full waits for a place that is likely to come in time.
     FlowWaits = 514, Info;
     /// A back end failed the requests that it got; it is left out for a while.
     BackendLeftOut = 515, Warning;
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -50,6 +50,7 @@
                     objective: Duration::from_millis(u64::from(carry.objective_millis)),
                     age: Duration::from_millis(u64::from(carry.age_millis)),
                     priority: carry.priority,
+                    deadline: Duration::from_millis(u64::from(carry.deadline_millis)),
                     may_queue: reason == CarryReason::OpenQueued,
                     despite_failures: carry.despite_failures,
                     packet: carry.packet,
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -23,7 +23,6 @@
 
 use crate::pass_through::admission::cold_admission::{ColdAdmission, ColdBounds};
 use crate::pass_through::admission::failure_watch::FailureWatch;
-use crate::pass_through::admission::priorities::PriorityWatch;
 use crate::pass_through::admission::registration::{Registration, RegistrationState};
 use crate::pass_through::admission::service_time::ServiceTime;
 use crate::pass_through::admission::turns::AskingBalancers;
@@ -155,7 +154,6 @@
     work_times: WorkTimes,
     cold_admission: ColdAdmission,
     failure_watch: FailureWatch,
-    priorities: PriorityWatch,
     asking: AskingBalancers,
     waiting: WaitingOpenings,
     /// When places that nobody told of are looked for, while packets wait.
@@ -181,7 +179,6 @@
             registration: RegistrationState::new(now + provisional_limit),
             cold_admission: ColdAdmission::new(settings.cold_bounds),
             failure_watch: FailureWatch::default(),
-            priorities: PriorityWatch::default(),
             asking: AskingBalancers::default(),
             waiting: WaitingOpenings::default(),
             waiting_check_at: now,
--- a/crates/petrellatch-core/src/pass_through/agent/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/openings.rs
@@ -1,42 +1,40 @@
 //! Opening packets: which of them go to the back end, which wait, and which are
 //! declined.
 
+use std::time::Duration;
+
 use petrellatch_proto::pass_through::{AgentState, DeclineReason, PassThroughBody, Waiting};
 
 use super::PassThroughAgent;
 use crate::event::EventKind;
-use crate::pass_through::admission::waiting_openings::Opening;
+use crate::pass_through::admission::waiting_openings::{Opening, Pace};
 use crate::pass_through::flows::agent_flows::CallerPacket;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 use crate::time::Timestamp;
 
 impl<C: PacketCodec> PassThroughAgent<C> {
-    /// Takes an opening packet: it goes to the back end, waits for a place if it may
-    /// and its answer will be late, or is declined.
+    /// Takes an opening packet: it goes to the back end, waits for a place if it may and
+    /// one is likely to come in time, or is declined.
     pub(super) fn handle_opening(&mut self, now: Timestamp, opening: Opening) {
         self.flows.release_half_open(now);
         let is_copy = self.flows.get(opening.flow).is_some();
-        let is_late = self.is_late(&opening);
-        if !is_copy {
-            self.priorities.note_asked(now, opening.priority);
-        }
+        let is_late = self.is_late(opening.objective, opening.age);
         let slots = self.registration.capacity();
-        let limit = match opening.may_queue && !is_late {
+        let pace = self.pace();
+        let yields = self.waiting.must_yield(opening.priority);
+        let limit = match opening.may_queue && !is_late && !yields {
             false => slots,
-            true => self.queue_limit(now, &opening),
+            true => self.queue_limit(opening.objective, opening.age),
         };
         let refusal = match is_copy {
             true => self.refusal_by_state(now),
             false => self.refusal(now, &opening, limit),
         };
-        if refusal == Some(DeclineReason::Full) && opening.may_queue && !is_late {
-            self.priorities.note_refused(now, opening.priority);
-        }
         match refusal {
             None => self.admit(now, opening),
             Some(DeclineReason::Full)
-                if is_late && opening.may_queue && self.waiting.add(now, &opening, slots) =>
+                if opening.may_queue && self.waiting.add(now, &opening, pace) =>
             {
                 self.tell_waiting(now, &opening);
             }
@@ -57,7 +55,6 @@
             self.cold_admission.note_admitted(now);
         }
         self.counters.admitted += 1;
-        self.priorities.note_admitted(now, opening.priority);
         self.registration.note_offered(now);
         self.failure_watch.note_admitted(now);
         self.tried.forget(opening.flow);
@@ -69,47 +66,67 @@
             .push_back(PassThroughOutput::ToBackend(opening.packet));
     }
 
-    /// Whether the answer to a request will be late, as its caller has waited for long.
-    fn is_late(&self, opening: &Opening) -> bool {
-        let left = opening.objective.saturating_sub(opening.age);
-        let has_objective = !opening.objective.is_zero();
-        has_objective && !opening.age.is_zero() && left <= self.service_time.mean()
+    /// Whether the answer to a request will be late, as its caller has waited for `age`.
+    fn is_late(&self, objective: Duration, age: Duration) -> bool {
+        let left = objective.saturating_sub(age);
+        !objective.is_zero() && !age.is_zero() && left <= self.service_time.mean()
     }
 
-    /// How many requests the back end may have beside this one, so that it is answered
-    /// within what is left of its objective and leaves room for more urgent ones.
-    fn queue_limit(&self, now: Timestamp, opening: &Opening) -> u32 {
-        let left = opening.objective.saturating_sub(opening.age);
+    /// How many requests the back end may have beside one, so that it is answered within
+    /// what is left of its objective.
+    fn queue_limit(&self, objective: Duration, age: Duration) -> u32 {
+        let left = objective.saturating_sub(age);
         let unknown = self.settings.queue_factor;
         let capacity = self.registration.capacity();
-        let limit = self.service_time.queue_limit(left, capacity, unknown);
-        let work = self.service_time.known_mean();
-        self.priorities
-            .queue_limit(now, opening.priority, limit, capacity, work)
+        self.service_time.queue_limit(left, capacity, unknown)
     }
 
-    /// Gives free places to opening packets that wait, and declines those that have
-    /// waited in vain.
+    /// Gives places to opening packets that wait, and declines those that have waited in
+    /// vain. Those that can still meet their objectives are queued as fresh ones are;
+    /// late ones get the slots that are left.
     pub(super) fn serve_waiting(&mut self, now: Timestamp) {
         if self.waiting.is_empty() {
             return;
         }
-        for opening in self.waiting.take_expired(now) {
+        let pace = self.pace();
+        for opening in self.waiting.take_expired(now, pace) {
             self.decline_opening(now, &opening, DeclineReason::Full);
         }
         self.flows.release_half_open(now);
-        let slots = self.registration.capacity();
-        while self.flows.busy() < slots {
-            let Some(opening) = self.waiting.pop() else {
-                return;
-            };
-            match self.refusal(now, &opening, slots) {
+        while let Some(opening) = self.next_waiting(now, pace) {
+            let refusal = self.refusal(now, &opening, u32::MAX);
+            self.waiting.remove(now, &opening, refusal.is_none(), pace);
+            match refusal {
                 None => self.admit(now, opening),
                 Some(reason) => self.decline_opening(now, &opening, reason),
             }
         }
     }
 
+    /// Who that waits gets a place now, if there is one for it. One that would be answered
+    /// too late behind the present queue waits for a shorter one and holds up nobody.
+    fn next_waiting(&self, now: Timestamp, pace: Pace) -> Option<Opening> {
+        let busy = self.flows.busy();
+        self.waiting.first(now, pace, |opening, age| {
+            let limit = match self.is_late(opening.objective, age) {
+                // It goes before less urgent ones all the same.
+                true if self.waiting.has_less_urgent(opening.priority) => {
+                    self.queue_limit(opening.objective, Duration::ZERO)
+                }
+                true => pace.slots,
+                false => self.queue_limit(opening.objective, age),
+            };
+            busy < limit.max(pace.slots)
+        })
+    }
+
+    fn pace(&self) -> Pace {
+        Pace {
+            slots: self.registration.capacity(),
+            work: self.service_time.known_mean(),
+        }
+    }
+
     fn tell_waiting(&mut self, now: Timestamp, opening: &Opening) {
         self.counters.waiting += 1;
         let age = opening.age.as_millis();
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -29,5 +29,6 @@
 mod scale;
 mod uneven_backends;
 mod urgent_flows;
+mod waiting_callers;
 mod world;
 mod zone_losses;
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -150,7 +150,7 @@
         "New flows handed to the back end.",
     );
     raise(&admitted, counted.admitted);
-    let help = "New flows of late callers that were let wait for a place.";
+    let help = "New flows that found no place and were let wait for one.";
     raise(&counter(&registry, METRIC_NAMES[23], help), counted.waiting);
     let help = "New flows that were declined, by reason.";
     let declined = counters(&registry, METRIC_NAMES[9], help, "reason");
