Show open flows, their demand and the time of work of each agent

Cause: what balancers choose by could not be seen from outside. Ruled out: expected completion as a metric of balancers: one figure for each agent at each balancer, which the three below give together with the requests in hand.

--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -241,6 +241,18 @@
         (self.flows.busy(), self.registration.capacity())
     }
 
+    /// Flows that are open at the back end, and the slots that they kept busy in the mean
+    /// of the last seconds, in thousandths of a slot.
+    pub fn demand(&self, now: Timestamp) -> (u32, u32) {
+        (self.flows.open_flows(), self.flows.demand_millislots(now))
+    }
+
+    /// The mean time that the back end works on a request as it is now, warm or cold, in
+    /// microseconds; zero if that is not known.
+    pub fn work_micros(&self, now: Timestamp) -> u32 {
+        self.work_times.micros(self.registration.is_cold(now))
+    }
+
     /// Takes a call of the back end. Once this returns the caller may
     /// acknowledge it: no new flow is admitted against what it said.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) {
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -82,7 +82,7 @@
             for http in &mut http {
                 let received = http.handle_event(now, event_loop.poll.registry(), token);
                 let agent = RefCell::new(&mut agent);
-                let metrics = || agent_metrics(&agent.borrow());
+                let metrics = || agent_metrics(&agent.borrow(), now);
                 serve_requests(now, http, &interface, received, metrics, |_, call| {
                     Some(answer(now, &mut agent.borrow_mut(), call))
                 });
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use petrellatch_core::Timestamp;
 use petrellatch_core::consensus::Role;
 use petrellatch_core::pass_through::{
     ConfigurationNode, LatencyHistogram, PacketCodec, PassThroughAgent, PassThroughBalancer,
@@ -16,7 +17,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 28] = [
+pub const METRIC_NAMES: [&str; 31] = [
     "petrellatch_pass_through_packets_total",
     "petrellatch_pass_through_placed_total",
     "petrellatch_pass_through_refused_total",
@@ -45,6 +46,9 @@
     "petrellatch_pass_through_refused_at_edge_total",
     "petrellatch_pass_through_pauses_total",
     "petrellatch_pass_through_further_questions_total",
+    "petrellatch_pass_through_open_flows",
+    "petrellatch_pass_through_demand_millislots",
+    "petrellatch_pass_through_work_microseconds",
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -132,7 +136,10 @@
     encode(&registry, [placement, lag])
 }
 
-pub(super) fn agent_metrics<C: PacketCodec>(agent: &PassThroughAgent<C>) -> HttpResponse {
+pub(super) fn agent_metrics<C: PacketCodec>(
+    agent: &PassThroughAgent<C>,
+    now: Timestamp,
+) -> HttpResponse {
     let registry = Registry::new();
     let counted = agent.counters();
     let packets = counters(&registry, METRIC_NAMES[0], PACKETS, "outcome");
@@ -166,6 +173,14 @@
     let (busy, _) = agent.load();
     let help = "Requests that wait for their answers.";
     set(&gauge(&registry, METRIC_NAMES[10], help), busy);
+    let (open_flows, demand) = agent.demand(now);
+    let help = "Flows that are open at the back end.";
+    set(&gauge(&registry, METRIC_NAMES[24], help), open_flows);
+    let help = "Slots that the open flows kept busy in the last seconds.";
+    set(&gauge(&registry, METRIC_NAMES[25], help), demand);
+    let help = "Mean time that the back end works on a request.";
+    let work = agent.work_micros(now);
+    set(&gauge(&registry, METRIC_NAMES[26], help), work);
     let latencies = agent.latencies();
     let help = "Admission of a flow to the back end's answer.";
     let answer = histogram(16, help, &latencies.first_answer);
