--- a/crates/petrellatch-core/tests/pass_through/fleet.rs
+++ b/crates/petrellatch-core/tests/pass_through/fleet.rs
@@ -365,6 +365,9 @@
                         self.schedule(WAY, Event::ToAgent(address, REPLICA, body));
                     }
                 }
+                PassThroughOutput::Send { to, body } if self.agents.contains_key(&to) => {
+                    self.schedule(WAY, Event::ToAgent(to, address, Box::new(body)));
+                }
                 PassThroughOutput::Send { to, body } => {
                     let index = usize::from(to.ip().octets()[3]);
                     let bytes = message_bytes(&body);
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -96,7 +96,7 @@
         raise(&searches.with_label_values(&[outcome]), total);
     }
     let help = "New flows that were refused without asking an agent, by priority.";
-    let refused = counters(&registry, METRIC_NAMES[24], help, "priority");
+    let refused = counters(&registry, METRIC_NAMES[25], help, "priority");
     for (priority, total) in balancer.refused_at_edge() {
         raise(
             &refused.with_label_values(&[priority.to_string().as_str()]),
@@ -104,9 +104,9 @@
         );
     }
     let help = "Times that new flows of a service are refused for a while.";
-    raise(&counter(&registry, METRIC_NAMES[25], help), counted.pauses);
+    raise(&counter(&registry, METRIC_NAMES[26], help), counted.pauses);
     let help = "Questions beyond the first of a flow, by whether the link bore them.";
-    let questions = counters(&registry, METRIC_NAMES[26], help, "outcome");
+    let questions = counters(&registry, METRIC_NAMES[27], help, "outcome");
     for (outcome, total) in [
         ("asked", counted.further_asked),
         ("unpaid", counted.further_unpaid),
@@ -175,12 +175,12 @@
     set(&gauge(&registry, METRIC_NAMES[10], help), busy);
     let (open_flows, demand) = agent.demand(now);
     let help = "Flows that are open at the back end.";
-    set(&gauge(&registry, METRIC_NAMES[24], help), open_flows);
+    set(&gauge(&registry, METRIC_NAMES[28], help), open_flows);
     let help = "Slots that the open flows kept busy in the last seconds.";
-    set(&gauge(&registry, METRIC_NAMES[25], help), demand);
+    set(&gauge(&registry, METRIC_NAMES[29], help), demand);
     let help = "Mean time that the back end works on a request.";
     let work = agent.work_micros(now);
-    set(&gauge(&registry, METRIC_NAMES[26], help), work);
+    set(&gauge(&registry, METRIC_NAMES[30], help), work);
     let latencies = agent.latencies();
     let help = "Admission of a flow to the back end's answer.";
     let answer = histogram(16, help, &latencies.first_answer);
