Let a flow that waits at an agent end no pause

Cause: a balancer took an agent's word that a flow waits for room. Many that wait under lasting pressure are refused in the end, and each ended the pause, so that more were asked for. Change: word that a flow waits lets the next one ask, and counts as nothing else. The tests of pressure tell apart what is served, what is served a second later, and messages; their bounds stay.

--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -206,7 +206,9 @@
         if let Some(asked_at) = asked_at {
             self.note_answer(now, from, asked_at);
         }
-        self.note_taken(flow, known);
+        let (service, age, _) = known;
+        let kind = self.flow_kind(flow, service, age);
+        self.pressure.note_unknown(kind);
         let limit = now + OPENING_PATIENCE;
         self.waiting.push_back((limit, flow, from));
     }
