Ask another agent for one that is silent, also under pressure

Cause: under pressure a flow asks one agent. If that one was gone, its silence counted as the answer, and the flow was refused. Figures: red before: `under_pressure_another_agent_is_asked_for_one_that_is_silent`, 1 asked.

--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -88,7 +88,8 @@
         let class = self.routes.class(flow);
         let has_left = has_passed(age, class.deadline_millis);
         self.counters.left += u64::from(has_left);
-        let may_ask = !has_left && hint.candidates.len() < limit;
+        let is_within = hint.heard_candidates() < limit && hint.candidates.len() < MAX_QUEUE_ASKED;
+        let may_ask = !has_left && is_within;
         let is_further = may_ask && hint.asked.asked > 0;
         let is_paid = !is_further || self.ask_budget.pay(now, packet.len());
         self.counters.further_asked += u64::from(is_further && is_paid);
--- a/crates/petrellatch-core/src/pass_through/flows/flow_hints.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_hints.rs
@@ -112,6 +112,13 @@
         self.candidates.iter().any(|it| it.agent == agent)
     }
 
+    /// How many agents were asked that have answered, or still may in time: the silence of
+    /// the others says nothing of the room that there is.
+    pub(crate) fn heard_candidates(&self) -> usize {
+        let is_heard = |it: &&Candidate| it.state != CandidateState::Late;
+        self.candidates.iter().filter(is_heard).count()
+    }
+
     pub(crate) fn accepted(&self) -> Option<SocketAddrV4> {
         let accepted = |it: &&Candidate| matches!(it.state, CandidateState::Accepted { .. });
         self.candidates.iter().find(accepted).map(|it| it.agent)
--- a/crates/petrellatch-core/tests/pass_through/edge.rs
+++ b/crates/petrellatch-core/tests/pass_through/edge.rs
@@ -274,3 +274,18 @@
     assert!(!edge.events.contains(&EventKind::AgentSuspected));
     assert_eq!(edge.asked.len(), before, "nobody else was asked");
 }
+
+/// Under pressure one agent is asked. If it is gone, its silence says nothing of the room
+/// at others.
+#[test]
+fn under_pressure_another_agent_is_asked_for_one_that_is_silent() {
+    let mut edge = Edge::new();
+    edge.open();
+    edge.decline_all(DeclineReason::Full, 0);
+    edge.wait(25 * MILLI);
+    edge.resets = 0;
+    assert_eq!(edge.open(), 1);
+    edge.wait(100 * MILLI);
+    assert!(edge.asked.len() >= 2, "{} asked", edge.asked.len());
+    assert_eq!(edge.resets, 0);
+}
