--- a/crates/petrellatch-core/src/pass_through/choice/ask_budget.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/ask_budget.rs
@@ -9,14 +9,15 @@
 use crate::time::Timestamp;
 
 /// The part of the balancer's link, in percent, that further questions with their
-/// answers may take. At 3.7 Mbit/s it pays some 380 of them a second.
+/// answers may take: most of the link stays with packets of open flows. Chosen, not
+/// measured.
 const LINK_PERCENT: u64 = 20;
 /// Bytes a second if the link is not known: 1 % of 1 Gbit/s.
 const UNKNOWN_LINK_BYTES: u64 = 1_250_000;
 /// Questions of so long may be asked at once after a rest.
 const BURST: Duration = Duration::from_millis(500);
 /// Bytes of a question and its answer without the packet that the question carries,
-/// with the heads of IP and UDP; counted at the codec.
+/// with the heads of IP and UDP; an estimate.
 const EXCHANGE_BYTES: usize = 200;
 
 /// A token bucket; one token is one byte.
