Name the metrics of the pass-through tier instead of counting them

Cause: metrics were found by their place in a list. Two parts that were built apart took the same places, and agents told their open flows under the name of refusals until it was seen. Ruled out: names in the text where they are used; the tested list would then prove nothing. Change: a constant for each name; the list is made of these. What is served is the same.

--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -15,51 +15,83 @@
 use crate::http::HttpResponse;
 use crate::runtime::metrics::{counter, counters, gauge, raise, set};
 
+const PACKETS_TOTAL: &str = "petrellatch_pass_through_packets_total";
+const PLACED_TOTAL: &str = "petrellatch_pass_through_placed_total";
+const REFUSED_TOTAL: &str = "petrellatch_pass_through_refused_total";
+const UNANSWERED_TOTAL: &str = "petrellatch_pass_through_unanswered_total";
+const SOUGHT_TOTAL: &str = "petrellatch_pass_through_sought_total";
+const FLOWS: &str = "petrellatch_pass_through_flows";
+const AGENTS: &str = "petrellatch_pass_through_agents";
+const VERSION: &str = "petrellatch_pass_through_version";
+const ADMITTED_TOTAL: &str = "petrellatch_pass_through_admitted_total";
+const DECLINED_TOTAL: &str = "petrellatch_pass_through_declined_total";
+const BUSY: &str = "petrellatch_pass_through_busy";
+const LEADS: &str = "petrellatch_pass_through_leads";
+const TERM: &str = "petrellatch_pass_through_term";
+const VOTERS: &str = "petrellatch_pass_through_voters";
+const PLACEMENT_SECONDS: &str = "petrellatch_pass_through_placement_seconds";
+const CONFIGURATION_LAG_SECONDS: &str = "petrellatch_pass_through_configuration_lag_seconds";
+const FIRST_ANSWER_SECONDS: &str = "petrellatch_pass_through_first_answer_seconds";
+const REGISTRATION_GAP_SECONDS: &str = "petrellatch_pass_through_registration_gap_seconds";
+const ACCEPTANCE_SECONDS: &str = "petrellatch_pass_through_acceptance_seconds";
+const SYNC_SECONDS: &str = "petrellatch_pass_through_sync_seconds";
+const SEARCHES_TOTAL: &str = "petrellatch_pass_through_searches_total";
+const ZONES_EVACUATED: &str = "petrellatch_pass_through_zones_evacuated";
+const AGENTS_BEHIND: &str = "petrellatch_pass_through_agents_behind";
+const WAITING_TOTAL: &str = "petrellatch_pass_through_waiting_total";
+const FULL_TOTAL: &str = "petrellatch_pass_through_full_total";
+const REFUSED_AT_EDGE_TOTAL: &str = "petrellatch_pass_through_refused_at_edge_total";
+const PAUSES_TOTAL: &str = "petrellatch_pass_through_pauses_total";
+const FURTHER_QUESTIONS_TOTAL: &str = "petrellatch_pass_through_further_questions_total";
+const OPEN_FLOWS: &str = "petrellatch_pass_through_open_flows";
+const DEMAND_MILLISLOTS: &str = "petrellatch_pass_through_demand_millislots";
+const WORK_MICROSECONDS: &str = "petrellatch_pass_through_work_microseconds";
+
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
 pub const METRIC_NAMES: [&str; 31] = [
-    "petrellatch_pass_through_packets_total",
-    "petrellatch_pass_through_placed_total",
-    "petrellatch_pass_through_refused_total",
-    "petrellatch_pass_through_unanswered_total",
-    "petrellatch_pass_through_sought_total",
-    "petrellatch_pass_through_flows",
-    "petrellatch_pass_through_agents",
-    "petrellatch_pass_through_version",
-    "petrellatch_pass_through_admitted_total",
-    "petrellatch_pass_through_declined_total",
-    "petrellatch_pass_through_busy",
-    "petrellatch_pass_through_leads",
-    "petrellatch_pass_through_term",
-    "petrellatch_pass_through_voters",
-    "petrellatch_pass_through_placement_seconds",
-    "petrellatch_pass_through_configuration_lag_seconds",
-    "petrellatch_pass_through_first_answer_seconds",
-    "petrellatch_pass_through_registration_gap_seconds",
-    "petrellatch_pass_through_acceptance_seconds",
-    "petrellatch_pass_through_sync_seconds",
-    "petrellatch_pass_through_searches_total",
-    "petrellatch_pass_through_zones_evacuated",
-    "petrellatch_pass_through_agents_behind",
-    "petrellatch_pass_through_waiting_total",
-    "petrellatch_pass_through_full_total",
-    "petrellatch_pass_through_refused_at_edge_total",
-    "petrellatch_pass_through_pauses_total",
-    "petrellatch_pass_through_further_questions_total",
-    "petrellatch_pass_through_open_flows",
-    "petrellatch_pass_through_demand_millislots",
-    "petrellatch_pass_through_work_microseconds",
+    PACKETS_TOTAL,
+    PLACED_TOTAL,
+    REFUSED_TOTAL,
+    UNANSWERED_TOTAL,
+    SOUGHT_TOTAL,
+    FLOWS,
+    AGENTS,
+    VERSION,
+    ADMITTED_TOTAL,
+    DECLINED_TOTAL,
+    BUSY,
+    LEADS,
+    TERM,
+    VOTERS,
+    PLACEMENT_SECONDS,
+    CONFIGURATION_LAG_SECONDS,
+    FIRST_ANSWER_SECONDS,
+    REGISTRATION_GAP_SECONDS,
+    ACCEPTANCE_SECONDS,
+    SYNC_SECONDS,
+    SEARCHES_TOTAL,
+    ZONES_EVACUATED,
+    AGENTS_BEHIND,
+    WAITING_TOTAL,
+    FULL_TOTAL,
+    REFUSED_AT_EDGE_TOTAL,
+    PAUSES_TOTAL,
+    FURTHER_QUESTIONS_TOTAL,
+    OPEN_FLOWS,
+    DEMAND_MILLISLOTS,
+    WORK_MICROSECONDS,
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
 const BUCKET_MILLIS: [u64; 12] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
-const PACKETS: &str = "Packets by what became of them.";
+const PACKETS_HELP: &str = "Packets by what became of them.";
 
 pub(super) fn balancer_metrics<C: PacketCodec>(balancer: &PassThroughBalancer<C>) -> HttpResponse {
     let registry = Registry::new();
     let counted = balancer.counters();
-    let packets = counters(&registry, METRIC_NAMES[0], PACKETS, "outcome");
+    let packets = counters(&registry, PACKETS_TOTAL, PACKETS_HELP, "outcome");
     for (outcome, total) in [
         ("delivered", counted.delivered),
         ("malformed", counted.malformed),
@@ -70,24 +102,32 @@
     ] {
         raise(&packets.with_label_values(&[outcome]), total);
     }
-    for (place, help, total) in [
-        (1, "New flows offered to an agent.", counted.placed),
-        (2, "New flows refused with a reset.", counted.refused),
+    for (name, help, total) in [
+        (
+            PLACED_TOTAL,
+            "New flows offered to an agent.",
+            counted.placed,
+        ),
         (
-            3,
+            REFUSED_TOTAL,
+            "New flows refused with a reset.",
+            counted.refused,
+        ),
+        (
+            UNANSWERED_TOTAL,
             "Opening packets that an agent did not answer in time.",
             counted.unanswered,
         ),
         (
-            4,
+            SOUGHT_TOTAL,
             "Packets of flows whose agent was not known.",
             counted.sought,
         ),
     ] {
-        raise(&counter(&registry, METRIC_NAMES[place], help), total);
+        raise(&counter(&registry, name, help), total);
     }
     let help = "Searches for flows whose agent was not known, by their end.";
-    let searches = counters(&registry, METRIC_NAMES[20], help, "outcome");
+    let searches = counters(&registry, SEARCHES_TOTAL, help, "outcome");
     for (outcome, total) in [
         ("found", counted.found),
         ("gone", counted.gone),
@@ -96,7 +136,7 @@
         raise(&searches.with_label_values(&[outcome]), total);
     }
     let help = "New flows that were refused without asking an agent, by priority.";
-    let refused = counters(&registry, METRIC_NAMES[25], help, "priority");
+    let refused = counters(&registry, REFUSED_AT_EDGE_TOTAL, help, "priority");
     for (priority, total) in balancer.refused_at_edge() {
         raise(
             &refused.with_label_values(&[priority.to_string().as_str()]),
@@ -104,9 +144,9 @@
         );
     }
     let help = "Times that new flows of a service are refused for a while.";
-    raise(&counter(&registry, METRIC_NAMES[26], help), counted.pauses);
+    raise(&counter(&registry, PAUSES_TOTAL, help), counted.pauses);
     let help = "Questions beyond the first of a flow, by whether the link bore them.";
-    let questions = counters(&registry, METRIC_NAMES[27], help, "outcome");
+    let questions = counters(&registry, FURTHER_QUESTIONS_TOTAL, help, "outcome");
     for (outcome, total) in [
         ("asked", counted.further_asked),
         ("unpaid", counted.further_unpaid),
@@ -115,24 +155,25 @@
     }
     let (flows, agents) = balancer.sizes();
     set(
-        &gauge(&registry, METRIC_NAMES[5], "Flows that are remembered."),
+        &gauge(&registry, FLOWS, "Flows that are remembered."),
         flows,
     );
-    set(
-        &gauge(&registry, METRIC_NAMES[6], "Agents that are known."),
-        agents,
-    );
-    let version = gauge(&registry, METRIC_NAMES[7], "Version in force.");
+    set(&gauge(&registry, AGENTS, "Agents that are known."), agents);
+    let version = gauge(&registry, VERSION, "Version in force.");
     set(&version, balancer.version());
     tell_evacuated(&registry, balancer.evacuations().evacuated().count());
     let latencies = balancer.latencies();
     let placement = histogram(
-        14,
+        PLACEMENT_SECONDS,
         "First packet to the back end's answer.",
         &latencies.placement,
     );
     let help = "First word of a newer configuration until one is in force.";
-    let lag = histogram(15, help, &latencies.configuration_lag);
+    let lag = histogram(
+        CONFIGURATION_LAG_SECONDS,
+        help,
+        &latencies.configuration_lag,
+    );
     encode(&registry, [placement, lag])
 }
 
@@ -142,7 +183,7 @@
 ) -> HttpResponse {
     let registry = Registry::new();
     let counted = agent.counters();
-    let packets = counters(&registry, METRIC_NAMES[0], PACKETS, "outcome");
+    let packets = counters(&registry, PACKETS_TOTAL, PACKETS_HELP, "outcome");
     for (outcome, total) in [
         ("delivered", counted.delivered),
         ("malformed", counted.malformed),
@@ -153,66 +194,60 @@
     }
     let admitted = counter(
         &registry,
-        METRIC_NAMES[8],
+        ADMITTED_TOTAL,
         "New flows handed to the back end.",
     );
     raise(&admitted, counted.admitted);
     let help = "New flows that found no place and were let wait for one.";
-    raise(&counter(&registry, METRIC_NAMES[23], help), counted.waiting);
+    raise(&counter(&registry, WAITING_TOTAL, help), counted.waiting);
     let help = "New flows that were declined, by reason.";
-    let declined = counters(&registry, METRIC_NAMES[9], help, "reason");
+    let declined = counters(&registry, DECLINED_TOTAL, help, "reason");
     for (reason, total) in &counted.declined {
         raise(&declined.with_label_values(&[reason_name(*reason)]), *total);
     }
     let help = "New flows that were declined for lack of room, by priority.";
-    let full = counters(&registry, METRIC_NAMES[24], help, "priority");
+    let full = counters(&registry, FULL_TOTAL, help, "priority");
     for (priority, total) in &counted.declined_full {
         raise(&full.with_label_values(&[&priority.to_string()]), *total);
     }
     tell_evacuated(&registry, usize::from(agent.is_evacuated()));
     let (busy, _) = agent.load();
     let help = "Requests that wait for their answers.";
-    set(&gauge(&registry, METRIC_NAMES[10], help), busy);
+    set(&gauge(&registry, BUSY, help), busy);
     let (open_flows, demand) = agent.demand(now);
     let help = "Flows that are open at the back end.";
-    set(&gauge(&registry, METRIC_NAMES[28], help), open_flows);
+    set(&gauge(&registry, OPEN_FLOWS, help), open_flows);
     let help = "Slots that the open flows kept busy in the last seconds.";
-    set(&gauge(&registry, METRIC_NAMES[29], help), demand);
+    set(&gauge(&registry, DEMAND_MILLISLOTS, help), demand);
     let help = "Mean time that the back end works on a request.";
     let work = agent.work_micros(now);
-    set(&gauge(&registry, METRIC_NAMES[30], help), work);
+    set(&gauge(&registry, WORK_MICROSECONDS, help), work);
     let latencies = agent.latencies();
     let help = "Admission of a flow to the back end's answer.";
-    let answer = histogram(16, help, &latencies.first_answer);
+    let answer = histogram(FIRST_ANSWER_SECONDS, help, &latencies.first_answer);
     let help = "Between two calls of the back end.";
-    let gap = histogram(17, help, &latencies.registration_gap);
+    let gap = histogram(REGISTRATION_GAP_SECONDS, help, &latencies.registration_gap);
     encode(&registry, [answer, gap])
 }
 
 pub(super) fn replica_metrics(node: &ConfigurationNode) -> HttpResponse {
     let registry = Registry::new();
     let replica = node.replica();
-    let version = gauge(&registry, METRIC_NAMES[7], "Version in force.");
+    let version = gauge(&registry, VERSION, "Version in force.");
     set(&version, node.configuration().version);
-    let leads = gauge(&registry, METRIC_NAMES[11], "Whether this replica leads.");
+    let leads = gauge(&registry, LEADS, "Whether this replica leads.");
     set(&leads, i64::from(replica.role() == Role::Leader));
-    set(
-        &gauge(&registry, METRIC_NAMES[12], "Current term."),
-        replica.term(),
-    );
-    let voters = gauge(&registry, METRIC_NAMES[13], "Voters of the group.");
+    set(&gauge(&registry, TERM, "Current term."), replica.term());
+    let voters = gauge(&registry, VOTERS, "Voters of the group.");
     set(&voters, replica.membership().voters().count());
     tell_evacuated(&registry, node.evacuations().evacuated().count());
     let help = "Agents that have not said that they know the latest order about their zone.";
-    set(
-        &gauge(&registry, METRIC_NAMES[22], help),
-        node.agents_behind(),
-    );
+    set(&gauge(&registry, AGENTS_BEHIND, help), node.agents_behind());
     let latencies = node.latencies();
     let help = "Request of a replacement until it was accepted.";
-    let acceptance = histogram(18, help, &latencies.acceptance);
+    let acceptance = histogram(ACCEPTANCE_SECONDS, help, &latencies.acceptance);
     let sync = histogram(
-        19,
+        SYNC_SECONDS,
         "Request of a write until it was synced.",
         &latencies.sync,
     );
@@ -221,7 +256,7 @@
 
 /// Zones out of service: all of them, or for an agent its own one.
 fn tell_evacuated(registry: &Registry, zones: usize) {
-    let evacuated = gauge(registry, METRIC_NAMES[21], "Zones out of service.");
+    let evacuated = gauge(registry, ZONES_EVACUATED, "Zones out of service.");
     set(&evacuated, zones);
 }
 
@@ -239,8 +274,8 @@
     }
 }
 
-/// The histogram of name number `place`, as Prometheus has it.
-fn histogram(place: usize, help: &str, latencies: &LatencyHistogram) -> MetricFamily {
+/// A histogram as Prometheus has it.
+fn histogram(name: &str, help: &str, latencies: &LatencyHistogram) -> MetricFamily {
     let buckets = BUCKET_MILLIS.iter().map(|millis| {
         let limit = Duration::from_millis(*millis);
         let mut bucket = Bucket::default();
@@ -255,7 +290,7 @@
     let mut metric = Metric::default();
     metric.set_histogram(told);
     let mut family = MetricFamily::default();
-    family.set_name(METRIC_NAMES[place].to_owned());
+    family.set_name(name.to_owned());
     family.set_help(help.to_owned());
     family.set_field_type(MetricType::HISTOGRAM);
     family.set_metric(vec![metric]);
