Split the searches from the search of one flow, and put constants beside their use

Change: `flows/flow_searches.rs` has the searches of a balancer; constants stand in `news.rs`, `searches.rs` and `edge.rs`; `note_taken` gets its kind from the callers. No decision changes.

--- a/crates/petrellatch-core/src/pass_through/balancer/edge.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -3,6 +3,12 @@
 
 use super::*;
 
+/// Agents that are asked to take a flow into a free slot, before full ones
+/// are asked to queue it.
+const MAX_ASKED: usize = 4;
+/// Agents that are asked to queue a flow.
+pub(super) const MAX_QUEUE_ASKED: usize = 4;
+
 /// Agents that are asked for a flow while its service is under pressure, other ones
 /// than those that have just declined. With two, twice as many messages go into flows
 /// that are refused.
@@ -57,13 +63,6 @@
         }
     }
 
-    /// Notes that a flow was taken, or waits for a place.
-    pub(super) fn note_taken(&mut self, flow: FlowId, hint: (u64, Duration, Timestamp)) {
-        let (service, age, created_at) = hint;
-        let kind = self.flow_kind(flow, service, age);
-        self.pressure.note_taken(kind, created_at);
-    }
-
     /// Notes that no agent takes a flow. If most of those that were asked had no room,
     /// the next ones are refused for a while. Silence, or back ends that leave, are no
     /// lack of room.
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -29,7 +29,8 @@
 use super::digest::{flow_digest, is_sampled};
 use super::flows::agent_set::AgentSet;
 use super::flows::flow_hints::{AskedAgents, Candidate, CandidateState, FlowHint, FlowHints};
-use super::flows::flow_search::{FlowSearches, SearchStep};
+use super::flows::flow_search::SearchStep;
+use super::flows::flow_searches::FlowSearches;
 use super::flows::seek_budget::SeekBudget;
 use super::group::attachments::Attachments;
 use super::group::contacts::Contacts;
@@ -39,50 +40,10 @@
 use super::packet::{FlowId, OPENING_PATIENCE, PacketCodec, PacketView};
 use super::routes::route_table::RouteTable;
 
-/// Agents that are asked to take a flow into a free slot, before full ones
-/// are asked to queue it.
-const MAX_ASKED: usize = 4;
-/// Agents that are asked to queue a flow.
-const MAX_QUEUE_ASKED: usize = 4;
-/// When nobody was heard for so long, replicas are asked.
-const SILENCE_LIMIT: Duration = Duration::from_millis(300);
 /// When nobody was heard for so long, the balancer counts as cut off.
 const ISOLATION_LIMIT: Duration = Duration::from_millis(600);
 /// Between two sweeps over the hints.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// Between two questions for the newest version before the first answer.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
-/// After so many of them the time between two doubles with each.
-const QUICK_CONFIRM_TRIES: u32 = 16;
-const MAX_CONFIRM_DOUBLINGS: u32 = 4;
-/// Replicas that a balancer is attached to.
-const ATTACHMENTS: usize = 2;
-/// Replicas that are asked when nobody is heard.
-const ASKED_IN_SILENCE: usize = 5;
-/// In a directory of at most so many agents all are asked for a flow at once. Among
-/// more, those of the service that its route names now are asked first: they have
-/// most flows, and a list of all costs more than a second message.
-const SEEK_ALL_LIMIT: usize = 64;
-/// Agents that one agent asks, or passes a packet on to: their addresses take 8 KB,
-/// an eighth of the largest datagram.
-const AGENTS_PER_QUESTION: usize = 1_000;
-/// Flows in one question.
-const FLOWS_PER_QUESTION: usize = 200;
-/// If more agents are to be asked for a flow, one of them asks the others: below
-/// that, a message each costs no more than the list of the others.
-const MAX_ASKED_DIRECTLY: usize = 8;
-/// Questions whose gathered answers are understood; each second a balancer asks
-/// some ten of them, and answers come within 0.6 s.
-const MAX_ASKED_QUESTIONS: usize = 64;
-/// Bytes of a question without its flows and agents, with the heads of IP and UDP.
-const QUESTION_BYTES: usize = 48;
-/// Bytes of one flow in a question.
-const FLOW_BYTES: usize = 28;
-/// Bytes of one agent that another one asks.
-const AGENT_BYTES: usize = 8;
-/// A packet that is tried at more agents is sent to one of them, which passes it
-/// on to the others.
-const MAX_TRIED_DIRECTLY: usize = 8;
 /// Packets that are kept until the balancer is current.
 const MAX_EARLY_PACKETS: usize = 1_024;
 /// An opening packet that was kept for longer is dropped: its caller has sent a copy.
@@ -95,10 +56,6 @@
 const STANDSTILL: Duration = Duration::from_millis(1_200);
 /// How long opening packets are dropped after a standstill.
 const STANDSTILL_DROP: Duration = Duration::from_millis(30);
-/// Between two questions for a newer configuration; parts may be on their way.
-const FETCH_INTERVAL: Duration = Duration::from_millis(150);
-/// Between two news after a part of a change did not arrive.
-const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Settings of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -2,6 +2,22 @@
 
 use super::*;
 
+/// When nobody was heard for so long, replicas are asked.
+const SILENCE_LIMIT: Duration = Duration::from_millis(300);
+/// Between two questions for the newest version before the first answer.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
+/// After so many of them the time between two doubles with each.
+const QUICK_CONFIRM_TRIES: u32 = 16;
+const MAX_CONFIRM_DOUBLINGS: u32 = 4;
+/// Replicas that a balancer is attached to.
+const ATTACHMENTS: usize = 2;
+/// Replicas that are asked when nobody is heard.
+const ASKED_IN_SILENCE: usize = 5;
+/// Between two questions for a newer configuration; parts may be on their way.
+const FETCH_INTERVAL: Duration = Duration::from_millis(150);
+/// Between two news after a part of a change did not arrive.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     pub(super) fn handle_group(&mut self, now: Timestamp, from: SocketAddrV4, group: &Group) {
         self.contacts.handle_group(group);
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -1,6 +1,6 @@
 //! New flows: which agent is asked, and what its answer leads to.
 
-use super::edge::{has_left, has_passed};
+use super::edge::{MAX_QUEUE_ASKED, has_left, has_passed};
 use super::*;
 
 impl<C: PacketCodec> PassThroughBalancer<C> {
@@ -203,11 +203,11 @@
         };
         candidate.state = CandidateState::Waiting;
         let asked_at = candidate.asked_at.take();
-        let known = (hint.service, hint.age, hint.created_at);
+        let (service, age) = (hint.service, hint.age);
         if let Some(asked_at) = asked_at {
             self.note_answer(now, from, asked_at);
         }
-        let (service, age, _) = known;
+        // It may be refused in the end, so that it shows no room.
         let kind = self.flow_kind(flow, service, age);
         self.pressure.note_unknown(kind);
         let limit = now + OPENING_PATIENCE;
@@ -244,7 +244,8 @@
             return;
         };
         let sequence = accepted.sequence;
-        let known = (hint.service, hint.age, hint.created_at);
+        let (service, age) = (hint.service, hint.age);
+        let created_at = hint.created_at;
         let is_first = hint.opening.take().is_some();
         if is_first {
             let time = now.saturating_since(hint.created_at);
@@ -269,7 +270,8 @@
             self.note_answer(now, from, asked_at);
         }
         if is_first {
-            self.note_taken(flow, known);
+            let kind = self.flow_kind(flow, service, age);
+            self.pressure.note_taken(kind, created_at);
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -2,6 +2,31 @@
 
 use super::*;
 
+/// In a directory of at most so many agents all are asked for a flow at once. Among
+/// more, those of the service that its route names now are asked first: they have
+/// most flows, and a list of all costs more than a second message.
+const SEEK_ALL_LIMIT: usize = 64;
+/// Agents that one agent asks, or passes a packet on to: their addresses take 8 KB,
+/// an eighth of the largest datagram.
+const AGENTS_PER_QUESTION: usize = 1_000;
+/// Flows in one question.
+const FLOWS_PER_QUESTION: usize = 200;
+/// If more agents are to be asked for a flow, one of them asks the others: below
+/// that, a message each costs no more than the list of the others.
+const MAX_ASKED_DIRECTLY: usize = 8;
+/// Questions whose gathered answers are understood; each second a balancer asks
+/// some ten of them, and answers come within 0.6 s.
+const MAX_ASKED_QUESTIONS: usize = 64;
+/// Bytes of a question without its flows and agents, with the heads of IP and UDP.
+const QUESTION_BYTES: usize = 48;
+/// Bytes of one flow in a question.
+const FLOW_BYTES: usize = 28;
+/// Bytes of one agent that another one asks.
+const AGENT_BYTES: usize = 8;
+/// A packet that is tried at more agents is sent to one of them, which passes it
+/// on to the others.
+const MAX_TRIED_DIRECTLY: usize = 8;
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     /// Asks the agents who has the flows that are sought.
     pub(super) fn continue_searches(&mut self, now: Timestamp) {
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -9,7 +9,7 @@
 //! all get it at the same moment. A flow is given up, and its caller told, once
 //! every back end is known not to have it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -17,18 +17,14 @@
 
 use crate::time::Timestamp;
 
-use crate::pass_through::packet::{FlowId, PacketView};
+use crate::pass_through::packet::PacketView;
 
-/// Flows that are sought at once. More are not sought: their callers repeat.
-const MAX_SEARCHES: usize = 8_192;
 /// Packets of one flow that wait; a caller has so many under way.
 const MAX_WAITING: usize = 16;
 /// Back ends that may get a packet of a flow while its own agent is missing.
 const MAX_STRANGERS: usize = 2;
-/// How long flows are gathered, so that one message asks for many.
-const GATHERING: Duration = Duration::from_millis(3);
 /// Agents that have not answered by then are missing.
-const ROUND: Duration = Duration::from_millis(60);
+pub(super) const ROUND: Duration = Duration::from_millis(60);
 /// The time between two rounds doubles so often at most.
 const MAX_ROUND_DOUBLINGS: u32 = 3;
 /// A search whose caller was silent for so long is over.
@@ -112,11 +108,11 @@
     packet_at: Timestamp,
     rounds: u32,
     /// When the round began.
-    asked_at: Timestamp,
+    pub(super) asked_at: Timestamp,
     /// How many agents the directory had got by then.
     asked_of: u64,
     /// When the next round begins.
-    due_at: Timestamp,
+    pub(super) due_at: Timestamp,
     agents: BTreeMap<SocketAddrV4, AskedAgent>,
     /// Packets that were handed to back ends to try.
     tries: usize,
@@ -125,7 +121,7 @@
 }
 
 impl FlowSearch {
-    fn new(now: Timestamp, service: u64) -> Self {
+    pub(super) fn new(now: Timestamp, service: u64) -> Self {
         FlowSearch {
             service,
             scope: SearchScope::Service,
@@ -192,7 +188,7 @@
         self.waiting
     }
 
-    fn note_packet(&mut self, now: Timestamp, view: &PacketView, packet: &[u8]) {
+    pub(super) fn note_packet(&mut self, now: Timestamp, view: &PacketView, packet: &[u8]) {
         self.packet_at = now;
         self.acknowledged = view.acknowledged;
         self.awaits_answer |= view.data_bytes > 0;
@@ -209,7 +205,12 @@
     }
 
     /// Notes that the back end beside an agent returned a packet of the flow.
-    fn note_returned(&mut self, now: Timestamp, agent: SocketAddrV4, returned: &NotHeld) {
+    pub(super) fn note_returned(
+        &mut self,
+        now: Timestamp,
+        agent: SocketAddrV4,
+        returned: &NotHeld,
+    ) {
         self.packet_at = now;
         self.acknowledged = returned.acknowledged;
         self.awaits_answer |= returned.request;
@@ -222,7 +223,7 @@
     }
 
     /// Those of `agents` that have not said that they lack the flow.
-    fn unsettled(&self, agents: &[SearchedAgent]) -> Vec<SocketAddrV4> {
+    pub(super) fn unsettled(&self, agents: &[SearchedAgent]) -> Vec<SocketAddrV4> {
         let lacks = |agent: &&SearchedAgent| {
             let known = self.agents.get(&agent.address);
             known.is_some_and(|it| it.answer == SearchAnswer::Lacks)
@@ -375,153 +376,3 @@
         now.saturating_since(self.packet_at) >= SEARCH_LIMIT
     }
 }
-
-/// All searches of a balancer.
-#[derive(Debug, Default)]
-pub(crate) struct FlowSearches {
-    searches: HashMap<FlowId, FlowSearch>,
-    /// Flows with the ends of their rounds.
-    due: BTreeSet<(Timestamp, FlowId)>,
-    /// Flows whose round begins with the next questions.
-    unasked: Vec<FlowId>,
-    /// Before this no questions go out. Flows are gathered for them.
-    ask_at: Timestamp,
-}
-
-impl FlowSearches {
-    /// Notes a packet of a flow that is not known. Returns whether its search
-    /// begins with it.
-    pub(crate) fn note_packet(
-        &mut self,
-        now: Timestamp,
-        service: u64,
-        view: &PacketView,
-        packet: &[u8],
-    ) -> bool {
-        let flow = view.flow_from_caller();
-        let Some((search, is_new)) = self.entry(now, flow, service) else {
-            return false;
-        };
-        search.note_packet(now, view, packet);
-        let is_settled = now.saturating_since(search.asked_at) >= ROUND;
-        let due = (search.due_at, flow);
-        if !is_new && is_settled && self.due.remove(&due) {
-            // The caller still waits.
-            self.unasked.push(flow);
-        }
-        is_new
-    }
-
-    /// Notes that a back end returned a packet of a flow.
-    pub(crate) fn note_returned(
-        &mut self,
-        now: Timestamp,
-        service: u64,
-        agent: SocketAddrV4,
-        returned: &NotHeld,
-    ) {
-        if let Some((search, _)) = self.entry(now, returned.flow.into(), service) {
-            search.note_returned(now, agent, returned);
-        }
-    }
-
-    fn entry(
-        &mut self,
-        now: Timestamp,
-        flow: FlowId,
-        service: u64,
-    ) -> Option<(&mut FlowSearch, bool)> {
-        let is_new = !self.searches.contains_key(&flow);
-        if is_new && self.searches.len() >= MAX_SEARCHES {
-            return None;
-        }
-        if is_new {
-            self.searches.insert(flow, FlowSearch::new(now, service));
-            self.unasked.push(flow);
-        }
-        self.searches.get_mut(&flow).map(|search| (search, is_new))
-    }
-
-    pub(crate) fn get_mut(&mut self, flow: FlowId) -> Option<&mut FlowSearch> {
-        self.searches.get_mut(&flow)
-    }
-
-    pub(crate) fn contains(&self, flow: FlowId) -> bool {
-        self.searches.contains_key(&flow)
-    }
-
-    pub(crate) fn remove(&mut self, flow: FlowId) -> Option<FlowSearch> {
-        let search = self.searches.remove(&flow)?;
-        self.due.remove(&(search.due_at, flow));
-        Some(search)
-    }
-
-    /// When something is due.
-    pub(crate) fn poll_timeout(&self) -> Option<Timestamp> {
-        let round_end = self.due.first().map(|(due_at, _)| *due_at);
-        let ask_at = (!self.unasked.is_empty()).then_some(self.ask_at);
-        ask_at.into_iter().chain(round_end).min()
-    }
-
-    /// The flows whose rounds have ended. They are asked for again unless they
-    /// are removed.
-    pub(crate) fn take_due(&mut self, now: Timestamp) -> Vec<FlowId> {
-        let mut due = Vec::new();
-        while let Some((due_at, flow)) = self.due.first().copied()
-            && due_at <= now
-        {
-            self.due.pop_first();
-            due.push(flow);
-        }
-        due
-    }
-
-    /// Lets the next round of a flow begin.
-    pub(crate) fn ask_again(&mut self, flow: FlowId) {
-        self.unasked.push(flow);
-    }
-
-    /// Lets the next round of a flow begin now, with the agents of all services.
-    pub(crate) fn ask_all(&mut self, flow: FlowId) {
-        let Some(search) = self.searches.get_mut(&flow) else {
-            return;
-        };
-        search.ask_all();
-        if self.due.remove(&(search.due_at, flow)) {
-            self.unasked.push(flow);
-        }
-    }
-
-    /// The flows to ask for now, if questions are due.
-    pub(crate) fn take_unasked(&mut self, now: Timestamp) -> Vec<FlowId> {
-        if now < self.ask_at || self.unasked.is_empty() {
-            return Vec::new();
-        }
-        self.ask_at = now + GATHERING;
-        std::mem::take(&mut self.unasked)
-    }
-
-    /// Begins a round of one flow, unless `take_budget` does not allow to ask its
-    /// agents. Returns whom to ask.
-    pub(crate) fn begin_round(
-        &mut self,
-        now: Timestamp,
-        flow: FlowId,
-        agents: &[SearchedAgent],
-        added: u64,
-        take_budget: impl FnOnce(&Vec<SocketAddrV4>) -> bool,
-    ) -> Vec<SocketAddrV4> {
-        let Some(search) = self.searches.get_mut(&flow) else {
-            return Vec::new();
-        };
-        let asked = match take_budget(&search.unsettled(agents)) {
-            true => search.begin_round(now, agents, added),
-            false => {
-                search.due_at = now + ROUND;
-                Vec::new()
-            }
-        };
-        self.due.insert((search.due_at, flow));
-        asked
-    }
-}
