Tell lives of a back end apart that have the same name, and refuse calls of other writers

Cause: a back end may start again under the name that it had. Its calls count from one again, and the agent took them for late calls of the former life: it was silent to the agent until its count had passed the old one. One that had left under its name was refused for good. Ruled out: the order of births alone tells which life is newer (clocks jump on some machines, and a life born 'earlier' would never be served). Change: a life is a name with its time of birth, also in the digests that replicas remember. One born later is taken at its first call. One born earlier counts only once it alone has gone on calling for 3 s, and what it says until then changes nothing. A goodbye names no birth; it counts for the latest life under its name.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -142,6 +142,8 @@
     ServicePressed = 517, Warning;
     /// A service has had room for all new flows for a second.
     PressureEnded = 518, Info;
+    /// A call that names no back end to use was refused at an agent.
+    RegistrationRefused = 519, Warning;
     /// A balancer has a newer configuration in force.
     ConfigurationApplied = 520, Info;
     /// The configuration was replaced under a newer version.
--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::AgentState;
+use snafu::Snafu;
 
 use crate::time::Timestamp;
 
@@ -14,6 +15,11 @@
 const PROVISIONAL_CAPACITY: u32 = 4;
 /// Calls that a back end may have made in vain before its agent was there.
 const EARLY_CALLS: u64 = 3;
+/// A life that says that it was born before the current one is a newer one all the same
+/// if it goes on calling for so long without a call of that: its clock was set back. Late
+/// calls of a former life come within a moment, and the current one calls about every
+/// second.
+const EARLIER_BORN_PATIENCE: Duration = Duration::from_secs(3);
 /// How many departed back ends are remembered, so that a late call of one of
 /// them does not bring it back.
 const MAX_DEPARTED: usize = 16;
@@ -27,9 +33,14 @@
 /// One call of a back end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
-    /// The life of the back end.
+    /// The back end. It may start again under the same name.
     pub id: String,
-    /// Rises with each call of a life.
+    /// The service that it runs.
+    pub service: String,
+    /// When it was started, in milliseconds by its own clock, which may have been set
+    /// meanwhile; none if it does not say so.
+    pub born: Option<u64>,
+    /// Rises with each call of a life, and begins anew with the next one.
     pub call_number: u64,
     /// Requests that it works on at once.
     pub capacity: u32,
@@ -39,6 +50,47 @@
     pub cold: Duration,
 }
 
+impl Registration {
+    fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
+/// Why a call names no back end to use.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum RegistrationRefusal {
+    /// The agent is beside a back end of another service.
+    #[snafu(display("the back end beside this agent runs {own}, not {named}"))]
+    OtherService {
+        /// The service of the agent.
+        own: String,
+        /// The service that the call names.
+        named: String,
+    },
+}
+
+/// One life of a back end: with the next one it has nothing in common but, at times, its
+/// name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Life {
+    id: String,
+    born: Option<u64>,
+}
+
+impl Life {
+    fn digest(&self) -> u64 {
+        backend_digest(&self.id, self.born)
+    }
+
+    /// Whether it began after another one, as far as both say so.
+    fn is_born_after(&self, other: &Life) -> Option<bool> {
+        Some(self.born? > other.born?)
+    }
+}
+
 /// What an agent knows of its back end from the calls.
 #[derive(Debug)]
 pub struct RegistrationState {
@@ -66,7 +118,7 @@
 
 #[derive(Debug)]
 struct Current {
-    id: String,
+    life: Life,
     call_number: u64,
     capacity: u32,
     draining: bool,
@@ -75,12 +127,15 @@
 }
 
 /// A call may come seconds late, also after its sender has crashed and a newer life
-/// has called, and names do not tell which life is the newer one.
+/// has called, and names do not tell which life is the newer one. The times at which they
+/// were born tell it unless a clock was set back in between.
 #[derive(Debug)]
 struct Rival {
-    id: String,
+    life: Life,
     call_number: u64,
     draining: bool,
+    /// When it was first heard since the current one called; none if it has not called.
+    called_since: Option<Timestamp>,
 }
 
 impl RegistrationState {
@@ -103,24 +158,21 @@
 
     /// Takes a call. Returns whether it changed what the agent offers.
     pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) -> bool {
-        if self.departed.contains(&backend_digest(&call.id)) {
+        let life = call.life();
+        if self.departed.contains(&life.digest()) {
             return false;
         }
         let before = self.offer();
         self.first_call.get_or_insert(call.call_number);
         if let Some(current) = &mut self.current
-            && current.id == call.id
+            && current.life == life
         {
             if call.call_number < current.call_number {
                 return false;
             }
         } else if self.current.is_some() {
-            if !self.is_newer(call) {
-                self.rival = Some(Rival {
-                    id: call.id.clone(),
-                    call_number: call.call_number,
-                    draining: call.draining,
-                });
+            if !self.is_newer(now, &life, call) {
+                self.note_rival(now, life, call);
                 return before != self.offer();
             }
             self.replace_current();
@@ -129,7 +181,7 @@
         self.unanswered_since = None;
         self.is_doubtful = false;
         self.current = Some(Current {
-            id: call.id.clone(),
+            life,
             call_number: call.call_number,
             capacity: call.capacity.max(1),
             draining: call.draining,
@@ -139,14 +191,38 @@
         before != self.offer()
     }
 
-    /// Whether a life that is not the current one is a newer one: it has begun just
-    /// now, or it goes on calling while the current one is silent. Beside a current
-    /// one that leaves, and may have said its last word, only the latter counts.
-    fn is_newer(&self, call: &Registration) -> bool {
-        let leaves = self.current.as_ref().is_some_and(|it| it.draining);
+    /// Whether a life that is not the current one is a newer one: it says that it was
+    /// born later, or has begun just now, or it goes on calling while the current one is
+    /// silent. Beside a current one that leaves, and may have said its last word, a first
+    /// call shows nothing, nor does it from a life that says that it was born earlier.
+    fn is_newer(&self, now: Timestamp, life: &Life, call: &Registration) -> bool {
+        let Some(current) = &self.current else {
+            return true;
+        };
+        let is_born_after = life.is_born_after(&current.life);
+        let goes_on = |rival: &&Rival| rival.life == *life && rival.call_number < call.call_number;
+        if let Some(rival) = self.rival.as_ref().filter(goes_on) {
+            let called_for = rival.called_since.map(|since| now.saturating_since(since));
+            let outlives = called_for.is_some_and(|time| time >= EARLIER_BORN_PATIENCE);
+            return is_born_after != Some(false) || outlives;
+        }
         let has_just_begun = call.call_number <= EARLY_CALLS;
-        let goes_on = |rival: &Rival| rival.id == call.id && rival.call_number < call.call_number;
-        (has_just_begun && !leaves) || self.rival.as_ref().is_some_and(goes_on)
+        is_born_after.unwrap_or(has_just_begun && !current.draining)
+    }
+
+    /// Notes a call of a life that is not known to be a newer one. What a life says that
+    /// was born before the current one changes nothing.
+    fn note_rival(&mut self, now: Timestamp, life: Life, call: &Registration) {
+        let current = self.current.as_ref().map(|current| &current.life);
+        let is_former = current.and_then(|current| life.is_born_after(current)) == Some(false);
+        let known = self.rival.as_ref().filter(|rival| rival.life == life);
+        let called_since = known.and_then(|rival| rival.called_since);
+        self.rival = Some(Rival {
+            life,
+            call_number: call.call_number,
+            draining: call.draining && !is_former,
+            called_since: called_since.or(Some(now)),
+        });
     }
 
     /// Gives up the current life for another one. If it left, it must not come back.
@@ -156,7 +232,7 @@
         };
         self.was_replaced = true;
         if former.draining {
-            self.note_departed(backend_digest(&former.id));
+            self.note_departed(former.life.digest());
         }
     }
 
@@ -165,23 +241,37 @@
     /// the agent offers.
     pub fn handle_withdrawal(&mut self, id: &str) -> bool {
         let before = self.offer();
-        let has_left_before = self.departed.contains(&backend_digest(id));
-        self.note_departed(backend_digest(id));
+        let life = self.withdrawn_life(id);
+        let has_left_before = self.departed.contains(&life.digest());
+        self.note_departed(life.digest());
         if let Some(current) = &mut self.current
-            && current.id == id
+            && current.life == life
         {
             current.draining = true;
         } else if self.current.is_some() && !has_left_before {
             // The current one may be a former life, whose call came late.
             self.rival = Some(Rival {
-                id: id.to_owned(),
+                life,
                 call_number: u64::MAX,
                 draining: true,
+                called_since: None,
             });
         }
         before != self.offer()
     }
 
+    /// The life that takes its leave under a name: the latest that called under it.
+    fn withdrawn_life(&self, id: &str) -> Life {
+        let current = self.current.as_ref().map(|current| &current.life);
+        let rival = self.rival.as_ref().map(|rival| &rival.life);
+        let mut known = rival.into_iter().chain(current);
+        let known = known.find(|life| life.id == id).cloned();
+        known.unwrap_or_else(|| Life {
+            id: id.to_owned(),
+            born: None,
+        })
+    }
+
     /// Notes that the back end gave another sign of life. A packet that it
     /// returned is none: those of a back end that is gone come back as well.
     pub fn note_alive(&mut self, now: Timestamp) {
@@ -274,17 +364,18 @@
         self.rival.as_ref().is_some_and(|rival| rival.draining)
     }
 
-    fn offer(&self) -> Option<(String, bool)> {
+    fn offer(&self) -> Option<(Life, bool)> {
         let current = self.current.as_ref()?;
-        Some((current.id.clone(), current.draining || self.rival_leaves()))
+        let leaves = current.draining || self.rival_leaves();
+        Some((current.life.clone(), leaves))
     }
 
     /// Back ends that said that they leave, the latest last.
     pub fn leaving(&self) -> Vec<u64> {
         let current = self.current.iter().filter(|current| current.draining);
-        let current = current.map(|current| backend_digest(&current.id));
+        let current = current.map(|current| current.life.digest());
         let rival = self.rival.iter().filter(|rival| rival.draining);
-        let rival = rival.map(|rival| backend_digest(&rival.id));
+        let rival = rival.map(|rival| rival.life.digest());
         let departed = self.departed.iter().copied();
         let mut leaving: Vec<u64> = departed.chain(rival).chain(current).collect();
         leaving.dedup();
@@ -298,7 +389,7 @@
             self.note_departed(*digest);
         }
         if let Some(current) = &mut self.current
-            && leaving.contains(&backend_digest(&current.id))
+            && leaving.contains(&current.life.digest())
         {
             current.draining = true;
         }
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -23,7 +23,9 @@
 
 use crate::pass_through::admission::cold_admission::{ColdAdmission, ColdBounds};
 use crate::pass_through::admission::failure_watch::FailureWatch;
-use crate::pass_through::admission::registration::{Registration, RegistrationState};
+use crate::pass_through::admission::registration::{
+    Registration, RegistrationRefusal, RegistrationState,
+};
 use crate::pass_through::admission::service_time::ServiceTime;
 use crate::pass_through::admission::turns::AskingBalancers;
 use crate::pass_through::admission::waiting_openings::WaitingOpenings;
@@ -255,7 +257,21 @@
 
     /// Takes a call of the back end. Once this returns the caller may
     /// acknowledge it: no new flow is admitted against what it said.
-    pub fn handle_registration(&mut self, now: Timestamp, call: &Registration) {
+    ///
+    /// # Errors
+    ///
+    /// A call for another service names no back end to use; it changes nothing.
+    pub fn handle_registration(
+        &mut self,
+        now: Timestamp,
+        call: &Registration,
+    ) -> Result<(), RegistrationRefusal> {
+        if call.service != self.settings.service {
+            return Err(RegistrationRefusal::OtherService {
+                own: self.settings.service.clone(),
+                named: call.service.clone(),
+            });
+        }
         if let Some(former) = self.registered_at.replace(now) {
             let gap = now.saturating_since(former);
             self.latencies.registration_gap.record(gap);
@@ -271,6 +287,7 @@
             self.emit_event(kind, subject);
         }
         self.report_if_changed(now);
+        Ok(())
     }
 
     /// Takes the goodbye of the back end.
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -28,7 +28,7 @@
 mod routes;
 
 pub use admission::cold_admission::ColdBounds;
-pub use admission::registration::Registration;
+pub use admission::registration::{Registration, RegistrationRefusal};
 pub use agent::{
     PassThroughAgent, PassThroughAgentCounters, PassThroughAgentLatencies, PassThroughAgentSettings,
 };
--- a/crates/petrellatch-core/tests/pass_through/cold_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/cold_backends.rs
@@ -5,7 +5,7 @@
 use petrellatch_core::pass_through::Registration;
 use petrellatch_proto::pass_through::{Group, PassThroughBody, ZoneRecord, ZoneRecords};
 
-use super::world::{MILLI, REPLICA, World, agent_address};
+use super::world::{MILLI, REPLICA, SERVICE, World, agent_address};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Requests in 1,000 s that a cold back end bears.
@@ -26,6 +26,8 @@
 fn call(world: &mut World, id: &str, call_number: u64, cold: Duration) {
     let call = Registration {
         id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        born: None,
         call_number,
         capacity: CAPACITY,
         draining: false,
--- a/crates/petrellatch-core/tests/pass_through/fleet.rs
+++ b/crates/petrellatch-core/tests/pass_through/fleet.rs
@@ -535,12 +535,15 @@
     let mut agent = PassThroughAgent::new(now, settings, TestCodec, life, contacts);
     let call = Registration {
         id: address.to_string(),
+        service: SERVICE.to_owned(),
+        born: None,
         call_number: 1,
         capacity: SLOTS,
         draining: false,
         cold: Duration::ZERO,
     };
-    agent.handle_registration(now, &call);
+    let taken = agent.handle_registration(now, &call);
+    taken.expect("it is of the agent's service");
     agent
 }
 
--- a/crates/petrellatch-core/tests/pass_through/late_calls.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_calls.rs
@@ -4,13 +4,15 @@
 
 use petrellatch_core::pass_through::Registration;
 
-use super::world::{MILLI, World};
+use super::world::{MILLI, SERVICE, World};
 
 const AGENT: u8 = 1;
 
 fn call(world: &mut World, id: &str, call_number: u64, draining: bool) {
     let call = Registration {
         id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        born: None,
         call_number,
         capacity: 4,
         draining,
@@ -123,3 +125,107 @@
     world.run(MILLI);
     assert!(takes_flows(&mut world, 1));
 }
+
+/// A call of `backend`, which says when it was born.
+fn call_born(world: &mut World, born: u64, call_number: u64, draining: bool) {
+    let call = Registration {
+        id: "backend".to_owned(),
+        service: SERVICE.to_owned(),
+        born: Some(born),
+        call_number,
+        capacity: 4,
+        draining,
+        cold: Duration::ZERO,
+    };
+    world.call(AGENT, &call);
+    world.run(MILLI);
+}
+
+fn withdraw(world: &mut World) {
+    let now = world.now;
+    let agent = world.agents.get_mut(&super::world::agent_address(AGENT));
+    agent.expect("known").handle_withdrawal(now, "backend");
+    world.run(MILLI);
+}
+
+#[test]
+fn a_back_end_that_starts_again_under_its_name_is_taken_with_its_first_call() {
+    let mut world = restarted();
+    call_born(&mut world, 1_000, 40, false);
+    // It crashed; the number of its calls begins anew.
+    world.run(Duration::from_secs(9));
+    assert!(!takes_flows(&mut world, 1), "it has been silent");
+    call_born(&mut world, 11_000, 1, false);
+    assert!(takes_flows(&mut world, 2));
+}
+
+#[test]
+fn a_back_end_that_left_is_taken_when_it_starts_again_under_its_name() {
+    let mut world = restarted();
+    call_born(&mut world, 1_000, 40, true);
+    withdraw(&mut world);
+    call_born(&mut world, 1_000, 41, false);
+    assert!(!takes_flows(&mut world, 1), "the life that left stays gone");
+    call_born(&mut world, 11_000, 1, false);
+    assert!(takes_flows(&mut world, 2));
+}
+
+#[test]
+fn late_calls_of_a_former_life_change_nothing() {
+    let mut world = restarted();
+    call_born(&mut world, 11_000, 1, false);
+    // They were held up, and come one after the other.
+    call_born(&mut world, 1_000, 40, true);
+    call_born(&mut world, 1_000, 41, true);
+    call_born(&mut world, 1_000, 42, true);
+    assert!(takes_flows(&mut world, 1));
+    call_born(&mut world, 11_000, 2, true);
+    call_born(&mut world, 1_000, 43, false);
+    assert!(!takes_flows(&mut world, 2), "the one that runs leaves");
+}
+
+#[test]
+fn a_life_whose_clock_was_set_back_is_taken_once_it_alone_goes_on_calling() {
+    let mut world = restarted();
+    call_born(&mut world, 99_000, 40, true);
+    call_born(&mut world, 12_000, 1, false);
+    assert!(!takes_flows(&mut world, 1));
+    world.run(Duration::from_secs(2));
+    call_born(&mut world, 12_000, 2, false);
+    assert!(!takes_flows(&mut world, 2));
+    world.run(Duration::from_secs(2));
+    call_born(&mut world, 12_000, 3, false);
+    assert!(takes_flows(&mut world, 3));
+}
+
+#[test]
+fn an_agent_that_restarts_learns_which_life_has_left() {
+    let mut world = restarted();
+    call_born(&mut world, 1_000, 40, true);
+    withdraw(&mut world);
+    world.restart_agent_with_memory(AGENT);
+    call_born(&mut world, 1_000, 41, false);
+    assert!(!takes_flows(&mut world, 1));
+    call_born(&mut world, 11_000, 1, false);
+    assert!(takes_flows(&mut world, 2));
+}
+
+#[test]
+fn a_call_for_another_service_changes_nothing() {
+    let mut world = restarted();
+    call_born(&mut world, 1_000, 1, false);
+    let foreign = Registration {
+        id: "stranger".to_owned(),
+        service: "files".to_owned(),
+        born: Some(2_000),
+        call_number: 1,
+        capacity: 9,
+        draining: true,
+        cold: Duration::ZERO,
+    };
+    let now = world.now;
+    let agent = super::world::agent_address(AGENT);
+    let agent = world.agents.get_mut(&agent).expect("known");
+    assert!(agent.handle_registration(now, &foreign).is_err());
+    assert!(takes_flows(&mut world, 1));
+}
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -65,12 +65,15 @@
         let mut agent = PassThroughAgent::new(now, settings, TestCodec, Incarnation(1), contacts);
         let call = Registration {
             id: "backend-1".to_owned(),
+            service: SERVICE.to_owned(),
+            born: None,
             call_number: 1,
             capacity: SLOTS,
             draining: false,
             cold: Duration::ZERO,
         };
-        agent.handle_registration(now, &call);
+        let taken = agent.handle_registration(now, &call);
+        taken.expect("it is of the agent's service");
         Desk {
             now,
             agent,
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -56,12 +56,15 @@
 fn register(agent: &mut Agent, now: Timestamp, call_number: u64, draining: bool) {
     let call = Registration {
         id: "backend-1".to_owned(),
+        service: SERVICE.to_owned(),
+        born: None,
         call_number,
         capacity: 4,
         draining,
         cold: Duration::ZERO,
     };
-    agent.handle_registration(now, &call);
+    let taken = agent.handle_registration(now, &call);
+    taken.expect("it is of the agent's service");
 }
 
 /// Offers a new flow; returns why it was declined, or `None` if the back end
--- a/crates/petrellatch-core/tests/pass_through/uneven_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/uneven_backends.rs
@@ -5,7 +5,7 @@
 
 use petrellatch_core::pass_through::Registration;
 
-use super::world::{FIRST_OWN_PORT, MILLI, World, agent_address};
+use super::world::{FIRST_OWN_PORT, MILLI, SERVICE, World, agent_address};
 
 const SLOTS: u32 = 3;
 const FAST: u8 = 1;
@@ -89,6 +89,8 @@
     let mut world = World::new(2, SLOTS);
     let call = Registration {
         id: "backend-2".to_owned(),
+        service: SERVICE.to_owned(),
+        born: None,
         call_number: 2,
         capacity: SLOTS,
         draining: false,
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -282,9 +282,25 @@
         self.backends.entry(address).or_default();
     }
 
+    /// Starts an agent again. A replica tells it which back ends its former life reported
+    /// as leaving.
+    pub fn restart_agent_with_memory(&mut self, index: u8) {
+        let address = pack_address(agent_address(index));
+        let leaving = self.reports[&address].leaving.clone();
+        self.start_agent(index);
+        let group = Group {
+            leaving,
+            ..Group::default()
+        };
+        let agent = self.agents.get_mut(&agent_address(index)).expect("known");
+        agent.handle_message(self.now, REPLICA, PassThroughBody::Group(group));
+    }
+
     pub fn register(&mut self, index: u8, capacity: u32, draining: bool, call_number: u64) {
         let call = Registration {
             id: format!("backend-{index}"),
+            service: (self.service_of)(index).to_owned(),
+            born: None,
             call_number,
             capacity,
             draining,
@@ -296,7 +312,8 @@
     /// The back end beside an agent calls.
     pub fn call(&mut self, index: u8, call: &Registration) {
         let agent = self.agents.get_mut(&agent_address(index)).expect("known");
-        agent.handle_registration(self.now, call);
+        let taken = agent.handle_registration(self.now, call);
+        taken.expect("it is of the agent's service");
     }
 
     pub fn run(&mut self, duration: Duration) {
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -8,7 +8,7 @@
 use petrellatch_core::pass_through::{
     Contacts, PacketCodec, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
 };
-use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_core::{Event, EventKind, Timestamp};
 
 use crate::error::ProgramError;
 use crate::http::EventServer;
@@ -83,9 +83,11 @@
                 let received = http.handle_event(now, event_loop.poll.registry(), token);
                 let agent = RefCell::new(&mut agent);
                 let metrics = || agent_metrics(&agent.borrow(), now);
-                serve_requests(now, http, &interface, received, metrics, |_, call| {
-                    Some(answer(now, &mut agent.borrow_mut(), call))
-                });
+                let handle = |_: &_, call| Some(answer(now, &mut agent.borrow_mut(), call));
+                for refusal in serve_requests(now, http, &interface, received, metrics, handle) {
+                    let event = Event::new(EventKind::RegistrationRefused, refusal);
+                    event_loop.log.write(now, &event);
+                }
             }
         }
         if wakeup.begin_stop {
@@ -128,10 +130,10 @@
         Call::Readiness => CallAnswer::Readiness {
             ready: agent.is_ready(),
         },
-        Call::Register(registration) => {
-            agent.handle_registration(now, &registration);
-            CallAnswer::Registered
-        }
+        Call::Register(registration) => match agent.handle_registration(now, &registration) {
+            Ok(()) => CallAnswer::Registered,
+            Err(refusal) => CallAnswer::RegistrationRefused(refusal),
+        },
         Call::Withdraw { id } => {
             agent.handle_withdrawal(now, &id);
             CallAnswer::Registered
--- a/crates/petrellatch/src/runtime/pass_through/interface.rs
+++ b/crates/petrellatch/src/runtime/pass_through/interface.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_core::pass_through::{Configuration, Registration, ZoneOrderRefusal};
+use petrellatch_core::pass_through::{
+    Configuration, Registration, RegistrationRefusal, ZoneOrderRefusal,
+};
 
 use crate::http::{HttpRequest, HttpResponse};
 
@@ -15,7 +17,7 @@
     Register(Registration),
     /// A back end takes its leave.
     Withdraw {
-        /// The life of the back end.
+        /// The back end.
         id: String,
     },
     /// Replace the configuration.
@@ -43,6 +45,8 @@
     },
     /// The back end's call holds from now on.
     Registered,
+    /// The call names no back end to use, and changes nothing.
+    RegistrationRefused(RegistrationRefusal),
     /// The version, or a higher one, is accepted for good.
     Accepted {
         /// The version that is held.
