Send at the speed of the balancer's link, from a queue that is fair to flows

Cause: a balancer handed all packets to its link at once. A link of 2 Mbit/s holds some 50 ms; of the sixteen packets that a caller has under way, 21 KB, it dropped 4 to 12 (counted by the packets of single uploads at both ends). Each loss costs 200 ms and more and the same bytes again, answers came late, agents were suspected, and lookups beside the uploads waited with them. Ruled out: the way in is not the limit (sixteen packets arrive within 2 ms); nor are slots (8 in place of 2 are worse). Change: module pass_through::link. A pacer with 95 % of the link's speed; three turns: control, short datagrams (openings, acknowledgements, requests of one packet), long ones; flows take turns by deficit round robin within each; a fifth is left to the long ones. A copy of a packet that still waits is not sent. Metrics of bytes, waits, copies and drops; events 537 and 538.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -175,6 +175,10 @@
     /// The daemons of the former life can't be read or saved; they find the group
     /// by their settings.
     DaemonMemoryFailed = 536, Warning;
+    /// The link of a balancer carries less than is to be sent; packets wait.
+    LinkFull = 537, Warning;
+    /// Nothing has waited for a balancer's link for a second.
+    LinkClear = 538, Info;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -6,6 +6,7 @@
 mod open_flows;
 mod openings;
 mod searches;
+mod sending;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
@@ -35,6 +36,7 @@
 use super::group::contacts::Contacts;
 use super::group::evacuations::Evacuations;
 use super::latency::LatencyHistogram;
+use super::link::link_queue::LinkQueue;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, OPENING_PATIENCE, PacketCodec, PacketView};
 use super::routes::route_table::RouteTable;
@@ -178,6 +180,8 @@
     /// Since when a newer configuration is known of that is not in force.
     lagging_since: Option<Timestamp>,
     outputs: VecDeque<PassThroughOutput>,
+    /// What waits for the link; none if its speed is not known.
+    link: Option<LinkQueue>,
 }
 
 impl<C: PacketCodec> PassThroughBalancer<C> {
@@ -230,6 +234,7 @@
             latencies: PassThroughBalancerLatencies::default(),
             lagging_since: None,
             outputs: VecDeque::new(),
+            link: link_bytes_per_second.map(|bytes| LinkQueue::new(now, bytes)),
         }
     }
 
@@ -389,6 +394,7 @@
         }
         self.continue_waiting(now);
         self.continue_searches(now);
+        self.tell_link_change(now);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.hints.expire(now, self.settings.flow_lifetime);
@@ -418,16 +424,12 @@
             self.searches.poll_timeout(),
             awaited,
             self.stop_at,
+            self.link.as_ref().and_then(LinkQueue::poll_timeout),
         ];
         let first = timers.into_iter().flatten().min();
         first.unwrap_or(self.sweep_at)
     }
 
-    /// The next thing to do.
-    pub fn poll_output(&mut self) -> Option<PassThroughOutput> {
-        self.outputs.pop_front()
-    }
-
     fn note_heard(
         &mut self,
         now: Timestamp,
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/balancer/sending.rs
@@ -0,0 +1,96 @@
+//! What goes out over the balancer's link, and when.
+
+use super::*;
+use crate::pass_through::link::link_queue::{LinkChange, LinkClass, LinkCounters};
+
+/// Bytes of a datagram before its data: heads of IP and UDP.
+const DATAGRAM_HEAD_BYTES: usize = 28;
+/// Bytes of a message beside its body: the mark in front of it.
+const MESSAGE_HEAD_BYTES: usize = 4;
+
+impl<C: PacketCodec> PassThroughBalancer<C> {
+    /// The next thing to do, as of the latest input.
+    pub fn poll_output(&mut self) -> Option<PassThroughOutput> {
+        if self.link.is_none() {
+            return self.outputs.pop_front();
+        }
+        while let Some(output) = self.outputs.pop_front() {
+            if matches!(output, PassThroughOutput::Event(_)) {
+                return Some(output);
+            }
+            self.queue_for_link(output);
+        }
+        self.link.as_mut()?.pop(self.active_at)
+    }
+
+    /// Counters of the link; all zero if its speed is not known.
+    pub fn link_counters(&self) -> LinkCounters {
+        let link = self.link.as_ref();
+        link.map_or(LinkCounters::default(), LinkQueue::counters)
+    }
+
+    /// How long datagrams waited for the link that had to; none if its speed is not known.
+    pub fn link_waits(&self) -> Option<&LatencyHistogram> {
+        self.link.as_ref().map(LinkQueue::waits)
+    }
+
+    fn queue_for_link(&mut self, output: PassThroughOutput) {
+        let class = self.link_class(&output);
+        let bytes = DATAGRAM_HEAD_BYTES + data_bytes(&output);
+        if let Some(link) = &mut self.link {
+            link.push(self.active_at, class, bytes, output);
+        }
+    }
+
+    fn link_class(&self, output: &PassThroughOutput) -> LinkClass {
+        let flow = match output {
+            PassThroughOutput::Send {
+                body: PassThroughBody::Carry(carry),
+                ..
+            } => {
+                let view = self.codec.view(&carry.packet);
+                view.map(|view| view.flow_from_caller())
+            }
+            PassThroughOutput::ToCaller { packet, .. } => {
+                let view = self.codec.view(packet);
+                view.map(|view| view.flow_from_backend())
+            }
+            _ => None,
+        };
+        flow.map_or(LinkClass::Control, LinkClass::Flow)
+    }
+
+    /// Logs that the link has become full, or clear again.
+    pub(super) fn tell_link_change(&mut self, now: Timestamp) {
+        let Some(link) = &mut self.link else { return };
+        let backlog = link.backlog().as_millis();
+        let Some(change) = link.take_change(now) else {
+            return;
+        };
+        let LinkCounters {
+            copies, dropped, ..
+        } = link.counters();
+        let totals = format!("copies={copies} dropped={dropped}");
+        match change {
+            LinkChange::Full => {
+                let subject = format!("wait={backlog} {totals}");
+                self.emit_event(EventKind::LinkFull, subject);
+            }
+            LinkChange::Clear(time) => {
+                let subject = format!("full_for={} {totals}", time.as_millis());
+                self.emit_event(EventKind::LinkClear, subject);
+            }
+        }
+    }
+}
+
+/// Bytes of what an output hands to UDP.
+fn data_bytes(output: &PassThroughOutput) -> usize {
+    match output {
+        PassThroughOutput::Send { body, .. } => MESSAGE_HEAD_BYTES + body.encoded_len(),
+        PassThroughOutput::ToCaller { packet, .. } | PassThroughOutput::ToBackend(packet) => {
+            packet.len()
+        }
+        PassThroughOutput::Event(_) => 0,
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/codec.rs
+++ b/crates/petrellatch-core/tests/pass_through/codec.rs
@@ -12,7 +12,13 @@
 
 impl PacketCodec for TestCodec {
     fn view(&self, packet: &[u8]) -> Option<PacketView> {
-        let packet: &[u8; BYTES] = packet.try_into().ok()?;
+        let head = packet.first_chunk::<BYTES>()?;
+        let data_bytes = u16::from_be_bytes([head[25], head[26]]);
+        let has_data = packet.len() == BYTES + usize::from(data_bytes);
+        if packet.len() != BYTES && !has_data {
+            return None;
+        }
+        let packet = head;
         let number =
             |place: usize| u64::from_be_bytes(packet[place..place + 8].try_into().unwrap());
         let small = |place: usize| u32::from_be_bytes(packet[place..place + 4].try_into().unwrap());
@@ -27,7 +33,7 @@
             returned: flags & 16 != 0,
             sequence: small(16),
             acknowledged: small(20),
-            data_bytes: u16::from_be_bytes([packet[25], packet[26]]),
+            data_bytes,
         })
     }
 
@@ -56,6 +62,13 @@
     }
 }
 
+/// A packet with all its data; most tests leave that out.
+pub fn encode_with_data(view: &PacketView) -> Vec<u8> {
+    let mut packet = encode(view);
+    packet.resize(BYTES + usize::from(view.data_bytes), 0);
+    packet
+}
+
 pub fn encode(view: &PacketView) -> Vec<u8> {
     let flags = [
         view.synchronize,
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -19,6 +19,7 @@
 mod lost_flows;
 mod lost_flows_at_size;
 mod moved_routes;
+mod narrow_links;
 mod news;
 mod pressure;
 mod queueing;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/narrow_links.rs
@@ -0,0 +1,404 @@
+//! Uploads and lookups through one balancer whose link carries little.
+//!
+//! The link drops what would wait for longer than its buffer holds. Callers have sixteen
+//! packets under way, and send a lost one again after 200 ms.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::pass_through::{PacketView, PassThroughOutput};
+use petrellatch_proto::pass_through::{PassThroughBody, PassThroughMessage};
+use prost::Message;
+
+use super::codec::{empty, encode, encode_with_data};
+use super::world::{BALANCER, FIRST_OWN_PORT, MILLI, ROUTE, World, caller, first_sequence};
+
+const AGENTS: u8 = 8;
+const SLOTS: u32 = 4;
+/// What the buffer of a link holds.
+const BUFFER: Duration = Duration::from_millis(50);
+/// Heads of the link, of IP and of UDP, and the mark of a message, in bytes.
+const HEADS: usize = 14 + 28;
+const MARK: usize = 4;
+const DATA: u16 = 1_200;
+const WINDOW: usize = 16;
+const FIRST_TIMEOUT: Duration = Duration::from_millis(200);
+const LAST_TIMEOUT: Duration = Duration::from_millis(1_600);
+const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+/// Uploads under way at any time.
+const UPLOADS: usize = 8;
+const LOOKUP_EVERY: Duration = Duration::from_millis(25);
+const LOOKUP_DATA: u16 = 200;
+/// What a back end works on a lookup.
+const WORK: Duration = Duration::from_millis(30);
+const MEASURED: Duration = Duration::from_secs(20);
+
+struct Link {
+    bytes_per_second: f64,
+    free_at: Timestamp,
+    under_way: VecDeque<(Timestamp, PassThroughOutput)>,
+    lost: usize,
+}
+
+impl Link {
+    fn send(&mut self, now: Timestamp, output: PassThroughOutput) {
+        let starts = self.free_at.max(now);
+        if starts.saturating_since(now) > BUFFER {
+            self.lost += 1;
+            return;
+        }
+        let seconds = wire_bytes(&output) as f64 / self.bytes_per_second;
+        self.free_at = starts + Duration::from_secs_f64(seconds);
+        self.under_way.push_back((self.free_at, output));
+    }
+}
+
+fn wire_bytes(output: &PassThroughOutput) -> usize {
+    HEADS
+        + match output {
+            PassThroughOutput::Send { body, .. } => {
+                let body = Some(body.clone());
+                MARK + PassThroughMessage { body }.encoded_len()
+            }
+            PassThroughOutput::ToCaller { packet, .. } => packet.len(),
+            _ => 0,
+        }
+}
+
+struct Caller {
+    is_lookup: bool,
+    started_at: Timestamp,
+    copies: usize,
+    agent: Option<SocketAddrV4>,
+    arrived: Vec<bool>,
+    /// Packets before this one have arrived.
+    base: usize,
+    sent: usize,
+    timeout: Duration,
+    timer_at: Timestamp,
+    recovers: bool,
+}
+
+struct Narrow {
+    world: World,
+    link: Link,
+    callers: BTreeMap<u16, Caller>,
+    next_port: u16,
+    next_lookup: Timestamp,
+    packets_per_upload: usize,
+    /// Packets that each back end had got when it was looked at last.
+    seen: BTreeMap<SocketAddrV4, usize>,
+    arrived_bytes: usize,
+    lookup_bytes: usize,
+    upload_wire_bytes: usize,
+    lookup_times: Vec<Duration>,
+    uploads_done: usize,
+}
+
+impl Narrow {
+    fn new(megabits: f64, upload_bytes: usize) -> Narrow {
+        let bytes_per_second = megabits * 125_000.0;
+        let mut world = World::new(AGENTS, SLOTS);
+        world.restart_balancer_with_link(Some(bytes_per_second as u64));
+        let now = world.now;
+        let link = Link {
+            bytes_per_second,
+            free_at: now,
+            under_way: VecDeque::new(),
+            lost: 0,
+        };
+        Narrow {
+            world,
+            link,
+            callers: BTreeMap::new(),
+            next_port: FIRST_OWN_PORT,
+            next_lookup: now,
+            packets_per_upload: upload_bytes.div_ceil(usize::from(DATA)),
+            seen: BTreeMap::new(),
+            arrived_bytes: 0,
+            lookup_bytes: 0,
+            upload_wire_bytes: 0,
+            lookup_times: Vec::new(),
+            uploads_done: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.world.now = self.world.now + MILLI;
+        let now = self.world.now;
+        self.add_callers();
+        self.carry_messages();
+        self.hear_answers();
+        self.note_arrivals();
+        let ports: Vec<u16> = self.callers.keys().copied().collect();
+        ports
+            .into_iter()
+            .for_each(|port| self.continue_caller(port));
+        if self.world.balancer.poll_timeout() <= now {
+            self.world.balancer.handle_timeout(now);
+        }
+        self.carry_messages();
+    }
+
+    fn add_callers(&mut self) {
+        let now = self.world.now;
+        if now >= self.next_lookup {
+            self.next_lookup = now + LOOKUP_EVERY;
+            self.add_caller(true, 1);
+        }
+        let uploads = self.callers.values().filter(|it| !it.is_lookup).count();
+        for _ in uploads..UPLOADS {
+            self.add_caller(false, self.packets_per_upload);
+        }
+    }
+
+    fn add_caller(&mut self, is_lookup: bool, packets: usize) {
+        let now = self.world.now;
+        let caller = Caller {
+            is_lookup,
+            started_at: now,
+            copies: 0,
+            agent: None,
+            arrived: vec![false; packets],
+            base: 0,
+            sent: 0,
+            timeout: FIRST_TIMEOUT,
+            timer_at: now,
+            recovers: false,
+        };
+        let port = self.next_port;
+        self.next_port = port.checked_add(1).unwrap_or(FIRST_OWN_PORT);
+        self.callers.insert(port, caller);
+        self.open(port, 0);
+    }
+
+    fn open(&mut self, port: u16, copy: u32) {
+        let packet = PacketView {
+            synchronize: true,
+            acknowledged: copy,
+            ..empty(caller(port), ROUTE)
+        };
+        let now = self.world.now;
+        self.world.balancer.handle_packet(now, &encode(&packet));
+    }
+
+    fn send_data(&mut self, port: u16, number: usize) {
+        let caller_state = &self.callers[&port];
+        let agent = caller_state.agent.expect("open");
+        let packet = PacketView {
+            acknowledge: true,
+            acknowledged: first_sequence(agent).wrapping_add(1),
+            sequence: number as u32,
+            data_bytes: if caller_state.is_lookup {
+                LOOKUP_DATA
+            } else {
+                DATA
+            },
+            ..empty(caller(port), ROUTE)
+        };
+        let now = self.world.now;
+        let packet = encode_with_data(&packet);
+        self.world.balancer.handle_packet(now, &packet);
+    }
+
+    /// What a caller sends now.
+    fn continue_caller(&mut self, port: u16) {
+        let now = self.world.now;
+        let state = self.callers.get_mut(&port).expect("known");
+        let Some(_) = state.agent else {
+            if state.copies < COPIES.len() && now >= state.started_at + COPIES[state.copies] {
+                state.copies += 1;
+                let copy = state.copies as u32;
+                self.open(port, copy);
+            }
+            return;
+        };
+        let end = (state.base + WINDOW).min(state.arrived.len());
+        let mut numbers: Vec<usize> = (state.sent..end).collect();
+        if state.sent == 0 {
+            state.timer_at = now + state.timeout;
+        } else if now >= state.timer_at {
+            numbers.push(state.base);
+            state.recovers = true;
+            state.timeout = (state.timeout * 2).min(LAST_TIMEOUT);
+            state.timer_at = now + state.timeout;
+        }
+        state.sent = end;
+        numbers
+            .into_iter()
+            .for_each(|number| self.send_data(port, number));
+    }
+
+    /// Callers whose opening packets were answered are open.
+    fn hear_answers(&mut self) {
+        for view in std::mem::take(&mut self.world.callers) {
+            let callers = self.callers.iter_mut();
+            let state = callers.filter(|(port, _)| caller(**port) == view.destination);
+            let Some((_, state)) = { state }.next() else {
+                continue;
+            };
+            assert!(!view.reset, "nobody is refused here");
+            if view.synchronize && state.agent.is_none() {
+                let mut agents = self.world.agents.keys();
+                state.agent = agents
+                    .find(|it| first_sequence(**it) == view.sequence)
+                    .copied();
+            }
+        }
+    }
+
+    /// Packets that reached back ends are acknowledged to their callers.
+    fn note_arrivals(&mut self) {
+        let agents: Vec<SocketAddrV4> = self.world.backends.keys().copied().collect();
+        for agent in agents {
+            let seen = self.seen.entry(agent).or_default();
+            let received = &self.world.backends[&agent].received;
+            let views: Vec<PacketView> = received[*seen..].to_vec();
+            *seen = received.len();
+            let data = views.into_iter().filter(|view| view.data_bytes > 0);
+            data.for_each(|view| self.acknowledge(agent, &view));
+        }
+    }
+
+    fn acknowledge(&mut self, agent: SocketAddrV4, view: &PacketView) {
+        let now = self.world.now;
+        let callers = self.callers.iter_mut();
+        let found = callers.filter(|(port, _)| caller(**port) == view.source);
+        let Some((port, state)) = { found }.next() else {
+            return;
+        };
+        let port = *port;
+        let number = view.sequence as usize;
+        if state.arrived[number] {
+            return;
+        }
+        state.arrived[number] = true;
+        if !state.is_lookup {
+            self.arrived_bytes += usize::from(view.data_bytes);
+        }
+        let first_missing = state.arrived.iter().position(|arrived| !arrived);
+        let base = first_missing.unwrap_or(state.arrived.len());
+        let advances = base > state.base;
+        state.base = base;
+        if advances {
+            state.timeout = FIRST_TIMEOUT;
+            state.timer_at = now + state.timeout;
+        }
+        if base == state.arrived.len() {
+            let time = now.saturating_since(state.started_at);
+            match state.is_lookup {
+                true => self.lookup_times.push(time + WORK),
+                false => self.uploads_done += 1,
+            }
+            self.callers.remove(&port);
+            let answer = PacketView {
+                acknowledge: true,
+                finish: true,
+                data_bytes: 10,
+                ..empty(ROUTE, caller(port))
+            };
+            self.world.answer_from_backend(agent, &answer);
+        } else if advances && state.recovers {
+            state.recovers = false;
+            let missing = (base..state.sent).filter(|number| !state.arrived[*number]);
+            let missing: Vec<usize> = missing.collect();
+            missing
+                .into_iter()
+                .for_each(|number| self.send_data(port, number));
+        }
+    }
+
+    fn carry_messages(&mut self) {
+        let now = self.world.now;
+        while let Some(output) = self.world.balancer.poll_output() {
+            if matches!(output, PassThroughOutput::Event(_)) {
+                self.world.carry_out(BALANCER, output);
+            } else {
+                self.count_bytes(&output);
+                self.link.send(now, output);
+            }
+        }
+        while self
+            .link
+            .under_way
+            .front()
+            .is_some_and(|(at, _)| *at <= now)
+        {
+            let (_, output) = self.link.under_way.pop_front().expect("there is one");
+            self.world.carry_out(BALANCER, output);
+        }
+        let agents: Vec<SocketAddrV4> = self.world.agents.keys().copied().collect();
+        for agent in agents {
+            let state = self.world.agents.get_mut(&agent).expect("known");
+            if state.poll_timeout() <= now {
+                state.handle_timeout(now);
+            }
+            while let Some(output) = self
+                .world
+                .agents
+                .get_mut(&agent)
+                .and_then(|it| it.poll_output())
+            {
+                self.world.carry_out(agent, output);
+            }
+        }
+    }
+
+    /// Counts what one packet of an upload takes of the link, and what all else takes.
+    fn count_bytes(&mut self, output: &PassThroughOutput) {
+        let bytes = wire_bytes(output);
+        match output {
+            PassThroughOutput::Send {
+                body: PassThroughBody::Carry(carry),
+                ..
+            } if carry.packet.len() > usize::from(DATA) => {
+                self.upload_wire_bytes = bytes;
+            }
+            _ => self.lookup_bytes += bytes,
+        }
+    }
+
+    /// The share of what the link can carry at most that arrived, each packet once.
+    fn goodput(&self, time: Duration) -> f64 {
+        let carried = self.link.bytes_per_second * time.as_secs_f64() - self.lookup_bytes as f64;
+        let most = carried * f64::from(DATA) / self.upload_wire_bytes as f64;
+        self.arrived_bytes as f64 / most
+    }
+
+    fn lookup_p99(&mut self) -> Duration {
+        self.lookup_times.sort_unstable();
+        self.lookup_times[self.lookup_times.len() * 99 / 100]
+    }
+}
+
+#[test]
+fn a_narrow_link_carries_what_it_can_and_lookups_pass_uploads() {
+    let mut wide = Narrow::new(100.0, 20_000);
+    wide.run(MEASURED);
+    let wide_p99 = wide.lookup_p99();
+    for megabits in [1.0, 2.0, 4.0, 8.0] {
+        for kilobytes in [5, 20, 120] {
+            let mut narrow = Narrow::new(megabits, kilobytes * 1_000);
+            narrow.run(MEASURED);
+            let goodput = narrow.goodput(MEASURED);
+            let p99 = narrow.lookup_p99();
+            let lost = narrow.link.lost;
+            let done = narrow.uploads_done;
+            println!(
+                "{megabits} Mbit/s, {kilobytes} KB: goodput {goodput:.3}, {done} uploads, \
+                 lookups' p99 {p99:?} (wide {wide_p99:?}), {lost} lost"
+            );
+            assert!(goodput >= 0.9, "{goodput} at {megabits} Mbit/s");
+            assert!(p99 <= 2 * wide_p99, "{p99:?} at {megabits} Mbit/s");
+        }
+    }
+}
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -46,10 +46,13 @@
 const OPEN_FLOWS: &str = "petrellatch_pass_through_open_flows";
 const DEMAND_MILLISLOTS: &str = "petrellatch_pass_through_demand_millislots";
 const WORK_MICROSECONDS: &str = "petrellatch_pass_through_work_microseconds";
+const LINK_BYTES_TOTAL: &str = "petrellatch_pass_through_link_bytes_total";
+const LINK_PACKETS_TOTAL: &str = "petrellatch_pass_through_link_packets_total";
+const LINK_WAIT_SECONDS: &str = "petrellatch_pass_through_link_wait_seconds";
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 31] = [
+pub const METRIC_NAMES: [&str; 34] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -81,6 +84,9 @@
     OPEN_FLOWS,
     DEMAND_MILLISLOTS,
     WORK_MICROSECONDS,
+    LINK_BYTES_TOTAL,
+    LINK_PACKETS_TOTAL,
+    LINK_WAIT_SECONDS,
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -153,6 +159,18 @@
     ] {
         raise(&questions.with_label_values(&[outcome]), total);
     }
+    let link = balancer.link_counters();
+    let help = "Bytes sent over the link, with the heads of IP and UDP.";
+    raise(&counter(&registry, LINK_BYTES_TOTAL, help), link.sent_bytes);
+    let help = "Packets that the link could not carry at once, by what became of them.";
+    let packets = counters(&registry, LINK_PACKETS_TOTAL, help, "outcome");
+    for (outcome, total) in [
+        ("waited", link.waited),
+        ("copy", link.copies),
+        ("dropped", link.dropped),
+    ] {
+        raise(&packets.with_label_values(&[outcome]), total);
+    }
     let (flows, agents) = balancer.sizes();
     set(
         &gauge(&registry, FLOWS, "Flows that are remembered."),
@@ -174,7 +192,10 @@
         help,
         &latencies.configuration_lag,
     );
-    encode(&registry, [placement, lag])
+    let help = "How long packets waited for the link that had to.";
+    let waits = balancer.link_waits();
+    let waits = waits.map(|waits| histogram(LINK_WAIT_SECONDS, help, waits));
+    encode(&registry, [placement, lag].into_iter().chain(waits))
 }
 
 pub(super) fn agent_metrics<C: PacketCodec>(
@@ -297,7 +318,7 @@
     family
 }
 
-fn encode(registry: &Registry, histograms: [MetricFamily; 2]) -> HttpResponse {
+fn encode(registry: &Registry, histograms: impl IntoIterator<Item = MetricFamily>) -> HttpResponse {
     let mut families = registry.gather();
     families.extend(histograms);
     let text = TextEncoder::new().encode_to_string(&families);
