Keep to the compiler version that the project names

Cause: a method of a newer standard library in the fair queue (clippy: incompatible_msrv). Change: the same step in older words.

--- a/crates/petrellatch-core/src/pass_through/link/fair_queue.rs
+++ b/crates/petrellatch-core/src/pass_through/link/fair_queue.rs
@@ -81,10 +81,16 @@
                 self.turns.pop_front();
                 continue;
             };
-            let Some(next) = flow.items.pop_front_if(|next| next.bytes <= flow.deficit) else {
+            let next_bytes = flow.items.front().map(|next| next.bytes);
+            if next_bytes.is_some_and(|bytes| bytes > flow.deficit) {
                 flow.deficit += QUANTUM_BYTES;
                 self.turns.rotate_left(1);
                 continue;
+            }
+            let Some(next) = flow.items.pop_front() else {
+                self.flows.remove(&key);
+                self.turns.pop_front();
+                continue;
             };
             flow.deficit -= next.bytes;
             flow.bytes -= next.bytes;
