Send what waits when a balancer stops, and name full links in the summary

Cause: found in reading. A balancer that stops in order says goodbye to replicas with its last step; behind a full link that word, and packets of open flows, would have waited in a process that ends. And the summary of the logs had no line for a full link. Change: with its last step a balancer sends all that waits at once. A column and a cause for links that became full, with how many balancers and how long what waited takes. A type that hid a standard name is called Queued. Measured: the test of the goodbye is red with the pace kept, green without it; the line of full links has a test of its own. The summary does not say yet whose bytes fill a link, nor a delay by role.

--- a/crates/petrellatch-core/src/pass_through/balancer/sending.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/sending.rs
@@ -22,7 +22,12 @@
             }
             self.queue_for_link(output);
         }
-        self.link.as_mut()?.pop(self.active_at)
+        let (link, now) = (self.link.as_mut()?, self.active_at);
+        // Nobody sends later what waits when the process ends: the link's buffer takes some.
+        match self.stopped {
+            true => link.pop_at_once(now),
+            false => link.pop(now),
+        }
     }
 
     /// Counters of the link; all zero if its speed is not known.
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -19,8 +19,7 @@
 /// A flow that its back end has ended is forgotten after resting for this: by then the
 /// back end has sent copies of the end, unless it was acknowledged. One that only its
 /// caller has ended is kept: data before the end may be lost, and the back end waits for
-/// it. Without that, 3 of 6 days with links of 2 Mbit/s had packets of such a flow at three
-/// back ends that did not have it.
+/// it. If it were forgotten, a copy of that data would be tried at strange back ends.
 const ENDED_LIMIT: Duration = Duration::from_secs(3);
 /// A request without an answer counts as busy for at most this long.
 const BUSY_LIMIT: Duration = Duration::from_secs(10);
--- a/crates/petrellatch-core/src/pass_through/link/fair_queue.rs
+++ b/crates/petrellatch-core/src/pass_through/link/fair_queue.rs
@@ -8,14 +8,14 @@
 
 /// Something that takes so many bytes of the link.
 #[derive(Debug)]
-pub(crate) struct Sized<T> {
+pub(crate) struct Queued<T> {
     pub(crate) item: T,
     pub(crate) bytes: usize,
 }
 
 #[derive(Debug)]
 struct FlowQueue<T> {
-    items: VecDeque<Sized<T>>,
+    items: VecDeque<Queued<T>>,
     bytes: usize,
     /// What it may still send in this turn.
     deficit: usize,
@@ -58,7 +58,7 @@
         flow.is_some_and(|flow| flow.items.iter().any(|it| it.item == *item))
     }
 
-    pub(crate) fn push(&mut self, key: K, sized: Sized<T>) {
+    pub(crate) fn push(&mut self, key: K, sized: Queued<T>) {
         self.bytes += sized.bytes;
         let turns = &mut self.turns;
         let flow = self.flows.entry(key).or_insert_with(|| {
@@ -74,7 +74,7 @@
     }
 
     /// The next one in turn.
-    pub(crate) fn pop(&mut self) -> Option<Sized<T>> {
+    pub(crate) fn pop(&mut self) -> Option<Queued<T>> {
         loop {
             let key = *self.turns.front()?;
             let Some(flow) = self.flows.get_mut(&key) else {
@@ -104,7 +104,7 @@
     }
 
     /// Drops the latest item of the flow that has most to send.
-    pub(crate) fn drop_from_longest(&mut self) -> Option<Sized<T>> {
+    pub(crate) fn drop_from_longest(&mut self) -> Option<Queued<T>> {
         let (key, longest) = self.flows.iter_mut().max_by_key(|(_, flow)| flow.bytes)?;
         let key = *key;
         let dropped = longest.items.pop_back()?;
--- a/crates/petrellatch-core/src/pass_through/link/link_queue.rs
+++ b/crates/petrellatch-core/src/pass_through/link/link_queue.rs
@@ -8,7 +8,7 @@
 use crate::pass_through::packet::{FlowId, OPENING_PATIENCE};
 use crate::time::Timestamp;
 
-use super::fair_queue::{FairQueue, Sized};
+use super::fair_queue::{FairQueue, Queued};
 use super::link_pacer::LinkPacer;
 
 /// What waits takes the link so long at most: callers give up opening a flow after that.
@@ -74,7 +74,7 @@
 #[derive(Debug)]
 pub(crate) struct LinkQueue {
     pacer: LinkPacer,
-    control: VecDeque<Sized<Waiting>>,
+    control: VecDeque<Queued<Waiting>>,
     short: FairQueue<FlowId, Waiting>,
     /// Bytes of short datagrams since a long one.
     short_run: usize,
@@ -127,7 +127,7 @@
         let item = Waiting { output, since: now };
         let flow = match class {
             LinkClass::Control => {
-                self.control.push_back(Sized { item, bytes });
+                self.control.push_back(Queued { item, bytes });
                 return;
             }
             LinkClass::Flow(flow) => flow,
@@ -142,7 +142,7 @@
             self.counters.copies += 1;
             return;
         }
-        queue.push(flow, Sized { item, bytes });
+        queue.push(flow, Queued { item, bytes });
         while self.backlog() > MAX_WAIT {
             let longest = self.long.drop_from_longest();
             if longest.or_else(|| self.short.drop_from_longest()).is_none() {
@@ -157,8 +157,13 @@
         if self.is_empty() || !self.pacer.is_free(now) {
             return None;
         }
+        self.pop_at_once(now)
+    }
+
+    /// The next thing to send, whether the link is free or not.
+    pub(crate) fn pop_at_once(&mut self, now: Timestamp) -> Option<PassThroughOutput> {
         let next = self.control.pop_front().or_else(|| self.pop_flow());
-        let Sized { item, bytes } = next?;
+        let Queued { item, bytes } = next?;
         self.pacer.note_sent(bytes);
         self.counters.sent_bytes += bytes as u64;
         let waited = now.saturating_since(item.since);
@@ -169,7 +174,7 @@
         Some(item.output)
     }
 
-    fn pop_flow(&mut self) -> Option<Sized<Waiting>> {
+    fn pop_flow(&mut self) -> Option<Queued<Waiting>> {
         let is_turn_of_long = self.short_run >= SHORT_RUN_BYTES && !self.long.is_empty();
         if !is_turn_of_long && let Some(short) = self.short.pop() {
             self.short_run += short.bytes;
--- a/crates/petrellatch-core/tests/pass_through/narrow_links.rs
+++ b/crates/petrellatch-core/tests/pass_through/narrow_links.rs
@@ -96,6 +96,8 @@
     upload_wire_bytes: usize,
     lookup_times: Vec<Duration>,
     uploads_done: usize,
+    /// Messages that tell a replica that the balancer leaves.
+    goodbyes: usize,
 }
 
 impl Narrow {
@@ -123,6 +125,7 @@
             upload_wire_bytes: 0,
             lookup_times: Vec::new(),
             uploads_done: 0,
+            goodbyes: 0,
         }
     }
 
@@ -358,6 +361,10 @@
     fn count_bytes(&mut self, output: &PassThroughOutput) {
         let bytes = wire_bytes(output);
         match output {
+            PassThroughOutput::Send {
+                body: PassThroughBody::Follow(follow),
+                ..
+            } if follow.leaving => self.goodbyes += 1,
             PassThroughOutput::Send {
                 body: PassThroughBody::Carry(carry),
                 ..
@@ -403,3 +410,16 @@
         }
     }
 }
+
+#[test]
+fn a_balancer_that_stops_sends_what_waits() {
+    let mut narrow = Narrow::new(1.0, 20_000);
+    narrow.run(500 * MILLI);
+    let now = narrow.world.now;
+    narrow.world.balancer.begin_stop(now);
+    while !narrow.world.balancer.is_stopped() {
+        assert_eq!(narrow.goodbyes, 0);
+        narrow.step();
+    }
+    assert!(narrow.goodbyes > 0, "replicas know that it left");
+}
--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -40,6 +40,7 @@
     let starts = starts(summary);
     let mut causes = pressure(summary, &starts);
     causes.extend(silent_verdicts(summary));
+    causes.extend(full_links(summary));
     causes.extend(single(summary));
     causes.extend(starts);
     causes.sort_by_key(|cause| std::cmp::Reverse(cause.weight));
@@ -194,6 +195,28 @@
     causes.collect()
 }
 
+/// Links of balancers that carried less than was to be sent.
+fn full_links(summary: &Summary) -> Vec<Cause> {
+    let runs = runs(summary, TOLD_TOGETHER_MILLIS, |slice| {
+        slice.count(Column::LinkFull) > 0
+    });
+    let causes = runs.into_iter().map(|(from, until, slice)| {
+        let weight = slice.count(Column::LinkFull);
+        let (links, wait) = (slice.full_links.len(), slice.link_wait);
+        let text = format!(
+            "links of {links} balancers became FULL, {weight} times: callers send more at once \
+             than these carry, and long flows wait, {wait} ms and more"
+        );
+        Cause {
+            from,
+            until,
+            weight,
+            text,
+        }
+    });
+    causes.collect()
+}
+
 /// What counts each time that it happens.
 fn single(summary: &Summary) -> Vec<Cause> {
     let kinds = [
--- a/crates/petrellatch/src/logs/summary/column.rs
+++ b/crates/petrellatch/src/logs/summary/column.rs
@@ -55,6 +55,7 @@
     Stalled "stall" "Flows whose agent does not answer.";
     BackendSilent "silent" "Back ends that fell silent.";
     BackendLeftOut "sick" "Back ends left out because they fail their requests.";
+    LinkFull "link" "Links of balancers that became full.";
     WriteFailed "disk" "Writes to a data folder that failed.";
     LeftOut "cut" "Entries that were left out of the logs.";
 }
@@ -77,6 +78,7 @@
         EventKind::FlowStalled => Column::Stalled,
         EventKind::BackendSilent => Column::BackendSilent,
         EventKind::BackendLeftOut => Column::BackendLeftOut,
+        EventKind::LinkFull => Column::LinkFull,
         EventKind::WriteFailed => Column::WriteFailed,
         EventKind::EntriesLeftOut => return vec![(Column::LeftOut, left_out(line))],
         _ => return Vec::new(),
--- a/crates/petrellatch/src/logs/summary/slice.rs
+++ b/crates/petrellatch/src/logs/summary/slice.rs
@@ -29,6 +29,10 @@
     pub(super) agents: u64,
     /// Most of them that were cold.
     pub(super) cold: u64,
+    /// Balancers whose links became full.
+    pub(super) full_links: BTreeSet<u32>,
+    /// The longest time, in milliseconds, that such a link needed for what waited.
+    pub(super) link_wait: u64,
 }
 
 impl Slice {
@@ -42,6 +46,10 @@
                     self.lacks = self.lacks.max(number(line, "lacks").unwrap_or(0));
                 }
                 Column::Suspected => insert(&mut self.suspected, agent),
+                Column::LinkFull => {
+                    insert(&mut self.full_links, Some(node));
+                    self.link_wait = self.link_wait.max(number(line, "wait").unwrap_or(0));
+                }
                 _ => {}
             }
         }
@@ -62,6 +70,10 @@
         self.lacks = self.lacks.max(other.lacks);
         self.agents = self.agents.max(other.agents);
         self.cold = self.cold.max(other.cold);
+        self.link_wait = self.link_wait.max(other.link_wait);
+        for name in &other.full_links {
+            insert(&mut self.full_links, Some(*name));
+        }
         for name in &other.suspected {
             insert(&mut self.suspected, Some(*name));
         }
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -265,3 +265,19 @@
         assert_eq!(logs(&wrong).status.code(), Some(2), "{wrong:?}");
     }
 }
+
+#[test]
+fn full_links_are_told_on_a_line_of_their_own() {
+    let full = (0..6).map(|number: u64| {
+        let balancer = format!("front-{}", number % 3);
+        let subject = format!("wait={} copies=0 dropped=0", 100 + number);
+        line(3_000 + 10 * number, &balancer, "LinkFull", &subject)
+    });
+    let full: Vec<String> = full.collect();
+    let report = report(&full);
+    let causes = told(&report);
+    assert_eq!(causes.len(), 1, "{causes:?}");
+    let expected = "links of 3 balancers became FULL, 6 times";
+    assert!(causes[0].contains(expected), "{causes:?}");
+    assert!(causes[0].contains("105 ms and more"), "{causes:?}");
+}
