--- a/crates/petrellatch-core/src/pass_through/link/link_queue.rs
+++ b/crates/petrellatch-core/src/pass_through/link/link_queue.rs
@@ -64,6 +64,7 @@
     since: Timestamp,
 }
 
+/// Two are the same if they would do the same, whenever they came.
 impl PartialEq for Waiting {
     fn eq(&self, other: &Waiting) -> bool {
         self.output == other.output
