--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -326,6 +326,18 @@
         self.current.is_some()
     }
 
+    /// Digest of the life of the back end that has called, if one has.
+    pub fn backend(&self) -> Option<u64> {
+        let current = self.current.as_ref()?;
+        Some(current.life.digest())
+    }
+
+    /// Whether that digest stands for one life only: the back end says when it was born.
+    pub fn tells_lives_apart(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.life.born.is_some())
+    }
+
     /// Whether the back end has begun while it was watched, after another one.
     pub fn was_replaced(&self) -> bool {
         self.was_replaced
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -137,8 +137,10 @@
         };
         self.counters.delivered += 1;
         let capacity = self.registration.capacity();
+        let flow = view.flow_from_caller();
         self.flows
-            .note_from_caller(now, view.flow_from_caller(), from, meaning, capacity);
+            .note_from_caller(now, flow, from, meaning, capacity);
+        self.flows.note_acknowledged(flow, view, &packet);
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
     }
 
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -7,7 +7,7 @@
 use crate::time::Timestamp;
 
 use super::flow_demand::FlowDemand;
-use crate::pass_through::packet::FlowId;
+use crate::pass_through::packet::{FlowId, PacketView};
 
 /// How far a caller's acknowledgement may be ahead of the first sequence
 /// number of the back end that it belongs to.
@@ -33,6 +33,11 @@
     pub(crate) sequence: Option<u32>,
     /// The caller has acknowledged the back end's answer.
     pub(crate) open: bool,
+    /// What the caller acknowledged last, if it has acknowledged anything.
+    pub(crate) acknowledged: Option<u32>,
+    /// The caller's latest packet without data. The back end returns it if it does not
+    /// have the flow.
+    pub(crate) bare_packet: Option<Vec<u8>>,
     /// A request waits for its answer.
     busy: bool,
     caller_has_ended: bool,
@@ -62,7 +67,7 @@
     }
 
     /// Whether its caller has opened it, and neither end has ended it.
-    fn is_open(&self) -> bool {
+    pub(crate) fn is_open(&self) -> bool {
         self.open && !self.has_ended()
     }
 
@@ -173,6 +178,20 @@
         }
     }
 
+    /// Keeps what a reset of the flow, or a question to its back end, needs later.
+    /// `packet` is of the caller, and not an opening one.
+    pub(crate) fn note_acknowledged(&mut self, id: FlowId, view: &PacketView, packet: &[u8]) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        if view.acknowledge {
+            flow.acknowledged = Some(view.acknowledged);
+        }
+        if view.acknowledge && view.data_bytes == 0 && !view.finish && !view.reset {
+            flow.bare_packet = Some(packet.to_vec());
+        }
+    }
+
     /// Notes a packet from the back end. Returns how long it worked on a request,
     /// with the packet of its answer that comes first.
     pub(crate) fn note_from_backend(
@@ -288,6 +307,8 @@
             balancer: None,
             sequence: None,
             open: false,
+            acknowledged: None,
+            bare_packet: None,
             busy: false,
             caller_has_ended: false,
             backend_has_ended: false,
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flows/former_flows.rs
@@ -0,0 +1,67 @@
+//! Flows that a former life of an agent or of its back end had.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_proto::pass_through::{
+    ACKNOWLEDGED_STEP, FlowColumns, pack_address, unpack_address,
+};
+
+use crate::pass_through::packet::FlowId;
+
+/// An open flow as it is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RecordedFlow {
+    pub(crate) id: FlowId,
+    /// First sequence number of the back end.
+    pub(crate) sequence: u32,
+    /// What the caller had acknowledged, at least.
+    pub(crate) acknowledged: u32,
+}
+
+/// The flows that one life of a back end had.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct FormerRecord {
+    /// Digest of that life; zero if it is not known.
+    pub(crate) backend: u64,
+    pub(crate) flows: Vec<RecordedFlow>,
+    /// Packets of callers without data, of some of the flows: the back end returns them
+    /// once that life is over.
+    pub(crate) witnesses: Vec<Vec<u8>>,
+}
+
+/// Puts flows into columns.
+pub(crate) fn to_columns(flows: impl IntoIterator<Item = RecordedFlow>) -> FlowColumns {
+    let mut columns = FlowColumns::default();
+    for flow in flows {
+        let route = pack_address(flow.id.route);
+        let known = columns.routes.iter().position(|it| *it == route);
+        let place = known.unwrap_or_else(|| {
+            columns.routes.push(route);
+            columns.routes.len() - 1
+        });
+        let ahead = flow.acknowledged.wrapping_sub(flow.sequence);
+        columns.callers.push(pack_address(flow.id.caller));
+        columns.route_places.push(place as u32);
+        columns.sequences.push(flow.sequence);
+        columns.acknowledged_steps.push(ahead / ACKNOWLEDGED_STEP);
+    }
+    columns
+}
+
+/// Takes flows out of columns. Incomplete ones are left out.
+pub(crate) fn from_columns(columns: &FlowColumns) -> Vec<RecordedFlow> {
+    let flow = |place: usize| {
+        let route = *columns.route_places.get(place)?;
+        let route: SocketAddrV4 = unpack_address(*columns.routes.get(route as usize)?);
+        let caller = unpack_address(*columns.callers.get(place)?);
+        let sequence = *columns.sequences.get(place)?;
+        let steps = *columns.acknowledged_steps.get(place)?;
+        let ahead = steps.wrapping_mul(ACKNOWLEDGED_STEP);
+        Some(RecordedFlow {
+            id: FlowId { caller, route },
+            sequence,
+            acknowledged: sequence.wrapping_add(ahead),
+        })
+    };
+    (0..columns.callers.len()).filter_map(flow).collect()
+}
--- a/crates/petrellatch-core/src/pass_through/flows/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod flow_hints;
 pub(crate) mod flow_search;
 pub(crate) mod flow_searches;
+pub(crate) mod former_flows;
 pub(crate) mod gathered_questions;
 pub(crate) mod seek_budget;
 pub(crate) mod tried_flows;
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -5,6 +5,7 @@
 
 mod configuration;
 mod directory;
+mod flow_record;
 mod group;
 mod opening;
 mod search;
@@ -14,6 +15,9 @@
     ConfigurationChange, ConfigurationPart, GroupCommand, RouteRecord, ServiceRecord, ShareRecord,
 };
 pub use directory::{AgentState, Directory, DirectoryChange, DirectoryEntry, Report};
+pub use flow_record::{
+    ACKNOWLEDGED_STEP, FlowColumns, FlowRecordChange, FlowRecordKept, FormerFlows, RecallFlows,
+};
 pub use group::{Confirmed, Follow, Group, RememberedDaemons, ReplicaZone};
 pub use opening::{Accepted, Carry, CarryReason, DeclineReason, Declined, LoadMessage, Waiting};
 pub use search::{
@@ -42,7 +46,7 @@
     /// The message.
     #[prost(
         oneof = "PassThroughBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<PassThroughBody>,
 }
@@ -104,6 +108,18 @@
     /// Between replicas: the zone of the sender.
     #[prost(message, tag = "18")]
     ReplicaZone(ReplicaZone),
+    /// Agent to replica: how its open flows changed.
+    #[prost(message, tag = "19")]
+    FlowRecordChange(FlowRecordChange),
+    /// Replica to agent: what it keeps of them.
+    #[prost(message, tag = "20")]
+    FlowRecordKept(FlowRecordKept),
+    /// Agent to replica: asks for the flows of its former life.
+    #[prost(message, tag = "21")]
+    RecallFlows(RecallFlows),
+    /// Replica to agent: the flows of its former life.
+    #[prost(message, tag = "22")]
+    FormerFlows(FormerFlows),
 }
 
 /// Puts an IPv4 address and a port into one number.
