Record open flows at replicas, and recall them after a start

Cause: agents know the open flows of their back ends in memory only, so after a loss of power of all machines nobody knows which flows there were.

Ruled out: a change for each flow and keeper (messages grow with flows); a clock to order lives (numbers continue above what was recalled, or above what a keeper answers).

Change: `flow_recorder` tells a few keepers, chosen by a hash for each agent, how the flows that have been open for a second differ from what each has acknowledged; `former_recall` asks for the former life's record, and nothing is told before that is over; `flow_records` keeps them at replicas, bounded in bytes, and says what is to be written to a file. A keeper that has everything is asked every 20 s whether it still does: one replaced by an empty machine would never learn that it lacks a record, and one that is no keeper any more forgets what nobody asks for.

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -179,6 +179,12 @@
     LinkFull = 537, Warning;
     /// Nothing has waited for a balancer's link for a second.
     LinkClear = 538, Info;
+    /// A replica has no room for the record of an agent's open flows.
+    FlowRecordRefused = 545, Warning;
+    /// An agent that started knows what replicas kept of its former life's flows.
+    FormerFlowsRecalled = 546, Info;
+    /// The records of open flows can't be read or written; they are kept in memory.
+    FlowRecordsNotSaved = 547, Warning;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -3,8 +3,10 @@
 
 mod backend_packets;
 mod caller_packets;
+mod former_flows;
 mod openings;
 mod questions;
+mod recording;
 mod reports;
 mod stopping;
 mod work_times;
@@ -31,6 +33,8 @@
 use crate::pass_through::admission::waiting_openings::WaitingOpenings;
 use crate::pass_through::digest::service_digest;
 use crate::pass_through::flows::agent_flows::AgentFlows;
+use crate::pass_through::flows::flow_recorder::{FlowRecordSettings, FlowRecorder};
+use crate::pass_through::flows::former_recall::{FormerRecall, RecallOutcome};
 use crate::pass_through::flows::gathered_questions::GatheredQuestions;
 use crate::pass_through::flows::tried_flows::TriedFlows;
 use crate::pass_through::group::contacts::Contacts;
@@ -83,6 +87,8 @@
     pub stop_limit: Duration,
     /// What a back end that warms up may get.
     pub cold_bounds: ColdBounds,
+    /// The record of open flows that replicas keep.
+    pub flow_record: FlowRecordSettings,
 }
 
 /// Counters of an agent.
@@ -162,6 +168,10 @@
     waiting_check_at: Timestamp,
     evacuations: Evacuations,
     registered_at: Option<Timestamp>,
+    recorder: FlowRecorder,
+    /// Asks for the flows of the former life, until that is over.
+    recall: Option<FormerRecall>,
+    recall_outcome: Option<RecallOutcome>,
     outputs: VecDeque<PassThroughOutput>,
 }
 
@@ -175,6 +185,7 @@
         contacts: Contacts,
     ) -> Self {
         let provisional_limit = settings.provisional_limit.min(MAX_PROVISIONAL_LIMIT);
+        let has_former = !settings.first_start && !settings.flow_record.age.is_zero();
         PassThroughAgent {
             service: service_digest(&settings.service),
             report_interval: settings.report_interval,
@@ -185,6 +196,9 @@
             waiting: WaitingOpenings::default(),
             waiting_check_at: now,
             evacuations: Evacuations::default(),
+            recorder: FlowRecorder::new(settings.flow_record),
+            recall: has_former.then(|| FormerRecall::new(now)),
+            recall_outcome: None,
             settings,
             codec,
             incarnation,
@@ -315,6 +329,8 @@
                 self.tell_gathered(now);
             }
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
+            PassThroughBody::FlowRecordKept(kept) => self.handle_record_kept(now, from, &kept),
+            PassThroughBody::FormerFlows(former) => self.handle_former_flows(now, from, former),
             _ => {}
         }
         self.serve_waiting(now);
@@ -374,7 +390,9 @@
             self.balancers
                 .retain(|_, heard| now.saturating_since(*heard) < BALANCER_MEMORY);
             self.report_if_changed(now);
+            self.record_flows(now);
         }
+        self.continue_recall(now);
         if now >= self.report_at {
             self.report(now);
         }
@@ -389,6 +407,8 @@
         let waiting = (!self.waiting.is_empty()).then_some(self.waiting_check_at);
         let first = self.sweep_at.min(self.report_at);
         let first = waiting.map_or(first, |at| at.min(first));
+        let recall = self.recall.as_ref().map(FormerRecall::poll_timeout);
+        let first = recall.map_or(first, |at| at.min(first));
         self.gathered
             .poll_timeout()
             .map_or(first, |at| at.min(first))
--- a/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
@@ -7,6 +7,7 @@
 
 use crate::consensus::PersistRequest;
 use crate::event::Event;
+use crate::pass_through::group::flow_records::FlowRecordWrite;
 use crate::pass_through::routes::configuration::Configuration;
 
 /// What an operator asks.
@@ -101,6 +102,9 @@
     /// Save this for the next life's [`ConfigurationNode::recall_daemons`], in
     /// place of what was saved before. It may get lost.
     Remember(Vec<u8>),
+    /// Write to the file of the records of open flows, then call
+    /// [`ConfigurationNode::handle_flow_records_written`]. There is one write at a time.
+    WriteFlowRecords(FlowRecordWrite),
     /// Answer a request.
     Respond {
         /// Token of the request.
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/flow_record_keeping.rs
@@ -0,0 +1,58 @@
+//! The records of open flows, beside the log: no leader is needed.
+
+use petrellatch_proto::pass_through::{FlowRecordChange, RecallFlows};
+
+use super::*;
+
+impl ConfigurationNode {
+    /// Takes what a former life wrote to the file of records, in that order. Returns whether
+    /// all of it could be read.
+    pub fn recall_flow_records(&mut self, now: Timestamp, saved: &[Vec<u8>]) -> bool {
+        self.flow_records.recall(now, saved)
+    }
+
+    /// Notes how a write to the file of records ended. One that failed costs nothing but
+    /// its time: the records stay in memory, and are written later.
+    pub fn handle_flow_records_written(&mut self, now: Timestamp, result: Result<(), String>) {
+        let is_first = self.flow_records.note_written(now, result.is_ok());
+        if let Err(failure) = result
+            && is_first
+        {
+            self.emit_event(EventKind::FlowRecordsNotSaved, failure);
+        }
+    }
+
+    /// The records of open flows that this replica keeps.
+    pub fn flow_records(&self, now: Timestamp) -> FlowRecordsKept {
+        self.flow_records.figures(now)
+    }
+
+    pub(super) fn handle_record_change(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        change: FlowRecordChange,
+    ) {
+        if let Some(kept) = self.flow_records.handle_change(now, change) {
+            self.send(from, PassThroughBody::FlowRecordKept(kept));
+        }
+    }
+
+    pub(super) fn handle_recall(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        question: RecallFlows,
+    ) {
+        for part in self.flow_records.handle_recall(now, question) {
+            self.send(from, PassThroughBody::FormerFlows(part));
+        }
+    }
+
+    pub(super) fn save_flow_records(&mut self, now: Timestamp) {
+        if let Some(write) = self.flow_records.poll_write(now) {
+            self.outputs
+                .push_back(ConfigurationOutput::WriteFlowRecords(write));
+        }
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -3,6 +3,7 @@
 mod balancer_news;
 mod calls;
 mod directory_fetch;
+mod flow_record_keeping;
 mod own_zone;
 mod replica_outputs;
 mod requests;
@@ -33,6 +34,7 @@
 use super::group::contacts::Contacts;
 use super::group::daemon_memory::{DaemonMemory, remembered};
 use super::group::evacuations::Evacuations;
+use super::group::flow_records::{FlowRecords, FlowRecordsKept};
 use super::group::followers::Followers;
 use super::group::group_keeper::GroupKeeper;
 use super::latency::LatencyHistogram;
@@ -92,6 +94,7 @@
     news_since: Option<u64>,
     keeper: GroupKeeper,
     daemon_memory: DaemonMemory,
+    flow_records: FlowRecords,
     /// When the other replicas are told this one's zone next, and how often they were.
     zone_told_at: Timestamp,
     zone_tellings: u32,
@@ -125,6 +128,11 @@
 impl ConfigurationNode {
     /// Starts a life of a replica. Nodes in `start` are made by [`node_at`].
     pub fn new(now: Timestamp, settings: ConfigurationNodeSettings, start: ReplicaStart) -> Self {
+        let flow_records = FlowRecords::new(
+            now,
+            settings.flow_record_bytes,
+            settings.flow_record_lifetime,
+        );
         let mut random = ChaCha8Rng::seed_from_u64(start.seed.wrapping_add(1));
         let followers = Followers::new(now, random.random());
         let founders = start.bootstrap.as_ref().map(Membership::members);
@@ -153,6 +161,7 @@
             contacts: Contacts::new(seeds),
             news_since: None,
             daemon_memory: DaemonMemory::new(now),
+            flow_records,
             directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
             took_over_from: None,
@@ -240,6 +249,10 @@
                 self.followers
                     .note_evacuations_known(known.address, known.index);
             }
+            PassThroughBody::FlowRecordChange(change) => {
+                self.handle_record_change(now, from, change);
+            }
+            PassThroughBody::RecallFlows(question) => self.handle_recall(now, from, question),
             _ => {}
         }
         self.drain(now);
@@ -292,6 +305,7 @@
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
             self.followers.expire(now);
+            self.flow_records.expire(now);
         }
         if self.directory_at.is_some_and(|at| at <= now) {
             self.directory_at = None;
@@ -300,6 +314,7 @@
         self.tell_agents_of_zones(now);
         self.tell_own_zone(now);
         self.save_daemons(now);
+        self.save_flow_records(now);
         self.fetch_directory(now);
         self.tell_whole(now);
         self.expire_requests(now);
@@ -314,6 +329,7 @@
             Some(self.keeper.poll_timeout()),
             Some(self.sweep_at),
             Some(self.daemon_memory.poll_timeout()),
+            Some(self.flow_records.poll_timeout()),
             self.directory_at,
             self.zone_news.poll_timeout(),
             Some(self.zone_told_at),
--- a/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
@@ -28,6 +28,11 @@
     /// All zones. Orders about others are refused; if there are none here, orders
     /// about any zone are taken.
     pub zones: BTreeSet<String>,
+    /// What the records of open flows may take in memory, in bytes.
+    pub flow_record_bytes: usize,
+    /// A record is forgotten if its agent was not heard of for so long: no flow rests for
+    /// longer.
+    pub flow_record_lifetime: Duration,
 }
 
 impl Default for ConfigurationNodeSettings {
@@ -50,6 +55,8 @@
             write_limit: Duration::from_millis(400),
             stop_limit: Duration::from_secs(1),
             zones: BTreeSet::new(),
+            flow_record_bytes: 16 * 1024 * 1024,
+            flow_record_lifetime: Duration::from_secs(60),
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -45,7 +45,7 @@
     pub(crate) created_at: Timestamp,
     /// What its request waits for.
     request: RequestState,
-    active_at: Timestamp,
+    pub(crate) active_at: Timestamp,
 }
 
 /// Where the request of a flow is at the back end, as far as its agent can tell: a
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flows/ended_columns.rs
@@ -0,0 +1,32 @@
+//! Flows that have ended, in columns: callers and routes only.
+
+use petrellatch_proto::pass_through::{FlowColumns, unpack_address};
+
+use super::former_flows::{RecordedFlow, to_columns};
+use crate::pass_through::packet::FlowId;
+
+/// Puts flows that ended into columns.
+pub(crate) fn to_ended_columns(flows: &[FlowId]) -> FlowColumns {
+    let flows = flows.iter().map(|id| RecordedFlow {
+        id: *id,
+        sequence: 0,
+        acknowledged: 0,
+    });
+    let mut columns = to_columns(flows);
+    columns.sequences.clear();
+    columns.acknowledged_steps.clear();
+    columns
+}
+
+/// Takes flows that ended out of columns. Incomplete ones are left out.
+pub(crate) fn ended_flows(columns: &FlowColumns) -> Vec<FlowId> {
+    let flow = |(caller, place): (&u64, &u32)| {
+        let route = *columns.routes.get(*place as usize)?;
+        Some(FlowId {
+            caller: unpack_address(*caller),
+            route: unpack_address(route),
+        })
+    };
+    let pairs = columns.callers.iter().zip(&columns.route_places);
+    pairs.filter_map(flow).collect()
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/flows/former_recall.rs
@@ -0,0 +1,188 @@
+//! Asks replicas for the flows of an agent's former life.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::FormerFlows;
+
+use super::former_flows::{FormerRecord, from_columns};
+use crate::time::Timestamp;
+
+/// Between two questions to a replica that has not answered, in the first seconds.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_SECONDS: Duration = Duration::from_secs(3);
+/// The same later: replicas that take long to start must not be flooded.
+const LATE_ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// After the first whole record others that may be newer are waited for.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// So long replicas that are not known yet may be told of, if those that are known have
+/// no record.
+const LEARNING_TIME: Duration = Duration::from_secs(1);
+/// Replicas that do not answer are waited for after the first answer of another one.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// The end if nobody answers.
+const RECALL_LIMIT: Duration = Duration::from_secs(30);
+/// The most parts of a record: what is larger is no record that an agent made.
+const MAX_PARTS: u32 = 1_024;
+
+/// How a recall ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RecallOutcome {
+    /// A replica had a record.
+    Recalled,
+    /// Replicas answered, and none had a record.
+    NoRecord,
+    /// No replica answered.
+    Unanswered,
+}
+
+/// The end of a recall.
+#[derive(Debug)]
+pub(crate) struct RecallEnd {
+    pub(crate) outcome: RecallOutcome,
+    /// Number of the record.
+    pub(crate) number: u64,
+    pub(crate) record: FormerRecord,
+}
+
+#[derive(Debug)]
+enum Answer {
+    Parts {
+        number: u64,
+        parts: BTreeMap<u32, FormerFlows>,
+    },
+    Complete,
+}
+
+/// The state machine.
+#[derive(Debug)]
+pub(crate) struct FormerRecall {
+    started_at: Timestamp,
+    ask_at: Timestamp,
+    first_answer_at: Option<Timestamp>,
+    first_record_at: Option<Timestamp>,
+    answers: BTreeMap<SocketAddrV4, Answer>,
+    best: Option<(u64, FormerRecord)>,
+}
+
+impl FormerRecall {
+    pub(crate) fn new(now: Timestamp) -> Self {
+        FormerRecall {
+            started_at: now,
+            ask_at: now,
+            first_answer_at: None,
+            first_record_at: None,
+            answers: BTreeMap::new(),
+            best: None,
+        }
+    }
+
+    /// Replicas to ask, if that is due.
+    pub(crate) fn poll_questions(
+        &mut self,
+        now: Timestamp,
+        known: BTreeSet<SocketAddrV4>,
+    ) -> Vec<SocketAddrV4> {
+        if now < self.ask_at {
+            return Vec::new();
+        }
+        let is_late = now.saturating_since(self.started_at) >= FIRST_SECONDS;
+        self.ask_at = now
+            + match is_late {
+                true => LATE_ASK_INTERVAL,
+                false => ASK_INTERVAL,
+            };
+        let is_open = |address: &SocketAddrV4| !self.is_complete(address);
+        known.into_iter().filter(is_open).collect()
+    }
+
+    pub(crate) fn poll_timeout(&self) -> Timestamp {
+        self.ask_at
+    }
+
+    /// Takes an answer to a question of this life.
+    pub(crate) fn handle_answer(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        answer: FormerFlows,
+    ) {
+        if self.is_complete(&from) || answer.parts > MAX_PARTS {
+            return;
+        }
+        self.first_answer_at.get_or_insert(now);
+        if answer.parts == 0 {
+            self.answers.insert(from, Answer::Complete);
+            return;
+        }
+        let (number, wanted) = (answer.number, answer.parts);
+        let known = self.answers.entry(from).or_insert_with(|| Answer::Parts {
+            number,
+            parts: BTreeMap::new(),
+        });
+        let Answer::Parts { number: of, parts } = known else {
+            return;
+        };
+        if *of != number {
+            *of = number;
+            parts.clear();
+        }
+        if answer.part < wanted {
+            parts.insert(answer.part, answer);
+        }
+        if parts.len() < wanted as usize {
+            return;
+        }
+        let parts = std::mem::take(parts);
+        self.answers.insert(from, Answer::Complete);
+        self.first_record_at.get_or_insert(now);
+        let is_newer = |best: &(u64, FormerRecord)| number > best.0;
+        if self.best.as_ref().is_none_or(is_newer) {
+            self.best = Some((number, assemble(parts)));
+        }
+    }
+
+    fn is_complete(&self, address: &SocketAddrV4) -> bool {
+        matches!(self.answers.get(address), Some(Answer::Complete))
+    }
+
+    /// What came of it, once it is over. `known` are the replicas that may answer.
+    pub(crate) fn poll_end(
+        &mut self,
+        now: Timestamp,
+        known: &BTreeSet<SocketAddrV4>,
+    ) -> Option<RecallEnd> {
+        let after = |at: Option<Timestamp>, time| at.is_some_and(|at| now >= at + time);
+        let all_answered = known.iter().all(|address| self.is_complete(address));
+        let has_learnt = now >= self.started_at + LEARNING_TIME;
+        let is_over = after(self.first_record_at, SETTLE_TIME)
+            || (all_answered && has_learnt && !known.is_empty())
+            || after(self.first_answer_at, SILENCE_LIMIT)
+            || now >= self.started_at + RECALL_LIMIT;
+        if !is_over {
+            return None;
+        }
+        let outcome = match (&self.best, self.first_answer_at) {
+            (Some(_), _) => RecallOutcome::Recalled,
+            (None, Some(_)) => RecallOutcome::NoRecord,
+            (None, None) => RecallOutcome::Unanswered,
+        };
+        let (number, record) = self.best.take().unwrap_or_default();
+        Some(RecallEnd {
+            outcome,
+            number,
+            record,
+        })
+    }
+}
+
+fn assemble(parts: BTreeMap<u32, FormerFlows>) -> FormerRecord {
+    let mut record = FormerRecord::default();
+    for part in parts.into_values() {
+        record.backend = part.backend;
+        record.flows.extend(from_columns(&part.flows));
+        record.witnesses.extend(part.witnesses);
+    }
+    record
+}
--- a/crates/petrellatch-core/src/pass_through/group/daemon_memory.rs
+++ b/crates/petrellatch-core/src/pass_through/group/daemon_memory.rs
@@ -12,7 +12,7 @@
 
 use crate::time::Timestamp;
 
-use crate::pass_through::digest::address_digest;
+use super::agent_replicas::is_chosen;
 
 /// Between two looks at whether daemons changed: a write takes the disk from the
 /// log for some 15 ms, and what is told is only a hint.
@@ -78,7 +78,7 @@
     pub(crate) fn take_untold(&mut self, own: u64, replicas: &[u64]) -> Vec<SocketAddrV4> {
         let untold = std::mem::take(&mut self.untold);
         let agents = untold.agents.into_iter();
-        let agents = agents.filter(|agent| is_told_by(*agent, own, replicas));
+        let agents = agents.filter(|agent| is_chosen(*agent, own, replicas, TOLD_BY));
         let daemons = untold.balancers.into_iter().chain(agents);
         daemons.map(unpack_address).collect()
     }
@@ -94,14 +94,3 @@
         agents: agents.collect(),
     }
 }
-
-/// Whether a replica is among those that tell an agent: each agent has an order
-/// of its own.
-fn is_told_by(agent: u64, own: u64, replicas: &[u64]) -> bool {
-    let order = |replica: u64| address_digest(replica, agent);
-    let own_order = order(own);
-    let before = replicas
-        .iter()
-        .filter(|replica| order(**replica) < own_order);
-    before.count() < TOLD_BY
-}
--- a/crates/petrellatch-core/src/pass_through/group/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/group/mod.rs
@@ -1,9 +1,11 @@
 //! The group of replicas and the daemons around it: who is a member, who asks whom
 //! for news, and which zones are out of service.
 
+pub(crate) mod agent_replicas;
 pub(crate) mod attachments;
 pub(crate) mod contacts;
 pub(crate) mod daemon_memory;
 pub(crate) mod evacuations;
+pub(crate) mod flow_records;
 pub(crate) mod followers;
 pub(crate) mod group_keeper;
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -42,8 +42,11 @@
     ConfigurationRequest, ConfigurationResponse, ZoneOrderRefusal, node_address, node_at,
 };
 pub use digest::service_digest;
+pub use flows::flow_recorder::{FlowRecordFigures, FlowRecordSettings};
+pub use flows::former_recall::RecallOutcome;
 pub use group::contacts::Contacts;
 pub use group::evacuations::Evacuations;
+pub use group::flow_records::{FlowRecordWrite, FlowRecordsKept};
 pub use latency::LatencyHistogram;
 pub use link::link_queue::LinkCounters;
 pub use output::PassThroughOutput;
--- a/crates/petrellatch-core/tests/pass_through/fleet.rs
+++ b/crates/petrellatch-core/tests/pass_through/fleet.rs
@@ -9,8 +9,9 @@
 use lz4_flex::compress_prepend_size;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
+    Contacts, FlowRecordSettings, PacketCodec, PacketView, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
+    Registration,
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
@@ -529,6 +530,7 @@
         queue_factor: 3,
         stop_limit: Duration::from_secs(2),
         cold_bounds: COLD_BOUNDS,
+        flow_record: FlowRecordSettings::default(),
     };
     let life = Incarnation(u64::from(u32::from(*address.ip())));
     let contacts = Contacts::new(vec![REPLICA]);
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -410,7 +410,9 @@
                 ConfigurationOutput::Respond { token, response } => {
                     self.answers.insert(token, response);
                 }
-                ConfigurationOutput::Remember(_) | ConfigurationOutput::Event(_) => {}
+                ConfigurationOutput::WriteFlowRecords(_)
+                | ConfigurationOutput::Remember(_)
+                | ConfigurationOutput::Event(_) => {}
             }
         }
     }
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -10,6 +10,8 @@
 mod evacuation_orders;
 mod failing_backends;
 mod fleet;
+mod flow_record;
+mod flow_record_world;
 mod formation;
 mod goodbyes;
 mod group;
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -7,8 +7,8 @@
 use petrellatch_core::Timestamp;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughOutput, Registration, service_digest,
+    Contacts, FlowRecordSettings, PacketCodec, PacketView, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughOutput, Registration, service_digest,
 };
 use petrellatch_proto::pass_through::{Carry, CarryReason, PassThroughBody};
 
@@ -60,6 +60,7 @@
             queue_factor: 2,
             stop_limit: Duration::from_secs(2),
             cold_bounds: COLD_BOUNDS,
+            flow_record: FlowRecordSettings::default(),
         };
         let contacts = Contacts::new(Vec::new());
         let mut agent = PassThroughAgent::new(now, settings, TestCodec, Incarnation(1), contacts);
--- a/crates/petrellatch-core/tests/pass_through/replica.rs
+++ b/crates/petrellatch-core/tests/pass_through/replica.rs
@@ -13,6 +13,16 @@
     now: Timestamp,
     address: SocketAddrV4,
     founder: SocketAddrV4,
+) -> ConfigurationNode {
+    start_replica_with(now, address, founder, ConfigurationNodeSettings::default())
+}
+
+/// The same with settings.
+pub fn start_replica_with(
+    now: Timestamp,
+    address: SocketAddrV4,
+    founder: SocketAddrV4,
+    settings: ConfigurationNodeSettings,
 ) -> ConfigurationNode {
     let id = |address| ReplicaId {
         node: node_at(address),
@@ -25,5 +35,5 @@
         persisted: PersistentState::default(),
         bootstrap: Some(Membership::of_voters([id(founder)])),
     };
-    ConfigurationNode::new(now, ConfigurationNodeSettings::default(), start)
+    ConfigurationNode::new(now, settings, start)
 }
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -5,8 +5,8 @@
 
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, ConfigurationOutput, Contacts, PacketView, PassThroughAgent,
-    PassThroughAgentSettings, PassThroughOutput, Registration,
+    ConfigurationNode, ConfigurationOutput, Contacts, FlowRecordSettings, PacketView,
+    PassThroughAgent, PassThroughAgentSettings, PassThroughOutput, Registration,
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
@@ -43,6 +43,7 @@
         queue_factor: 2,
         stop_limit: Duration::from_secs(2),
         cold_bounds: COLD_BOUNDS,
+        flow_record: FlowRecordSettings::default(),
     };
     let incarnation = Incarnation(now.as_micros());
     let contacts = Contacts::new(vec![REPLICA]);
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -7,8 +7,8 @@
 use petrellatch_core::Timestamp;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, ConfigurationOutput, Contacts, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
+    ConfigurationNode, ConfigurationOutput, Contacts, FlowRecordSettings, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
 };
 use petrellatch_proto::pass_through::{Confirmed, Follow, Group, PassThroughBody, pack_address};
 
@@ -42,6 +42,7 @@
         queue_factor: 2,
         stop_limit: Duration::from_secs(2),
         cold_bounds: COLD_BOUNDS,
+        flow_record: FlowRecordSettings::default(),
     };
     let contacts = Contacts::new(vec![replica_address(1)]);
     let incarnation = Incarnation(u64::from(index) + 1);
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -7,9 +7,9 @@
 use lz4_flex::compress_prepend_size;
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    ColdBounds, Contacts, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration,
-    service_digest,
+    ColdBounds, Contacts, FlowRecordSettings, PacketCodec, PacketView, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput,
+    Registration, service_digest,
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
@@ -270,6 +270,7 @@
             queue_factor: 3,
             stop_limit: Duration::from_secs(2),
             cold_bounds: COLD_BOUNDS,
+            flow_record: FlowRecordSettings::default(),
         };
         let agent = PassThroughAgent::new(
             self.now,
