Write the record of open flows to a file, with settings, metrics and pages

Cause: replicas kept records in memory only, and nothing of them could be set or seen.

Ruled out: the log's writer thread (a large write of records would hold up the log's syncs); a retry of the same write after a failure (a part of it may be in the file).

Change: `RecordFile` of petrellatch-storage appends or replaces framed records, cuts off a torn tail, and counts a damaged file as empty; a thread of its own writes it. Settings `FlowRecord` (`AgeS`, `MostFlows`, `MaxBytes`) are checked, eight metrics and events 545 to 547 are in the catalogues. A keeper without room is asked less and less often. The change of a record is boxed in `PassThroughBody`, so that other messages don't grow with it.

Conclusion: the record outlives processes; the recalled flows are handed to a stub.

--- a/crates/petrellatch-core/src/pass_through/agent/recording.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/recording.rs
@@ -39,7 +39,7 @@
         let agent = pack_address(self.settings.address);
         let messages = self.recorder.poll_messages(now, agent, self.incarnation.0);
         for (keeper, change) in messages {
-            self.send(keeper, PassThroughBody::FlowRecordChange(change));
+            self.send(keeper, PassThroughBody::FlowRecordChange(Box::new(change)));
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -250,7 +250,7 @@
                     .note_evacuations_known(known.address, known.index);
             }
             PassThroughBody::FlowRecordChange(change) => {
-                self.handle_record_change(now, from, change);
+                self.handle_record_change(now, from, *change);
             }
             PassThroughBody::RecallFlows(question) => self.handle_recall(now, from, question),
             _ => {}
--- a/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
@@ -33,8 +33,10 @@
 /// was replaced by an empty machine does not know that it lacks a record, and one that is
 /// no keeper any more notices that nobody asks.
 const CHECK_INTERVAL: Duration = Duration::from_secs(20);
-/// A keeper without room is asked again after this.
+/// A keeper without room is asked again after this, and then after twice as long each time,
+/// up to the limit: where many agents find no room, their tries must cost little.
 const FULL_RETRY: Duration = Duration::from_secs(10);
+const MAX_FULL_RETRY: Duration = Duration::from_secs(320);
 /// Ends of flows that are remembered for keepers which have missed them. One that has
 /// missed more is told the whole record.
 const MAX_ENDS: usize = 4_096;
@@ -96,6 +98,8 @@
     /// When it is asked whether it still has the newest record.
     check_at: Timestamp,
     is_full: bool,
+    /// How often it said so in a row.
+    refusals: u32,
 }
 
 /// The state machine.
@@ -279,9 +283,12 @@
         if kept.is_full {
             keeper.kept = 0;
             keeper.parts.clear();
-            keeper.resend_at = now + FULL_RETRY;
+            let wait = FULL_RETRY * (1 << keeper.refusals.min(8));
+            keeper.resend_at = now + wait.min(MAX_FULL_RETRY);
+            keeper.refusals += 1;
             return;
         }
+        keeper.refusals = 0;
         if number != keeper.kept || !is_own {
             keeper.kept = number;
             keeper.parts.clear();
@@ -416,6 +423,6 @@
 /// Whether a flow differs so much from its record that it is told anew.
 fn is_renewed(known: &RecordedFlow, flow: &RecordedFlow) -> bool {
     let ahead = flow.acknowledged.wrapping_sub(known.acknowledged);
-    let has_moved = ahead >= RENEWAL_BYTES && ahead < 1 << 31;
+    let has_moved = (RENEWAL_BYTES..1 << 31).contains(&ahead);
     known.sequence != flow.sequence || has_moved
 }
--- a/crates/petrellatch-core/src/pass_through/group/flow_records.rs
+++ b/crates/petrellatch-core/src/pass_through/group/flow_records.rs
@@ -18,6 +18,9 @@
 const FLOW_BYTES: usize = 64;
 /// The same of a record without flows.
 const RECORD_BYTES: usize = 512;
+/// A record is kept at least so long without word of its agent, which asks for it every
+/// 20 s: two questions may get lost.
+const LEAST_LIFETIME: Duration = Duration::from_secs(60);
 /// Between two writes to the file: what is younger is lost with the power.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 /// After a write that failed, the next one comes so much later.
@@ -136,6 +139,11 @@
 }
 
 impl AgentRecord {
+    fn hear(&mut self, now: Timestamp) -> &mut Self {
+        self.heard_at = now;
+        self
+    }
+
     fn bytes(&self) -> usize {
         let kept = self.kept.as_ref().map_or(0, Kept::bytes);
         let incomplete = self.incomplete.as_ref();
@@ -168,7 +176,7 @@
     pub(crate) fn new(now: Timestamp, limit_bytes: usize, lifetime: Duration) -> Self {
         FlowRecords {
             limit_bytes,
-            lifetime,
+            lifetime: lifetime.max(LEAST_LIFETIME),
             agents: BTreeMap::new(),
             bytes: 0,
             refused: 0,
@@ -231,10 +239,7 @@
         let agent = change.agent;
         let (incarnation, base) = (change.incarnation, change.base);
         let known = self.agents.get_mut(&agent);
-        let known = known.map(|known| {
-            known.heard_at = now;
-            known
-        });
+        let known = known.map(|known| known.hear(now));
         let kept = known.and_then(|known| known.kept.as_ref());
         if let Some(kept) = kept
             && kept.number >= change.number
@@ -357,10 +362,7 @@
         question: RecallFlows,
     ) -> Vec<FormerFlows> {
         let known = self.agents.get_mut(&question.agent);
-        let known = known.map(|known| {
-            known.heard_at = now;
-            known
-        });
+        let known = known.map(|known| known.hear(now));
         let kept = known.and_then(|known| known.kept.as_ref());
         let former = kept.filter(|kept| kept.incarnation != question.incarnation);
         let Some(kept) = former else {
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -109,8 +109,8 @@
     #[prost(message, tag = "18")]
     ReplicaZone(ReplicaZone),
     /// Agent to replica: how its open flows changed.
-    #[prost(message, tag = "19")]
-    FlowRecordChange(FlowRecordChange),
+    #[prost(message, boxed, tag = "19")]
+    FlowRecordChange(Box<FlowRecordChange>),
     /// Replica to agent: what it keeps of them.
     #[prost(message, tag = "20")]
     FlowRecordKept(FlowRecordKept),
--- a/crates/petrellatch-storage/src/lib.rs
+++ b/crates/petrellatch-storage/src/lib.rs
@@ -48,10 +48,12 @@
 mod frame;
 mod log_replay;
 mod log_store;
+mod record_file;
 mod record_log;
 mod snapshot_file;
 
 pub use data_folder::FolderIdentity;
 pub use error::StorageError;
 pub use log_store::{LogStore, OpenedStore};
+pub use record_file::{OpenedRecords, RecordFile};
 pub use snapshot_file::SnapshotFile;
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -158,5 +158,6 @@
         queue_factor: QUEUE_FACTOR,
         stop_limit: STOP_WAIT.min(settings.stop_limit / 2),
         cold_bounds: addresses.cold_bounds,
+        flow_record: addresses.flow_record,
     }
 }
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -6,14 +6,15 @@
 use petrellatch_core::Timestamp;
 use petrellatch_core::consensus::Role;
 use petrellatch_core::pass_through::{
-    ConfigurationNode, LatencyHistogram, PacketCodec, PassThroughAgent, PassThroughBalancer,
+    ConfigurationNode, FlowRecordFigures, LatencyHistogram, PacketCodec, PassThroughAgent,
+    PassThroughBalancer, RecallOutcome,
 };
 use petrellatch_proto::pass_through::DeclineReason;
 use prometheus::proto::{Bucket, Histogram, Metric, MetricFamily, MetricType};
 use prometheus::{Registry, TextEncoder};
 
 use crate::http::HttpResponse;
-use crate::runtime::metrics::{counter, counters, gauge, raise, set};
+use crate::runtime::metrics::{counter, counters, gauge, gauges, raise, set};
 
 const PACKETS_TOTAL: &str = "petrellatch_pass_through_packets_total";
 const PLACED_TOTAL: &str = "petrellatch_pass_through_placed_total";
@@ -49,10 +50,19 @@
 const LINK_BYTES_TOTAL: &str = "petrellatch_pass_through_link_bytes_total";
 const LINK_PACKETS_TOTAL: &str = "petrellatch_pass_through_link_packets_total";
 const LINK_WAIT_SECONDS: &str = "petrellatch_pass_through_link_wait_seconds";
+const RECORDED_FLOWS: &str = "petrellatch_pass_through_recorded_flows";
+const UNRECORDED_FLOWS: &str = "petrellatch_pass_through_unrecorded_flows";
+const RECORD_KEEPERS: &str = "petrellatch_pass_through_record_keepers";
+const RECALLS_TOTAL: &str = "petrellatch_pass_through_recalls_total";
+const RECORDS: &str = "petrellatch_pass_through_records";
+const RECORD_BYTES: &str = "petrellatch_pass_through_record_bytes";
+const RECORDS_REFUSED_TOTAL: &str = "petrellatch_pass_through_records_refused_total";
+const RECORD_WRITE_AGE_MILLISECONDS: &str =
+    "petrellatch_pass_through_record_write_age_milliseconds";
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 34] = [
+pub const METRIC_NAMES: [&str; 42] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -87,6 +97,14 @@
     LINK_BYTES_TOTAL,
     LINK_PACKETS_TOTAL,
     LINK_WAIT_SECONDS,
+    RECORDED_FLOWS,
+    UNRECORDED_FLOWS,
+    RECORD_KEEPERS,
+    RECALLS_TOTAL,
+    RECORDS,
+    RECORD_BYTES,
+    RECORDS_REFUSED_TOTAL,
+    RECORD_WRITE_AGE_MILLISECONDS,
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -243,6 +261,7 @@
     let help = "Mean time that the back end works on a request.";
     let work = agent.work_micros(now);
     set(&gauge(&registry, WORK_MICROSECONDS, help), work);
+    tell_recorded(&registry, agent.flow_record(), agent.recall_outcome());
     let latencies = agent.latencies();
     let help = "Admission of a flow to the back end's answer.";
     let answer = histogram(FIRST_ANSWER_SECONDS, help, &latencies.first_answer);
@@ -251,7 +270,7 @@
     encode(&registry, [answer, gap])
 }
 
-pub(super) fn replica_metrics(node: &ConfigurationNode) -> HttpResponse {
+pub(super) fn replica_metrics(node: &ConfigurationNode, now: Timestamp) -> HttpResponse {
     let registry = Registry::new();
     let replica = node.replica();
     let version = gauge(&registry, VERSION, "Version in force.");
@@ -264,6 +283,7 @@
     tell_evacuated(&registry, node.evacuations().evacuated().count());
     let help = "Agents that have not said that they know the latest order about their zone.";
     set(&gauge(&registry, AGENTS_BEHIND, help), node.agents_behind());
+    tell_kept(&registry, node, now);
     let latencies = node.latencies();
     let help = "Request of a replacement until it was accepted.";
     let acceptance = histogram(ACCEPTANCE_SECONDS, help, &latencies.acceptance);
@@ -275,6 +295,47 @@
     encode(&registry, [acceptance, sync])
 }
 
+/// What an agent has recorded of its open flows.
+fn tell_recorded(registry: &Registry, figures: FlowRecordFigures, recall: Option<RecallOutcome>) {
+    let help = "Open flows that replicas are told of.";
+    set(&gauge(registry, RECORDED_FLOWS, help), figures.recorded);
+    let help = "Open flows beyond the most that are recorded.";
+    let beyond = figures.beyond_limit;
+    set(&gauge(registry, UNRECORDED_FLOWS, help), beyond);
+    let help = "Keepers of the record that lack the newest one, by reason.";
+    let keepers = gauges(registry, RECORD_KEEPERS, help, "state");
+    for (state, count) in [("behind", figures.unacknowledged), ("full", figures.full)] {
+        set(&keepers.with_label_values(&[state]), count);
+    }
+    let help = "Recalls of the flows of a former life, by their end.";
+    let recalls = counters(registry, RECALLS_TOTAL, help, "outcome");
+    for (name, outcome) in [
+        ("recalled", RecallOutcome::Recalled),
+        ("no_record", RecallOutcome::NoRecord),
+        ("unanswered", RecallOutcome::Unanswered),
+    ] {
+        let total = u64::from(recall == Some(outcome));
+        raise(&recalls.with_label_values(&[name]), total);
+    }
+}
+
+/// What a replica keeps of agents' records.
+fn tell_kept(registry: &Registry, node: &ConfigurationNode, now: Timestamp) {
+    let kept = node.flow_records(now);
+    let help = "Agents with a record of open flows here.";
+    set(&gauge(registry, RECORDS, help), kept.records);
+    let help = "Open flows in these records.";
+    set(&gauge(registry, RECORDED_FLOWS, help), kept.flows);
+    let help = "What the records take in memory.";
+    set(&gauge(registry, RECORD_BYTES, help), kept.bytes);
+    let help = "Changes of records that found no room.";
+    let refused = counter(registry, RECORDS_REFUSED_TOTAL, help);
+    raise(&refused, kept.refused);
+    let help = "Since the records were last written.";
+    let age = kept.write_age.as_millis() as u64;
+    set(&gauge(registry, RECORD_WRITE_AGE_MILLISECONDS, help), age);
+}
+
 /// Zones out of service: all of them, or for an agent its own one.
 fn tell_evacuated(registry: &Registry, zones: usize) {
     let evacuated = gauge(registry, ZONES_EVACUATED, "Zones out of service.");
--- a/crates/petrellatch/src/runtime/pass_through/mod.rs
+++ b/crates/petrellatch/src/runtime/pass_through/mod.rs
@@ -1,6 +1,6 @@
 //! The processes of the pass-through tier: balancer, agent and configuration
-//! replica, each an event loop of one thread; a replica has a second one that
-//! writes its log.
+//! replica, each an event loop of one thread; a replica has two more that write
+//! its log and the records of open flows.
 //!
 //! The packet format is a [`PacketCodec`], the operator's and back ends' HTTP
 //! calls are an [`Interface`], so that a program with other formats only
@@ -10,6 +10,7 @@
 mod balancer_loop;
 mod bounded_log;
 mod event_loop;
+mod flow_record_writer;
 mod interface;
 mod message_socket;
 mod metrics;
@@ -27,6 +28,7 @@
 pub use self::metrics::METRIC_NAMES;
 pub use self::settings::{
     AgentAddresses, BalancerAddresses, PassThroughRole, PassThroughSettings, ReplicaAddresses,
+    flow_record_bounds,
 };
 pub use self::settings_watcher::{SettingsReader, SettingsWatcher};
 
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -14,7 +14,9 @@
     ConfigurationResponse, node_at,
 };
 use petrellatch_core::{EventKind, Timestamp};
-use petrellatch_storage::{FolderIdentity, LogStore, OpenedStore, SnapshotFile, StorageError};
+use petrellatch_storage::{
+    FolderIdentity, LogStore, OpenedRecords, OpenedStore, RecordFile, SnapshotFile, StorageError,
+};
 
 use crate::error::ProgramError;
 use crate::http::{ConnectionId, EventServer, HttpRequest, ReceivedRequest};
@@ -23,6 +25,7 @@
 use super::event_loop::{
     EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, WAKE, serve_requests,
 };
+use super::flow_record_writer::{FlowRecordWriter, flow_record_path};
 use super::interface::{Call, CallAnswer, Interface};
 use super::message_socket::MessageSocket;
 use super::metrics::replica_metrics;
@@ -81,15 +84,19 @@
     let start = replica_start(&settings, &opened);
     let daemons = SnapshotFile::new(addresses.data_folder.join(DAEMONS_FILE));
     let remembered = daemons.read();
+    let records = RecordFile::open(flow_record_path(&addresses.data_folder));
+    let waker = Arc::new(waker);
     let writer = RetryingLogWriter::start(
         addresses.data_folder.clone(),
         opened.store,
         daemons,
-        Arc::new(waker),
+        Arc::clone(&waker),
     )?;
     let now = event_loop.clock.now();
     let mut node = ConfigurationNode::new(now, node_settings(&settings, addresses), start);
     recall_daemons(&mut event_loop, &mut node, remembered);
+    let record_file = recall_flow_records(&mut event_loop, &mut node, records);
+    let record_writer = FlowRecordWriter::start(record_file, waker)?;
     event_loop
         .log
         .note(now, EventKind::ProcessStarted, "replica");
@@ -120,6 +127,10 @@
                 }
             }
         }
+        while let Some(result) = record_writer.poll() {
+            let result = result.map_err(|error| error.to_string());
+            node.handle_flow_records_written(now, result);
+        }
         more = messages.receive(|from, body| node.handle_message(now, from, body)) == Batch::Full;
         let mut requests = std::mem::take(&mut ahead);
         for token in wakeup.tokens {
@@ -127,7 +138,7 @@
         }
         if !requests.is_empty() {
             let node = RefCell::new(&mut node);
-            let metrics = || replica_metrics(&node.borrow());
+            let metrics = || replica_metrics(&node.borrow(), now);
             let handle = |received: &ReceivedRequest, call| {
                 let request = match call {
                     Call::Replace(configuration) => ConfigurationRequest::Replace(configuration),
@@ -168,6 +179,7 @@
                 ConfigurationOutput::Send { to, body } => messages.send(to, body),
                 ConfigurationOutput::Persist(request) => writer.write(request),
                 ConfigurationOutput::Remember(bytes) => writer.save_daemons(bytes),
+                ConfigurationOutput::WriteFlowRecords(write) => record_writer.write(write),
                 ConfigurationOutput::Respond { token, response } => {
                     if let Some(waiting) = waiting.remove(&token) {
                         let answer = call_answer(response, addresses.operators.port());
@@ -279,6 +291,25 @@
     event_loop.log.note(now, kind, failure);
 }
 
+/// Hands the node the records of open flows that its former life wrote. What can't be read
+/// costs the record, not the start.
+fn recall_flow_records(
+    event_loop: &mut EventLoop,
+    node: &mut ConfigurationNode,
+    opened: OpenedRecords,
+) -> RecordFile {
+    let now = event_loop.clock.now();
+    let is_readable = node.recall_flow_records(now, &opened.records);
+    let failure = match opened.failure {
+        Some(error) => error.to_string(),
+        None if is_readable => return opened.file,
+        None => "some records can't be decoded".to_owned(),
+    };
+    let kind = EventKind::FlowRecordsNotSaved;
+    event_loop.log.note(now, kind, failure);
+    opened.file
+}
+
 /// The seeds found the group when all of it starts for the first time.
 fn is_founder(settings: &PassThroughSettings, addresses: &ReplicaAddresses) -> bool {
     addresses.first_start && settings.seeds.contains(&settings.messages)
@@ -329,6 +360,8 @@
         zone_losses: addresses.zone_losses,
         zone: settings.zone.clone(),
         zones: addresses.zones.clone(),
+        flow_record_bytes: addresses.flow_record_bytes,
+        flow_record_lifetime: settings.flow_lifetime,
         replica: ReplicaSettings {
             election_timeout,
             heartbeat_interval: election_timeout / HEARTBEATS_PER_ELECTION,
--- a/crates/petrellatch/src/runtime/pass_through/settings.rs
+++ b/crates/petrellatch/src/runtime/pass_through/settings.rs
@@ -5,7 +5,24 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use petrellatch_core::pass_through::ColdBounds;
+use petrellatch_core::pass_through::{ColdBounds, FlowRecordSettings};
+
+/// What the settings of the record of open flows may be.
+pub mod flow_record_bounds {
+    use std::ops::RangeInclusive;
+    use std::time::Duration;
+
+    /// Age of the flows that are recorded.
+    pub const AGE: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(60);
+    /// The most flows that an agent records.
+    pub const MOST_FLOWS: RangeInclusive<usize> = 1..=65_536;
+    /// What the records may take at a replica, in bytes.
+    pub const BYTES: RangeInclusive<usize> = 65_536..=268_435_456;
+    /// Replicas that keep a record, at least: with one the record is lost with it.
+    pub const LEAST_KEEPERS: usize = 2;
+    /// What the records may take at a replica unless it is set, in bytes.
+    pub const DEFAULT_BYTES: usize = 16 * 1024 * 1024;
+}
 
 /// What every process needs, and what its role needs.
 #[derive(Clone, Debug, PartialEq)]
@@ -70,6 +87,8 @@
     pub registration_interval: Duration,
     /// What a back end that warms up may get.
     pub cold_bounds: ColdBounds,
+    /// The record of open flows that replicas keep.
+    pub flow_record: FlowRecordSettings,
 }
 
 /// Addresses and files of a replica.
@@ -91,4 +110,6 @@
     pub zones: BTreeSet<String>,
     /// How much of a processor the process may use.
     pub processor_share: f64,
+    /// What the records of open flows may take in memory, in bytes.
+    pub flow_record_bytes: usize,
 }
