--- a/crates/petrellatch/src/runtime/pass_through/flow_record_writer.rs
+++ b/crates/petrellatch/src/runtime/pass_through/flow_record_writer.rs
@@ -61,3 +61,6 @@
 pub(super) fn flow_record_path(data_folder: &std::path::Path) -> PathBuf {
     data_folder.join("flow-records")
 }
+
+#[cfg(test)]
+mod tests;
