Test that nothing is appended after a failure of the record's file

Cause: a fault put into the file, appending on after a failed write, was found by no test.

Change: the test of a deleted file asks for it.

--- a/crates/petrellatch-storage/tests/record_file.rs
+++ b/crates/petrellatch-storage/tests/record_file.rs
@@ -118,6 +118,10 @@
         file.append(&[record(4)]),
         Err(StorageError::MissingFile { .. })
     );
+    assert_matches!(
+        file.append(&[record(4)]),
+        Err(StorageError::Unusable { .. })
+    );
     file.replace(&[record(4)]).expect("it replaces");
     assert_eq!(RecordFile::open(&path).records, [record(4)]);
 }
