--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -179,6 +179,14 @@
     LinkFull = 537, Warning;
     /// Nothing has waited for a balancer's link for a second.
     LinkClear = 538, Info;
+    /// Returned packets show that a life of a back end is over; the callers of its flows are told.
+    LifeOver = 545, Info;
+    /// Packets were handed to a back end that may be another one, and showed nothing.
+    LifeUndecided = 546, Info;
+    /// An agent took over the flows that a former life of it had recorded.
+    FlowsTakenOver = 547, Info;
+    /// A flow of a life that is over was told to its caller, or to a balancer.
+    FlowTold = 548, Info;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -41,6 +41,10 @@
             address: *flow.caller.ip(),
             packet: packet.to_vec(),
         });
+        match view.synchronize {
+            true => self.former.forget(flow),
+            false => self.former.note_alive(flow),
+        }
         let known = self.flows.get(flow);
         let answered_before = known.is_some_and(|flow| flow.sequence.is_some());
         let meaning = match view {
@@ -88,9 +92,16 @@
         if !view.is_opening() {
             self.tried.note_returned(now, id);
         }
+        let is_gone = self.note_returned_witness(now, view);
+        self.take_returned(now, view, is_gone);
+        self.continue_proofs(now);
+    }
+
+    fn take_returned(&mut self, now: Timestamp, view: &PacketView, is_gone: bool) {
+        let id = view.flow_from_caller();
         if let Some(pending) = self.tried.take_pending(id) {
-            if pending.tells_return {
-                self.tell_not_held(pending.balancer, view, false);
+            if pending.tells_return || is_gone {
+                self.tell_not_held(pending.balancer, view, is_gone);
             }
             return;
         }
--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -33,6 +33,10 @@
             CarryReason::Open | CarryReason::OpenQueued if carry.service != self.service => {
                 self.decline(now, from, flow, DeclineReason::WrongService);
             }
+            CarryReason::Deliver | CarryReason::Try if self.is_gone(&view) => {
+                self.pass_on(from, &carry);
+                self.tell_gone(from, &view);
+            }
             // It is for the agent that was at this address before.
             CarryReason::Deliver if carry.service != self.service && !self.holds(&view) => {
                 self.tell_not_held(from, &view, false);
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
@@ -0,0 +1,454 @@
+//! Flows of former lives of the back end: the proof that such a life is over, and telling
+//! the callers of its flows.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_proto::pass_through::{FormerFlows, NotHeld, PassThroughBody, SoughtFlow};
+
+use super::PassThroughAgent;
+use crate::event::EventKind;
+use crate::pass_through::admission::registration::Registration;
+use crate::pass_through::digest::backend_digest;
+use crate::pass_through::flows::former_flows::{FormerRecord, RecordedFlow, from_columns};
+use crate::pass_through::flows::gone_flows::GoneFlows;
+use crate::pass_through::flows::life_proof::{LifeProof, ProbedFlow, ProofStep, ProofVerdict};
+use crate::pass_through::output::PassThroughOutput;
+use crate::pass_through::packet::{FlowId, PacketCodec, PacketView};
+use crate::time::Timestamp;
+
+/// Between two proofs about the same flows: no flow's packet reaches the back end more
+/// than twice within it.
+const PROOF_PAUSE: Duration = Duration::from_millis(2_000);
+/// Proofs about one record. Each ends open if the back end neither returns packets nor
+/// speaks.
+const MAX_RECORD_PROOFS: u32 = 5;
+
+/// What an agent knows of former lives of its back end.
+#[derive(Debug, Default)]
+pub(super) struct FormerLives {
+    record: Option<RecalledRecord>,
+    /// About the flows that this life of the agent has seen.
+    proof: Option<LifeProof>,
+    /// Whether one is to begin, as the back end may be another one.
+    is_in_doubt: bool,
+    /// No proof begins before this.
+    next_proof_at: Timestamp,
+    /// The latest call.
+    heard: Option<HeardCall>,
+    gone: GoneFlows,
+}
+
+/// The record of a former life of the agent.
+#[derive(Debug)]
+struct RecalledRecord {
+    record: FormerRecord,
+    recalled_at: Timestamp,
+    proof: Option<LifeProof>,
+    proofs: u32,
+    next_proof_at: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardCall {
+    backend: u64,
+    call_number: u64,
+}
+
+impl HeardCall {
+    fn new(call: &Registration) -> HeardCall {
+        HeardCall {
+            backend: backend_digest(&call.id, call.born),
+            call_number: call.call_number,
+        }
+    }
+
+    /// Whether it may be of another life than an earlier call. It may as well have come
+    /// late.
+    fn may_be_of_another_life(&self, earlier: &HeardCall) -> bool {
+        self.backend != earlier.backend || self.call_number <= earlier.call_number
+    }
+}
+
+impl FormerLives {
+    /// Proofs under way.
+    pub(super) fn pending(&self) -> usize {
+        let record = self.record.as_ref();
+        let of_record = record.and_then(|record| record.proof.as_ref());
+        usize::from(of_record.is_some()) + usize::from(self.proof.is_some())
+    }
+
+    pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
+        let record = self.record.as_ref();
+        let of_record = record.and_then(|record| record.proof.as_ref());
+        let proofs = of_record.into_iter().chain(&self.proof);
+        let proofs = proofs.map(LifeProof::poll_timeout);
+        let begins = self.is_in_doubt.then_some(self.next_proof_at);
+        proofs.chain(begins).chain(self.gone.poll_timeout()).min()
+    }
+
+    /// Notes that the caller of a flow opens it anew.
+    pub(super) fn forget(&mut self, id: FlowId) {
+        self.gone.forget(id);
+        self.proofs_mut().for_each(|proof| proof.forget(id));
+        if let Some(record) = &mut self.record {
+            record.record.flows.retain(|flow| flow.id != id);
+        }
+    }
+
+    /// Notes that the back end spoke on a flow.
+    pub(super) fn note_alive(&mut self, id: FlowId) {
+        self.proofs_mut().for_each(|proof| proof.note_alive(id));
+    }
+
+    pub(super) fn expire(&mut self, now: Timestamp, lifetime: Duration) {
+        self.gone.expire(now, lifetime);
+        let age = |record: &RecalledRecord| now.saturating_since(record.recalled_at);
+        self.record.take_if(|record| age(record) >= lifetime);
+    }
+
+    fn proofs_mut(&mut self) -> impl Iterator<Item = &mut LifeProof> {
+        let record = self.record.as_mut();
+        let of_record = record.and_then(|record| record.proof.as_mut());
+        of_record.into_iter().chain(self.proof.as_mut())
+    }
+}
+
+impl RecalledRecord {
+    fn names(&self, id: FlowId, acknowledged: u32) -> bool {
+        let mut flows = self.record.flows.iter();
+        flows.any(|flow| flow.id == id && flow.owns(acknowledged))
+    }
+
+    /// Begins a proof unless there is one, or there were too many.
+    fn begin_proof(&mut self, now: Timestamp, witnesses: Vec<(FlowId, Vec<u8>)>) {
+        let may_begin = self.proofs < MAX_RECORD_PROOFS && now >= self.next_proof_at;
+        if self.proof.is_some() || !may_begin {
+            return;
+        }
+        self.proofs += 1;
+        let probed = |flow: &RecordedFlow| {
+            let mut witnesses = witnesses.iter();
+            let witness = witnesses.find(|(id, _)| *id == flow.id);
+            ProbedFlow {
+                flow: *flow,
+                seen_at: now,
+                witness: witness.map(|(_, packet)| packet.clone()),
+            }
+        };
+        let flows = self.record.flows.iter().map(probed).collect();
+        self.proof = Some(LifeProof::new(now, flows));
+    }
+}
+
+impl<C: PacketCodec> PassThroughAgent<C> {
+    /// Takes the record of a former life of this agent. Called once after the start.
+    pub(super) fn take_former_record(&mut self, now: Timestamp, record: FormerRecord) {
+        if record.flows.is_empty() {
+            return;
+        }
+        self.former.record = Some(RecalledRecord {
+            record,
+            recalled_at: now,
+            proof: None,
+            proofs: 0,
+            next_proof_at: now,
+        });
+        if let Some(heard) = self.former.heard {
+            self.compare_with_record(now, heard);
+        }
+        self.continue_proofs(now);
+    }
+
+    /// Takes a record that fits into one part.
+    pub(super) fn handle_former_flows(&mut self, now: Timestamp, told: &FormerFlows) {
+        if told.incarnation != self.incarnation.0 || told.parts != 1 {
+            return;
+        }
+        let record = FormerRecord {
+            backend: told.backend,
+            flows: from_columns(&told.flows),
+            witnesses: told.witnesses.clone(),
+        };
+        self.take_former_record(now, record);
+    }
+
+    /// Takes a call of the back end: it may be of another life than the one that had the
+    /// flows. Calls come late, so that alone shows nothing.
+    pub(super) fn note_call(&mut self, now: Timestamp, call: &Registration) {
+        let heard = HeardCall::new(call);
+        let former = self.former.heard.replace(heard);
+        // The back end is about to end as planned, or lives on without the agent.
+        if self.stop_at.is_some() {
+            return;
+        }
+        if former.is_none_or(|former| heard.may_be_of_another_life(&former)) {
+            self.former.is_in_doubt = true;
+            self.begin_proof(now);
+        }
+        self.compare_with_record(now, heard);
+        self.continue_proofs(now);
+    }
+
+    /// Takes the recorded flows over if the life that calls is the recorded one. If it may
+    /// be another one, that is to be proved.
+    ///
+    /// Without a time of birth a life that goes on and one that has just begun call alike.
+    /// Its flows are not taken over even if no packet comes back: the back end may be
+    /// frozen, and packets of other back ends' flows would be sent to it for certain.
+    fn compare_with_record(&mut self, now: Timestamp, heard: HeardCall) {
+        let Some(record) = &self.former.record else {
+            return;
+        };
+        let is_same = record.record.backend == heard.backend;
+        let is_current = self.registration.backend() == Some(heard.backend);
+        let tells_lives_apart = self.registration.tells_lives_apart();
+        match (is_same, is_current) {
+            (true, true) if tells_lives_apart => self.take_over(now),
+            (true, false) => {}
+            _ => self.begin_record_proof(now),
+        }
+    }
+
+    fn begin_record_proof(&mut self, now: Timestamp) {
+        let Some(record) = &mut self.former.record else {
+            return;
+        };
+        let flows = &self.flows;
+        let codec = &self.codec;
+        let witness = |packet: &Vec<u8>| {
+            let id = codec.view(packet)?.flow_from_caller();
+            // It may be open anew under the same address and port.
+            flows.get(id).is_none().then(|| (id, packet.clone()))
+        };
+        let witnesses = record.record.witnesses.iter().filter_map(witness);
+        let witnesses = witnesses.collect();
+        record.begin_proof(now, witnesses);
+    }
+
+    /// Takes the flows of the record for flows of the back end.
+    fn take_over(&mut self, now: Timestamp) {
+        let Some(recalled) = self.former.record.take() else {
+            return;
+        };
+        let age = now.saturating_since(recalled.recalled_at).as_millis();
+        let mut taken = 0;
+        for flow in &recalled.record.flows {
+            taken += u64::from(self.flows.take_over(now, *flow));
+        }
+        for packet in &recalled.record.witnesses {
+            if let Some(view) = self.codec.view(packet) {
+                self.flows.note_witness(view.flow_from_caller(), packet);
+            }
+        }
+        self.counters.taken_over += taken;
+        let backend = recalled.record.backend;
+        let recorded = recalled.record.flows.len();
+        let subject =
+            format!("backend={backend:x} flows={taken} recorded={recorded} record_age={age}");
+        self.emit_event(EventKind::FlowsTakenOver, subject);
+    }
+
+    /// Notes a packet that the back end returned. Returns whether it proves that an open
+    /// flow is gone.
+    pub(super) fn note_returned_witness(&mut self, now: Timestamp, view: &PacketView) -> bool {
+        if view.is_opening() {
+            return false;
+        }
+        let (id, acknowledged) = (view.flow_from_caller(), view.acknowledged);
+        let record = self.former.record.as_ref();
+        if record.is_some_and(|record| record.names(id, acknowledged)) {
+            self.begin_record_proof(now);
+        }
+        let known = self.flows.get(id);
+        let was_open = known.is_some_and(|flow| flow.is_open() && flow.owns(acknowledged));
+        if was_open && self.stop_at.is_none() {
+            self.former.is_in_doubt = true;
+            self.begin_proof(now);
+        }
+        let proofs = self.former.proofs_mut();
+        let gone = proofs.filter_map(|proof| proof.note_returned(id, acknowledged));
+        let Some(gone) = gone.last() else {
+            return false;
+        };
+        // Who has sent a packet with data is told by its balancer.
+        if view.data_bytes == 0 && !view.finish {
+            self.end_gone_flow(now, gone);
+        }
+        true
+    }
+
+    /// Begins a proof about the flows that this life of the agent has seen, if the back
+    /// end may be another one.
+    fn begin_proof(&mut self, now: Timestamp) {
+        let may_begin = self.former.proof.is_none() && now >= self.former.next_proof_at;
+        if !self.former.is_in_doubt || !may_begin {
+            return;
+        }
+        self.former.is_in_doubt = false;
+        let lifetime = self.settings.flow_lifetime;
+        let flows = self.flows.probed(now, lifetime);
+        if !flows.is_empty() {
+            self.former.proof = Some(LifeProof::new(now, flows));
+        }
+    }
+
+    /// Goes on with proofs, and tells callers of flows that are gone.
+    pub(super) fn continue_proofs(&mut self, now: Timestamp) {
+        self.begin_proof(now);
+        if let Some(verdict) = self.continue_record_proof(now) {
+            self.end_record_proof(now, verdict);
+        }
+        if let Some(verdict) = self.continue_own_proof(now) {
+            self.end_own_proof(now, verdict);
+        }
+        for flow in self.former.gone.take_due(now) {
+            self.counters.told_at_pace += 1;
+            self.reset_caller(flow, "pace");
+        }
+    }
+
+    fn continue_record_proof(&mut self, now: Timestamp) -> Option<ProofVerdict> {
+        let record = self.former.record.as_mut()?;
+        let step = record.proof.as_mut()?.next_step(now);
+        self.take_proof_step(step)
+    }
+
+    fn continue_own_proof(&mut self, now: Timestamp) -> Option<ProofVerdict> {
+        let step = self.former.proof.as_mut()?.next_step(now);
+        self.take_proof_step(step)
+    }
+
+    fn take_proof_step(&mut self, step: ProofStep) -> Option<ProofVerdict> {
+        match step {
+            ProofStep::Wait => None,
+            ProofStep::Hand(packets) => {
+                let packets = packets.into_iter().map(PassThroughOutput::ToBackend);
+                self.outputs.extend(packets);
+                None
+            }
+            ProofStep::End(verdict) => Some(verdict),
+        }
+    }
+
+    fn end_record_proof(&mut self, now: Timestamp, verdict: ProofVerdict) {
+        let Some(record) = &mut self.former.record else {
+            return;
+        };
+        let proof = record.proof.take();
+        record.next_proof_at = now + PROOF_PAUSE;
+        self.note_verdict(now, "record", proof, &verdict);
+        if verdict.is_over {
+            self.former.record = None;
+        }
+        for gone in verdict.gone {
+            // One that this life of the agent knows is open anew.
+            if self.flows.get(gone.id).is_none() {
+                self.former.gone.add(now, gone);
+            }
+        }
+    }
+
+    fn end_own_proof(&mut self, now: Timestamp, verdict: ProofVerdict) {
+        let proof = self.former.proof.take();
+        self.former.next_proof_at = now + PROOF_PAUSE;
+        self.note_verdict(now, "memory", proof, &verdict);
+    }
+
+    /// Forgets a flow that the back end does not have. Its caller is told at once if it
+    /// waits for an answer.
+    fn end_gone_flow(&mut self, now: Timestamp, gone: RecordedFlow) {
+        let Some(known) = self.flows.get(gone.id) else {
+            self.former.gone.add(now, gone);
+            return;
+        };
+        if !known.is_same(&gone) || !known.is_open() {
+            return;
+        }
+        let waits = known.has_request();
+        let flow = RecordedFlow {
+            acknowledged: known.acknowledged.unwrap_or(gone.acknowledged),
+            ..gone
+        };
+        self.flows.remove(now, flow.id);
+        self.former.gone.add(now, flow);
+        if waits {
+            self.former.gone.note_told(flow.id);
+            self.counters.told_at_once += 1;
+            self.reset_caller(flow, "request");
+        }
+    }
+
+    fn note_verdict(
+        &mut self,
+        now: Timestamp,
+        source: &str,
+        proof: Option<LifeProof>,
+        verdict: &ProofVerdict,
+    ) {
+        let begun_at = proof.map_or(now, |proof| proof.begun_at);
+        let waited = now.saturating_since(begun_at).as_millis();
+        let (flows, witnesses) = (verdict.gone.len(), verdict.witnesses);
+        let returned = verdict.returned;
+        let (kind, counter) = match verdict.is_over {
+            true => (EventKind::LifeOver, &mut self.counters.lives_over),
+            false => (EventKind::LifeUndecided, &mut self.counters.lives_undecided),
+        };
+        *counter += 1;
+        let subject = format!(
+            "source={source} witnesses={witnesses} returned={returned} without_packet={flows} waited={waited}"
+        );
+        self.emit_event(kind, subject);
+    }
+
+    fn reset_caller(&mut self, flow: RecordedFlow, cause: &str) {
+        let subject = format!("flow={} cause={cause}", flow.id);
+        self.emit_event(EventKind::FlowTold, subject);
+        self.outputs.push_back(PassThroughOutput::ToCaller {
+            address: *flow.id.caller.ip(),
+            packet: self.codec.reset(flow.id, flow.acknowledged),
+        });
+    }
+
+    /// Whether the flow of a packet is one that is gone.
+    pub(super) fn is_gone(&self, view: &PacketView) -> bool {
+        let id = view.flow_from_caller();
+        !view.is_opening() && self.former.gone.contains(id, view.acknowledged)
+    }
+
+    /// Tells a balancer that the flow of a packet is gone: it resets the caller if that
+    /// waits for an answer, and the pace does it otherwise.
+    pub(super) fn tell_gone(&mut self, to: SocketAddrV4, view: &PacketView) {
+        let id = view.flow_from_caller();
+        let waits = view.data_bytes > 0 && !view.finish;
+        if waits || view.finish || view.reset {
+            self.former.gone.note_told(id);
+        }
+        if waits {
+            self.counters.told_when_asked += 1;
+        }
+        self.tell_not_held(to, view, true);
+    }
+
+    /// Tells a balancer that a flow that it seeks is gone.
+    pub(super) fn answer_gone(&mut self, to: SocketAddrV4, sought: &SoughtFlow) {
+        self.counters.told_when_asked += 1;
+        let subject = format!("flow={} cause=question", FlowId::from(sought.flow));
+        self.emit_event(EventKind::FlowTold, subject);
+        let not_held = NotHeld {
+            flow: sought.flow,
+            acknowledged: sought.acknowledged,
+            // The balancer knows whether the caller waits.
+            request: false,
+            was_open: true,
+        };
+        self.send(to, PassThroughBody::NotHeld(not_held));
+    }
+
+    /// Whether a flow that a balancer seeks is gone.
+    pub(super) fn seeks_gone(&self, sought: &SoughtFlow) -> bool {
+        let id = FlowId::from(sought.flow);
+        let gone = &self.former.gone;
+        self.flows.get(id).is_none() && gone.contains(id, sought.acknowledged)
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_packets;
 mod caller_packets;
+mod former_flows;
 mod openings;
 mod questions;
 mod reports;
@@ -39,6 +40,7 @@
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 
+use former_flows::FormerLives;
 use work_times::WorkTimes;
 
 /// Between two sweeps over the flows.
@@ -102,6 +104,18 @@
     pub tried: u64,
     /// Packets that the back end returned.
     pub returned: u64,
+    /// Flows of lives of the back end that are over: callers that waited for an answer.
+    pub told_at_once: u64,
+    /// The same: balancers that had or asked for a packet of the flow.
+    pub told_when_asked: u64,
+    /// The same: callers that waited for nothing, told at a pace.
+    pub told_at_pace: u64,
+    /// Flows of a former life of the agent that were taken over.
+    pub taken_over: u64,
+    /// Proofs that a life of the back end is over.
+    pub lives_over: u64,
+    /// Proofs that showed nothing.
+    pub lives_undecided: u64,
     /// Packets of the back end that could not be read.
     pub malformed: u64,
 }
@@ -132,6 +146,7 @@
     registration: RegistrationState,
     flows: AgentFlows,
     tried: TriedFlows,
+    former: FormerLives,
     /// Questions that this agent asks others on behalf of balancers.
     gathered: GatheredQuestions,
     started_at: Timestamp,
@@ -191,6 +206,7 @@
             contacts,
             flows: AgentFlows::default(),
             tried: TriedFlows::default(),
+            former: FormerLives::default(),
             gathered: GatheredQuestions::default(),
             started_at: now,
             had_former_life: None,
@@ -227,6 +243,11 @@
         self.stopped
     }
 
+    /// Proofs under way that a life of the back end is over.
+    pub fn pending_proofs(&self) -> usize {
+        self.former.pending()
+    }
+
     /// Counters since the start.
     pub fn counters(&self) -> &PassThroughAgentCounters {
         &self.counters
@@ -286,6 +307,7 @@
             let subject = format!("{} call={} slots={capacity}", call.id, call.call_number);
             self.emit_event(kind, subject);
         }
+        self.note_call(now, call);
         self.report_if_changed(now);
         Ok(())
     }
@@ -315,6 +337,7 @@
                 self.tell_gathered(now);
             }
             PassThroughBody::Group(group) => self.handle_group(now, from, &group),
+            PassThroughBody::FormerFlows(told) => self.handle_former_flows(now, &told),
             _ => {}
         }
         self.serve_waiting(now);
@@ -370,6 +393,7 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.flows.expire(now, self.settings.flow_lifetime);
             self.tried.expire(now, self.settings.flow_lifetime);
+            self.former.expire(now, self.settings.flow_lifetime);
             self.asking.expire(now);
             self.balancers
                 .retain(|_, heard| now.saturating_since(*heard) < BALANCER_MEMORY);
@@ -378,6 +402,7 @@
         if now >= self.report_at {
             self.report(now);
         }
+        self.continue_proofs(now);
         self.tell_gathered(now);
         self.serve_waiting(now);
         self.waiting_check_at = now + WAITING_CHECK_INTERVAL;
@@ -389,9 +414,8 @@
         let waiting = (!self.waiting.is_empty()).then_some(self.waiting_check_at);
         let first = self.sweep_at.min(self.report_at);
         let first = waiting.map_or(first, |at| at.min(first));
-        self.gathered
-            .poll_timeout()
-            .map_or(first, |at| at.min(first))
+        let others = [self.gathered.poll_timeout(), self.former.poll_timeout()];
+        others.into_iter().flatten().fold(first, Timestamp::min)
     }
 
     /// The next thing to do.
--- a/crates/petrellatch-core/src/pass_through/agent/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/openings.rs
@@ -58,6 +58,7 @@
         self.registration.note_offered(now);
         self.failure_watch.note_admitted(now);
         self.tried.forget(opening.flow);
+        self.former.forget(opening.flow);
         let capacity = self.registration.capacity();
         let meaning = CallerPacket::Opening;
         self.flows
--- a/crates/petrellatch-core/src/pass_through/agent/questions.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/questions.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_proto::pass_through::{
-    AgentState, HeldFlow, Holds, Lacks, PassThroughBody, Seek, pack_address, unpack_address,
+    AgentState, HeldFlow, Holds, Lacks, PassThroughBody, Seek, SoughtFlow, pack_address,
+    unpack_address,
 };
 
 use super::PassThroughAgent;
@@ -17,6 +18,11 @@
             origin => unpack_address(origin),
         };
         self.balancers.insert(balancer, now);
+        let gone = seek.flows.iter().filter(|sought| self.seeks_gone(sought));
+        let gone: Vec<SoughtFlow> = gone.cloned().collect();
+        for sought in &gone {
+            self.answer_gone(balancer, sought);
+        }
         let (holds, lacks) = self.answer(now, seek);
         if !seek.others.is_empty() {
             self.ask_others(now, balancer, seek);
@@ -48,7 +54,7 @@
                     flow: sought.flow,
                     sequence: known.sequence,
                 });
-            } else if knows_all || self.tried.was_returned(flow) {
+            } else if knows_all || self.tried.was_returned(flow) || self.seeks_gone(sought) {
                 lacks.certain.push(sought.flow);
             } else {
                 lacks.uncertain.push(sought.flow);
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -1,6 +1,7 @@
 //! The search for flows that are not known.
 
 use super::*;
+use crate::pass_through::flows::flow_search::FlowSearch;
 
 /// In a directory of at most so many agents all are asked for a flow at once. Among
 /// more, those of the service that its route names now are asked first: they have
@@ -313,12 +314,7 @@
             }
         }
         if not_held.was_open {
-            self.searches.remove(flow);
-            if not_held.request {
-                let subject = format!("flow={flow} agent={from} was_open=true");
-                self.emit_event(EventKind::FlowGone, subject);
-                self.reset_open(flow, not_held.acknowledged);
-            }
+            self.end_gone_flow(from, not_held);
             return;
         }
         let is_sought = self.searches.contains(flow);
@@ -328,6 +324,23 @@
             self.take_search_step(now, flow);
         }
     }
+
+    /// The back end that had a flow has it no more, so no other agent can have it. Its
+    /// caller is told if it waits for an answer, with what it acknowledged last as far as
+    /// this balancer knows.
+    fn end_gone_flow(&mut self, from: SocketAddrV4, not_held: &NotHeld) {
+        let flow = FlowId::from(not_held.flow);
+        let search = self.searches.remove(flow);
+        let sought = search.as_ref().filter(|search| search.has_packet());
+        let waits = not_held.request || sought.is_some_and(FlowSearch::caller_waits);
+        if !waits {
+            return;
+        }
+        let acknowledged = sought.map_or(not_held.acknowledged, FlowSearch::acknowledged);
+        let subject = format!("flow={flow} agent={from} was_open=true");
+        self.emit_event(EventKind::FlowGone, subject);
+        self.reset_open(flow, acknowledged);
+    }
 }
 
 /// Bytes of a question for one flow on the balancer's link. `is_shared` says
--- a/crates/petrellatch-core/src/pass_through/digest.rs
+++ b/crates/petrellatch-core/src/pass_through/digest.rs
@@ -17,7 +17,7 @@
 
 /// The number that stands for one life of a back end between processes. `born` tells lives
 /// of the same name apart, as far as the back end says it.
-pub(super) fn backend_digest(id: &str, born: Option<u64>) -> u64 {
+pub fn backend_digest(id: &str, born: Option<u64>) -> u64 {
     let name = name_digest(id, BACKEND_SALT);
     born.map_or(name, |born| address_digest(born, name))
 }
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -7,11 +7,13 @@
 use crate::time::Timestamp;
 
 use super::flow_demand::FlowDemand;
+use super::former_flows::RecordedFlow;
+use super::life_proof::ProbedFlow;
 use crate::pass_through::packet::{FlowId, PacketView};
 
 /// How far a caller's acknowledgement may be ahead of the first sequence
 /// number of the back end that it belongs to.
-const SEQUENCE_WINDOW: u32 = 1 << 22;
+pub(crate) const SEQUENCE_WINDOW: u32 = 1 << 22;
 /// An opening packet that the back end has not answered by then is forgotten.
 const OPENING_LIMIT: Duration = Duration::from_millis(1_600);
 /// A flow that its caller has not opened by then takes no slot any more.
@@ -76,6 +78,11 @@
         self.caller_has_ended || self.backend_has_ended
     }
 
+    /// Whether it is this flow, and was not opened anew since.
+    pub(crate) fn is_same(&self, flow: &RecordedFlow) -> bool {
+        self.sequence.is_none_or(|known| known == flow.sequence)
+    }
+
     /// Whether a packet with this acknowledgement belongs to the back end.
     pub(crate) fn owns(&self, acknowledged: u32) -> bool {
         match self.sequence {
@@ -200,6 +207,9 @@
         id: FlowId,
         packet: BackendPacket,
     ) -> Option<Duration> {
+        if let BackendPacket::OpeningAnswer { sequence } = packet {
+            self.begin_anew(now, id, sequence);
+        }
         let flow = self.entry(now, id);
         flow.active_at = now;
         match packet {
@@ -221,6 +231,19 @@
         None
     }
 
+    /// Forgets what was known of an earlier flow under the same address and port: the back
+    /// end has answered with another number.
+    fn begin_anew(&mut self, now: Timestamp, id: FlowId, sequence: u32) {
+        let known = self.flows.get(&id).and_then(|flow| flow.sequence);
+        if known.is_none_or(|known| known == sequence) {
+            return;
+        }
+        let balancer = self.remove(now, id).and_then(|flow| flow.balancer);
+        self.entry(now, id).balancer = balancer;
+        self.set_busy(id, true);
+        self.half_open.push_back((now + HALF_OPEN_LIMIT, id));
+    }
+
     /// Notes that the back end has a request. Further packets of it change nothing.
     fn begin_request(&mut self, now: Timestamp, id: FlowId, capacity: u32) {
         let Some(flow) = self.flows.get_mut(&id) else {
@@ -261,6 +284,50 @@
         Some(now.saturating_since(since))
     }
 
+    /// Open flows that are younger than `lifetime`, with packets that the back end returns
+    /// if it does not have them.
+    pub(crate) fn probed(&self, now: Timestamp, lifetime: Duration) -> Vec<ProbedFlow> {
+        let is_young = |flow: &AgentFlow| now.saturating_since(flow.created_at) < lifetime;
+        let open = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.is_open() && is_young(flow));
+        let probed = |(id, flow): (&FlowId, &AgentFlow)| {
+            let acknowledged = flow.acknowledged?;
+            Some(ProbedFlow {
+                flow: RecordedFlow {
+                    id: *id,
+                    sequence: flow.sequence.unwrap_or(acknowledged),
+                    acknowledged,
+                },
+                seen_at: flow.created_at,
+                witness: Some(flow.bare_packet.clone()?),
+            })
+        };
+        open.filter_map(probed).collect()
+    }
+
+    /// Takes over a flow that a former life of the agent recorded. Returns whether it was
+    /// not known.
+    pub(crate) fn take_over(&mut self, now: Timestamp, recorded: RecordedFlow) -> bool {
+        if self.flows.contains_key(&recorded.id) {
+            return false;
+        }
+        let flow = self.entry(now, recorded.id);
+        flow.sequence = Some(recorded.sequence);
+        flow.acknowledged = Some(recorded.acknowledged);
+        self.open(recorded.id);
+        true
+    }
+
+    /// Keeps a packet without data that the caller of a flow has sent to a former life of
+    /// the agent, unless there is a later one.
+    pub(crate) fn note_witness(&mut self, id: FlowId, packet: &[u8]) {
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.bare_packet.get_or_insert_with(|| packet.to_vec());
+        }
+    }
+
     pub(crate) fn remove(&mut self, now: Timestamp, id: FlowId) -> Option<AgentFlow> {
         self.finish_request(now, id);
         self.set_busy(id, false);
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -166,6 +166,16 @@
         self.acknowledged
     }
 
+    /// Whether the caller has sent a packet since the search began.
+    pub(crate) fn has_packet(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Whether the caller waits for an answer, and has not ended the flow.
+    pub(crate) fn caller_waits(&self) -> bool {
+        self.awaits_answer && !self.ended
+    }
+
     pub(crate) fn rounds(&self) -> u32 {
         self.rounds
     }
@@ -307,7 +317,7 @@
                 false => SearchStep::Wait,
             };
         }
-        let may_reset = self.awaits_answer && !self.ended && !self.may_be_at_silent_agent();
+        let may_reset = self.caller_waits() && !self.may_be_at_silent_agent();
         match is_complete && tried == 0 && may_reset {
             true => SearchStep::Gone,
             false => SearchStep::Wait,
--- a/crates/petrellatch-core/src/pass_through/flows/former_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/former_flows.rs
@@ -6,6 +6,7 @@
     ACKNOWLEDGED_STEP, FlowColumns, pack_address, unpack_address,
 };
 
+use super::agent_flows::SEQUENCE_WINDOW;
 use crate::pass_through::packet::FlowId;
 
 /// An open flow as it is recorded.
@@ -18,6 +19,16 @@
     pub(crate) acknowledged: u32,
 }
 
+impl RecordedFlow {
+    /// Whether a packet with this acknowledgement belongs to the flow, and not to another one
+    /// under its address and port.
+    pub(crate) fn owns(&self, acknowledged: u32) -> bool {
+        let known = self.acknowledged.wrapping_sub(self.sequence);
+        let ahead = acknowledged.wrapping_sub(self.sequence);
+        ahead < known.saturating_add(SEQUENCE_WINDOW)
+    }
+}
+
 /// The flows that one life of a back end had.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct FormerRecord {
--- a/crates/petrellatch-core/src/pass_through/flows/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/mod.rs
@@ -9,5 +9,7 @@
 pub(crate) mod flow_searches;
 pub(crate) mod former_flows;
 pub(crate) mod gathered_questions;
+pub(crate) mod gone_flows;
+pub(crate) mod life_proof;
 pub(crate) mod seek_budget;
 pub(crate) mod tried_flows;
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -41,7 +41,7 @@
     ConfigurationNode, ConfigurationNodeLatencies, ConfigurationNodeSettings, ConfigurationOutput,
     ConfigurationRequest, ConfigurationResponse, ZoneOrderRefusal, node_address, node_at,
 };
-pub use digest::service_digest;
+pub use digest::{backend_digest, service_digest};
 pub use group::contacts::Contacts;
 pub use group::evacuations::Evacuations;
 pub use latency::LatencyHistogram;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/former_flows.rs
@@ -0,0 +1,320 @@
+//! Flows of former lives of a back end: who is told, and who is not.
+
+use std::time::Duration;
+
+use petrellatch_core::EventKind;
+
+use super::lives::{Lives, flow_id, port};
+use super::world::MILLI;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A back end with this many open flows, from port 1 on.
+fn with_flows(flows: u16) -> Lives {
+    let mut lives = Lives::new();
+    open(&mut lives, 1, flows);
+    lives
+}
+
+fn open(lives: &mut Lives, first: u16, flows: u16) {
+    for port in first..first + flows {
+        assert!(lives.open(port), "port {port}");
+        lives.run(5 * MILLI);
+    }
+    lives.bare.clear();
+}
+
+#[test]
+fn callers_at_rest_are_told_when_the_back_end_starts_again() {
+    let mut lives = with_flows(10);
+    lives.start_life();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), [], "it may be down, frozen or cut off");
+    lives.call();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), Vec::from_iter(1..=10));
+    assert_eq!(lives.agent.demand(lives.now).0, 0, "they are forgotten");
+}
+
+#[test]
+fn callers_at_rest_are_told_at_a_pace_and_those_that_wait_at_once() {
+    let mut lives = with_flows(100);
+    lives.frozen = true;
+    lives.request(40);
+    lives.start_life();
+    let begun_at = lives.now;
+    lives.call();
+    let told_at = |lives: &Lives, port| {
+        let reset = lives.resets.iter().find(|(_, it)| *it == port);
+        reset.map(|(at, _)| at.saturating_since(begun_at))
+    };
+    assert!(told_at(&lives, 40).expect("it waits") < 10 * MILLI);
+    assert!(lives.resets.len() < 20, "{} at once", lives.resets.len());
+    lives.run(200 * MILLI);
+    let half = lives.resets.len();
+    assert!((30..70).contains(&half), "{half} of 100 in half the time");
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), Vec::from_iter(1..=100));
+}
+
+#[test]
+fn a_returned_packet_of_an_open_flow_begins_a_proof_before_any_call() {
+    let mut lives = with_flows(10);
+    lives.start_life();
+    lives.request(5);
+    lives.run(SECOND);
+    let told = lives.not_held.iter().filter(|it| it.was_open).count();
+    assert_eq!(told, 1);
+    let others: Vec<u16> = (1..=10).filter(|port| *port != 5).collect();
+    assert_eq!(lives.reset_ports(), others);
+}
+
+#[test]
+fn a_late_call_of_a_former_life_beside_a_live_one_tells_nobody() {
+    let mut lives = with_flows(3);
+    let former = lives.life();
+    lives.start_life();
+    lives.call();
+    lives.run(SECOND);
+    lives.resets.clear();
+    open(&mut lives, 10, 8);
+    for _ in 0..3 {
+        lives.call_of(&former);
+        lives.run(SECOND);
+    }
+    lives.run(3 * SECOND);
+    assert_eq!(lives.reset_ports(), []);
+    assert!(lives.has_event(EventKind::LifeUndecided));
+    let most = (10..18).map(|port| lives.bare.iter().filter(|it| **it == port).count());
+    assert!(most.max() <= Some(4), "two in each of two proofs");
+}
+
+#[test]
+fn flows_of_the_new_life_that_were_opened_before_its_first_call_are_not_told() {
+    let mut lives = with_flows(10);
+    lives.start_life();
+    open(&mut lives, 20, 30);
+    lives.call();
+    lives.run(4 * SECOND);
+    assert_eq!(lives.reset_ports(), Vec::from_iter(1..=10));
+}
+
+#[test]
+fn a_life_whose_clock_was_set_back_ends_the_flows_of_the_former_one() {
+    let mut lives = with_flows(5);
+    lives.start_life();
+    lives.life.as_mut().expect("one runs").born = Some(1);
+    lives.call();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_life_under_the_same_name_ends_the_flows_of_the_former_one() {
+    for says_birth in [true, false] {
+        let mut lives = Lives::without_call(says_birth, true);
+        for _ in 0..5 {
+            lives.call();
+        }
+        open(&mut lives, 1, 5);
+        lives.start_life();
+        lives.call();
+        lives.run(SECOND);
+        assert_eq!(lives.reset_ports(), [1, 2, 3, 4, 5], "birth: {says_birth}");
+    }
+}
+
+#[test]
+fn a_frozen_back_end_that_wakes_keeps_its_flows() {
+    let mut lives = with_flows(6);
+    let mut former = lives.life();
+    former.id = "earlier".to_owned();
+    lives.frozen = true;
+    lives.call_of(&former);
+    lives.run(5 * SECOND);
+    lives.thaw();
+    lives.run(5 * SECOND);
+    assert_eq!(lives.reset_ports(), []);
+}
+
+#[test]
+fn one_flow_that_ended_unseen_says_nothing_of_the_others() {
+    let mut lives = with_flows(6);
+    for port in [1, 6] {
+        lives.life.as_mut().expect("one runs").flows.remove(&port);
+        lives.request(port);
+        lives.run(5 * SECOND);
+    }
+    let told = lives.reset_ports();
+    assert!(told.iter().all(|port| [1, 6].contains(port)), "{told:?}");
+    assert_eq!(lives.agent.demand(lives.now).0, 4);
+}
+
+#[test]
+fn a_flow_that_opens_anew_under_its_address_and_port_is_not_told() {
+    let mut lives = with_flows(6);
+    lives.start_life();
+    assert!(lives.open(3));
+    lives.call();
+    assert!(lives.open(4), "while callers are told");
+    lives.run(3 * SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 5, 6]);
+}
+
+#[test]
+fn a_flow_that_its_caller_has_ended_is_not_told() {
+    let mut lives = with_flows(4);
+    lives.finish(2);
+    lives.start_life();
+    lives.call();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), [1, 3, 4]);
+}
+
+#[test]
+fn a_restarted_agent_takes_the_flows_of_a_live_back_end_over() {
+    let mut lives = with_flows(8);
+    let record = lives.record(&lives.life());
+    lives.run(SECOND);
+    lives.restart_agent();
+    lives.recall(record);
+    lives.call();
+    lives.run(3 * SECOND);
+    assert_eq!(lives.reset_ports(), []);
+    assert_eq!(lives.bare, [], "no packet is needed");
+    assert_eq!(lives.agent.demand(lives.now).0, 8);
+    lives.seek(3);
+    assert_eq!(lives.held, [flow_id(3)]);
+    assert_eq!(lives.agent.counters().taken_over, 8);
+}
+
+#[test]
+fn flows_that_were_taken_over_are_told_when_their_life_is_over() {
+    let mut lives = with_flows(8);
+    let record = lives.record(&lives.life());
+    lives.run(SECOND);
+    lives.restart_agent();
+    lives.recall(record);
+    lives.call();
+    open(&mut lives, 20, 2);
+    lives.start_life();
+    open(&mut lives, 30, 5);
+    lives.call();
+    lives.run(3 * SECOND);
+    let told: Vec<u16> = (1..=8).chain(20..=21).collect();
+    assert_eq!(lives.reset_ports(), told);
+}
+
+#[test]
+fn a_late_call_of_the_recorded_life_costs_nothing_but_time() {
+    let mut lives = with_flows(8);
+    let former = lives.life();
+    let record = lives.record(&former);
+    lives.start_life();
+    lives.run(SECOND);
+    lives.restart_agent();
+    lives.recall(record);
+    lives.call_of(&former);
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), []);
+    lives.call();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), Vec::from_iter(1..=8));
+}
+
+#[test]
+fn the_record_of_an_older_life_is_told_in_whichever_order_record_and_call_come() {
+    for record_first in [true, false] {
+        let mut lives = with_flows(8);
+        let record = lives.record(&lives.life());
+        lives.start_life();
+        lives.run(SECOND);
+        lives.restart_agent();
+        if record_first {
+            lives.recall(record);
+            lives.run(SECOND);
+            assert_eq!(lives.reset_ports(), []);
+            lives.call();
+        } else {
+            lives.call();
+            open(&mut lives, 20, 3);
+            lives.recall(record);
+        }
+        lives.run(SECOND);
+        assert_eq!(lives.reset_ports(), Vec::from_iter(1..=8), "{record_first}");
+    }
+}
+
+#[test]
+fn without_a_birth_the_recorded_name_alone_proves_neither() {
+    for is_new in [true, false] {
+        let mut lives = Lives::without_call(false, true);
+        lives.call();
+        open(&mut lives, 1, 8);
+        let record = lives.record(&lives.life());
+        if is_new {
+            lives.start_life();
+        }
+        lives.run(SECOND);
+        lives.restart_agent();
+        lives.recall(record);
+        lives.call();
+        lives.run(3 * SECOND);
+        let told = match is_new {
+            true => Vec::from_iter(1..=8),
+            false => Vec::new(),
+        };
+        assert_eq!(lives.reset_ports(), told);
+        assert_eq!(lives.agent.demand(lives.now).0, 0);
+    }
+}
+
+#[test]
+fn a_packet_that_is_tried_begins_the_proof_about_the_record() {
+    let mut lives = with_flows(8);
+    let record = lives.record(&lives.life());
+    lives.start_life();
+    lives.restart_agent();
+    lives.recall(record);
+    lives.try_packet(4, 50);
+    lives.run(SECOND);
+    assert_eq!(lives.agent.counters().lives_over, 1);
+    assert_eq!(lives.not_held.iter().map(port).collect::<Vec<u16>>(), [4]);
+    assert!(lives.not_held[0].was_open && lives.not_held[0].request);
+    assert_eq!(lives.reset_ports(), [1, 2, 3, 5, 6, 7, 8]);
+}
+
+#[test]
+fn balancers_that_ask_are_told_at_once() {
+    let mut lives = with_flows(100);
+    lives.start_life();
+    lives.call();
+    lives.seek(90);
+    lives.request(91);
+    lives.try_packet(92, 50);
+    let told: Vec<u16> = lives
+        .not_held
+        .iter()
+        .filter(|it| it.was_open)
+        .map(port)
+        .collect();
+    assert_eq!(told, [90, 91, 92]);
+    lives.run(SECOND);
+    let told = lives.reset_ports();
+    assert!(
+        !told.contains(&91) && !told.contains(&92),
+        "the balancer does it"
+    );
+}
+
+#[test]
+fn an_agent_that_stops_beside_a_live_back_end_tells_nobody() {
+    let mut lives = with_flows(5);
+    let mut late = lives.life();
+    late.id = "earlier".to_owned();
+    lives.agent.begin_stop(lives.now);
+    lives.call_of(&late);
+    lives.run(3 * SECOND);
+    assert_eq!(lives.reset_ports(), []);
+    assert_eq!(lives.bare, []);
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/lives.rs
@@ -0,0 +1,442 @@
+//! An agent beside lives of a back end, with callers that keep their flows.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    Contacts, FlowId, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
+    PassThroughOutput, Registration, backend_digest, service_digest,
+};
+use petrellatch_core::{EventKind, Timestamp};
+use petrellatch_proto::pass_through::{
+    ACKNOWLEDGED_STEP, Carry, CarryReason, FlowColumns, FormerFlows, NotHeld, PassThroughBody,
+    Seek, SoughtFlow, pack_address,
+};
+
+use super::codec::{TestCodec, empty, encode};
+use super::world::{COLD_BOUNDS, MILLI, ROUTE, SERVICE, caller};
+
+const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
+const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
+pub const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
+/// Between the numbers of two flows.
+const SEQUENCE_STEP: u32 = 1 << 24;
+
+/// One life of a back end.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub id: String,
+    pub born: Option<u64>,
+    pub calls: u64,
+    /// The flows that it has, by the caller's port, with their first sequence numbers.
+    pub flows: BTreeMap<u16, u32>,
+}
+
+impl Life {
+    pub fn digest(&self) -> u64 {
+        backend_digest(&self.id, self.born)
+    }
+}
+
+/// A flow as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerFlow {
+    pub sequence: u32,
+    pub was_reset: bool,
+}
+
+pub struct Lives {
+    pub now: Timestamp,
+    pub agent: PassThroughAgent<TestCodec>,
+    pub life: Option<Life>,
+    pub lives: u64,
+    /// The back end does nothing; packets wait.
+    pub frozen: bool,
+    pub waiting: VecDeque<PacketView>,
+    pub callers: BTreeMap<u16, CallerFlow>,
+    /// Resets of the agent, with their times.
+    pub resets: Vec<(Timestamp, u16)>,
+    /// What balancers were told to be gone.
+    pub not_held: Vec<NotHeld>,
+    pub held: Vec<FlowId>,
+    pub events: Vec<(EventKind, String)>,
+    /// Packets without data that the back end got, by the caller's port.
+    pub bare: Vec<u16>,
+    /// Whether a life says when it was born.
+    pub says_birth: bool,
+    /// The same name for all lives.
+    pub keeps_name: bool,
+    next_sequence: u32,
+    incarnation: u64,
+}
+
+pub fn flow_id(port: u16) -> FlowId {
+    FlowId {
+        caller: caller(port),
+        route: ROUTE,
+    }
+}
+
+/// The port of the caller of a flow that is not held.
+pub fn port(not_held: &NotHeld) -> u16 {
+    FlowId::from(not_held.flow).caller.port()
+}
+
+fn new_agent(now: Timestamp) -> PassThroughAgent<TestCodec> {
+    let settings = PassThroughAgentSettings {
+        address: AGENT,
+        zone: "a".to_owned(),
+        service: SERVICE.to_owned(),
+        first_start: false,
+        report_interval: Duration::from_millis(500),
+        silence_limit: Duration::from_secs(6),
+        provisional_limit: Duration::from_secs(2),
+        flow_lifetime: Duration::from_secs(60),
+        queue_factor: 300,
+        stop_limit: Duration::from_secs(2),
+        cold_bounds: COLD_BOUNDS,
+    };
+    let incarnation = Incarnation(now.as_micros());
+    let contacts = Contacts::new(vec![REPLICA]);
+    PassThroughAgent::new(now, settings, TestCodec, incarnation, contacts)
+}
+
+impl Lives {
+    /// An agent beside a back end that has called once.
+    pub fn new() -> Lives {
+        let mut lives = Lives::without_call(true, false);
+        lives.call();
+        lives
+    }
+
+    pub fn without_call(says_birth: bool, keeps_name: bool) -> Lives {
+        let now = Timestamp::from_millis(1_000);
+        let mut lives = Lives {
+            now,
+            agent: new_agent(now),
+            life: None,
+            lives: 0,
+            frozen: false,
+            waiting: VecDeque::new(),
+            callers: BTreeMap::new(),
+            resets: Vec::new(),
+            not_held: Vec::new(),
+            held: Vec::new(),
+            events: Vec::new(),
+            bare: Vec::new(),
+            says_birth,
+            keeps_name,
+            next_sequence: 0,
+            incarnation: now.as_micros(),
+        };
+        lives.start_life();
+        lives
+    }
+
+    /// The back end starts again, and has no flow.
+    pub fn start_life(&mut self) {
+        self.lives += 1;
+        let number = match self.keeps_name {
+            true => 1,
+            false => self.lives,
+        };
+        self.life = Some(Life {
+            id: format!("backend-{number}"),
+            born: self.says_birth.then_some(self.lives * 1_000),
+            calls: 0,
+            flows: BTreeMap::new(),
+        });
+        self.waiting.clear();
+        self.frozen = false;
+    }
+
+    pub fn life(&self) -> Life {
+        self.life.clone().expect("one runs")
+    }
+
+    /// The back end calls.
+    pub fn call(&mut self) {
+        let Some(life) = &mut self.life else { return };
+        life.calls += 1;
+        let life = life.clone();
+        self.call_of(&life);
+    }
+
+    /// A call of a life arrives, now or late.
+    pub fn call_of(&mut self, life: &Life) {
+        let call = Registration {
+            id: life.id.clone(),
+            service: SERVICE.to_owned(),
+            born: life.born,
+            call_number: life.calls,
+            capacity: 100,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        let taken = self.agent.handle_registration(self.now, &call);
+        taken.expect("it is of the agent's service");
+        self.settle();
+    }
+
+    /// A caller opens a flow, also anew under the same port. Returns whether it is open.
+    pub fn open(&mut self, port: u16) -> bool {
+        self.callers.remove(&port);
+        let opening = PacketView {
+            synchronize: true,
+            ..empty(caller(port), ROUTE)
+        };
+        self.carry(CarryReason::OpenQueued, &opening);
+        let is_open = self.callers.contains_key(&port);
+        if is_open {
+            self.acknowledge(port);
+        }
+        is_open
+    }
+
+    /// The caller acknowledges what it has.
+    pub fn acknowledge(&mut self, port: u16) {
+        let packet = self.packet(port, 0);
+        self.carry(CarryReason::Deliver, &packet);
+    }
+
+    /// The caller sends a request.
+    pub fn request(&mut self, port: u16) {
+        let packet = self.packet(port, 50);
+        self.carry(CarryReason::Deliver, &packet);
+    }
+
+    /// The caller ends its flow; the back end learns of it.
+    pub fn finish(&mut self, port: u16) {
+        let packet = PacketView {
+            finish: true,
+            ..self.packet(port, 0)
+        };
+        self.carry(CarryReason::Deliver, &packet);
+        self.callers.remove(&port);
+        if let Some(life) = &mut self.life {
+            life.flows.remove(&port);
+        }
+    }
+
+    fn packet(&self, port: u16, data_bytes: u16) -> PacketView {
+        PacketView {
+            acknowledge: true,
+            acknowledged: self.callers[&port].sequence.wrapping_add(1),
+            data_bytes,
+            ..empty(caller(port), ROUTE)
+        }
+    }
+
+    pub fn carry(&mut self, reason: CarryReason, packet: &PacketView) {
+        let carry = Carry {
+            service: service_digest(SERVICE),
+            reason: reason.into(),
+            packet: encode(packet),
+            ..Carry::default()
+        };
+        let body = PassThroughBody::Carry(carry);
+        self.agent.handle_message(self.now, BALANCER, body);
+        self.settle();
+    }
+
+    /// A balancer hands a packet to the agent to try.
+    pub fn try_packet(&mut self, port: u16, data_bytes: u16) {
+        let packet = self.packet(port, data_bytes);
+        self.carry(CarryReason::Try, &packet);
+    }
+
+    /// A balancer asks for a flow.
+    pub fn seek(&mut self, port: u16) {
+        let sought = SoughtFlow {
+            flow: flow_id(port).into(),
+            acknowledged: self.callers[&port].sequence.wrapping_add(1),
+        };
+        let seek = Seek {
+            flows: vec![sought],
+            ..Seek::default()
+        };
+        let body = PassThroughBody::Seek(seek);
+        self.agent.handle_message(self.now, BALANCER, body);
+        self.settle();
+    }
+
+    /// The agent starts again, and knows nothing.
+    pub fn restart_agent(&mut self) {
+        self.agent = new_agent(self.now);
+        self.incarnation = self.now.as_micros();
+    }
+
+    /// What a record of a life holds.
+    pub fn record(&self, life: &Life) -> FormerFlows {
+        let mut columns = FlowColumns {
+            routes: vec![pack_address(ROUTE)],
+            ..FlowColumns::default()
+        };
+        let mut witnesses = Vec::new();
+        for (port, sequence) in &life.flows {
+            columns.callers.push(pack_address(caller(*port)));
+            columns.route_places.push(0);
+            columns.sequences.push(*sequence);
+            columns.acknowledged_steps.push(1 / ACKNOWLEDGED_STEP);
+            let witness = PacketView {
+                acknowledge: true,
+                acknowledged: sequence.wrapping_add(1),
+                ..empty(caller(*port), ROUTE)
+            };
+            witnesses.push(encode(&witness));
+        }
+        FormerFlows {
+            incarnation: 0,
+            backend: life.digest(),
+            number: 1,
+            part: 0,
+            parts: 1,
+            flows: columns,
+            witnesses,
+        }
+    }
+
+    /// A replica hands a record to the agent.
+    pub fn recall(&mut self, record: FormerFlows) {
+        let record = FormerFlows {
+            incarnation: self.incarnation,
+            ..record
+        };
+        let body = PassThroughBody::FormerFlows(record);
+        self.agent.handle_message(self.now, REPLICA, body);
+        self.settle();
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now = self.now + 5 * MILLI;
+            if self.agent.poll_timeout() <= self.now {
+                self.agent.handle_timeout(self.now);
+            }
+            self.settle();
+        }
+    }
+
+    /// A frozen back end goes on.
+    pub fn thaw(&mut self) {
+        self.frozen = false;
+        while let Some(view) = self.waiting.pop_front() {
+            self.reach_backend(view);
+        }
+        self.settle();
+    }
+
+    /// Ports whose callers hold flows that the back end does not have.
+    pub fn dead(&self) -> Vec<u16> {
+        let lives = |port: &u16, flow: &CallerFlow| {
+            let life = self.life.as_ref();
+            life.and_then(|life| life.flows.get(port)) == Some(&flow.sequence)
+        };
+        let dead = self
+            .callers
+            .iter()
+            .filter(|(port, flow)| !lives(port, flow));
+        dead.map(|(port, _)| *port).collect()
+    }
+
+    pub fn reset_ports(&self) -> Vec<u16> {
+        let mut ports: Vec<u16> = self.resets.iter().map(|(_, port)| *port).collect();
+        ports.sort_unstable();
+        ports
+    }
+
+    pub fn has_event(&self, kind: EventKind) -> bool {
+        self.events.iter().any(|(it, _)| *it == kind)
+    }
+
+    fn settle(&mut self) {
+        while let Some(output) = self.agent.poll_output() {
+            match output {
+                PassThroughOutput::ToBackend(packet) => {
+                    let view = TestCodec.view(&packet).expect("a packet");
+                    match self.frozen {
+                        true => self.waiting.push_back(view),
+                        false => self.reach_backend(view),
+                    }
+                }
+                PassThroughOutput::ToCaller { packet, .. } => self.reach_caller(&packet),
+                PassThroughOutput::Send { to, body } if to == BALANCER => match body {
+                    PassThroughBody::NotHeld(not_held) => self.take_not_held(not_held),
+                    PassThroughBody::Holds(holds) => {
+                        let held = holds.flows.iter().map(|held| FlowId::from(held.flow));
+                        self.held.extend(held);
+                    }
+                    _ => {}
+                },
+                PassThroughOutput::Send { .. } => {}
+                PassThroughOutput::Event(event) => self.events.push((event.kind, event.subject)),
+            }
+        }
+    }
+
+    fn take_not_held(&mut self, not_held: NotHeld) {
+        let id = FlowId::from(not_held.flow);
+        if not_held.was_open {
+            self.assert_dead(id.caller.port(), not_held.acknowledged);
+        }
+        self.not_held.push(not_held);
+    }
+
+    /// A flow that lives must never be told as gone.
+    fn assert_dead(&self, port: u16, acknowledged: u32) {
+        let Some(flow) = self.callers.get(&port) else {
+            return;
+        };
+        let is_meant = acknowledged.wrapping_sub(flow.sequence) < SEQUENCE_STEP;
+        let is_dead = self.dead().contains(&port);
+        assert!(!is_meant || is_dead, "the flow of port {port} lives");
+    }
+
+    fn reach_caller(&mut self, packet: &[u8]) {
+        let view = TestCodec.view(packet).expect("a packet");
+        let port = view.destination.port();
+        if view.reset {
+            self.assert_dead(port, view.sequence);
+            self.resets.push((self.now, port));
+            if let Some(flow) = self.callers.get_mut(&port) {
+                flow.was_reset = true;
+            }
+        } else if view.synchronize {
+            let flow = CallerFlow {
+                sequence: view.sequence,
+                was_reset: false,
+            };
+            self.callers.insert(port, flow);
+        }
+    }
+
+    fn reach_backend(&mut self, view: PacketView) {
+        let port = view.source.port();
+        let is_bare = view.data_bytes == 0 && !view.is_opening();
+        if is_bare && !view.finish {
+            self.bare.push(port);
+        }
+        let Some(life) = &mut self.life else { return };
+        if view.is_opening() {
+            self.next_sequence = self.next_sequence.wrapping_add(SEQUENCE_STEP);
+            life.flows.insert(port, self.next_sequence);
+            let answer = PacketView {
+                synchronize: true,
+                acknowledge: true,
+                sequence: self.next_sequence,
+                ..empty(ROUTE, view.source)
+            };
+            self.agent.handle_backend_packet(self.now, &encode(&answer));
+        } else if !life.flows.contains_key(&port) {
+            let returned = PacketView {
+                returned: true,
+                ..view
+            };
+            self.agent
+                .handle_backend_packet(self.now, &encode(&returned));
+        }
+    }
+}
--- a/crates/petrellatch/src/logs/flow_story.rs
+++ b/crates/petrellatch/src/logs/flow_story.rs
@@ -12,7 +12,7 @@
 const NEARBY_MILLIS: u64 = 3_000;
 
 /// What is told about a node beside the lines of the flow itself.
-const NODE_EVENTS: [EventKind; 10] = [
+const NODE_EVENTS: [EventKind; 13] = [
     EventKind::ProcessStarted,
     EventKind::ProcessStopping,
     EventKind::AgentSuspected,
@@ -23,6 +23,9 @@
     EventKind::ConfigurationApplied,
     EventKind::BecameReady,
     EventKind::BecameUnready,
+    EventKind::LifeOver,
+    EventKind::LifeUndecided,
+    EventKind::FlowsTakenOver,
 ];
 
 /// The lines of one flow in their order, with those that explain them, what is
@@ -152,6 +155,7 @@
             EventKind::FlowSought,
             EventKind::FlowGone,
             EventKind::FlowNotFound,
+            EventKind::FlowTold,
         ];
         kinds.iter().any(|kind| is_event(line, *kind))
     });
@@ -171,6 +175,9 @@
     if is_event(outcome, EventKind::FlowNotFound) {
         return not_found(outcome);
     }
+    if is_event(outcome, EventKind::FlowTold) {
+        return told(outcome);
+    }
     if is_event(outcome, EventKind::PacketReturned) {
         return "the back end does not have the flow any more".to_owned();
     }
@@ -195,6 +202,19 @@
     format!("no back end has the flow any more, by the word of {lacks} agents; it was reset")
 }
 
+/// The agent told that the life of the back end that had the flow is over.
+fn told(outcome: &LogLine) -> String {
+    let whom = match outcome.value("cause") {
+        Some("request") => "its caller waited for an answer and was told at once",
+        Some("question") => "a balancer asked for the flow and was told",
+        _ => "its caller rested and was told before its next request",
+    };
+    format!(
+        "the back end at {} has the flow no more; {whom}",
+        outcome.node
+    )
+}
+
 /// The flow was sought until its caller gave up.
 fn not_found(outcome: &LogLine) -> String {
     let reasons = [
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -50,9 +50,14 @@
 const LINK_PACKETS_TOTAL: &str = "petrellatch_pass_through_link_packets_total";
 const LINK_WAIT_SECONDS: &str = "petrellatch_pass_through_link_wait_seconds";
 
+const FLOWS_TOLD_TOTAL: &str = "petrellatch_pass_through_flows_told_total";
+const FLOWS_TAKEN_OVER_TOTAL: &str = "petrellatch_pass_through_flows_taken_over_total";
+const PROOFS_TOTAL: &str = "petrellatch_pass_through_proofs_total";
+const PROOFS_PENDING: &str = "petrellatch_pass_through_proofs_pending";
+
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 34] = [
+pub const METRIC_NAMES: [&str; 38] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -87,6 +92,10 @@
     LINK_BYTES_TOTAL,
     LINK_PACKETS_TOTAL,
     LINK_WAIT_SECONDS,
+    FLOWS_TOLD_TOTAL,
+    FLOWS_TAKEN_OVER_TOTAL,
+    PROOFS_TOTAL,
+    PROOFS_PENDING,
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
@@ -231,6 +240,7 @@
     for (priority, total) in &counted.declined_full {
         raise(&full.with_label_values(&[&priority.to_string()]), *total);
     }
+    tell_former_flows(&registry, agent);
     tell_evacuated(&registry, usize::from(agent.is_evacuated()));
     let (busy, _) = agent.load();
     let help = "Requests that wait for their answers.";
@@ -275,6 +285,34 @@
     encode(&registry, [acceptance, sync])
 }
 
+/// What became of flows of former lives.
+fn tell_former_flows<C: PacketCodec>(registry: &Registry, agent: &PassThroughAgent<C>) {
+    let counted = agent.counters();
+    let help = "Flows whose back end died and that were told as gone, by cause.";
+    let told = counters(registry, FLOWS_TOLD_TOTAL, help, "cause");
+    for (cause, total) in [
+        ("request", counted.told_at_once),
+        ("question", counted.told_when_asked),
+        ("pace", counted.told_at_pace),
+    ] {
+        raise(&told.with_label_values(&[cause]), total);
+    }
+    let help = "Flows of a recorded former life of the agent that were taken over.";
+    let taken_over = counter(registry, FLOWS_TAKEN_OVER_TOTAL, help);
+    raise(&taken_over, counted.taken_over);
+    let help = "Proofs that a life of the back end is over, by outcome.";
+    let proofs = counters(registry, PROOFS_TOTAL, help, "outcome");
+    for (outcome, total) in [
+        ("over", counted.lives_over),
+        ("undecided", counted.lives_undecided),
+    ] {
+        raise(&proofs.with_label_values(&[outcome]), total);
+    }
+    let help = "Such proofs under way.";
+    let pending = gauge(registry, PROOFS_PENDING, help);
+    set(&pending, agent.pending_proofs());
+}
+
 /// Zones out of service: all of them, or for an agent its own one.
 fn tell_evacuated(registry: &Registry, zones: usize) {
     let evacuated = gauge(registry, ZONES_EVACUATED, "Zones out of service.");
