Log each flow that is told, and try what balancers do about it

Cause: the log named flows that were told to balancers without the balancer's packet, and nothing tried the balancer's side.

Two tests of a balancer: a search ends at once though all other agents are frozen, with the newest acknowledgement of the search; a caller that has ended its flow is not reset.

--- a/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/caller_packets.rs
@@ -35,7 +35,7 @@
             }
             CarryReason::Deliver | CarryReason::Try if self.is_gone(&view) => {
                 self.pass_on(from, &carry);
-                self.tell_gone(from, &view);
+                self.tell_gone(now, from, &view);
             }
             // It is for the agent that was at this address before.
             CarryReason::Deliver if carry.service != self.service && !self.holds(&view) => {
--- a/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
@@ -304,7 +304,7 @@
         }
         for flow in self.former.gone.take_due(now) {
             self.counters.told_at_pace += 1;
-            self.reset_caller(flow, "pace");
+            self.reset_caller(now, flow, "pace");
         }
     }
 
@@ -375,7 +375,7 @@
         if waits {
             self.former.gone.note_told(flow.id);
             self.counters.told_at_once += 1;
-            self.reset_caller(flow, "request");
+            self.reset_caller(now, flow, "request");
         }
     }
 
@@ -401,9 +401,14 @@
         self.emit_event(kind, subject);
     }
 
-    fn reset_caller(&mut self, flow: RecordedFlow, cause: &str) {
-        let subject = format!("flow={} cause={cause}", flow.id);
+    fn note_told(&mut self, now: Timestamp, id: FlowId, cause: &str) {
+        let known_for = self.former.gone.known_for(now, id).as_millis();
+        let subject = format!("flow={id} cause={cause} known_for={known_for}");
         self.emit_event(EventKind::FlowTold, subject);
+    }
+
+    fn reset_caller(&mut self, now: Timestamp, flow: RecordedFlow, cause: &str) {
+        self.note_told(now, flow.id, cause);
         self.outputs.push_back(PassThroughOutput::ToCaller {
             address: *flow.id.caller.ip(),
             packet: self.codec.reset(flow.id, flow.acknowledged),
@@ -418,7 +423,7 @@
 
     /// Tells a balancer that the flow of a packet is gone: it resets the caller if that
     /// waits for an answer, and the pace does it otherwise.
-    pub(super) fn tell_gone(&mut self, to: SocketAddrV4, view: &PacketView) {
+    pub(super) fn tell_gone(&mut self, now: Timestamp, to: SocketAddrV4, view: &PacketView) {
         let id = view.flow_from_caller();
         let waits = view.data_bytes > 0 && !view.finish;
         if waits || view.finish || view.reset {
@@ -426,15 +431,15 @@
         }
         if waits {
             self.counters.told_when_asked += 1;
+            self.note_told(now, id, "question");
         }
         self.tell_not_held(to, view, true);
     }
 
     /// Tells a balancer that a flow that it seeks is gone.
-    pub(super) fn answer_gone(&mut self, to: SocketAddrV4, sought: &SoughtFlow) {
+    pub(super) fn answer_gone(&mut self, now: Timestamp, to: SocketAddrV4, sought: &SoughtFlow) {
         self.counters.told_when_asked += 1;
-        let subject = format!("flow={} cause=question", FlowId::from(sought.flow));
-        self.emit_event(EventKind::FlowTold, subject);
+        self.note_told(now, sought.flow.into(), "question");
         let not_held = NotHeld {
             flow: sought.flow,
             acknowledged: sought.acknowledged,
--- a/crates/petrellatch-core/src/pass_through/agent/questions.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/questions.rs
@@ -21,7 +21,7 @@
         let gone = seek.flows.iter().filter(|sought| self.seeks_gone(sought));
         let gone: Vec<SoughtFlow> = gone.cloned().collect();
         for sought in &gone {
-            self.answer_gone(balancer, sought);
+            self.answer_gone(now, balancer, sought);
         }
         let (holds, lacks) = self.answer(now, seek);
         if !seek.others.is_empty() {
--- a/crates/petrellatch-core/src/pass_through/flows/gone_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/gone_flows.rs
@@ -62,6 +62,12 @@
         gone.is_some_and(|gone| gone.flow.owns(acknowledged))
     }
 
+    /// For how long it has been known that a flow is gone.
+    pub(crate) fn known_for(&self, now: Timestamp, id: FlowId) -> Duration {
+        let known_at = self.flows.get(&id).map_or(now, |gone| gone.known_at);
+        now.saturating_since(known_at)
+    }
+
     /// Notes that the caller of a flow is told, or has ended it.
     pub(crate) fn note_told(&mut self, id: FlowId) {
         if let Some(gone) = self.flows.get_mut(&id) {
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod cold_backends;
 mod daemons;
+mod dead_back_ends;
 mod edge;
 mod evacuated_flows;
 mod evacuation_orders;
--- a/crates/petrellatch/tests/logs.rs
+++ b/crates/petrellatch/tests/logs.rs
@@ -190,6 +190,21 @@
             "agent=10.1.0.4:7000 was_open=true",
             "the back end at 10.1.0.4:7000 had the flow",
         ),
+        (
+            "FlowTold",
+            "cause=question known_for=12",
+            "the back end at balancer has the flow no more; a balancer asked for the flow",
+        ),
+        (
+            "FlowTold",
+            "cause=request known_for=0",
+            "its caller waited for an answer and was told at once",
+        ),
+        (
+            "FlowTold",
+            "cause=pace known_for=180",
+            "its caller rested and was told before its next request",
+        ),
         (
             "FlowNotFound",
             "rounds=8 missing=3 expected=2 uncertain=5 tried=0 lacks=0",
