Ask for a call of another life before recorded flows without a packet are told

Cause: flows of a record have packets for a few of them only. While no agent ran, those few may have ended beside others that live; all witnesses came back, and the others were told.

Ruled out: more witnesses, which only make it rarer.

Change: such flows are told once all witnesses came back and a back end calls under another life than the recorded one. Flows are left out of the record once they are told.

Conclusion: a life without a time of birth under its old name ends only flows with a packet; the others are found out as before.

--- a/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
@@ -47,6 +47,8 @@
     proof: Option<LifeProof>,
     proofs: u32,
     next_proof_at: Timestamp,
+    /// All witnesses came back; the flows that are left have none.
+    witnesses_returned: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -123,7 +125,7 @@
     /// Begins a proof unless there is one, or there were too many.
     fn begin_proof(&mut self, now: Timestamp, witnesses: Vec<(FlowId, Vec<u8>)>) {
         let may_begin = self.proofs < MAX_RECORD_PROOFS && now >= self.next_proof_at;
-        if self.proof.is_some() || !may_begin {
+        if self.proof.is_some() || self.witnesses_returned || !may_begin {
             return;
         }
         self.proofs += 1;
@@ -153,6 +155,7 @@
             proof: None,
             proofs: 0,
             next_proof_at: now,
+            witnesses_returned: false,
         });
         if let Some(heard) = self.former.heard {
             self.compare_with_record(now, heard);
@@ -206,6 +209,7 @@
         match (is_same, is_current) {
             (true, true) if tells_lives_apart => self.take_over(now),
             (true, false) => {}
+            (false, _) if record.witnesses_returned => self.end_recorded_life(now),
             _ => self.begin_record_proof(now),
         }
     }
@@ -271,6 +275,9 @@
         let Some(gone) = gone.last() else {
             return false;
         };
+        if let Some(record) = &mut self.former.record {
+            record.record.flows.retain(|flow| flow.id != id);
+        }
         // Who has sent a packet with data is told by its balancer.
         if view.data_bytes == 0 && !view.finish {
             self.end_gone_flow(now, gone);
@@ -337,11 +344,29 @@
         };
         let proof = record.proof.take();
         record.next_proof_at = now + PROOF_PAUSE;
+        let backend = record.record.backend;
+        if !verdict.gone.is_empty() {
+            record.record.flows.clone_from(&verdict.gone);
+            record.witnesses_returned = true;
+        }
         self.note_verdict(now, "record", proof, &verdict);
-        if verdict.is_over {
-            self.former.record = None;
+        let names_another = |heard: HeardCall| heard.backend != backend;
+        let calls_as_another = self.former.heard.is_some_and(names_another);
+        match verdict.gone.is_empty() {
+            true if verdict.is_over => self.former.record = None,
+            false if calls_as_another => self.end_recorded_life(now),
+            _ => {}
         }
-        for gone in verdict.gone {
+    }
+
+    /// Tells the flows of the record that have no witness, as all witnesses came back, and a
+    /// back end calls under another life. Its call is asked for as well: flows of a life that
+    /// goes on may have ended while this agent did not run, the witnesses among them.
+    fn end_recorded_life(&mut self, now: Timestamp) {
+        let Some(recalled) = self.former.record.take() else {
+            return;
+        };
+        for gone in recalled.record.flows {
             // One that this life of the agent knows is open anew.
             if self.flows.get(gone.id).is_none() {
                 self.former.gone.add(now, gone);
--- a/crates/petrellatch-core/src/pass_through/flows/gone_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/gone_flows.rs
@@ -35,9 +35,9 @@
 }
 
 impl GoneFlows {
-    /// Notes that a flow is gone. Returns whether it is remembered.
+    /// Notes that a flow is gone. Returns whether that is new, and remembered.
     pub(crate) fn add(&mut self, now: Timestamp, flow: RecordedFlow) -> bool {
-        if self.flows.len() >= MAX_GONE {
+        if self.flows.len() >= MAX_GONE || self.contains(flow.id, flow.acknowledged) {
             return false;
         }
         let gone = GoneFlow {
--- a/crates/petrellatch-core/tests/pass_through/former_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/former_flows.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use petrellatch_core::EventKind;
+use petrellatch_proto::pass_through::FormerFlows;
 
 use super::lives::{Lives, flow_id, port};
 use super::world::MILLI;
@@ -269,6 +270,43 @@
     }
 }
 
+/// A restarted agent with a record of the life that has run, which has three witnesses.
+fn restart_with_three_witnesses(lives: &mut Lives, record: FormerFlows) {
+    let mut record = record;
+    record.witnesses.truncate(3);
+    lives.restart_agent();
+    lives.recall(record);
+}
+
+#[test]
+fn three_witnesses_and_a_call_of_another_life_end_all_recorded_flows() {
+    let mut lives = with_flows(8);
+    let record = lives.record(&lives.life());
+    lives.start_life();
+    restart_with_three_witnesses(&mut lives, record);
+    lives.try_packet(2, 0);
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 3], "nobody has called");
+    lives.call();
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), Vec::from_iter(1..=8));
+}
+
+#[test]
+fn witnesses_that_ended_while_no_agent_ran_end_no_flow_of_a_life_that_goes_on() {
+    let mut lives = Lives::without_call(false, false);
+    lives.call();
+    open(&mut lives, 1, 8);
+    let record = lives.record(&lives.life());
+    for port in 1..=3 {
+        lives.life.as_mut().expect("one runs").flows.remove(&port);
+    }
+    restart_with_three_witnesses(&mut lives, record);
+    lives.call();
+    lives.run(5 * SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 3]);
+}
+
 #[test]
 fn a_packet_that_is_tried_begins_the_proof_about_the_record() {
     let mut lives = with_flows(8);
