--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -180,11 +180,19 @@
     /// Nothing has waited for a balancer's link for a second.
     LinkClear = 538, Info;
     /// A replica has no room for the record of an agent's open flows.
-    FlowRecordRefused = 545, Warning;
+    FlowRecordRefused = 539, Warning;
     /// An agent that started knows what replicas kept of its former life's flows.
-    FormerFlowsRecalled = 546, Info;
+    FormerFlowsRecalled = 540, Info;
     /// The records of open flows can't be read or written; they are kept in memory.
-    FlowRecordsNotSaved = 547, Warning;
+    FlowRecordsNotSaved = 541, Warning;
+    /// Returned packets show that a life of a back end is over; the callers of its flows are told.
+    LifeOver = 545, Info;
+    /// Packets were handed to a back end that may be another one, and showed nothing.
+    LifeUndecided = 546, Info;
+    /// An agent took over the flows that a former life of it had recorded.
+    FlowsTakenOver = 547, Info;
+    /// A flow of a life that is over was told to its caller, or to a balancer.
+    FlowTold = 548, Info;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -43,6 +43,7 @@
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 
+use former_flows::FormerLives;
 use work_times::WorkTimes;
 
 /// Between two sweeps over the flows.
@@ -108,6 +109,18 @@
     pub tried: u64,
     /// Packets that the back end returned.
     pub returned: u64,
+    /// Flows of lives of the back end that are over: callers that waited for an answer.
+    pub told_at_once: u64,
+    /// The same: balancers that had or asked for a packet of the flow.
+    pub told_when_asked: u64,
+    /// The same: callers that waited for nothing, told at a pace.
+    pub told_at_pace: u64,
+    /// Flows of a former life of the agent that were taken over.
+    pub taken_over: u64,
+    /// Proofs that a life of the back end is over.
+    pub lives_over: u64,
+    /// Proofs that showed nothing.
+    pub lives_undecided: u64,
     /// Packets of the back end that could not be read.
     pub malformed: u64,
 }
@@ -138,6 +151,7 @@
     registration: RegistrationState,
     flows: AgentFlows,
     tried: TriedFlows,
+    former: FormerLives,
     /// Questions that this agent asks others on behalf of balancers.
     gathered: GatheredQuestions,
     started_at: Timestamp,
@@ -205,6 +219,7 @@
             contacts,
             flows: AgentFlows::default(),
             tried: TriedFlows::default(),
+            former: FormerLives::default(),
             gathered: GatheredQuestions::default(),
             started_at: now,
             had_former_life: None,
@@ -241,6 +256,11 @@
         self.stopped
     }
 
+    /// Proofs under way that a life of the back end is over.
+    pub fn pending_proofs(&self) -> usize {
+        self.former.pending()
+    }
+
     /// Counters since the start.
     pub fn counters(&self) -> &PassThroughAgentCounters {
         &self.counters
@@ -300,6 +320,7 @@
             let subject = format!("{} call={} slots={capacity}", call.id, call.call_number);
             self.emit_event(kind, subject);
         }
+        self.note_call(now, call);
         self.report_if_changed(now);
         Ok(())
     }
@@ -386,6 +407,7 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.flows.expire(now, self.settings.flow_lifetime);
             self.tried.expire(now, self.settings.flow_lifetime);
+            self.former.expire(now, self.settings.flow_lifetime);
             self.asking.expire(now);
             self.balancers
                 .retain(|_, heard| now.saturating_since(*heard) < BALANCER_MEMORY);
@@ -396,6 +418,7 @@
         if now >= self.report_at {
             self.report(now);
         }
+        self.continue_proofs(now);
         self.tell_gathered(now);
         self.serve_waiting(now);
         self.waiting_check_at = now + WAITING_CHECK_INTERVAL;
@@ -408,10 +431,12 @@
         let first = self.sweep_at.min(self.report_at);
         let first = waiting.map_or(first, |at| at.min(first));
         let recall = self.recall.as_ref().map(FormerRecall::poll_timeout);
-        let first = recall.map_or(first, |at| at.min(first));
-        self.gathered
-            .poll_timeout()
-            .map_or(first, |at| at.min(first))
+        let others = [
+            recall,
+            self.gathered.poll_timeout(),
+            self.former.poll_timeout(),
+        ];
+        others.into_iter().flatten().fold(first, Timestamp::min)
     }
 
     /// The next thing to do.
--- a/crates/petrellatch-core/src/pass_through/flows/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/mod.rs
@@ -12,5 +12,7 @@
 pub(crate) mod former_flows;
 pub(crate) mod former_recall;
 pub(crate) mod gathered_questions;
+pub(crate) mod gone_flows;
+pub(crate) mod life_proof;
 pub(crate) mod seek_budget;
 pub(crate) mod tried_flows;
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -41,7 +41,7 @@
     ConfigurationNode, ConfigurationNodeLatencies, ConfigurationNodeSettings, ConfigurationOutput,
     ConfigurationRequest, ConfigurationResponse, ZoneOrderRefusal, node_address, node_at,
 };
-pub use digest::service_digest;
+pub use digest::{backend_digest, service_digest};
 pub use flows::flow_recorder::{FlowRecordFigures, FlowRecordSettings};
 pub use flows::former_recall::RecallOutcome;
 pub use group::contacts::Contacts;
