--- a/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
@@ -144,7 +144,7 @@
 }
 
 impl<C: PacketCodec> PassThroughAgent<C> {
-    /// Takes the record of a former life of this agent. Called once after the start.
+    /// Takes the record of a former life of this agent, in place of an older one.
     pub(super) fn take_former_record(&mut self, now: Timestamp, record: FormerRecord) {
         if record.flows.is_empty() {
             return;
--- a/crates/petrellatch-core/src/pass_through/agent/recording.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/recording.rs
@@ -77,8 +77,12 @@
         if answer.incarnation != self.incarnation.0 {
             return;
         }
-        if let Some(recall) = &mut self.recall {
-            recall.handle_answer(now, from, answer);
+        let Some(recall) = &mut self.recall else {
+            return;
+        };
+        recall.handle_answer(now, from, answer);
+        if let Some(record) = recall.take_newer() {
+            self.take_former_record(now, record);
         }
         self.continue_recall(now);
     }
@@ -90,7 +94,7 @@
         };
         let known = self.contacts.all();
         if let Some(end) = recall.poll_end(now, &known) {
-            self.end_recall(now, end);
+            self.end_recall(end);
             return;
         }
         let question = RecallFlows {
@@ -103,15 +107,15 @@
         self.recall = Some(recall);
     }
 
-    fn end_recall(&mut self, now: Timestamp, end: RecallEnd) {
-        let (flows, number) = (end.record.flows.len(), end.number);
-        let outcome = end.outcome;
+    fn end_recall(&mut self, end: RecallEnd) {
+        let RecallEnd {
+            outcome,
+            number,
+            flows,
+        } = end;
         let subject = format!("outcome={outcome:?} flows={flows} number={number}");
         self.emit_event(EventKind::FormerFlowsRecalled, subject);
         self.recall_outcome = Some(outcome);
         self.recorder.continue_from(number);
-        if outcome == RecallOutcome::Recalled {
-            self.take_former_record(now, end.record);
-        }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/flows/former_recall.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/former_recall.rs
@@ -43,7 +43,8 @@
     pub(crate) outcome: RecallOutcome,
     /// Number of the record.
     pub(crate) number: u64,
-    pub(crate) record: FormerRecord,
+    /// Flows in it.
+    pub(crate) flows: usize,
 }
 
 #[derive(Debug)]
@@ -64,6 +65,8 @@
     first_record_at: Option<Timestamp>,
     answers: BTreeMap<SocketAddrV4, Answer>,
     best: Option<(u64, FormerRecord)>,
+    /// Number of the record that was handed over last.
+    handed_over: u64,
 }
 
 impl FormerRecall {
@@ -75,6 +78,7 @@
             first_record_at: None,
             answers: BTreeMap::new(),
             best: None,
+            handed_over: 0,
         }
     }
 
@@ -143,6 +147,17 @@
         }
     }
 
+    /// The newest record so far, if it is newer than the one that was handed over before:
+    /// whoever waits for it need not wait for the end.
+    pub(crate) fn take_newer(&mut self) -> Option<FormerRecord> {
+        let (number, record) = self.best.as_ref()?;
+        if *number <= self.handed_over {
+            return None;
+        }
+        self.handed_over = *number;
+        Some(record.clone())
+    }
+
     fn is_complete(&self, address: &SocketAddrV4) -> bool {
         matches!(self.answers.get(address), Some(Answer::Complete))
     }
@@ -168,11 +183,11 @@
             (None, Some(_)) => RecallOutcome::NoRecord,
             (None, None) => RecallOutcome::Unanswered,
         };
-        let (number, record) = self.best.take().unwrap_or_default();
+        let best = self.best.as_ref();
         Some(RecallEnd {
             outcome,
-            number,
-            record,
+            number: best.map_or(0, |(number, _)| *number),
+            flows: best.map_or(0, |(_, record)| record.flows.len()),
         })
     }
 }
--- a/crates/petrellatch-core/tests/pass_through/flow_record.rs
+++ b/crates/petrellatch-core/tests/pass_through/flow_record.rs
@@ -218,8 +218,8 @@
     world.run(4 * SECOND);
     assert_eq!(
         world.kept_at(replica(3)),
-        [77],
-        "the new life's takes its place"
+        [1, 2, 3, 4, 5, 77],
+        "the new life's takes its place, with the flows that it took over"
     );
 }
 
@@ -284,7 +284,8 @@
     world.run(4 * SECOND);
     assert!(!world.changes.is_empty());
     assert!(world.changes.iter().all(|(_, _, it)| it.number > former));
-    assert_eq!(world.kept_at(replica(2)), [9]);
+    // The back end lives on: its flows are taken over, and told again.
+    assert_eq!(world.kept_at(replica(2)), [1, 2, 3, 4, 5, 9]);
 }
 
 #[test]
--- a/crates/petrellatch-core/tests/pass_through/lives.rs
+++ b/crates/petrellatch-core/tests/pass_through/lives.rs
@@ -6,8 +6,8 @@
 
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
-    Contacts, FlowId, PacketCodec, PacketView, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughOutput, Registration, backend_digest, service_digest,
+    Contacts, FlowId, FlowRecordSettings, PacketCodec, PacketView, PassThroughAgent,
+    PassThroughAgentSettings, PassThroughOutput, Registration, backend_digest, service_digest,
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
@@ -95,6 +95,7 @@
         provisional_limit: Duration::from_secs(2),
         flow_lifetime: Duration::from_secs(60),
         queue_factor: 300,
+        flow_record: FlowRecordSettings::default(),
         stop_limit: Duration::from_secs(2),
         cold_bounds: COLD_BOUNDS,
     };
