End the search for a flow that its caller has ended, and name who is missing

Cause: a search for a flow that nobody has ends with a reset, or with its caller's silence. A caller that has ended the flow waits for nothing, so no reset was sent, and it went on saying the end: agents were asked for up to 37 rounds. The lines counted the agents that hold a verdict up and did not name them.

Ruled out: ending it at the first round whatever the directory is, as a flow that lives behind an agent not yet known would wait for its caller's next copy; ending it while an agent that should answer is silent, for the same reason.

Change: if the caller has ended the flow, all that should answer are certain that they lack it, and the directory is whole or three rounds have passed, the search is over without a reset and without a line. FlowNotFound and FlowGone name the first three agents that are missing, those that hold the verdict up before others.

--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -128,6 +128,9 @@
             SearchStep::AskAll => self.searches.ask_all(flow),
             SearchStep::Try(agents) => self.try_agents(flow, &agents),
             SearchStep::Gone => self.reset_gone(now, flow),
+            SearchStep::Ended => {
+                self.searches.remove(flow);
+            }
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_search.rs
@@ -27,6 +27,12 @@
 pub(super) const ROUND: Duration = Duration::from_millis(60);
 /// The time between two rounds doubles so often at most.
 const MAX_ROUND_DOUBLINGS: u32 = 3;
+/// A search for a flow that its caller has ended waits for so many rounds for a whole
+/// directory. Its back end may wait for the end; if it is not found, the caller says the
+/// end again.
+const ENDED_ROUNDS: u32 = 3;
+/// Agents that are missing and named in the log.
+const MAX_NAMED: usize = 3;
 /// A search whose caller was silent for so long is over.
 const SEARCH_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -77,6 +83,9 @@
     Try(Vec<SocketAddrV4>),
     /// No back end has the flow.
     Gone,
+    /// Its caller has ended the flow, and nobody who answers has it: nobody waits to be
+    /// told.
+    Ended,
 }
 
 /// Whom a search asks.
@@ -307,6 +316,9 @@
                 false => SearchStep::Wait,
             };
         }
+        if self.ended && missing == 0 && self.is_end_settled(whole_directory) {
+            return SearchStep::Ended;
+        }
         let may_reset = self.awaits_answer && !self.ended && !self.may_be_at_silent_agent();
         match is_complete && tried == 0 && may_reset {
             true => SearchStep::Gone,
@@ -314,6 +326,14 @@
         }
     }
 
+    /// Whether nobody who answers has a flow that its caller has ended.
+    fn is_end_settled(&self, whole_directory: bool) -> bool {
+        let has_waited = whole_directory || self.rounds >= ENDED_ROUNDS;
+        let some_lack = self.count(SearchAnswer::Lacks) > 0;
+        let none_tried = self.count(SearchAnswer::Tried) == 0;
+        has_waited && some_lack && none_tried && self.most_have_answered()
+    }
+
     /// How many agents have given this answer.
     fn count(&self, answer: SearchAnswer) -> usize {
         let agents = self.agents.values();
@@ -360,11 +380,26 @@
         let lacks = self.count(SearchAnswer::Lacks);
         let rounds = self.rounds;
         let expected = self.expected();
+        let named = self.missing_names();
         format!(
-            "rounds={rounds} missing={missing} expected={expected} uncertain={uncertain} tried={tried} lacks={lacks}"
+            "rounds={rounds} missing={missing} expected={expected} uncertain={uncertain} tried={tried} lacks={lacks}{named}"
         )
     }
 
+    /// The first agents that are missing: those that hold a verdict up before others.
+    fn missing_names(&self) -> String {
+        let is_missing = |agent: &AskedAgent| agent.answer == SearchAnswer::Missing;
+        let missing = self.agents.iter().filter(|(_, agent)| is_missing(agent));
+        let mut missing: Vec<_> = missing.collect();
+        missing.sort_by_key(|(_, agent)| (!agent.has_backend, !agent.is_expected));
+        let names = missing.iter().take(MAX_NAMED);
+        let names: Vec<String> = names.map(|(address, _)| address.to_string()).collect();
+        match names.is_empty() {
+            true => String::new(),
+            false => format!(" missing_agents={}", names.join(",")),
+        }
+    }
+
     /// What the caller waits for, for the log: without an answer to wait for,
     /// or once it has ended the flow, nobody is told that the flow is gone.
     pub(crate) fn caller_summary(&self) -> String {
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -6,6 +6,7 @@
 mod cold_backends;
 mod daemons;
 mod edge;
+mod ended_flows;
 mod evacuated_flows;
 mod evacuation_orders;
 mod failing_backends;
