Expect the agents that replicas remember, and repeat an agent's last word

Cause: a replica that had started took its directory for whole once it had listened for the report interval of all agents, 1.2 s at 56 and 14 s at 690, and until then no dead flow was told. And an agent's last word was one datagram to each replica, from a process that ended with it; if its report was due at the moment at which it found out that no back end called, the log did not say so either (BackendSilent came from another place than the report).

Ruled out: each replica by its own memory (one that was down while an agent joined would leave it out, and live flows were reset); agents in the replicated log (an entry for each start); digests of memories (they differ while agents come and go).

One that starts asks the other members what they remember, and takes its directory for whole once it has all agents of a majority of memories and 200 ms for young ones have passed; time stays the way where a memory is missing or an agent stays away. Agents report every 60 ms until a majority has said that they are saved. Remembered agents that did not restart are told, 256 each 20 ms, and report at once. A stopping agent repeats its last word every 30 ms until a replica answers that report, for 300 ms within the limit of the stop, and logs what it found out.

Conclusion: a verdict after a loss of power no longer waits for the number of agents.

--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -9,7 +9,7 @@
 mod stopping;
 mod work_times;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -39,6 +39,8 @@
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 
+pub(crate) use reports::YOUNG_REPORTS;
+use stopping::LastWord;
 use work_times::WorkTimes;
 
 /// Between two sweeps over the flows.
@@ -140,13 +142,18 @@
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
+    reported_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
     /// Between two reports without news.
     report_interval: Duration,
     /// Whether no replica has shown that it heard of the reported state.
     unheard: bool,
+    /// Replicas that will know of this agent in their next lives.
+    remembered_by: BTreeSet<SocketAddrV4>,
     stop_at: Option<Timestamp>,
+    /// The last word that is repeated until a replica has heard it.
+    last_word: Option<LastWord>,
     stopped: bool,
     /// It has stopped, and its back end certainly has no open flow.
     leaves_nothing: bool,
@@ -197,10 +204,13 @@
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
+            reported_at: Timestamp::ZERO,
             sweep_at: now + SWEEP_INTERVAL,
             reported_state: AgentState::Empty,
             unheard: true,
+            remembered_by: BTreeSet::new(),
             stop_at: None,
+            last_word: None,
             stopped: false,
             leaves_nothing: false,
             counters: PassThroughAgentCounters::default(),
@@ -333,11 +343,16 @@
             *self.had_former_life.get_or_insert(false) |= group.had_former_life;
             self.note_report_interval(group.report_interval_millis);
             self.unheard = false;
+            self.note_last_word_heard(group.answered_report);
         }
-        match has_more {
+        if group.remembered {
+            self.remembered_by.insert(from);
+        }
+        match has_more || self.owes_report(now, group) {
             true => self.report(now),
             false => self.report_if_changed(now),
         }
+        self.continue_stop(now);
     }
 
     /// Takes orders about zones, if they are newer, and says that they are known.
@@ -389,6 +404,7 @@
         let waiting = (!self.waiting.is_empty()).then_some(self.waiting_check_at);
         let first = self.sweep_at.min(self.report_at);
         let first = waiting.map_or(first, |at| at.min(first));
+        let first = self.last_word_until().map_or(first, |at| at.min(first));
         self.gathered
             .poll_timeout()
             .map_or(first, |at| at.min(first))
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    AgentState, LoadMessage, PassThroughBody, Report, pack_address,
+    AgentState, Group, LoadMessage, PassThroughBody, Report, pack_address,
 };
 
 use super::PassThroughAgent;
@@ -16,6 +16,19 @@
 /// The same after the start, when replicas may start as well.
 const FIRST_REPORT_INTERVAL: Duration = Duration::from_millis(20);
 const FIRST_REPORTS: u64 = 10;
+/// Between two reports of an agent that most replicas would not miss if they started
+/// again: they would take their directories for whole without it. It grows with the
+/// number of agents, as replicas bear no more.
+const YOUNG_REPORT_INTERVAL: Duration = Duration::from_millis(60);
+/// So many of those come into the time between two reports without news.
+pub(crate) const YOUNG_REPORTS: u32 = 300;
+/// An agent is young for so long at most: then the replicas' disks have failed, or
+/// most replicas.
+const YOUNG_LIMIT: Duration = Duration::from_secs(5);
+/// A replica that asks for a report got one if it was made so shortly before.
+const SAME_REPORT: Duration = Duration::from_millis(20);
+/// Between two reports of the last word.
+const LAST_WORD_INTERVAL: Duration = Duration::from_millis(30);
 /// The longest time between two reports that a replica may ask for.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
 
@@ -51,10 +64,6 @@
         if state == self.reported_state {
             return;
         }
-        if state == AgentState::Empty {
-            let service = self.settings.service.clone();
-            self.emit_event(EventKind::BackendSilent, service);
-        }
         self.report(now);
     }
 
@@ -65,17 +74,46 @@
         self.report_interval = told.max(self.settings.report_interval);
     }
 
+    fn time_to_next_report(&self, now: Timestamp) -> Duration {
+        let is_young = now.saturating_since(self.started_at) < YOUNG_LIMIT;
+        match self.unheard {
+            _ if self.last_word.is_some() => LAST_WORD_INTERVAL,
+            true if self.report_number <= FIRST_REPORTS => FIRST_REPORT_INTERVAL,
+            true => URGENT_REPORT_INTERVAL,
+            false if is_young && !self.is_remembered() => {
+                let interval = YOUNG_REPORT_INTERVAL.max(self.report_interval / YOUNG_REPORTS);
+                interval.min(self.report_interval)
+            }
+            false => self.report_interval,
+        }
+    }
+
+    /// Whether most replicas remember this agent: any two majorities have a replica in
+    /// common.
+    fn is_remembered(&self) -> bool {
+        let replicas = self.contacts.all();
+        let remembering = self.remembered_by.intersection(&replicas);
+        remembering.count() * 2 > replicas.len()
+    }
+
+    /// Whether a replica asks for a report that it can't have got.
+    pub(super) fn owes_report(&self, now: Timestamp, group: &Group) -> bool {
+        let is_recent = now.saturating_since(self.reported_at) < SAME_REPORT;
+        group.wants_report && !is_recent
+    }
+
     pub(super) fn report(&mut self, now: Timestamp) {
         self.report_number += 1;
         let state = self.state(now);
-        self.unheard |= state != self.reported_state;
+        let is_news = state != self.reported_state;
+        if is_news && state == AgentState::Empty && !self.leaves_nothing {
+            let service = self.settings.service.clone();
+            self.emit_event(EventKind::BackendSilent, service);
+        }
+        self.unheard |= is_news;
         self.reported_state = state;
-        let interval = match self.unheard {
-            true if self.report_number <= FIRST_REPORTS => FIRST_REPORT_INTERVAL,
-            true => URGENT_REPORT_INTERVAL,
-            false => self.report_interval,
-        };
-        self.report_at = now + interval;
+        self.reported_at = now;
+        self.report_at = now + self.time_to_next_report(now);
         let report = Report {
             address: pack_address(self.settings.address),
             incarnation: self.incarnation.0,
@@ -85,7 +123,10 @@
             state: state.into(),
             load: self.load_message(now),
             leaving: self.registration.leaving(),
-            interval_millis: self.report_interval.as_millis() as u32,
+            interval_millis: match self.last_word {
+                Some(_) => 0,
+                None => self.report_interval.as_millis() as u32,
+            },
             evacuations_index: self.evacuations.index(),
         };
         for replica in self.contacts.all() {
--- a/crates/petrellatch-core/src/pass_through/agent/stopping.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/stopping.rs
@@ -1,6 +1,7 @@
 //! A planned stop.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use petrellatch_proto::pass_through::{AgentState, HeldFlow, Holds, PassThroughBody};
 
@@ -10,6 +11,18 @@
 
 /// Flows in one message about held flows.
 const HELD_FLOWS_PER_MESSAGE: usize = 200;
+/// For so long, within the limit of the stop, the last word is repeated if no replica
+/// shows that it heard it: it may be lost, and replicas may start just then.
+const LAST_WORD_LIMIT: Duration = Duration::from_millis(300);
+
+/// What an agent that has stopped repeats.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LastWord {
+    /// Number of the first report with it.
+    number: u64,
+    until: Timestamp,
+    is_heard: bool,
+}
 
 impl<C: PacketCodec> PassThroughAgent<C> {
     /// Begins a planned stop: no new flows, and an end once the open ones are over and
@@ -24,15 +37,37 @@
 
     pub(super) fn continue_stop(&mut self, now: Timestamp) {
         let Some(stop_at) = self.stop_at else { return };
+        if let Some(word) = self.last_word {
+            self.stopped |= word.is_heard || now >= word.until;
+            return;
+        }
         let must_stay = self.flows.unfinished() > 0 || self.awaits_backend(now);
-        if self.stopped || (now < stop_at && must_stay) {
+        if now < stop_at && must_stay {
             return;
         }
-        self.stopped = true;
         self.leave_flows();
         self.leaves_nothing = self.flows.unfinished() == 0 && self.knows_all_flows(now);
-        // The last word: balancers wait for the answers of one that may have flows.
+        // Balancers wait for the answers of one that may have flows.
+        self.last_word = Some(LastWord {
+            number: self.report_number + 1,
+            until: stop_at.min(now + LAST_WORD_LIMIT),
+            is_heard: false,
+        });
         self.report(now);
+        self.stopped = now >= stop_at;
+    }
+
+    /// Notes that a replica has answered a report. One that does not say which answers
+    /// the latest one.
+    pub(super) fn note_last_word_heard(&mut self, answered_report: u64) {
+        if let Some(word) = &mut self.last_word {
+            word.is_heard |= answered_report == 0 || answered_report >= word.number;
+        }
+    }
+
+    /// When the last word is given up.
+    pub(super) fn last_word_until(&self) -> Option<Timestamp> {
+        self.last_word.map(|word| word.until)
     }
 
     /// Whether nothing was heard of the back end yet: it may live and have flows that
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -169,6 +169,7 @@
             wants_configuration: false,
             attached: false,
             evacuations_index: self.evacuations.index(),
+            wants_remembered: false,
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -8,16 +8,20 @@
         let agent = report.address;
         let lacks_zones = report.evacuations_index < self.evacuations().index_of(&report.zone);
         let known_zones = report.evacuations_index;
+        let answered_report = report.sequence;
+        let is_last = report.interval_millis == 0;
         let news = self.followers.handle_report(now, report);
         if news {
             let at = now + DIRECTORY_DELAY;
             self.directory_at = Some(self.directory_at.map_or(at, |due| due.min(at)));
         }
-        if news || wants_group || lacks_zones {
+        if news || wants_group || lacks_zones || is_last {
             let group = Group {
                 leaving: self.followers.leaving(agent),
                 had_former_life: self.followers.had_former_life(agent),
                 answers_report: true,
+                answered_report,
+                remembered: self.daemon_memory.remembers(now, agent),
                 ..self.group_with_zones(now, known_zones)
             };
             self.send(from, PassThroughBody::Group(group));
@@ -25,6 +29,10 @@
     }
 
     pub(super) fn handle_follow(&mut self, now: Timestamp, from: SocketAddrV4, follow: &Follow) {
+        if follow.wants_remembered {
+            self.tell_remembered(now, from);
+            return;
+        }
         if follow.leaving {
             self.followers.forget_follower(from);
             return;
@@ -77,6 +85,11 @@
             had_former_life: false,
             answers_report: false,
             zones: None,
+            answered_report: 0,
+            remembered: false,
+            wants_report: false,
+            remembered_agents: Vec::new(),
+            remembered_count: 0,
         }
     }
 
@@ -134,8 +147,8 @@
         let serves = self.serves(now);
         if serves && !self.served {
             let group = self.group(now);
-            let own = self.replica.id().node.0;
-            let former = self.daemon_memory.take_untold(own, &group.replicas);
+            let former = self.daemon_memory.take_untold_balancers();
+            self.memory_exchange.tell_agents(now);
             let followers: BTreeSet<SocketAddrV4> = self
                 .followers
                 .followers()
@@ -152,18 +165,28 @@
     /// Has the addresses of daemons saved for the next life.
     pub(super) fn save_daemons(&mut self, now: Timestamp) {
         let followers = &self.followers;
-        let current = || remembered(followers.followers(), followers.agents());
+        let current = || remembered(followers.followers(), followers.agents_to_remember());
         if let Some(bytes) = self.daemon_memory.save(now, current) {
             self.outputs.push_back(ConfigurationOutput::Remember(bytes));
         }
     }
 
-    /// Tells the followers once the directory is whole.
+    /// Tells the followers once the directory is whole, and after they were told of all
+    /// agents in it.
     pub(super) fn tell_whole(&mut self, now: Timestamp) {
-        if self.told_whole || !self.followers.is_whole(now) {
+        if self.told_whole || self.directory_at.is_some() {
+            self.whole_check_at = None;
+            return;
+        }
+        let members = self.replica.membership().members().len();
+        self.followers.expected_mut().set_members(members);
+        self.followers.check_expected(now);
+        if !self.followers.is_whole(now) {
+            self.whole_check_at = Some(self.followers.whole_at(now));
             return;
         }
         self.told_whole = true;
+        self.whole_check_at = None;
         let group = self.group(now);
         for follower in self.followers.followers() {
             self.send(follower, PassThroughBody::Group(group.clone()));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -3,6 +3,7 @@
 mod balancer_news;
 mod calls;
 mod directory_fetch;
+mod memory_exchange;
 mod own_zone;
 mod replica_outputs;
 mod requests;
@@ -46,6 +47,7 @@
 pub use settings::ConfigurationNodeSettings;
 
 use directory_fetch::DirectoryFetch;
+use memory_exchange::MemoryExchange;
 use zone_news::ZoneNews;
 use zone_orders::WaitingZoneOrders;
 
@@ -97,11 +99,14 @@
     zone_tellings: u32,
     directory_at: Option<Timestamp>,
     directory_fetch: DirectoryFetch,
+    memory_exchange: MemoryExchange,
     /// The replica whose directory was taken over, until it has said whether
     /// that is whole.
     took_over_from: Option<SocketAddrV4>,
     /// Whether balancers were told that the directory is whole.
     told_whole: bool,
+    /// When to look whether it is.
+    whole_check_at: Option<Timestamp>,
     /// Whether this replica heard a leader at the latest input.
     served: bool,
     latencies: ConfigurationNodeLatencies,
@@ -155,8 +160,10 @@
             daemon_memory: DaemonMemory::new(now),
             directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
+            memory_exchange: MemoryExchange::new(now),
             took_over_from: None,
             told_whole: false,
+            whole_check_at: Some(now),
             served: false,
             latencies: ConfigurationNodeLatencies::default(),
             sweep_at: now + SWEEP_INTERVAL,
@@ -170,7 +177,10 @@
     /// Takes what a former life asked to be remembered. Returns whether it could
     /// be read.
     pub fn recall_daemons(&mut self, saved: &[u8]) -> bool {
-        self.daemon_memory.recall(saved)
+        let is_readable = self.daemon_memory.recall(saved);
+        let agents = self.daemon_memory.saved_agents();
+        self.followers.expected_mut().recall(agents);
+        is_readable
     }
 
     /// The replica of the log.
@@ -227,6 +237,7 @@
             PassThroughBody::Consensus(bytes) => self.handle_consensus(now, from, &bytes),
             PassThroughBody::Group(group) => {
                 self.note_whole_takeover(from, &group);
+                self.note_remembered(from, &group);
                 self.contacts.handle_group(&group);
                 self.apply_contacts();
             }
@@ -301,7 +312,8 @@
         self.tell_own_zone(now);
         self.save_daemons(now);
         self.fetch_directory(now);
-        self.tell_whole(now);
+        self.ask_for_memories(now);
+        self.tell_former_agents(now);
         self.expire_requests(now);
         self.continue_stop(now);
         self.drain(now);
@@ -318,7 +330,8 @@
             self.zone_news.poll_timeout(),
             Some(self.zone_told_at),
             self.directory_fetch.poll_timeout(),
-            (!self.told_whole).then(|| self.followers.whole_at()),
+            self.memory_exchange.poll_timeout(),
+            self.whole_check_at,
             self.stop_at,
         ];
         let first = timers.into_iter().flatten().min();
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -12,6 +12,7 @@
         self.push_news();
         self.tell_balancers_of_zones(now);
         self.tell_return(now);
+        self.tell_whole(now);
     }
 
     fn carry_out(&mut self, now: Timestamp, output: ReplicaOutput) {
--- a/crates/petrellatch-core/src/pass_through/group/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
+    AgentState, ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
     MAX_PART_BYTES, PassThroughBody, Report, unpack_address,
 };
 use prost::Message;
@@ -13,6 +13,8 @@
 use crate::time::Timestamp;
 
 use super::evacuations::Evacuations;
+use super::expected_agents::ExpectedAgents;
+use crate::pass_through::agent::YOUNG_REPORTS;
 use crate::pass_through::routes::change_assembly::{PartAssembly, compress, split};
 use crate::pass_through::routes::configuration::Configuration;
 
@@ -81,6 +83,14 @@
     told_at: Timestamp,
 }
 
+/// An agent that is not heard any more.
+#[derive(Debug)]
+struct FormerAgent {
+    since: Timestamp,
+    /// It has said its last word: only another life, which is young then, may come back.
+    has_stopped: bool,
+}
+
 /// Soft state of a replica: who follows it, and which agents there are.
 #[derive(Debug, Default)]
 pub(crate) struct Followers {
@@ -88,14 +98,16 @@
     agents: BTreeMap<u64, ReportedAgent>,
     /// Back ends that leave, by the address of their agent, for its next lives.
     leaving: BTreeMap<u64, LeavingBackends>,
-    /// Addresses of agents that are not heard any more, and since when.
-    former: BTreeMap<u64, Timestamp>,
+    /// Agents that are not heard any more, by their addresses.
+    former: BTreeMap<u64, FormerAgent>,
+    /// Those that were there before this life.
+    expected: ExpectedAgents,
     changes: VecDeque<ConfigurationChange>,
     started_at: Timestamp,
     /// The longest time between two reports that an agent told.
     told_interval: Duration,
-    /// A directory was taken over that was whole.
-    took_over_whole: bool,
+    /// A directory was taken over that was whole, or all that were there before are known.
+    is_known_whole: bool,
     /// What another replica tells after the start.
     fetched: PartAssembly,
     /// Revision of the directory: changes of this life in the lower half.
@@ -110,6 +122,7 @@
     pub(crate) fn new(now: Timestamp, life: u32) -> Self {
         Followers {
             started_at: now,
+            expected: ExpectedAgents::new(now),
             revision: u64::from(life.max(1)) << 32,
             ..Followers::default()
         }
@@ -119,21 +132,70 @@
         self.revision
     }
 
-    /// Whether every agent that runs is in the directory: each has reported
-    /// since the start, or another replica told of all.
+    /// Whether every agent that runs is in the directory: all that were there before
+    /// are known, or each has had the time to report since the start, or another replica
+    /// told of all.
     pub(crate) fn is_whole(&self, now: Timestamp) -> bool {
-        self.took_over_whole || now >= self.whole_at()
+        self.is_known_whole || now >= self.all_reported_at()
     }
 
-    /// When all agents have reported.
-    pub(crate) fn whole_at(&self) -> Timestamp {
-        let interval = self.told_interval.max(MIN_REPORT_INTERVAL);
+    /// Notes it if all that were there before are known by now.
+    pub(crate) fn check_expected(&mut self, now: Timestamp) {
+        let young_interval = self.longest_interval() / YOUNG_REPORTS;
+        self.is_known_whole |= self.expected.are_heard(now, young_interval);
+    }
+
+    /// When to look whether the directory is whole, if nothing is heard.
+    pub(crate) fn whole_at(&self, now: Timestamp) -> Timestamp {
+        let young_interval = self.longest_interval() / YOUNG_REPORTS;
+        let settled_at = self.expected.settled_at(young_interval);
+        let may_settle = self.expected.has_memory() && now < settled_at;
+        match may_settle {
+            true => settled_at.min(self.all_reported_at()),
+            false => self.all_reported_at(),
+        }
+    }
+
+    /// When all agents have reported, whether this replica expects them or not.
+    fn all_reported_at(&self) -> Timestamp {
+        let interval = self.longest_interval().max(MIN_REPORT_INTERVAL);
         self.started_at + interval + REPORT_DELAY
     }
 
+    /// The longest time that agents take between two reports: by their own word, and as
+    /// replicas told them when all that are remembered were there.
+    fn longest_interval(&self) -> Duration {
+        let remembered = interval_of(self.expected.count());
+        self.told_interval.max(remembered)
+    }
+
+    /// The agents that were there before this life.
+    pub(crate) fn expected_mut(&mut self) -> &mut ExpectedAgents {
+        &mut self.expected
+    }
+
+    pub(crate) fn expected(&self) -> &ExpectedAgents {
+        &self.expected
+    }
+
+    /// Agents to expect after the next start: those that are listed, unless they left no
+    /// flows for certain, and those that fell silent without a last word, as they may be cut
+    /// off.
+    pub(crate) fn agents_to_remember(&self) -> BTreeSet<u64> {
+        let agents = self.agents.iter();
+        let agents = agents.filter(|(_, agent)| !agent.is_gone());
+        let former = self.former.iter().filter(|(_, former)| !former.has_stopped);
+        let agents = agents.map(|(address, _)| *address);
+        let former = former.map(|(address, _)| *address);
+        agents
+            .chain(former)
+            .chain(self.expected.awaited())
+            .collect()
+    }
+
     /// Notes that the directory that was taken over is whole.
     pub(crate) fn note_whole(&mut self) {
-        self.took_over_whole = true;
+        self.is_known_whole = true;
     }
 
     pub(crate) fn note_follower(&mut self, now: Timestamp, address: SocketAddrV4) {
@@ -148,17 +210,13 @@
         self.followers.keys().copied().collect()
     }
 
-    /// Addresses of the agents that report.
-    pub(crate) fn agents(&self) -> impl Iterator<Item = u64> + '_ {
-        self.agents.keys().copied()
-    }
-
     /// Takes a report. Returns whether balancers should know at once.
     pub(crate) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
         let leaving = std::mem::take(&mut report.leaving);
         let interval = Duration::from_millis(u64::from(report.interval_millis));
         self.told_interval = self.told_interval.max(interval.min(MAX_REPORT_INTERVAL));
         self.note_leaving(now, report.address, leaving);
+        self.expected.note_heard(report.address);
         let known = self.agents.get(&report.address);
         if let Some(known) = known {
             let same_life = known.report.incarnation == report.incarnation;
@@ -211,6 +269,7 @@
         let Some(change) = change else { return false };
         for entry in change.agents {
             let address = entry.report.address;
+            self.expected.note_heard(address);
             if self.agents.contains_key(&address) {
                 continue;
             }
@@ -319,18 +378,24 @@
             .map(|(address, _)| *address)
             .collect();
         for address in gone {
-            self.agents.remove(&address);
-            self.former.insert(address, now);
+            let agent = self.agents.remove(&address);
+            let former = FormerAgent {
+                since: now,
+                has_stopped: agent.is_some_and(|agent| agent.has_stopped()),
+            };
+            self.former.insert(address, former);
             self.touch(address);
         }
         self.former
-            .retain(|_, since| now.saturating_since(*since) < FORMER_MEMORY);
+            .retain(|_, former| now.saturating_since(former.since) < FORMER_MEMORY);
+        if now >= self.all_reported_at() {
+            self.expected.expire(now);
+        }
     }
 
     /// The time between two reports of an agent that this replica bears.
     pub(crate) fn report_interval(&self) -> Duration {
-        let interval = Duration::from_secs(1) * self.agents.len() as u32 / REPORTS_PER_SECOND;
-        interval.min(MAX_REPORT_INTERVAL)
+        interval_of(self.agents.len())
     }
 
     /// Makes the next revision, in which an agent differs.
@@ -440,6 +505,16 @@
         }
     }
 
+    /// Whether it has said its last word.
+    fn has_stopped(&self) -> bool {
+        self.report.interval_millis == 0
+    }
+
+    /// Whether it has stopped and leaves no flows.
+    fn is_gone(&self) -> bool {
+        self.has_stopped() && self.report.state() == AgentState::Empty
+    }
+
     fn is_behind(&self, evacuations: &Evacuations) -> bool {
         self.evacuations_index < evacuations.index_of(&self.report.zone)
     }
@@ -452,6 +527,12 @@
     }
 }
 
+/// The time between two reports of one of so many agents that a replica bears.
+fn interval_of(agents: usize) -> Duration {
+    let interval = Duration::from_secs(1) * agents as u32 / REPORTS_PER_SECOND;
+    interval.min(MAX_REPORT_INTERVAL)
+}
+
 /// Removes what only operators read.
 fn strip(change: &mut ConfigurationChange) {
     change.annotation = None;
--- a/crates/petrellatch-core/src/pass_through/group/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/group/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod contacts;
 pub(crate) mod daemon_memory;
 pub(crate) mod evacuations;
+pub(crate) mod expected_agents;
 pub(crate) mod followers;
 pub(crate) mod group_keeper;
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/returning_site.rs
@@ -0,0 +1,333 @@
+//! Three replicas that remember daemons, many agents and one balancer, all of which may
+//! lose power.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use lz4_flex::compress_prepend_size;
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{Membership, PersistentState, ReplicaId, ReplicaStart};
+use petrellatch_core::identity::Incarnation;
+use petrellatch_core::pass_through::{
+    ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, Contacts, PacketCodec,
+    PacketView, PassThroughAgent, PassThroughAgentSettings, PassThroughBalancer,
+    PassThroughBalancerSettings, PassThroughOutput, Registration, node_at,
+};
+use petrellatch_proto::pass_through::{
+    ConfigurationChange, ConfigurationPart, Confirmed, Follow, PassThroughBody, RouteRecord,
+    ShareRecord, pack_address,
+};
+use prost::Message;
+
+use super::codec::{TestCodec, empty, encode};
+use super::world::{BALANCER, COLD_BOUNDS, MILLI, ROUTE, SERVICE, caller};
+
+const STEP: Duration = Duration::from_millis(5);
+/// Somebody who only asks whether a directory is whole.
+const ASKER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 7000);
+
+pub const REPLICAS: [SocketAddrV4; 3] = [
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000),
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 2), 7000),
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 3), 7000),
+];
+
+pub fn agent_address(index: u16) -> SocketAddrV4 {
+    let [high, low] = index.to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7000)
+}
+
+pub struct Site {
+    pub now: Timestamp,
+    pub replicas: BTreeMap<SocketAddrV4, ConfigurationNode>,
+    /// What each replica has on its disk, and how often it wrote that.
+    pub memories: BTreeMap<SocketAddrV4, Vec<u8>>,
+    pub writes: usize,
+    pub agents: BTreeMap<SocketAddrV4, PassThroughAgent<TestCodec>>,
+    pub balancer: Option<PassThroughBalancer<TestCodec>>,
+    /// Nothing reaches these, and nothing leaves them.
+    pub cut: BTreeSet<SocketAddrV4>,
+    /// Packets that reached back ends.
+    pub tried: Vec<SocketAddrV4>,
+    pub resets: usize,
+    /// Replicas whose directories are whole by their latest word.
+    said_whole: BTreeSet<SocketAddrV4>,
+    /// Agents in the groups' latest words to the balancer.
+    under_way: VecDeque<(SocketAddrV4, SocketAddrV4, PassThroughBody)>,
+}
+
+impl Site {
+    /// A site with so many agents that has run for some seconds.
+    pub fn new(agents: u16) -> Site {
+        let mut site = Site {
+            now: Timestamp::from_millis(1_000),
+            replicas: BTreeMap::new(),
+            memories: BTreeMap::new(),
+            writes: 0,
+            agents: BTreeMap::new(),
+            balancer: None,
+            cut: BTreeSet::new(),
+            tried: Vec::new(),
+            resets: 0,
+            said_whole: BTreeSet::new(),
+            under_way: VecDeque::new(),
+        };
+        site.start_replicas();
+        for index in 1..=agents {
+            site.start_agent(index, 1);
+        }
+        site.run(Duration::from_secs(3));
+        site
+    }
+
+    /// Everything loses its power.
+    pub fn lose_power(&mut self) {
+        self.lose_replicas();
+        self.agents.clear();
+        self.balancer = None;
+    }
+
+    pub fn lose_replicas(&mut self) {
+        self.replicas.clear();
+        self.said_whole.clear();
+        self.under_way.clear();
+    }
+
+    pub fn start_replicas(&mut self) {
+        for address in REPLICAS {
+            self.start_replica(address);
+        }
+    }
+
+    pub fn start_replica(&mut self, address: SocketAddrV4) {
+        let id = |address| ReplicaId {
+            node: node_at(address),
+            incarnation: Incarnation(node_at(address).0),
+        };
+        let start = ReplicaStart {
+            id: id(address).node,
+            incarnation: id(address).incarnation,
+            seed: u64::from(address.ip().octets()[3]),
+            persisted: PersistentState::default(),
+            bootstrap: Some(Membership::of_voters(REPLICAS.map(id))),
+        };
+        let settings = ConfigurationNodeSettings::default();
+        let mut node = ConfigurationNode::new(self.now, settings, start);
+        if let Some(memory) = self.memories.get(&address) {
+            node.recall_daemons(memory);
+        }
+        self.replicas.insert(address, node);
+    }
+
+    /// Starts an agent beside a back end whose call has this number.
+    pub fn start_agent(&mut self, index: u16, call_number: u64) {
+        let address = agent_address(index);
+        let settings = PassThroughAgentSettings {
+            address,
+            zone: "a".to_owned(),
+            service: SERVICE.to_owned(),
+            first_start: false,
+            report_interval: Duration::from_millis(500),
+            silence_limit: Duration::from_secs(600),
+            provisional_limit: Duration::from_secs(2),
+            flow_lifetime: Duration::from_secs(600),
+            queue_factor: 3,
+            stop_limit: Duration::from_secs(2),
+            cold_bounds: COLD_BOUNDS,
+        };
+        let life = Incarnation(self.now.as_micros() + u64::from(index));
+        let contacts = Contacts::new(REPLICAS.to_vec());
+        let mut agent = PassThroughAgent::new(self.now, settings, TestCodec, life, contacts);
+        let call = Registration {
+            id: address.to_string(),
+            service: SERVICE.to_owned(),
+            born: None,
+            call_number,
+            capacity: 4,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        let taken = agent.handle_registration(self.now, &call);
+        taken.expect("it is of the agent's service");
+        self.agents.insert(address, agent);
+    }
+
+    /// Starts a balancer that is current at once.
+    pub fn start_balancer(&mut self) {
+        let settings = PassThroughBalancerSettings {
+            zone: "a".to_owned(),
+            follow_interval: Duration::from_secs(1),
+            flow_lifetime: Duration::from_secs(60),
+            stop_delay: Duration::from_secs(2),
+            link_bytes_per_second: None,
+        };
+        let contacts = Contacts::new(REPLICAS.to_vec());
+        let now = self.now;
+        let mut balancer =
+            PassThroughBalancer::new(now, settings, TestCodec, Incarnation(6), contacts);
+        let route = RouteRecord {
+            address: pack_address(ROUTE),
+            shares: vec![ShareRecord {
+                service: SERVICE.to_owned(),
+                weight: 1,
+            }],
+            ..RouteRecord::default()
+        };
+        let change = ConfigurationChange {
+            version: 3,
+            put: vec![route],
+            ..ConfigurationChange::default()
+        };
+        let part = ConfigurationPart {
+            version: 3,
+            parts: 1,
+            bytes: compress_prepend_size(&change.encode_to_vec()),
+            ..ConfigurationPart::default()
+        };
+        let confirmed = Confirmed {
+            confirm: 7,
+            version: 3,
+            zones: None,
+        };
+        balancer.handle_message(now, REPLICAS[0], PassThroughBody::Configuration(part));
+        balancer.handle_message(now, REPLICAS[0], PassThroughBody::Confirmed(confirmed));
+        self.balancer = Some(balancer);
+    }
+
+    /// A caller sends data on a flow that the balancer does not know.
+    pub fn request(&mut self, port: u16) {
+        let packet = PacketView {
+            acknowledge: true,
+            acknowledged: 1,
+            data_bytes: 50,
+            ..empty(caller(port), ROUTE)
+        };
+        let balancer = self.balancer.as_mut().expect("it runs");
+        balancer.handle_packet(self.now, &encode(&packet));
+        self.settle();
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.expire_timers();
+            self.settle();
+        }
+    }
+
+    fn expire_timers(&mut self) {
+        let now = self.now;
+        for node in self.replicas.values_mut() {
+            if node.poll_timeout() <= now {
+                node.handle_timeout(now);
+            }
+        }
+        for agent in self.agents.values_mut() {
+            if agent.poll_timeout() <= now {
+                agent.handle_timeout(now);
+            }
+        }
+        if let Some(balancer) = &mut self.balancer
+            && balancer.poll_timeout() <= now
+        {
+            balancer.handle_timeout(now);
+        }
+    }
+
+    fn settle(&mut self) {
+        loop {
+            self.collect();
+            let Some((from, to, body)) = self.under_way.pop_front() else {
+                return;
+            };
+            if !self.cut.contains(&from) && !self.cut.contains(&to) {
+                self.deliver(from, to, body);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, body: PassThroughBody) {
+        let now = self.now;
+        if let Some(node) = self.replicas.get_mut(&to) {
+            node.handle_message(now, from, body);
+        } else if let Some(agent) = self.agents.get_mut(&to) {
+            agent.handle_message(now, from, body);
+        } else if let (BALANCER, Some(balancer)) = (to, &mut self.balancer) {
+            balancer.handle_message(now, from, body);
+        } else if let (ASKER, PassThroughBody::Group(group)) = (to, body) {
+            match group.whole_directory {
+                true => self.said_whole.insert(from),
+                false => self.said_whole.remove(&from),
+            };
+        }
+    }
+
+    /// Takes what all have to send.
+    fn collect(&mut self) {
+        let now = self.now;
+        for (address, node) in &mut self.replicas {
+            while let Some(output) = node.poll_output() {
+                match output {
+                    ConfigurationOutput::Send { to, body } => {
+                        self.under_way.push_back((*address, to, body));
+                    }
+                    ConfigurationOutput::Persist(request) => {
+                        node.handle_persisted(now, request.ticket);
+                    }
+                    ConfigurationOutput::Remember(bytes) => {
+                        self.writes += 1;
+                        self.memories.insert(*address, bytes);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (address, agent) in &mut self.agents {
+            while let Some(output) = agent.poll_output() {
+                match output {
+                    PassThroughOutput::Send { to, body } => {
+                        self.under_way.push_back((*address, to, body));
+                    }
+                    PassThroughOutput::ToBackend(_) => self.tried.push(*address),
+                    _ => {}
+                }
+            }
+        }
+        while let Some(output) = self.balancer.as_mut().and_then(|it| it.poll_output()) {
+            match output {
+                PassThroughOutput::Send { to, body } => {
+                    self.under_way.push_back((BALANCER, to, body));
+                }
+                PassThroughOutput::ToCaller { packet, .. } => {
+                    let view = TestCodec.view(&packet).expect("a packet");
+                    self.resets += usize::from(view.reset);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Replicas that say now that their directories are whole.
+    pub fn whole(&mut self) -> usize {
+        for address in self.replicas.keys() {
+            let body = PassThroughBody::Follow(Follow::default());
+            self.under_way.push_back((ASKER, *address, body));
+        }
+        self.settle();
+        self.said_whole.len()
+    }
+
+    /// How long it takes until so many replicas have whole directories.
+    pub fn time_until_whole(&mut self, replicas: usize, limit: Duration) -> Option<Duration> {
+        let begin = self.now;
+        while self.now.saturating_since(begin) < limit {
+            if self.whole() >= replicas {
+                return Some(self.now.saturating_since(begin));
+            }
+            self.run(10 * MILLI);
+        }
+        None
+    }
+}
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -45,7 +45,8 @@
     /// Digests of back ends that said that they leave, the latest last.
     #[prost(fixed64, repeated, tag = "9")]
     pub leaving: Vec<u64>,
-    /// The time until the next report without news, in milliseconds.
+    /// The time until the next report without news, in milliseconds; zero if this is
+    /// the last one, as the agent has stopped.
     #[prost(uint32, tag = "10")]
     pub interval_millis: u32,
     /// [`super::ZoneRecords::index`] as the agent knows it.
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -38,6 +38,9 @@
     /// [`super::ZoneRecords::index`] as the balancer knows it.
     #[prost(uint64, tag = "8")]
     pub evacuations_index: u64,
+    /// Another replica asks which agents the receiver remembers.
+    #[prost(bool, tag = "9")]
+    pub wants_remembered: bool,
 }
 
 /// The replicas of the group.
@@ -83,6 +86,22 @@
     /// The orders about zones, if the receiver may not know of the latest one.
     #[prost(message, optional, tag = "12")]
     pub zones: Option<ZoneRecords>,
+    /// To an agent: the number of the report that is answered.
+    #[prost(uint64, tag = "13")]
+    pub answered_report: u64,
+    /// To an agent: whether the sender has saved for its next lives that there is
+    /// this agent.
+    #[prost(bool, tag = "14")]
+    pub remembered: bool,
+    /// To an agent: the sender has not heard it in its present life.
+    #[prost(bool, tag = "15")]
+    pub wants_report: bool,
+    /// To a replica that asked for it: some of the agents that the sender remembers.
+    #[prost(fixed64, repeated, tag = "16")]
+    pub remembered_agents: Vec<u64>,
+    /// How many these are in all.
+    #[prost(uint32, tag = "17")]
+    pub remembered_count: u32,
 }
 
 /// The daemons that a replica remembers from one life to the next, to tell them
