Keep the configuration's changes apart from followers and agents

Cause: followers.rs had grown to 559 lines and three subjects.

Ruled out: splitting the directory from the followers; both go by the same revisions.

Change: what is kept of the configuration's changes for balancers that are a little behind is in told_changes.rs. Nothing else changes.

Conclusion: followers.rs has 495 lines and two subjects.

--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -44,7 +44,7 @@
         }
         if follow.wants_configuration {
             let news = self
-                .followers
+                .told_changes
                 .news(follow.version, self.state.configuration());
             self.send_all(from, news);
         }
@@ -206,7 +206,7 @@
         let Some(version) = self.news_since.take() else {
             return;
         };
-        let news = self.followers.news(version, self.state.configuration());
+        let news = self.told_changes.news(version, self.state.configuration());
         for follower in self.followers.followers() {
             self.send_all(follower, news.clone());
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -36,6 +36,7 @@
 use super::group::evacuations::Evacuations;
 use super::group::followers::Followers;
 use super::group::group_keeper::GroupKeeper;
+use super::group::told_changes::ToldChanges;
 use super::latency::LatencyHistogram;
 use super::routes::configuration::Configuration;
 use super::routes::configuration_state::ConfigurationState;
@@ -87,6 +88,7 @@
     reads: BTreeMap<u64, PendingRead>,
     next_read: u64,
     followers: Followers,
+    told_changes: ToldChanges,
     /// Revision of the directory that balancers were told last.
     pushed_revision: u64,
     contacts: Contacts,
@@ -155,6 +157,7 @@
             next_read: 0,
             pushed_revision: followers.revision(),
             followers,
+            told_changes: ToldChanges::default(),
             contacts: Contacts::new(seeds),
             news_since: None,
             daemon_memory: DaemonMemory::new(now),
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -67,7 +67,7 @@
 
     fn note_change(&mut self, now: Timestamp, applied: &AppliedChange) {
         if let Some(change) = &applied.change {
-            self.followers.note_change(change);
+            self.told_changes.note(change);
             let version = change.version;
             let (put, removed) = (change.put.len(), change.removed.len());
             let subject = format!("version={version} put={put} removed={removed}");
@@ -90,7 +90,7 @@
     fn restore(&mut self, now: Timestamp, bytes: &[u8]) {
         if let Some(state) = ConfigurationState::decode_snapshot(bytes) {
             self.state = state;
-            self.followers.forget_changes();
+            self.told_changes.forget();
             self.zone_news.note_order(now);
         }
     }
--- a/crates/petrellatch-core/src/pass_through/group/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    AgentState, ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
-    MAX_PART_BYTES, PassThroughBody, Report, unpack_address,
+    AgentState, Directory, DirectoryChange, DirectoryEntry, MAX_PART_BYTES, PassThroughBody,
+    Report, unpack_address,
 };
 use prost::Message;
 
@@ -16,7 +16,6 @@
 use super::expected_agents::ExpectedAgents;
 use crate::pass_through::agent::YOUNG_REPORTS;
 use crate::pass_through::routes::change_assembly::{PartAssembly, compress, split};
-use crate::pass_through::routes::configuration::Configuration;
 
 /// A balancer that did not ask for so long is forgotten.
 const FOLLOWER_LIMIT: Duration = Duration::from_secs(10);
@@ -40,10 +39,6 @@
 const FORMER_MEMORY: Duration = Duration::from_secs(60);
 /// Most back ends that are remembered for one agent.
 const MAX_LEAVING_KEPT: usize = 8;
-/// Changes that are kept for balancers that are a little behind.
-const KEPT_CHANGES: usize = 64;
-/// A balancer that misses more gets the whole configuration.
-const MAX_CHANGES_TOLD: usize = 8;
 /// Revisions of the directory that are kept for balancers that are a little
 /// behind.
 const KEPT_REVISIONS: usize = 256;
@@ -102,7 +97,6 @@
     former: BTreeMap<u64, FormerAgent>,
     /// Those that were there before this life.
     expected: ExpectedAgents,
-    changes: VecDeque<ConfigurationChange>,
     started_at: Timestamp,
     /// The longest time between two reports that an agent told.
     told_interval: Duration,
@@ -407,39 +401,6 @@
         }
     }
 
-    /// Keeps a change for balancers that are a little behind.
-    pub(crate) fn note_change(&mut self, change: &ConfigurationChange) {
-        let mut change = change.clone();
-        strip(&mut change);
-        self.changes.push_back(change);
-        if self.changes.len() > KEPT_CHANGES {
-            self.changes.pop_front();
-        }
-    }
-
-    pub(crate) fn forget_changes(&mut self) {
-        self.changes.clear();
-    }
-
-    /// What a balancer with `version` needs to have the newest one.
-    pub(crate) fn news(&self, version: u64, newest: &Configuration) -> Vec<PassThroughBody> {
-        if version >= newest.version {
-            return Vec::new();
-        }
-        let first = self
-            .changes
-            .iter()
-            .position(|change| change.base_version == version && version > 0);
-        let first = first.filter(|first| self.changes.len() - first <= MAX_CHANGES_TOLD);
-        let Some(first) = first else {
-            let mut whole = Configuration::default().change_to(newest);
-            strip(&mut whole);
-            return parts(&whole);
-        };
-        let missing = self.changes.iter().skip(first);
-        missing.flat_map(parts).collect()
-    }
-
     /// How the directory differs from `base`, as messages for balancers; none
     /// if it does not.
     pub(crate) fn directory(&self, now: Timestamp, base: u64) -> Vec<PassThroughBody> {
@@ -532,28 +493,3 @@
     let interval = Duration::from_secs(1) * agents as u32 / REPORTS_PER_SECOND;
     interval.min(MAX_REPORT_INTERVAL)
 }
-
-/// Removes what only operators read.
-fn strip(change: &mut ConfigurationChange) {
-    change.annotation = None;
-    for route in &mut change.put {
-        route.annotation = Vec::new();
-        route.position = 0;
-    }
-}
-
-fn parts(change: &ConfigurationChange) -> Vec<PassThroughBody> {
-    let bytes = compress(&change.encode_to_vec());
-    let parts = split(&bytes, MAX_PART_BYTES);
-    let count = parts.len() as u32;
-    let part = |(part, bytes): (usize, &[u8])| {
-        PassThroughBody::Configuration(ConfigurationPart {
-            base_version: change.base_version,
-            version: change.version,
-            part: part as u32,
-            parts: count,
-            bytes: bytes.to_vec(),
-        })
-    };
-    parts.into_iter().enumerate().map(part).collect()
-}
--- a/crates/petrellatch-core/src/pass_through/group/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/group/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod expected_agents;
 pub(crate) mod followers;
 pub(crate) mod group_keeper;
+pub(crate) mod told_changes;
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/group/told_changes.rs
@@ -0,0 +1,82 @@
+//! Changes of the configuration that balancers are told.
+
+use std::collections::VecDeque;
+
+use petrellatch_proto::pass_through::{
+    ConfigurationChange, ConfigurationPart, MAX_PART_BYTES, PassThroughBody,
+};
+use prost::Message;
+
+use crate::pass_through::routes::change_assembly::{compress, split};
+use crate::pass_through::routes::configuration::Configuration;
+
+/// Changes that are kept for balancers that are a little behind.
+const KEPT_CHANGES: usize = 64;
+/// A balancer that misses more gets the whole configuration.
+const MAX_CHANGES_TOLD: usize = 8;
+
+/// The latest changes.
+#[derive(Debug, Default)]
+pub(crate) struct ToldChanges {
+    changes: VecDeque<ConfigurationChange>,
+}
+
+impl ToldChanges {
+    /// Keeps a change for balancers that are a little behind.
+    pub(crate) fn note(&mut self, change: &ConfigurationChange) {
+        let mut change = change.clone();
+        strip(&mut change);
+        self.changes.push_back(change);
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    pub(crate) fn forget(&mut self) {
+        self.changes.clear();
+    }
+
+    /// What a balancer with `version` needs to have the newest one.
+    pub(crate) fn news(&self, version: u64, newest: &Configuration) -> Vec<PassThroughBody> {
+        if version >= newest.version {
+            return Vec::new();
+        }
+        let first = self
+            .changes
+            .iter()
+            .position(|change| change.base_version == version && version > 0);
+        let first = first.filter(|first| self.changes.len() - first <= MAX_CHANGES_TOLD);
+        let Some(first) = first else {
+            let mut whole = Configuration::default().change_to(newest);
+            strip(&mut whole);
+            return parts(&whole);
+        };
+        let missing = self.changes.iter().skip(first);
+        missing.flat_map(parts).collect()
+    }
+}
+
+/// Removes what only operators read.
+fn strip(change: &mut ConfigurationChange) {
+    change.annotation = None;
+    for route in &mut change.put {
+        route.annotation = Vec::new();
+        route.position = 0;
+    }
+}
+
+fn parts(change: &ConfigurationChange) -> Vec<PassThroughBody> {
+    let bytes = compress(&change.encode_to_vec());
+    let parts = split(&bytes, MAX_PART_BYTES);
+    let count = parts.len() as u32;
+    let part = |(part, bytes): (usize, &[u8])| {
+        PassThroughBody::Configuration(ConfigurationPart {
+            base_version: change.base_version,
+            version: change.version,
+            part: part as u32,
+            parts: count,
+            bytes: bytes.to_vec(),
+        })
+    };
+    parts.into_iter().enumerate().map(part).collect()
+}
