Give searches their verdicts with the news that the directory is whole

Cause: a search looks at its answers when one comes and when its round ends, 60 to 480 ms later. One whose agents had all answered before the directory was whole waited for its next round.

Ruled out: shorter rounds; each costs questions on a thin link.

Change: when a balancer hears that the directory is whole, it takes the next step of each search at once, and asks now for those that have not asked the latest agents.

Conclusion: a verdict waits for the last agent, not for the round.

--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -31,8 +31,12 @@
             self.follow(now);
         }
         let revision = group.directory_revision;
+        let was_whole = self.agents.is_whole(now);
         self.agents
             .handle_revision(now, from, revision, group.whole_directory);
+        if !was_whole && self.agents.is_whole(now) {
+            self.settle_searches(now);
+        }
         let lacks_directory =
             self.attachments.contains(from) && revision != self.agents.revision_of(from);
         let lacks_configuration = group.version > self.routes.version() && now >= self.fetch_at;
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -134,6 +134,19 @@
         }
     }
 
+    /// Does what waited for a whole directory: the rounds of searches may end much
+    /// later. Those that have not asked the latest agents do so now.
+    pub(super) fn settle_searches(&mut self, now: Timestamp) {
+        for flow in self.searches.flows() {
+            self.take_search_step(now, flow);
+            let added = self.agents.added();
+            let search = self.searches.get_mut(flow);
+            if search.is_some_and(|search| search.asked_of() != added) {
+                self.searches.ask_now(flow);
+            }
+        }
+    }
+
     fn try_agents(&mut self, flow: FlowId, agents: &[SocketAddrV4]) {
         let Some(search) = self.searches.get_mut(flow) else {
             return;
--- a/crates/petrellatch-core/src/pass_through/flows/flow_searches.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_searches.rs
@@ -87,6 +87,21 @@
         self.searches.get_mut(&flow)
     }
 
+    /// All flows that are sought, in order.
+    pub(crate) fn flows(&self) -> BTreeSet<FlowId> {
+        self.searches.keys().copied().collect()
+    }
+
+    /// Lets the next round of a flow begin now, unless it is about to.
+    pub(crate) fn ask_now(&mut self, flow: FlowId) {
+        let Some(search) = self.searches.get(&flow) else {
+            return;
+        };
+        if self.due.remove(&(search.due_at, flow)) {
+            self.unasked.push(flow);
+        }
+    }
+
     pub(crate) fn contains(&self, flow: FlowId) -> bool {
         self.searches.contains_key(&flow)
     }
--- a/crates/petrellatch-core/tests/pass_through/lost_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/lost_flows.rs
@@ -348,3 +348,20 @@
     assert_eq!(world.resets(), 0);
     assert_eq!(world.data_at(agent), 2);
 }
+
+#[test]
+fn a_search_that_waits_for_a_whole_directory_has_its_verdict_with_it() {
+    let mut world = World::new(AGENTS, CAPACITY);
+    (1..=AGENTS).for_each(|index| world.tell_agent(index, false));
+    world.restart_balancer();
+    for waited in [200 * MILLI, 500 * MILLI] {
+        let told = world.resets();
+        world.forget_whole_directory();
+        world.request(waited.as_millis() as u16, agent_address(1));
+        world.run(waited);
+        assert_eq!(world.resets(), told, "an agent may be missing");
+        world.say_whole_directory();
+        world.run(2 * MILLI);
+        assert_eq!(world.resets(), told + 1, "after {waited:?}");
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -227,6 +227,17 @@
         self.balancer.handle_message(self.now, REPLICA, body);
     }
 
+    /// The replica says that it may not know every agent that runs.
+    pub fn forget_whole_directory(&mut self) {
+        let group = Group {
+            directory_revision: self.revision,
+            serves: true,
+            ..Group::default()
+        };
+        let body = PassThroughBody::Group(group);
+        self.balancer.handle_message(self.now, REPLICA, body);
+    }
+
     /// A replica answers an agent's report.
     pub fn tell_agent(&mut self, index: u8, had_former_life: bool) {
         let group = Group {
