--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -11,7 +11,7 @@
 mod stopping;
 mod work_times;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -44,6 +44,8 @@
 use crate::pass_through::packet::PacketCodec;
 
 use former_flows::FormerLives;
+pub(crate) use reports::YOUNG_REPORTS;
+use stopping::LastWord;
 use work_times::WorkTimes;
 
 /// Between two sweeps over the flows.
@@ -160,13 +162,18 @@
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
+    reported_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
     /// Between two reports without news.
     report_interval: Duration,
     /// Whether no replica has shown that it heard of the reported state.
     unheard: bool,
+    /// Replicas that will know of this agent in their next lives.
+    remembered_by: BTreeSet<SocketAddrV4>,
     stop_at: Option<Timestamp>,
+    /// The last word that is repeated until a replica has heard it.
+    last_word: Option<LastWord>,
     stopped: bool,
     /// It has stopped, and its back end certainly has no open flow.
     leaves_nothing: bool,
@@ -226,10 +233,13 @@
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
+            reported_at: Timestamp::ZERO,
             sweep_at: now + SWEEP_INTERVAL,
             reported_state: AgentState::Empty,
             unheard: true,
+            remembered_by: BTreeSet::new(),
             stop_at: None,
+            last_word: None,
             stopped: false,
             leaves_nothing: false,
             counters: PassThroughAgentCounters::default(),
@@ -370,11 +380,16 @@
             *self.had_former_life.get_or_insert(false) |= group.had_former_life;
             self.note_report_interval(group.report_interval_millis);
             self.unheard = false;
+            self.note_last_word_heard(group.answered_report);
         }
-        match has_more {
+        if group.remembered {
+            self.remembered_by.insert(from);
+        }
+        match has_more || self.owes_report(now, group) {
             true => self.report(now),
             false => self.report_if_changed(now),
         }
+        self.continue_stop(now);
     }
 
     /// Takes orders about zones, if they are newer, and says that they are known.
@@ -433,6 +448,7 @@
         let recall = self.recall.as_ref().map(FormerRecall::poll_timeout);
         let others = [
             recall,
+            self.last_word_until(),
             self.gathered.poll_timeout(),
             self.former.poll_timeout(),
         ];
--- a/crates/petrellatch-core/src/pass_through/balancer/searches.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/searches.rs
@@ -129,6 +129,22 @@
             SearchStep::AskAll => self.searches.ask_all(flow),
             SearchStep::Try(agents) => self.try_agents(flow, &agents),
             SearchStep::Gone => self.reset_gone(now, flow),
+            SearchStep::Ended => {
+                self.searches.remove(flow);
+            }
+        }
+    }
+
+    /// Does what waited for a whole directory: the rounds of searches may end much
+    /// later. Those that have not asked the latest agents do so now.
+    pub(super) fn settle_searches(&mut self, now: Timestamp) {
+        for flow in self.searches.flows() {
+            self.take_search_step(now, flow);
+            let added = self.agents.added();
+            let search = self.searches.get_mut(flow);
+            if search.is_some_and(|search| search.asked_of() != added) {
+                self.searches.ask_now(flow);
+            }
         }
     }
 
