Show how a group of voters starts after a loss of power

Ruled out: nothing yet; this commit only shows the fault. Change: return_of_power.rs starts 3, 5, 9 and 14 voters one by one on disks that were written to different points, 1,000 times each by fixed seeds, and counts the time from the majority to a leader. The test cluster learns zones.

--- a/crates/petrellatch-core/tests/consensus/cluster.rs
+++ b/crates/petrellatch-core/tests/consensus/cluster.rs
@@ -1,6 +1,7 @@
 //! A group of replicas on a virtual clock, with a faulty network and disks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
@@ -17,6 +18,8 @@
 use crate::checker::Checker;
 use crate::node::{Input, Node};
 
+const MIN_DELAY_MICROS: u64 = 100;
+
 #[derive(Clone, Debug)]
 struct Event {
     node: NodeId,
@@ -29,6 +32,10 @@
     pub loss_percent: u32,
     pub duplicate_percent: u32,
     pub max_delay_micros: u64,
+    /// Number of zones over which the nodes are spread; one for none.
+    pub zones: u64,
+    /// Shortest delay between two zones. Within a zone it is the shortest of all.
+    pub zone_delay_micros: u64,
     /// Directions in which nothing gets through.
     pub cut: BTreeSet<(NodeId, NodeId)>,
 }
@@ -64,17 +71,49 @@
     }
 }
 
+impl Network {
+    fn delays_micros(&self, from: NodeId, to: NodeId) -> RangeInclusive<u64> {
+        let same_zone = from.0 % self.zones == to.0 % self.zones;
+        let least = match same_zone {
+            true => MIN_DELAY_MICROS,
+            false => self.zone_delay_micros,
+        };
+        least..=least - MIN_DELAY_MICROS + self.max_delay_micros
+    }
+}
+
 impl Cluster {
     /// Starts a group of `voters` voters and `learners` nodes outside it.
     pub fn start(seed: u64, voters: u64, learners: u64, settings: &ReplicaSettings) -> Cluster {
         let bootstrap = Membership::of_voters((1..=voters).map(replica_id));
-        let mut cluster = Cluster {
+        let mut cluster = Cluster::empty(seed);
+        for node in 1..=voters + learners {
+            cluster.add_node(replica_id(node), settings, &bootstrap);
+            cluster.restart(NodeId(node));
+        }
+        cluster
+    }
+
+    /// A group of voters without power, with nothing on their disks yet.
+    pub fn without_power(seed: u64, voters: u64, settings: &ReplicaSettings) -> Cluster {
+        let bootstrap = Membership::of_voters((1..=voters).map(replica_id));
+        let mut cluster = Cluster::empty(seed);
+        for node in 1..=voters {
+            cluster.add_node(replica_id(node), settings, &bootstrap);
+        }
+        cluster
+    }
+
+    fn empty(seed: u64) -> Cluster {
+        Cluster {
             now: Timestamp::ZERO,
             nodes: BTreeMap::new(),
             network: Network {
                 loss_percent: 0,
                 duplicate_percent: 0,
                 max_delay_micros: 2_000,
+                zones: 1,
+                zone_delay_micros: MIN_DELAY_MICROS,
                 cut: BTreeSet::new(),
             },
             sync_micros: 1_000,
@@ -84,11 +123,7 @@
             next_event: 0,
             next_value: 1,
             next_incarnation: 1_000_000,
-        };
-        for node in 1..=voters + learners {
-            cluster.add_node(replica_id(node), settings, &bootstrap);
         }
-        cluster
     }
 
     fn add_node(&mut self, id: ReplicaId, settings: &ReplicaSettings, bootstrap: &Membership) {
@@ -106,7 +141,6 @@
             clock_per_mille: self.random.random_range(980..=1020),
         };
         self.nodes.insert(id.node, node);
-        self.restart(id.node);
     }
 
     pub fn node(&mut self, node: NodeId) -> &mut Node {
@@ -220,6 +254,16 @@
         self.now = end;
     }
 
+    /// Runs as long as `condition` holds, up to `end`.
+    pub fn run_while(&mut self, end: Timestamp, condition: impl Fn(&Cluster) -> bool) {
+        while condition(self) {
+            if !self.step(end) {
+                self.now = end;
+                return;
+            }
+        }
+    }
+
     /// Runs until `condition` holds. Panics if it doesn't within 20 seconds.
     pub fn run_until(&mut self, what: &str, condition: impl Fn(&Cluster) -> bool) {
         let end = self.now + Duration::from_secs(20);
@@ -357,9 +401,8 @@
             copies += 1;
         }
         for _ in 0..copies {
-            let delay = self
-                .random
-                .random_range(100..=self.network.max_delay_micros);
+            let delays = self.network.delays_micros(from.node, to);
+            let delay = self.random.random_range(delays);
             let input = Input::Message(from.node, message.clone());
             self.schedule(to, None, delay, input);
         }
--- a/crates/petrellatch-core/tests/consensus/main.rs
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -7,5 +7,6 @@
 mod node;
 mod random_faults;
 mod recovery_time;
+mod return_of_power;
 mod scenarios;
 mod transfer;
--- /dev/null
+++ b/crates/petrellatch-core/tests/consensus/return_of_power.rs
@@ -0,0 +1,196 @@
+//! Replicas that start one by one after a loss of power, on disks that were
+//! written to different points, and how soon one of them leads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use petrellatch_core::Timestamp;
+use petrellatch_core::consensus::{
+    EntryPayload, HardState, LogEntry, LogPosition, Membership, PersistentState, ReplicaSettings,
+    Role, Snapshot,
+};
+use petrellatch_core::identity::NodeId;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::cluster::{Cluster, replica_id};
+
+const STARTS: u64 = 1_000;
+const ZONES: u64 = 3;
+const ZONE_DELAY_MICROS: u64 = 3_500;
+const MAX_JITTER_MICROS: u64 = 400;
+/// Most replicas start within this time of each other.
+const START_WINDOW_MICROS: u64 = 500_000;
+/// One in so many starts up to this much later than the others.
+const LATE_ONE_IN: u64 = 6;
+const LATE_MICROS: u64 = 500_000;
+/// The longest log of the group, in entries.
+const LOG_ENTRIES: u64 = 12;
+const LAST_TERM: u64 = 5;
+/// What 99 of 100 starts must keep, from the start of the majority on.
+const AIM: Duration = Duration::from_millis(60);
+
+fn settings() -> ReplicaSettings {
+    ReplicaSettings {
+        election_timeout: Duration::from_millis(200),
+        heartbeat_interval: Duration::from_millis(50),
+        elects_at_start: true,
+        ..ReplicaSettings::default()
+    }
+}
+
+/// A prefix of the group's log. Some entries are of the term before the last.
+fn entries(count: u64) -> Vec<LogEntry> {
+    let entry = |index| LogEntry {
+        position: LogPosition {
+            term: LAST_TERM - u64::from(index < LOG_ENTRIES / 2),
+            index,
+        },
+        payload: EntryPayload::Command(index.to_le_bytes().to_vec()),
+    };
+    (1..=count).map(entry).collect()
+}
+
+/// What a voter had on disk when the power went: most have the whole log and
+/// the last term, some lack entries, and some saw an election that failed.
+fn disk(random: &mut ChaCha8Rng, voters: u64) -> PersistentState {
+    let missing = match random.random_range(0..3) {
+        0 => random.random_range(1..=3),
+        _ => 0,
+    };
+    let later_terms = match random.random_range(0..4) {
+        0 => random.random_range(1..=3),
+        _ => 0,
+    };
+    let voted_for = (later_terms > 0).then(|| replica_id(random.random_range(1..=voters)));
+    let snapshot = Snapshot {
+        position: LogPosition::default(),
+        membership: Membership::of_voters((1..=voters).map(replica_id)),
+        data: Vec::new(),
+    };
+    PersistentState {
+        hard_state: HardState {
+            term: LAST_TERM + later_terms,
+            voted_for,
+        },
+        snapshot: Some(Arc::new(snapshot)),
+        entries: entries(LOG_ENTRIES - missing),
+    }
+}
+
+/// Moments at which the voters start.
+fn start_times(random: &mut ChaCha8Rng, voters: u64) -> BTreeMap<u64, NodeId> {
+    let mut times = BTreeMap::new();
+    for node in 1..=voters {
+        let mut at = random.random_range(0..START_WINDOW_MICROS);
+        if random.random_range(0..LATE_ONE_IN) == 0 {
+            at = START_WINDOW_MICROS + random.random_range(0..LATE_MICROS);
+        }
+        while times.contains_key(&at) {
+            at += 1;
+        }
+        times.insert(at, NodeId(node));
+    }
+    times
+}
+
+/// One return of power.
+struct Return {
+    /// From the start of the majority to a leader.
+    time: Duration,
+    /// Terms that were begun without a leader.
+    lost_terms: u64,
+}
+
+fn return_of_power(seed: u64, voters: u64, sync_micros: u64) -> Return {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut cluster = Cluster::without_power(seed, voters, &settings());
+    cluster.network.zones = ZONES;
+    cluster.network.zone_delay_micros = ZONE_DELAY_MICROS;
+    cluster.network.max_delay_micros = MAX_JITTER_MICROS;
+    cluster.sync_micros = sync_micros;
+    for node in 1..=voters {
+        cluster.node(NodeId(node)).disk = disk(&mut random, voters);
+    }
+    let majority = voters / 2 + 1;
+    let mut majority_at = None;
+    let mut highest_term = 0;
+    let mut led_at = None;
+    for (started, (at, node)) in (1..).zip(start_times(&mut random, voters)) {
+        led_at = led_at.or(run_to_leader(&mut cluster, Timestamp::from_micros(at)));
+        let term = cluster.nodes[&node].disk.hard_state.term;
+        if led_at.is_none() {
+            highest_term = highest_term.max(term);
+        }
+        cluster.restart(node);
+        if started == majority {
+            majority_at = Some(cluster.now);
+        }
+    }
+    let limit = cluster.now + settings().election_timeout * 20;
+    led_at = led_at.or(run_to_leader(&mut cluster, limit));
+    let (led_at, term) = led_at.expect("a leader");
+    // Who starts late, or lost the election, must not disturb the leader.
+    cluster.run_for(settings().election_timeout * 3);
+    assert_eq!(cluster.checker.violations, [], "seed {seed}");
+    Return {
+        time: led_at.saturating_since(majority_at.expect("all start")),
+        lost_terms: term.saturating_sub(highest_term + 1),
+    }
+}
+
+/// Runs until a replica leads, or to `end`. Returns when, and its term.
+fn run_to_leader(cluster: &mut Cluster, end: Timestamp) -> Option<(Timestamp, u64)> {
+    cluster.run_while(end, |cluster| cluster.leader().is_none());
+    let leader = cluster.leader()?;
+    let replica = cluster.replica(leader);
+    assert_eq!(replica.role(), Role::Leader);
+    Some((cluster.now, replica.term()))
+}
+
+/// Starts the group under many seeds and checks the aim.
+fn check(voters: u64, sync_micros: u64) {
+    let runs = (0..STARTS).map(|seed| return_of_power(seed, voters, sync_micros));
+    let runs: Vec<Return> = runs.collect();
+    let mut times: Vec<Duration> = runs.iter().map(|run| run.time).collect();
+    times.sort_unstable();
+    let at = |share: usize| times[times.len() * share / 100];
+    let lost = runs.iter().filter(|run| run.lost_terms > 0).count();
+    let waited = runs.iter().filter(|run| run.lost_terms == 0 && run.time > AIM);
+    let maximum = times[times.len() - 1];
+    println!(
+        "{voters} voters, sync {sync_micros} us: median {:?}, 90 % {:?}, 99 % {:?}, \
+         maximum {maximum:?}; {lost} lost a term, {} waited in one",
+        at(50),
+        at(90),
+        at(99),
+        waited.count(),
+    );
+    assert!(at(99) <= AIM, "99 of 100 take {:?}", at(99));
+    assert!(maximum <= settings().election_timeout * 2, "{maximum:?}");
+}
+
+#[test]
+fn three_voters_elect_as_soon_as_two_have_started() {
+    check(3, 2_000);
+    check(3, 5_000);
+}
+
+#[test]
+fn five_voters_elect_as_soon_as_three_have_started() {
+    check(5, 2_000);
+    check(5, 5_000);
+}
+
+#[test]
+fn nine_voters_elect_as_soon_as_five_have_started() {
+    check(9, 2_000);
+    check(9, 5_000);
+}
+
+#[test]
+fn fourteen_voters_elect_as_soon_as_eight_have_started() {
+    check(14, 2_000);
+    check(14, 5_000);
+}
