Let voters that start ask each other and stand in the order of their rank

Cause: a voter that starts waited for its turn, then for a timer of 40 to 80 ms, before it asked again; candidates of one term stood beside each other; who had voted, learned a term or lost an election waited 200 to 400 ms. Only voters that may elect at their start and have heard no leader do so; safety rests on what it did. Random faults are now also played with replicas that elect at start.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -11,6 +11,7 @@
 use super::entry::{EntryPayload, LogPosition, Term};
 use super::leadership::Leadership;
 use super::membership::ReplicaId;
+use super::output::{ElectionLoss, ReplicaOutput};
 use super::persistence::HardState;
 use super::replica::{Part, Replica};
 
@@ -30,26 +31,48 @@
 
     pub(super) fn election_is_due(&self) -> bool {
         let leads = matches!(self.part, Part::Leader(_));
-        !leads && self.may_campaign() && self.now >= self.election_deadline
+        let waits = leads || self.awaits_turn();
+        !waits && self.may_campaign() && self.now >= self.election_deadline
     }
 
     /// Asks the voters whether they would elect this replica. The term stays,
     /// so that a replica that was cut off disturbs nobody when it returns.
     pub(super) fn start_pre_vote(&mut self) {
+        if matches!(self.part, Part::Candidate { .. }) {
+            self.lose_election(ElectionLoss::NoAnswer);
+        }
+        self.reset_candidacy();
         let granted = BTreeSet::from([self.id.node]);
         self.part = Part::PreCandidate { granted };
         self.leader = None;
         self.reset_pre_vote_timer();
+        for voter in self.other_voters() {
+            self.ask_for_pre_vote(voter);
+        }
+        self.evaluate_election();
+    }
+
+    fn ask_for_pre_vote(&mut self, voter: ReplicaId) {
         let last = self.log.last_position();
         let request = PreVoteRequest {
             proposed_term: self.hard_state.term + 1,
             last_index: last.index,
             last_term: last.term,
         };
-        for voter in self.other_voters() {
-            self.send_durably(voter, ConsensusBody::PreVoteRequest(request.clone()));
+        self.send_durably(voter, ConsensusBody::PreVoteRequest(request));
+    }
+
+    /// Asks a voter that has just started for what this replica needs.
+    fn ask_newcomer(&mut self, voter: ReplicaId, term: Term) {
+        match self.part {
+            Part::PreCandidate { .. } => self.ask_for_pre_vote(voter),
+            // A voter of a higher term could only end this candidacy.
+            Part::Candidate { .. } if term <= self.hard_state.term => {
+                self.ask_for_vote(voter, false);
+            }
+            Part::Candidate { .. } => {}
+            Part::Follower | Part::Leader(_) => {}
         }
-        self.evaluate_election();
     }
 
     pub(super) fn handle_pre_vote_request(
@@ -62,9 +85,18 @@
             term: request.last_term,
             index: request.last_index,
         };
+        let must_be_asked = self.note_rival(sender, sender_term, last);
+        if self.needs_term_of(sender, last) {
+            self.observe_term_at_start(sender_term);
+        }
+        if must_be_asked {
+            self.ask_newcomer(sender, sender_term);
+        }
+        let held_back = self.holds_back();
         let granted = !self.hears_leader()
             && request.proposed_term > self.hard_state.term
-            && last >= self.log.last_position();
+            && last >= self.log.last_position()
+            && !held_back;
         if !granted && sender_term > self.hard_state.term {
             return;
         }
@@ -84,7 +116,11 @@
         if !self.counts(sender) {
             return;
         }
-        self.observe_term(term);
+        if self.holds_back() {
+            // It answers what this replica asked before it voted.
+            return;
+        }
+        self.observe_term_at_start(term);
         let awaited = response.proposed_term == self.hard_state.term + 1;
         if let Part::PreCandidate { granted } = &mut self.part
             && awaited
@@ -111,6 +147,7 @@
             self.writes.note_hard_state();
         }
         if granted {
+            self.note_own_vote();
             self.reset_election_timer();
         }
         let response = VoteResponse { granted };
@@ -126,8 +163,12 @@
         if !self.counts(sender) {
             return;
         }
-        self.observe_term(term);
-        if term != self.hard_state.term || !response.granted {
+        self.observe_term_at_start(term);
+        if term != self.hard_state.term {
+            return;
+        }
+        if !response.granted {
+            self.note_denial(sender.node);
             return;
         }
         if let Part::Candidate { granted } = &mut self.part {
@@ -183,12 +224,44 @@
     /// Moves on if a quorum agreed.
     fn evaluate_election(&mut self) {
         match &self.part {
-            Part::PreCandidate { granted } if self.is_quorum(granted) => self.start_election(false),
+            Part::PreCandidate { granted } if self.is_quorum(granted) => {
+                self.note_pre_vote_quorum();
+                self.stand_if_due();
+            }
             Part::Candidate { granted } if self.is_quorum(granted) => self.become_leader(),
             _ => {}
         }
     }
 
+    /// Asks for votes if a quorum would grant them and nobody else goes first.
+    pub(super) fn stand_if_due(&mut self) {
+        let is_pre_candidate = matches!(self.part, Part::PreCandidate { .. });
+        let is_due = self.candidacy_at().is_some_and(|at| self.now >= at);
+        if is_pre_candidate && is_due {
+            self.start_election(false);
+        }
+    }
+
+    /// Enters a higher term that an answer told. Voters that start ask again at
+    /// once: the answers to what they asked are void.
+    fn observe_term_at_start(&mut self, term: Term) {
+        let is_higher = term > self.hard_state.term;
+        self.observe_term(term);
+        if is_higher && self.is_starting() && self.may_campaign() {
+            self.start_pre_vote();
+        }
+    }
+
+    /// Reports the end of a candidacy, if there is one.
+    pub(super) fn lose_election(&mut self, reason: ElectionLoss) {
+        if matches!(self.part, Part::Candidate { .. }) {
+            self.part = Part::Follower;
+            self.forget_own_vote();
+            let term = self.hard_state.term;
+            self.emit(ReplicaOutput::ElectionLost { term, reason });
+        }
+    }
+
     /// Whether these nodes contain a quorum of voters.
     pub(super) fn is_quorum(&self, nodes: &BTreeSet<NodeId>) -> bool {
         let membership = self.membership();
@@ -208,6 +281,8 @@
         self.part = Part::Candidate {
             granted: BTreeSet::new(),
         };
+        self.reset_candidacy();
+        self.note_own_vote();
         self.reset_election_timer();
         self.ask_for_votes(transferred);
     }
@@ -225,15 +300,19 @@
             .election_timeout
             .mul_f64(TIMEOUTS_BETWEEN_REQUESTS);
         self.ask_again_at = self.now + interval;
+        for voter in voters {
+            self.ask_for_vote(voter, transferred);
+        }
+    }
+
+    fn ask_for_vote(&mut self, voter: ReplicaId, transferred: bool) {
         let last = self.log.last_position();
         let request = VoteRequest {
             last_index: last.index,
             last_term: last.term,
             transferred,
         };
-        for voter in voters {
-            self.send_durably(voter, ConsensusBody::VoteRequest(request.clone()));
-        }
+        self.send_durably(voter, ConsensusBody::VoteRequest(request));
     }
 
     /// Repeats what a candidate asked for, if that is due.
--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -71,6 +71,7 @@
             return false;
         }
         self.part = Part::Follower;
+        self.reset_candidacy();
         self.note_leader(sender.node);
         true
     }
--- a/crates/petrellatch-core/src/consensus/mod.rs
+++ b/crates/petrellatch-core/src/consensus/mod.rs
@@ -113,6 +113,7 @@
 mod settings;
 mod snapshot_assembly;
 mod snapshot_transfer;
+mod start_of_group;
 mod status;
 mod transfer;
 mod wire;
@@ -122,7 +123,7 @@
 pub use membership::{
     MAX_MEMBERS, Member, MemberRole, Membership, MembershipChange, MembershipError, ReplicaId,
 };
-pub use output::{NotLeader, PeerProgress, ProposeError, ReplicaOutput, Role};
+pub use output::{ElectionLoss, NotLeader, PeerProgress, ProposeError, ReplicaOutput, Role};
 pub use persistence::{HardState, PersistRequest, PersistTicket, PersistentState, Snapshot};
 pub use replica::Replica;
 pub use settings::{
--- a/crates/petrellatch-core/src/consensus/output.rs
+++ b/crates/petrellatch-core/src/consensus/output.rs
@@ -23,6 +23,36 @@
     Leader,
 }
 
+/// Why a candidacy ended without a leader in its term, as far as the candidate
+/// knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ElectionLoss {
+    /// So many voters refused that it could not win.
+    Denied,
+    /// Too few voters answered in time.
+    NoAnswer,
+    /// Somebody began a higher term.
+    HigherTerm,
+}
+
+impl ElectionLoss {
+    /// All of them.
+    pub const ALL: [ElectionLoss; 3] = [
+        ElectionLoss::Denied,
+        ElectionLoss::NoAnswer,
+        ElectionLoss::HigherTerm,
+    ];
+
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ElectionLoss::Denied => "denied",
+            ElectionLoss::NoAnswer => "no_answer",
+            ElectionLoss::HigherTerm => "higher_term",
+        }
+    }
+}
+
 /// Something for the driver to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReplicaOutput {
@@ -85,6 +115,13 @@
         /// The term.
         term: Term,
     },
+    /// This replica stood for election, and the term got no leader.
+    ElectionLost {
+        /// The term.
+        term: Term,
+        /// Why it was not elected.
+        reason: ElectionLoss,
+    },
     /// Another membership is in effect. It may not be committed yet.
     MembershipChanged(Membership),
 }
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -16,10 +16,11 @@
 use super::log::Log;
 use super::membership::{Membership, ReplicaId};
 use super::membership_history::MembershipHistory;
-use super::output::{ReplicaOutput, Role};
+use super::output::{ElectionLoss, ReplicaOutput, Role};
 use super::persistence::{HardState, PersistRequest, PersistTicket, Snapshot};
 use super::settings::{ReplicaSettings, ReplicaStart};
 use super::snapshot_assembly::SnapshotAssembly;
+use super::start_of_group::StartOfGroup;
 use super::write_queue::WriteQueue;
 
 /// One replica of the log. See the [module page](super) for its guarantees
@@ -45,6 +46,7 @@
     pub(super) ask_again_at: Timestamp,
     /// Pre-votes of this life.
     pre_votes: u32,
+    pub(super) start_of_group: StartOfGroup,
     pub(super) last_leader_contact: Option<Timestamp>,
     pub(super) election_deadline: Timestamp,
     pub(super) join_deadline: Timestamp,
@@ -65,16 +67,13 @@
 /// How long a replica waits for a leader before it stands for election, in
 /// election timeouts.
 const TIMEOUTS_WITHOUT_LEADER: Range<f64> = 1.0..2.0;
-/// The same for the first of the voters that start and may elect at once. If
-/// there is a leader, its followers deny the pre-vote.
-const TIMEOUTS_AT_START: Range<f64> = 0.08..0.12;
 /// Between two pre-votes as long as no leader was heard in this life, in
 /// election timeouts, and how many of them may follow each other so soon.
 const TIMEOUTS_BETWEEN_PRE_VOTES_AT_START: Range<f64> = 0.2..0.4;
 const MAX_QUICK_PRE_VOTES: u32 = 50;
-/// How much later than the one before it each further voter stands, in
-/// election timeouts, so that votes are not split.
-const TIMEOUTS_BETWEEN_TURNS: f64 = 0.1;
+/// How long a voter that starts waits for the candidate that it voted for, in
+/// election timeouts.
+const TIMEOUTS_FOR_CANDIDATE_AT_START: Range<f64> = 0.4..0.8;
 
 /// State of the part that the replica plays.
 #[derive(Debug)]
@@ -140,6 +139,7 @@
             last_leader_contact: (!settings.elects_at_start).then_some(now),
             election_deadline: now,
             pre_votes: 0,
+            start_of_group: StartOfGroup::default(),
             ask_again_at: now,
             join_deadline: now,
             configured_peers,
@@ -206,6 +206,7 @@
         if self.heartbeat_is_due() {
             self.send_heartbeats();
         }
+        self.stand_if_due();
         if self.election_is_due() {
             self.start_pre_vote();
         }
@@ -257,7 +258,8 @@
             return Some(self.election_deadline.min(self.ask_again_at));
         }
         if self.may_campaign() {
-            return Some(self.election_deadline);
+            let stands_at = self.candidacy_at();
+            return stands_at.or(Some(self.election_deadline));
         }
         Some(self.join_deadline)
     }
@@ -282,6 +284,8 @@
         if term <= self.hard_state.term {
             return;
         }
+        self.lose_election(ElectionLoss::HigherTerm);
+        self.forget_own_vote();
         self.hard_state = HardState {
             term,
             voted_for: None,
@@ -292,6 +296,7 @@
     }
 
     pub(super) fn become_follower(&mut self) {
+        self.reset_candidacy();
         let former = std::mem::replace(&mut self.part, Part::Follower);
         if let Part::Leader(leadership) = former {
             for read in leadership.reads {
@@ -305,44 +310,33 @@
         self.outputs.push_back(output);
     }
 
-    /// A random duration of one to two election timeouts, after `now`.
+    /// A random time at which this replica stops waiting for a leader.
     pub(super) fn random_deadline(&mut self) -> Timestamp {
-        self.deadline_after(TIMEOUTS_WITHOUT_LEADER)
+        self.deadline_after(match self.is_starting() {
+            true => TIMEOUTS_FOR_CANDIDATE_AT_START,
+            false => TIMEOUTS_WITHOUT_LEADER,
+        })
     }
 
     /// At the start there is no leader to wait for, unless it was heard before.
     fn reset_first_election_timer(&mut self) {
-        if !self.settings.elects_at_start {
-            self.reset_election_timer();
-            return;
+        match self.is_starting() {
+            true => self.election_deadline = self.now,
+            false => self.reset_election_timer(),
         }
-        let wait = TIMEOUTS_BETWEEN_TURNS * f64::from(self.turn());
-        let timeouts = TIMEOUTS_AT_START;
-        self.election_deadline = self.deadline_after(timeouts.start + wait..timeouts.end + wait);
     }
 
     /// A replica that starts asks again soon: others of its quorum may start a
     /// little later.
     pub(super) fn reset_pre_vote_timer(&mut self) {
         self.pre_votes += 1;
-        let starts = self.settings.elects_at_start && self.last_leader_contact.is_none();
-        let timeouts = match starts && self.pre_votes <= MAX_QUICK_PRE_VOTES {
+        let timeouts = match self.is_starting() && self.pre_votes <= MAX_QUICK_PRE_VOTES {
             true => TIMEOUTS_BETWEEN_PRE_VOTES_AT_START,
             false => TIMEOUTS_WITHOUT_LEADER,
         };
         self.election_deadline = self.deadline_after(timeouts);
     }
 
-    /// Place among the voters in the order in which they stand at their start.
-    /// It changes with each term, so that a voter that can't win is not always
-    /// the first.
-    fn turn(&self) -> u32 {
-        let voters: Vec<NodeId> = self.membership().voters().map(|it| it.node).collect();
-        let count = voters.len().max(1) as u64;
-        let before = voters.iter().filter(|node| **node < self.id.node).count() as u64;
-        ((before + self.hard_state.term) % count) as u32
-    }
-
     /// A random time, in election timeouts from now.
     fn deadline_after(&mut self, timeouts: Range<f64>) -> Timestamp {
         let factor = self.random.random_range(timeouts);
--- a/crates/petrellatch-core/src/control/control_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/control/control_node/replica_outputs.rs
@@ -56,6 +56,10 @@
                 }
             }
             ReplicaOutput::RoleChanged { role, term } => self.report_role(role, term),
+            ReplicaOutput::ElectionLost { term, reason } => {
+                let subject = format!("term={term} reason={}", reason.name());
+                self.emit_event(Event::new(EventKind::ElectionLost, subject));
+            }
             ReplicaOutput::MembershipChanged(membership) => {
                 let count = membership.voters().count();
                 let event = Event::new(EventKind::ReplicasChanged, format!("{count} voters"));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -24,7 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::consensus::{
-    MemberRole, Membership, PersistTicket, Replica, ReplicaOutput, ReplicaStart, Role,
+    ElectionLoss, MemberRole, Membership, PersistTicket, Replica, ReplicaOutput, ReplicaStart, Role,
 };
 use crate::event::{Event, EventKind};
 use crate::identity::NodeId;
@@ -105,6 +105,7 @@
     /// Whether this replica heard a leader at the latest input.
     served: bool,
     latencies: ConfigurationNodeLatencies,
+    elections_lost: BTreeMap<ElectionLoss, u64>,
     sweep_at: Timestamp,
     write_since: Option<Timestamp>,
     stop_at: Option<Timestamp>,
@@ -159,6 +160,7 @@
             told_whole: false,
             served: false,
             latencies: ConfigurationNodeLatencies::default(),
+            elections_lost: BTreeMap::new(),
             sweep_at: now + SWEEP_INTERVAL,
             write_since: None,
             stop_at: None,
@@ -188,6 +190,11 @@
         self.state.evacuations()
     }
 
+    /// Elections of this life that this replica stood for and lost, by reason.
+    pub fn elections_lost(&self, reason: ElectionLoss) -> u64 {
+        self.elections_lost.get(&reason).copied().unwrap_or(0)
+    }
+
     /// Agents that have not said that they know the latest order about their
     /// zone. Only the leader hears all of them.
     pub fn agents_behind(&self) -> usize {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -42,6 +42,11 @@
                 self.give_up_zone_orders();
             }
             ReplicaOutput::RoleChanged { role, term } => self.note_role(now, role, term),
+            ReplicaOutput::ElectionLost { term, reason } => {
+                *self.elections_lost.entry(reason).or_default() += 1;
+                let subject = format!("term={term} reason={}", reason.name());
+                self.emit_event(EventKind::ElectionLost, subject);
+            }
             ReplicaOutput::MembershipChanged(membership) => {
                 let voters = membership.voters().count();
                 let members = membership.members().len();
--- a/crates/petrellatch-core/tests/consensus/random_faults.rs
+++ b/crates/petrellatch-core/tests/consensus/random_faults.rs
@@ -6,6 +6,8 @@
 use petrellatch_core::identity::NodeId;
 use rand::RngExt;
 
+use petrellatch_core::consensus::ReplicaSettings;
+
 use crate::cluster::{Cluster, test_settings};
 
 const STEPS: usize = 250;
@@ -95,8 +97,8 @@
     cluster.run_until("last value applied everywhere", applied);
 }
 
-fn run(seed: u64, voters: u64, tally: &mut Tally) {
-    let mut cluster = Cluster::start(seed, voters, 0, &test_settings());
+fn run(seed: u64, voters: u64, settings: &ReplicaSettings, tally: &mut Tally) {
+    let mut cluster = Cluster::start(seed, voters, 0, settings);
     cluster.network.duplicate_percent = 5;
     cluster.network.max_delay_micros = 8_000;
     for _ in 0..STEPS {
@@ -113,9 +115,9 @@
     tally.snapshots_restored += cluster.checker.snapshots_restored;
 }
 
-fn run_seeds(seeds: std::ops::Range<u64>, voters: u64) {
+fn run_seeds(seeds: std::ops::Range<u64>, voters: u64, settings: &ReplicaSettings) {
     let mut tally = Tally::default();
-    seeds.for_each(|seed| run(seed, voters, &mut tally));
+    seeds.for_each(|seed| run(seed, voters, settings, &mut tally));
     println!("{voters} voters: {tally:?}");
     assert!(tally.disks_lost > 0 && tally.snapshots_restored > 0);
     assert!(tally.committed > 0 && tally.reads > 0);
@@ -123,10 +125,20 @@
 
 #[test]
 fn three_replicas_keep_every_guarantee_under_random_faults() {
-    run_seeds(0..60, 3);
+    run_seeds(0..60, 3, &test_settings());
 }
 
 #[test]
 fn five_replicas_keep_every_guarantee_under_random_faults() {
-    run_seeds(1000..1030, 5);
+    run_seeds(1000..1030, 5, &test_settings());
+}
+
+#[test]
+fn replicas_that_elect_at_start_keep_every_guarantee_under_random_faults() {
+    let settings = ReplicaSettings {
+        elects_at_start: true,
+        ..test_settings()
+    };
+    run_seeds(0..60, 3, &settings);
+    run_seeds(1000..1030, 5, &settings);
 }
--- a/crates/petrellatch/src/logs/summary/causes.rs
+++ b/crates/petrellatch/src/logs/summary/causes.rs
@@ -41,6 +41,7 @@
     let mut causes = pressure(summary, &starts);
     causes.extend(silent_verdicts(summary));
     causes.extend(full_links(summary));
+    causes.extend(lost_elections(summary));
     causes.extend(single(summary));
     causes.extend(starts);
     causes.sort_by_key(|cause| std::cmp::Reverse(cause.weight));
@@ -217,6 +218,42 @@
     causes.collect()
 }
 
+/// Elections without a leader, close to each other.
+fn lost_elections(summary: &Summary) -> Vec<Cause> {
+    let runs = runs(summary, TOLD_TOGETHER_MILLIS, |slice| {
+        slice.count(Column::ElectionLost) > 0
+    });
+    let causes = runs.into_iter().map(|(from, until, slice)| {
+        let weight = slice.count(Column::ElectionLost);
+        let reasons = slice.elections_lost.iter();
+        let reasons: Vec<String> = reasons
+            .map(|(reason, count)| format!("{count} {reason}"))
+            .collect();
+        let (first, last) = slice.lost_between.unwrap_or((from, until));
+        let text = format!(
+            "elections LOST: {weight} ({}), first {}, last {}",
+            reasons.join(", "),
+            second_of_minute(first),
+            second_of_minute(last)
+        );
+        Cause {
+            from: first,
+            until: last,
+            weight,
+            text,
+        }
+    });
+    causes.collect()
+}
+
+/// The seconds and milliseconds of a time.
+fn second_of_minute(millis: u64) -> String {
+    const SECOND_MILLIS: u64 = 1_000;
+    const MINUTE_SECONDS: u64 = 60;
+    let (seconds, millis) = (millis / SECOND_MILLIS, millis % SECOND_MILLIS);
+    format!("{}.{millis:03}", seconds % MINUTE_SECONDS)
+}
+
 /// What counts each time that it happens.
 fn single(summary: &Summary) -> Vec<Cause> {
     let kinds = [
--- a/crates/petrellatch/src/logs/summary/column.rs
+++ b/crates/petrellatch/src/logs/summary/column.rs
@@ -33,6 +33,7 @@
     Started "start" "Processes that started.";
     Stopping "stop" "Processes that were asked to stop.";
     Elected "elect" "Elections: replicas that became leader.";
+    ElectionLost "noel" "Elections that were lost: candidates whose term got no leader.";
     Ready "ready" "Processes that became ready.";
     Unready "unrdy" "Processes that became unready.";
     RefusedFull "full" "Flows refused: each agent that answered declined as full.";
@@ -66,6 +67,7 @@
         EventKind::ProcessStarted => Column::Started,
         EventKind::ProcessStopping => Column::Stopping,
         EventKind::LeaderElected => Column::Elected,
+        EventKind::ElectionLost => Column::ElectionLost,
         EventKind::BecameReady => Column::Ready,
         EventKind::BecameUnready => Column::Unready,
         EventKind::FlowRefused => refusal(line),
--- a/crates/petrellatch/src/logs/summary/slice.rs
+++ b/crates/petrellatch/src/logs/summary/slice.rs
@@ -1,6 +1,6 @@
 //! The counts of one slice of time.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use petrellatch_core::EventKind;
 
@@ -11,6 +11,9 @@
 /// 512 agents are more than half of the largest deployment's thousand.
 const MOST_NAMES: usize = 512;
 
+/// Reasons of lost elections kept for each slice, at most; there are three.
+const MOST_LOSS_REASONS: usize = 8;
+
 /// Counts of a slice, with what the causes need to be told from each other.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Slice {
@@ -31,6 +34,10 @@
     pub(super) cold: u64,
     /// Balancers whose links became full.
     pub(super) full_links: BTreeSet<u32>,
+    /// Lost elections by reason.
+    pub(super) elections_lost: BTreeMap<String, u64>,
+    /// Moments of the first and the last lost election, in milliseconds.
+    pub(super) lost_between: Option<(u64, u64)>,
     /// The longest time, in milliseconds, that such a link needed for what waited.
     pub(super) link_wait: u64,
 }
@@ -45,6 +52,7 @@
                     self.missing = self.missing.max(number(line, "missing").unwrap_or(0));
                     self.lacks = self.lacks.max(number(line, "lacks").unwrap_or(0));
                 }
+                Column::ElectionLost => self.note_lost_election(line),
                 Column::Suspected => insert(&mut self.suspected, agent),
                 Column::LinkFull => {
                     insert(&mut self.full_links, Some(node));
@@ -71,6 +79,10 @@
         self.agents = self.agents.max(other.agents);
         self.cold = self.cold.max(other.cold);
         self.link_wait = self.link_wait.max(other.link_wait);
+        for (reason, count) in &other.elections_lost {
+            *self.elections_lost.entry(reason.clone()).or_default() += count;
+        }
+        self.extend_lost_between(other.lost_between);
         for name in &other.full_links {
             insert(&mut self.full_links, Some(*name));
         }
@@ -82,6 +94,19 @@
         }
     }
 
+    fn note_lost_election(&mut self, line: &LogLine) {
+        let reason = line.value("reason").unwrap_or("-");
+        if self.elections_lost.len() < MOST_LOSS_REASONS {
+            *self.elections_lost.entry(reason.to_owned()).or_default() += 1;
+        }
+        self.extend_lost_between(line.millis().map(|at| (at, at)));
+    }
+
+    fn extend_lost_between(&mut self, more: Option<(u64, u64)>) {
+        let both = self.lost_between.into_iter().chain(more);
+        self.lost_between = both.reduce(|one, other| (one.0.min(other.0), one.1.max(other.1)));
+    }
+
     pub(super) fn count(&self, column: Column) -> u64 {
         self.counts[column as usize]
     }
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
-use petrellatch_core::consensus::Role;
+use petrellatch_core::consensus::{ElectionLoss, Role};
 use petrellatch_core::pass_through::{
     ConfigurationNode, LatencyHistogram, PacketCodec, PassThroughAgent, PassThroughBalancer,
 };
@@ -37,6 +37,7 @@
 const SYNC_SECONDS: &str = "petrellatch_pass_through_sync_seconds";
 const SEARCHES_TOTAL: &str = "petrellatch_pass_through_searches_total";
 const ZONES_EVACUATED: &str = "petrellatch_pass_through_zones_evacuated";
+const ELECTIONS_LOST_TOTAL: &str = "petrellatch_pass_through_elections_lost_total";
 const AGENTS_BEHIND: &str = "petrellatch_pass_through_agents_behind";
 const WAITING_TOTAL: &str = "petrellatch_pass_through_waiting_total";
 const FULL_TOTAL: &str = "petrellatch_pass_through_full_total";
@@ -52,7 +53,7 @@
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 34] = [
+pub const METRIC_NAMES: [&str; 35] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -75,6 +76,7 @@
     SYNC_SECONDS,
     SEARCHES_TOTAL,
     ZONES_EVACUATED,
+    ELECTIONS_LOST_TOTAL,
     AGENTS_BEHIND,
     WAITING_TOTAL,
     FULL_TOTAL,
@@ -264,6 +266,7 @@
     tell_evacuated(&registry, node.evacuations().evacuated().count());
     let help = "Agents that have not said that they know the latest order about their zone.";
     set(&gauge(&registry, AGENTS_BEHIND, help), node.agents_behind());
+    tell_elections_lost(&registry, node);
     let latencies = node.latencies();
     let help = "Request of a replacement until it was accepted.";
     let acceptance = histogram(ACCEPTANCE_SECONDS, help, &latencies.acceptance);
@@ -281,6 +284,15 @@
     set(&evacuated, zones);
 }
 
+fn tell_elections_lost(registry: &Registry, node: &ConfigurationNode) {
+    let help = "Elections that this replica stood for and lost, by reason.";
+    let lost = counters(registry, ELECTIONS_LOST_TOTAL, help, "reason");
+    for reason in ElectionLoss::ALL {
+        let total = node.elections_lost(reason);
+        raise(&lost.with_label_values(&[reason.name()]), total);
+    }
+}
+
 fn reason_name(reason: DeclineReason) -> &'static str {
     match reason {
         DeclineReason::Unspecified => "unspecified",
--- a/crates/petrellatch/tests/logs_summary.rs
+++ b/crates/petrellatch/tests/logs_summary.rs
@@ -281,3 +281,23 @@
     assert!(causes[0].contains(expected), "{causes:?}");
     assert!(causes[0].contains("105 ms and more"), "{causes:?}");
 }
+
+#[test]
+fn lost_elections_are_told_on_a_line_of_their_own_with_first_and_last_moment() {
+    let lost = [
+        (3_257, "core-1", "term=3 reason=denied"),
+        (3_259, "core-2", "term=3 reason=denied"),
+        (3_486, "core-3", "term=4 reason=higher_term"),
+    ];
+    let mut lines: Vec<String> = lost
+        .iter()
+        .map(|(at, node, subject)| line(*at, node, "ElectionLost", subject))
+        .collect();
+    lines.push(line(3_497, "core-1", "LeaderElected", "term=5"));
+    let report = report(&lines);
+    let causes = told(&report);
+    let expected = "elections LOST: 3 (2 denied, 1 higher_term), first 3.257, last 3.486";
+    assert!(causes.contains(&expected), "{causes:?}");
+    assert!(causes.contains(&"elections: 1"), "{causes:?}");
+    assert_eq!(report.total(Column::ElectionLost), 3);
+}
