--- a/crates/petrellatch-core/tests/consensus/return_of_power.rs
+++ b/crates/petrellatch-core/tests/consensus/return_of_power.rs
@@ -157,7 +157,9 @@
     times.sort_unstable();
     let at = |share: usize| times[times.len() * share / 100];
     let lost = runs.iter().filter(|run| run.lost_terms > 0).count();
-    let waited = runs.iter().filter(|run| run.lost_terms == 0 && run.time > AIM);
+    let waited = runs
+        .iter()
+        .filter(|run| run.lost_terms == 0 && run.time > AIM);
     let maximum = times[times.len() - 1];
     println!(
         "{voters} voters, sync {sync_micros} us: median {:?}, 90 % {:?}, 99 % {:?}, \
