Report an election as lost only when its term ends without a leader heard

Ruled out: leaving it; the line would be false where the order works as meant. Change: the loss is kept until a leader of the term is heard or the next term begins.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -252,11 +252,20 @@
         }
     }
 
-    /// Reports the end of a candidacy, if there is one.
+    /// Ends a candidacy, if there is one. Another candidate may still win the
+    /// term, so the loss is reported with the next one.
     pub(super) fn lose_election(&mut self, reason: ElectionLoss) {
         if matches!(self.part, Part::Candidate { .. }) {
             self.part = Part::Follower;
             self.forget_own_vote();
+            self.lost_election = Some(reason);
+        }
+    }
+
+    /// Reports a lost candidacy at the end of its term, unless a leader of that
+    /// term was heard.
+    pub(super) fn report_lost_election(&mut self) {
+        if let Some(reason) = self.lost_election.take() {
             let term = self.hard_state.term;
             self.emit(ReplicaOutput::ElectionLost { term, reason });
         }
@@ -273,6 +282,7 @@
     /// Asks for votes in the next term. `transferred` says that the leader of
     /// this term has stepped down in favour of this replica.
     pub(super) fn start_election(&mut self, transferred: bool) {
+        self.report_lost_election();
         self.hard_state = HardState {
             term: self.hard_state.term + 1,
             voted_for: Some(self.id),
--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -72,6 +72,7 @@
         }
         self.part = Part::Follower;
         self.reset_candidacy();
+        self.lost_election = None;
         self.note_leader(sender.node);
         true
     }
--- a/crates/petrellatch-core/src/consensus/output.rs
+++ b/crates/petrellatch-core/src/consensus/output.rs
@@ -115,7 +115,8 @@
         /// The term.
         term: Term,
     },
-    /// This replica stood for election, and the term got no leader.
+    /// This replica stood for election, and the term ended before it heard a
+    /// leader of it.
     ElectionLost {
         /// The term.
         term: Term,
--- a/crates/petrellatch-core/src/consensus/replica.rs
+++ b/crates/petrellatch-core/src/consensus/replica.rs
@@ -40,13 +40,16 @@
     pub(super) applied_index: LogIndex,
     pub(super) part: Part,
     pub(super) leader: Option<NodeId>,
-    /// When a leader was last heard from; the start counts as such, because
-    /// what was promised before it is not known any more.
     /// When a candidate asks again for votes that it lacks.
     pub(super) ask_again_at: Timestamp,
     /// Pre-votes of this life.
     pre_votes: u32,
     pub(super) start_of_group: StartOfGroup,
+    /// Why this replica was not elected in the current term.
+    pub(super) lost_election: Option<ElectionLoss>,
+    /// When a leader was last heard from. Unless voters may elect at their
+    /// start, the start counts as such, because what was promised before it is
+    /// not known any more.
     pub(super) last_leader_contact: Option<Timestamp>,
     pub(super) election_deadline: Timestamp,
     pub(super) join_deadline: Timestamp,
@@ -140,6 +143,7 @@
             election_deadline: now,
             pre_votes: 0,
             start_of_group: StartOfGroup::default(),
+            lost_election: None,
             ask_again_at: now,
             join_deadline: now,
             configured_peers,
@@ -285,6 +289,7 @@
             return;
         }
         self.lose_election(ElectionLoss::HigherTerm);
+        self.report_lost_election();
         self.forget_own_vote();
         self.hard_state = HardState {
             term,
--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -78,7 +78,7 @@
     ReplicaRejoining = 205, Warning;
     /// The set of replicas changed.
     ReplicasChanged = 206, Info;
-    /// A control replica stood for election, and its term got no leader.
+    /// A control replica stood for election, and that term ended before it heard a leader.
     ElectionLost = 207, Warning;
     /// A balancer or agent was registered.
     MemberRegistered = 300, Info;
--- a/crates/petrellatch-core/tests/consensus/candidate.rs
+++ b/crates/petrellatch-core/tests/consensus/candidate.rs
@@ -4,12 +4,12 @@
 
 use petrellatch_core::Timestamp;
 use petrellatch_core::consensus::{
-    Membership, PersistentState, Replica, ReplicaId, ReplicaOutput, ReplicaSettings, ReplicaStart,
-    Role,
+    ElectionLoss, Membership, PersistentState, Replica, ReplicaId, ReplicaOutput, ReplicaSettings,
+    ReplicaStart, Role,
 };
 use petrellatch_core::identity::{Incarnation, NodeId};
 use petrellatch_proto::consensus::{
-    ConsensusBody, ConsensusMessage, PreVoteResponse, VoteResponse,
+    AppendRequest, ConsensusBody, ConsensusMessage, PreVoteRequest, PreVoteResponse, VoteResponse,
 };
 
 const MILLI: Duration = Duration::from_millis(1);
@@ -112,3 +112,68 @@
     }
     assert_eq!(replica.role(), Role::Leader);
 }
+
+/// A replica of three that stood at its start with the pre-vote of the second
+/// one, which then refuses its vote, so that it gives up.
+fn denied_candidate() -> (Replica, Timestamp) {
+    let start = ReplicaStart {
+        id: id(1).node,
+        incarnation: id(1).incarnation,
+        seed: 3,
+        persisted: PersistentState::default(),
+        bootstrap: Some(Membership::of_voters((1..=3).map(id))),
+    };
+    let settings = ReplicaSettings {
+        elects_at_start: true,
+        ..ReplicaSettings::default()
+    };
+    let now = Timestamp::from_millis(10_000);
+    let mut replica = Replica::new(now, settings, start);
+    replica.handle_timeout(now);
+    settle(&mut replica, now);
+    let asks = ConsensusBody::PreVoteRequest(PreVoteRequest {
+        proposed_term: 1,
+        ..PreVoteRequest::default()
+    });
+    let would_vote = ConsensusBody::PreVoteResponse(PreVoteResponse {
+        proposed_term: 1,
+        granted: true,
+    });
+    let refuses = ConsensusBody::VoteResponse(VoteResponse { granted: false });
+    for (term, body, role) in [
+        (0, asks, Role::PreCandidate),
+        (0, would_vote, Role::Candidate),
+        (1, refuses, Role::PreCandidate),
+    ] {
+        let (node, message) = from(2, term, body);
+        replica.handle_message(now, node, message);
+        settle(&mut replica, now);
+        assert_eq!(replica.role(), role);
+    }
+    (replica, now)
+}
+
+/// Hands a replica a heartbeat of the third one and returns what it reports.
+fn lost_elections_after_heartbeat(term: u64) -> Vec<(u64, ElectionLoss)> {
+    let (mut replica, now) = denied_candidate();
+    let heartbeat = ConsensusBody::AppendRequest(AppendRequest::default());
+    let (node, message) = from(3, term, heartbeat);
+    replica.handle_message(now, node, message);
+    assert_eq!(replica.leader(), Some(NodeId(3)));
+    let mut lost = Vec::new();
+    while let Some(output) = replica.poll_output() {
+        if let ReplicaOutput::ElectionLost { term, reason } = output {
+            lost.push((term, reason));
+        }
+    }
+    lost
+}
+
+#[test]
+fn an_election_counts_as_lost_only_if_its_term_gets_no_leader() {
+    assert_eq!(lost_elections_after_heartbeat(1), []);
+    assert_eq!(
+        lost_elections_after_heartbeat(2),
+        [(1, ElectionLoss::Denied)]
+    );
+}
