Let the test of a lost election see what is reported in the next term

Cause: the test passed with the fault put in: nothing is reported before the next term, so a heartbeat of the candidate's own term alone shows nothing. Ruled out: nothing. Change: the test goes on to the next term.

--- a/crates/petrellatch-core/tests/consensus/candidate.rs
+++ b/crates/petrellatch-core/tests/consensus/candidate.rs
@@ -153,13 +153,16 @@
     (replica, now)
 }
 
-/// Hands a replica a heartbeat of the third one and returns what it reports.
-fn lost_elections_after_heartbeat(term: u64) -> Vec<(u64, ElectionLoss)> {
+/// Hands the candidate heartbeats of the third replica as leader of these terms
+/// and returns what it reports.
+fn lost_elections_after_heartbeats(terms: &[u64]) -> Vec<(u64, ElectionLoss)> {
     let (mut replica, now) = denied_candidate();
-    let heartbeat = ConsensusBody::AppendRequest(AppendRequest::default());
-    let (node, message) = from(3, term, heartbeat);
-    replica.handle_message(now, node, message);
-    assert_eq!(replica.leader(), Some(NodeId(3)));
+    for term in terms {
+        let heartbeat = ConsensusBody::AppendRequest(AppendRequest::default());
+        let (node, message) = from(3, *term, heartbeat);
+        replica.handle_message(now, node, message);
+        assert_eq!(replica.leader(), Some(NodeId(3)));
+    }
     let mut lost = Vec::new();
     while let Some(output) = replica.poll_output() {
         if let ReplicaOutput::ElectionLost { term, reason } = output {
@@ -171,9 +174,7 @@
 
 #[test]
 fn an_election_counts_as_lost_only_if_its_term_gets_no_leader() {
-    assert_eq!(lost_elections_after_heartbeat(1), []);
-    assert_eq!(
-        lost_elections_after_heartbeat(2),
-        [(1, ElectionLoss::Denied)]
-    );
+    assert_eq!(lost_elections_after_heartbeats(&[1, 2]), []);
+    let lost = [(1, ElectionLoss::Denied)];
+    assert_eq!(lost_elections_after_heartbeats(&[2]), lost);
 }
