--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -71,6 +71,8 @@
             return false;
         }
         self.part = Part::Follower;
+        self.reset_candidacy();
+        self.lost_election = None;
         self.note_leader(sender.node);
         true
     }
