Count flows that are let wait at warm back ends as lack of room

Cause: a flow that waited at an agent ended the balancer's pause as far as the next flow was concerned, which asked at once; most of those that waited in a burst were refused in the end, and those left when it ended took places of fresh ones. Change: three in a row with none taken between begin a pause, unless the back end warms up.

--- a/crates/petrellatch-core/src/pass_through/balancer/edge.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -14,6 +14,15 @@
 /// that are refused.
 const PRESSED_ASKED: usize = 1;
 
+/// A flow that agents were asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AskedFlow {
+    pub(super) kind: FlowKind,
+    pub(super) route: SocketAddrV4,
+    pub(super) created_at: Timestamp,
+    pub(super) asked: AskedAgents,
+}
+
 impl<C: PacketCodec> PassThroughBalancer<C> {
     /// New flows that were refused without asking an agent, by priority.
     pub fn refused_at_edge(&self) -> &BTreeMap<u32, u64> {
@@ -67,17 +76,43 @@
     /// the next ones are refused for a while. Silence, or back ends that leave, are no
     /// lack of room.
     pub(super) fn note_refused(&mut self, now: Timestamp, flow: FlowId, hint: &FlowHint) {
-        let kind = self.flow_kind(flow, hint.service, hint.age);
+        let asked_flow = AskedFlow {
+            kind: self.flow_kind(flow, hint.service, hint.age),
+            route: flow.route,
+            created_at: hint.created_at,
+            asked: hint.asked,
+        };
         let AskedAgents { asked, full, .. } = hint.asked;
         if full * 2 <= asked {
-            self.pressure.note_unknown(kind);
-            return;
+            self.pressure.note_unknown(asked_flow.kind);
+        } else {
+            self.begin_pause(now, asked_flow);
         }
-        let agents = self.agents.count(hint.service).serving();
-        let created_at = hint.created_at;
+    }
+
+    /// Notes that an agent lets a flow wait for a place. At a back end that is warm that
+    /// is all the room there is, and those that wait find the next. One that warms up will
+    /// soon work faster, so that more flows may wait for it.
+    pub(super) fn note_waiting(&mut self, now: Timestamp, flow: AskedFlow, is_cold: bool) {
+        if !is_cold && self.pressure.note_waiting(flow.kind, flow.created_at) {
+            self.begin_pause(now, flow);
+        } else {
+            self.pressure.note_unknown(flow.kind);
+        }
+    }
+
+    /// Refuses the next flows of a kind for a while, as one of it found no room.
+    fn begin_pause(&mut self, now: Timestamp, flow: AskedFlow) {
+        let AskedFlow {
+            kind,
+            route,
+            created_at,
+            ..
+        } = flow;
+        let agents = self.agents.count(kind.service).serving();
         if self
             .pressure
-            .note_full(now, kind, created_at, agents, flow.route)
+            .note_full(now, kind, created_at, agents, route)
         {
             self.counters.pauses += 1;
             self.tell_pressure(now);
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -1,6 +1,6 @@
 //! New flows: which agent is asked, and what its answer leads to.
 
-use super::edge::{MAX_QUEUE_ASKED, has_left, has_passed};
+use super::edge::{AskedFlow, MAX_QUEUE_ASKED, has_left, has_passed};
 use super::*;
 
 impl<C: PacketCodec> PassThroughBalancer<C> {
@@ -200,12 +200,17 @@
         candidate.state = CandidateState::Waiting;
         let asked_at = candidate.asked_at.take();
         let (service, age) = (hint.service, hint.age);
+        let (created_at, asked) = (hint.created_at, hint.asked);
         if let Some(asked_at) = asked_at {
             self.answer_time.record(now.saturating_since(asked_at));
         }
-        // It may be refused in the end, so that it shows no room.
-        let kind = self.flow_kind(flow, service, age);
-        self.pressure.note_unknown(kind);
+        let asked_flow = AskedFlow {
+            kind: self.flow_kind(flow, service, age),
+            route: flow.route,
+            created_at,
+            asked,
+        };
+        self.note_waiting(now, asked_flow, told.load.cold);
         let limit = now + OPENING_PATIENCE;
         self.waiting.push_back((limit, flow, from));
     }
--- a/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
@@ -38,6 +38,9 @@
 /// Agents that are remembered for that. One that lies is among the latest ones; more
 /// would leave few to ask of a small service.
 const MAX_DECLINES: usize = 4;
+/// So many flows that are let wait, with none taken between, show that there is no room:
+/// of a large service a single agent may have a queue while others have none.
+const WAITING_RUN: u32 = 3;
 /// A service without a pause for so long is no more under pressure.
 const CALM: Duration = Duration::from_secs(1);
 
@@ -91,6 +94,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServicePressure {
     pauses: BTreeMap<FlowKind, Pause>,
+    /// Flows that were let wait since the latest one that was taken.
+    waiting: BTreeMap<FlowKind, u32>,
     /// Agents that have lately had no room, the latest last.
     declines: VecDeque<(Timestamp, SocketAddrV4)>,
     /// The shortest turn that agents of a service have foretold since its latest pause.
@@ -178,13 +183,30 @@
             route,
         };
         self.turns.remove(&kind.service);
+        self.waiting.remove(&kind);
         self.pauses.insert(kind, pause);
         true
     }
 
+    /// An agent whose back end is warm lets a flow wait that came at `created_at`. Returns
+    /// whether this shows that there is no room.
+    pub(crate) fn note_waiting(&mut self, kind: FlowKind, created_at: Timestamp) -> bool {
+        if self
+            .pauses
+            .get(&kind)
+            .is_some_and(|it| created_at < it.until)
+        {
+            return false;
+        }
+        let waiting = self.waiting.entry(kind).or_default();
+        *waiting += 1;
+        *waiting >= WAITING_RUN
+    }
+
     /// A flow that came at `created_at` was taken: there is room for its kind, and for
     /// the more urgent ones.
     pub(crate) fn note_taken(&mut self, kind: FlowKind, created_at: Timestamp) {
+        self.waiting.remove(&kind);
         let upto = self.pauses.range_mut(most_urgent(kind)..=kind);
         for (_, pause) in upto.filter(|(_, pause)| created_at >= pause.until) {
             pause.is_over = true;
