Forget runs of waiting flows, and test when they begin a pause

Cause: a run of waiting flows was kept for good, and a flow that is taken shows room for the more urgent as well. Ruled out: a run that lasts for good. Change: it ends after a second without another, and with any flow that is taken of the same or a less urgent priority; three tests of the edge.

--- a/crates/petrellatch-core/src/pass_through/balancer/edge.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -90,11 +90,11 @@
         }
     }
 
-    /// Notes that an agent lets a flow wait for a place. At a back end that is warm that
-    /// is all the room there is, and those that wait find the next. One that warms up will
-    /// soon work faster, so that more flows may wait for it.
+    /// Notes that an agent lets a flow wait for a place, which ends no pause. At back ends
+    /// that are warm there is no more room for now, and those that wait find the next. One
+    /// that warms up will soon work faster, so that more flows may wait for it.
     pub(super) fn note_waiting(&mut self, now: Timestamp, flow: AskedFlow, is_cold: bool) {
-        if !is_cold && self.pressure.note_waiting(flow.kind, flow.created_at) {
+        if !is_cold && self.pressure.note_waiting(now, flow.kind, flow.created_at) {
             self.begin_pause(now, flow);
         } else {
             self.pressure.note_unknown(flow.kind);
--- a/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
@@ -90,12 +90,19 @@
     route: SocketAddrV4,
 }
 
+/// Flows of one kind that were let wait, with none taken between.
+#[derive(Debug)]
+struct WaitingRun {
+    flows: u32,
+    latest_at: Timestamp,
+}
+
 /// The services that have lately had no room.
 #[derive(Debug, Default)]
 pub(crate) struct ServicePressure {
     pauses: BTreeMap<FlowKind, Pause>,
     /// Flows that were let wait since the latest one that was taken.
-    waiting: BTreeMap<FlowKind, u32>,
+    waiting: BTreeMap<FlowKind, WaitingRun>,
     /// Agents that have lately had no room, the latest last.
     declines: VecDeque<(Timestamp, SocketAddrV4)>,
     /// The shortest turn that agents of a service have foretold since its latest pause.
@@ -190,23 +197,31 @@
 
     /// An agent whose back end is warm lets a flow wait that came at `created_at`. Returns
     /// whether this shows that there is no room.
-    pub(crate) fn note_waiting(&mut self, kind: FlowKind, created_at: Timestamp) -> bool {
-        if self
-            .pauses
-            .get(&kind)
-            .is_some_and(|it| created_at < it.until)
-        {
+    pub(crate) fn note_waiting(
+        &mut self,
+        now: Timestamp,
+        kind: FlowKind,
+        created_at: Timestamp,
+    ) -> bool {
+        let mut pauses = self.pauses.get(&kind).into_iter();
+        if pauses.any(|pause| created_at < pause.until) {
             return false;
         }
-        let waiting = self.waiting.entry(kind).or_default();
-        *waiting += 1;
-        *waiting >= WAITING_RUN
+        let run = self.waiting.entry(kind).or_insert(WaitingRun {
+            flows: 0,
+            latest_at: now,
+        });
+        let is_broken = now >= run.latest_at + CALM;
+        run.flows = if is_broken { 1 } else { run.flows + 1 };
+        run.latest_at = now;
+        run.flows >= WAITING_RUN
     }
 
     /// A flow that came at `created_at` was taken: there is room for its kind, and for
     /// the more urgent ones.
     pub(crate) fn note_taken(&mut self, kind: FlowKind, created_at: Timestamp) {
-        self.waiting.remove(&kind);
+        let has_room = most_urgent(kind)..=kind;
+        self.waiting.retain(|it, _| !has_room.contains(it));
         let upto = self.pauses.range_mut(most_urgent(kind)..=kind);
         for (_, pause) in upto.filter(|(_, pause)| created_at >= pause.until) {
             pause.is_over = true;
@@ -226,6 +241,7 @@
     /// under more or less of it, or under none any more.
     pub(crate) fn take_changes(&mut self, now: Timestamp) -> Vec<PressureChange> {
         self.pauses.retain(|_, pause| now < pause.until + CALM);
+        self.waiting.retain(|_, run| now < run.latest_at + CALM);
         let mut levels: BTreeMap<u64, (u32, SocketAddrV4)> = BTreeMap::new();
         for (kind, pause) in &self.pauses {
             let told = (kind.priority, pause.route);
--- a/crates/petrellatch-core/tests/pass_through/edge.rs
+++ b/crates/petrellatch-core/tests/pass_through/edge.rs
@@ -7,7 +7,7 @@
 use petrellatch_core::pass_through::PassThroughOutput;
 use petrellatch_core::{EventKind, pass_through::PacketView};
 use petrellatch_proto::pass_through::{
-    Accepted, CarryReason, DeclineReason, Declined, LoadMessage, PassThroughBody,
+    Accepted, CarryReason, DeclineReason, Declined, LoadMessage, PassThroughBody, Waiting,
 };
 
 use super::codec::{TestCodec, empty, encode};
@@ -114,6 +114,20 @@
         self.drain();
     }
 
+    /// The agent that was asked last lets its flow wait, for a back end that may be cold.
+    fn let_wait(&mut self, cold: bool) {
+        let (agent, flow) = self.asked.pop().expect("asked");
+        let waiting = Waiting {
+            flow: flow.into(),
+            load: LoadMessage { cold, ..load(6) },
+        };
+        let body = PassThroughBody::Waiting(waiting);
+        self.world
+            .balancer
+            .handle_message(self.world.now, agent, body);
+        self.drain();
+    }
+
     /// Questions that so many flows cause, one a millisecond, while nobody answers.
     fn questions(&mut self, flows: usize) -> usize {
         let before = self.asked.len();
@@ -212,6 +226,45 @@
     }
 }
 
+/// A burst presses a service whose back ends are warm: whoever waits there finds the next
+/// place, and more that wait would do so in vain.
+#[test]
+fn flows_that_wait_at_warm_back_ends_show_that_there_is_no_room() {
+    let mut edge = Edge::new();
+    for _ in 0..3 {
+        assert_eq!(edge.open(), 1);
+        edge.let_wait(false);
+    }
+    assert_eq!(edge.questions(15), 0);
+    assert!(edge.events.contains(&EventKind::ServicePressed));
+}
+
+/// After an outage callers come to back ends that are cold, and will soon work faster.
+#[test]
+fn flows_that_wait_at_cold_back_ends_are_no_pause() {
+    let mut edge = Edge::new();
+    for _ in 0..50 {
+        assert_eq!(edge.open(), 1);
+        edge.let_wait(true);
+    }
+    assert!(!edge.events.contains(&EventKind::ServicePressed));
+}
+
+/// One agent of a large service has a queue while others have room.
+#[test]
+fn flows_that_wait_between_others_that_are_taken_are_no_pause() {
+    let mut edge = Edge::new();
+    for _ in 0..10 {
+        for _ in 0..2 {
+            assert_eq!(edge.open(), 1);
+            edge.let_wait(false);
+        }
+        assert_eq!(edge.open(), 1);
+        edge.accept();
+    }
+    assert!(!edge.events.contains(&EventKind::ServicePressed));
+}
+
 /// All agents are silent for two seconds.
 #[test]
 fn silence_is_no_pause() {
