Let flows wait at agents that have just started, however many

Cause: late_callers::no_more_wait_than_places_are_likely_to_be_left was red: of 50 old callers at an agent that has just started 3 waited, not 20. Ruled out: to leave out late callers alone, as fresh ones come back after an outage as well.

--- a/crates/petrellatch-core/src/pass_through/balancer/edge.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -1,6 +1,8 @@
 //! New flows that are refused without asking an agent, and how much is asked for those
 //! that are not.
 
+use petrellatch_proto::pass_through::LoadMessage;
+
 use super::*;
 
 /// Agents that are asked to take a flow into a free slot, before full ones
@@ -20,7 +22,6 @@
     pub(super) kind: FlowKind,
     pub(super) route: SocketAddrV4,
     pub(super) created_at: Timestamp,
-    pub(super) asked: AskedAgents,
 }
 
 impl<C: PacketCodec> PassThroughBalancer<C> {
@@ -80,7 +81,6 @@
             kind: self.flow_kind(flow, hint.service, hint.age),
             route: flow.route,
             created_at: hint.created_at,
-            asked: hint.asked,
         };
         let AskedAgents { asked, full, .. } = hint.asked;
         if full * 2 <= asked {
@@ -91,10 +91,12 @@
     }
 
     /// Notes that an agent lets a flow wait for a place, which ends no pause. At back ends
-    /// that are warm there is no more room for now, and those that wait find the next. One
-    /// that warms up will soon work faster, so that more flows may wait for it.
-    pub(super) fn note_waiting(&mut self, now: Timestamp, flow: AskedFlow, is_cold: bool) {
-        if !is_cold && self.pressure.note_waiting(now, flow.kind, flow.created_at) {
+    /// that are warm and whose times of work are known there is no more room for now, and
+    /// those that wait find the next. After an outage back ends warm up, or agents have
+    /// just started: they will soon take more, so that more flows may wait for it.
+    pub(super) fn note_waiting(&mut self, now: Timestamp, flow: AskedFlow, load: LoadMessage) {
+        let is_starting = load.cold || load.work_micros == 0;
+        if !is_starting && self.pressure.note_waiting(now, flow.kind, flow.created_at) {
             self.begin_pause(now, flow);
         } else {
             self.pressure.note_unknown(flow.kind);
@@ -107,7 +109,6 @@
             kind,
             route,
             created_at,
-            ..
         } = flow;
         let agents = self.agents.count(kind.service).serving();
         if self
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -200,7 +200,7 @@
         candidate.state = CandidateState::Waiting;
         let asked_at = candidate.asked_at.take();
         let (service, age) = (hint.service, hint.age);
-        let (created_at, asked) = (hint.created_at, hint.asked);
+        let created_at = hint.created_at;
         if let Some(asked_at) = asked_at {
             self.answer_time.record(now.saturating_since(asked_at));
         }
@@ -208,9 +208,8 @@
             kind: self.flow_kind(flow, service, age),
             route: flow.route,
             created_at,
-            asked,
         };
-        self.note_waiting(now, asked_flow, told.load.cold);
+        self.note_waiting(now, asked_flow, told.load);
         let limit = now + OPENING_PATIENCE;
         self.waiting.push_back((limit, flow, from));
     }
--- a/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
@@ -195,8 +195,8 @@
         true
     }
 
-    /// An agent whose back end is warm lets a flow wait that came at `created_at`. Returns
-    /// whether this shows that there is no room.
+    /// An agent whose back end works at its usual rate lets a flow wait that came at
+    /// `created_at`. Returns whether this shows that there is no room.
     pub(crate) fn note_waiting(
         &mut self,
         now: Timestamp,
