--- a/crates/petrellatch-core/tests/pass_through/edge.rs
+++ b/crates/petrellatch-core/tests/pass_through/edge.rs
@@ -7,7 +7,7 @@
 use petrellatch_core::pass_through::PassThroughOutput;
 use petrellatch_core::{EventKind, pass_through::PacketView};
 use petrellatch_proto::pass_through::{
-    Accepted, CarryReason, DeclineReason, Declined, LoadMessage, PassThroughBody,
+    Accepted, CarryReason, DeclineReason, Declined, LoadMessage, PassThroughBody, Waiting,
 };
 
 use super::codec::{TestCodec, empty, encode};
@@ -114,6 +114,20 @@
         self.drain();
     }
 
+    /// The agent that was asked last lets its flow wait.
+    fn let_wait(&mut self, load: LoadMessage) {
+        let (agent, flow) = self.asked.pop().expect("asked");
+        let waiting = Waiting {
+            flow: flow.into(),
+            load,
+        };
+        let body = PassThroughBody::Waiting(waiting);
+        self.world
+            .balancer
+            .handle_message(self.world.now, agent, body);
+        self.drain();
+    }
+
     /// Questions that so many flows cause, one a millisecond, while nobody answers.
     fn questions(&mut self, flows: usize) -> usize {
         let before = self.asked.len();
@@ -133,6 +147,14 @@
     }
 }
 
+/// A back end that is warm and has a queue.
+fn warm() -> LoadMessage {
+    LoadMessage {
+        work_micros: 33_000,
+        ..load(6)
+    }
+}
+
 /// Callers press a service that has no room: a hundred a second of one balancer.
 #[test]
 fn flows_of_a_full_service_are_refused_without_a_message() {
@@ -212,6 +234,56 @@
     }
 }
 
+/// A burst presses a service whose back ends are warm: whoever waits there finds the next
+/// place, and more that wait would do so in vain.
+#[test]
+fn flows_that_wait_at_warm_back_ends_show_that_there_is_no_room() {
+    let mut edge = Edge::new();
+    for _ in 0..3 {
+        assert_eq!(edge.open(), 1);
+        edge.let_wait(warm());
+    }
+    assert_eq!(edge.questions(15), 0);
+    assert!(edge.events.contains(&EventKind::ServicePressed));
+}
+
+/// After an outage callers come to back ends that are cold, and will soon work faster, or
+/// to agents that have just started.
+#[test]
+fn flows_that_wait_after_an_outage_are_no_pause() {
+    let cold = LoadMessage {
+        cold: true,
+        ..warm()
+    };
+    let just_started = LoadMessage {
+        work_micros: 0,
+        ..warm()
+    };
+    for load in [cold, just_started] {
+        let mut edge = Edge::new();
+        for _ in 0..50 {
+            assert_eq!(edge.open(), 1);
+            edge.let_wait(load);
+        }
+        assert!(!edge.events.contains(&EventKind::ServicePressed));
+    }
+}
+
+/// One agent of a large service has a queue while others have room.
+#[test]
+fn flows_that_wait_between_others_that_are_taken_are_no_pause() {
+    let mut edge = Edge::new();
+    for _ in 0..10 {
+        for _ in 0..2 {
+            assert_eq!(edge.open(), 1);
+            edge.let_wait(warm());
+        }
+        assert_eq!(edge.open(), 1);
+        edge.accept();
+    }
+    assert!(!edge.events.contains(&EventKind::ServicePressed));
+}
+
 /// All agents are silent for two seconds.
 #[test]
 fn silence_is_no_pause() {
