Keep a voter that starts to the vote that it gave

Cause: a pre-candidate that waited for its turn went on to stand after it had voted for another in its current term. A pre-vote request that the candidate had sent before it stood, and that came late or twice, freed its voters. Change: a vote ends the wait for the turn; only a request of the term of the vote or a later one says that its candidate gave up.

--- a/crates/petrellatch-core/src/consensus/election.rs
+++ b/crates/petrellatch-core/src/consensus/election.rs
@@ -147,6 +147,8 @@
             self.writes.note_hard_state();
         }
         if granted {
+            // A pre-candidate that waits for its turn waits no more.
+            self.reset_candidacy();
             self.note_own_vote();
             self.reset_election_timer();
         }
--- a/crates/petrellatch-core/src/consensus/start_of_group.rs
+++ b/crates/petrellatch-core/src/consensus/start_of_group.rs
@@ -66,7 +66,7 @@
         if !self.is_starting() || !self.membership().is_voter(rival) {
             return false;
         }
-        if self.hard_state.voted_for == Some(rival) {
+        if self.hard_state.voted_for == Some(rival) && term >= self.hard_state.term {
             // It has given up the term of that vote.
             self.start_of_group.voted_at = None;
         }
--- a/crates/petrellatch-core/tests/consensus/candidate.rs
+++ b/crates/petrellatch-core/tests/consensus/candidate.rs
@@ -9,7 +9,8 @@
 };
 use petrellatch_core::identity::{Incarnation, NodeId};
 use petrellatch_proto::consensus::{
-    AppendRequest, ConsensusBody, ConsensusMessage, PreVoteRequest, PreVoteResponse, VoteResponse,
+    AppendRequest, ConsensusBody, ConsensusMessage, PreVoteRequest, PreVoteResponse, VoteRequest,
+    VoteResponse,
 };
 
 const MILLI: Duration = Duration::from_millis(1);
@@ -113,9 +114,8 @@
     assert_eq!(replica.role(), Role::Leader);
 }
 
-/// A replica of three that stood at its start with the pre-vote of the second
-/// one, which then refuses its vote, so that it gives up.
-fn denied_candidate() -> (Replica, Timestamp) {
+/// The first replica of three, which has just asked for pre-votes at its start.
+fn starting_replica() -> (Replica, Timestamp) {
     let start = ReplicaStart {
         id: id(1).node,
         incarnation: id(1).incarnation,
@@ -131,22 +131,43 @@
     let mut replica = Replica::new(now, settings, start);
     replica.handle_timeout(now);
     settle(&mut replica, now);
-    let asks = ConsensusBody::PreVoteRequest(PreVoteRequest {
-        proposed_term: 1,
+    (replica, now)
+}
+
+/// Hands the replica a message of this node and term.
+fn hand(replica: &mut Replica, now: Timestamp, node: u64, term: u64, body: ConsensusBody) {
+    let (node, message) = from(node, term, body);
+    replica.handle_message(now, node, message);
+}
+
+fn pre_vote_request(proposed_term: u64) -> ConsensusBody {
+    ConsensusBody::PreVoteRequest(PreVoteRequest {
+        proposed_term,
         ..PreVoteRequest::default()
-    });
-    let would_vote = ConsensusBody::PreVoteResponse(PreVoteResponse {
-        proposed_term: 1,
+    })
+}
+
+fn pre_vote(proposed_term: u64) -> ConsensusBody {
+    ConsensusBody::PreVoteResponse(PreVoteResponse {
+        proposed_term,
         granted: true,
-    });
-    let refuses = ConsensusBody::VoteResponse(VoteResponse { granted: false });
+    })
+}
+
+fn vote(granted: bool) -> ConsensusBody {
+    ConsensusBody::VoteResponse(VoteResponse { granted })
+}
+
+/// A replica of three that stood at its start with the pre-vote of the second
+/// one, which then refuses its vote, so that it gives up.
+fn denied_candidate() -> (Replica, Timestamp) {
+    let (mut replica, now) = starting_replica();
     for (term, body, role) in [
-        (0, asks, Role::PreCandidate),
-        (0, would_vote, Role::Candidate),
-        (1, refuses, Role::PreCandidate),
+        (0, pre_vote_request(1), Role::PreCandidate),
+        (0, pre_vote(1), Role::Candidate),
+        (1, vote(false), Role::PreCandidate),
     ] {
-        let (node, message) = from(2, term, body);
-        replica.handle_message(now, node, message);
+        hand(&mut replica, now, 2, term, body);
         settle(&mut replica, now);
         assert_eq!(replica.role(), role);
     }
@@ -178,3 +199,61 @@
     let lost = [(1, ElectionLoss::Denied)];
     assert_eq!(lost_elections_after_heartbeats(&[2]), lost);
 }
+
+/// Whether the replica grants the third one a pre-vote after it voted for the
+/// second one in the first term and this request of the second one came.
+fn grants_pre_vote_after(term: u64, request: ConsensusBody) -> bool {
+    let (mut replica, now) = starting_replica();
+    let asks = ConsensusBody::VoteRequest(VoteRequest::default());
+    hand(&mut replica, now, 2, 1, asks);
+    settle(&mut replica, now);
+    hand(&mut replica, now, 2, term, request);
+    settle(&mut replica, now);
+    hand(&mut replica, now, 3, 1, pre_vote_request(2));
+    let granted = |output: &ReplicaOutput| match output {
+        ReplicaOutput::Send { to, message } if *to == id(3).node => {
+            let body = &message.body;
+            matches!(body, Some(ConsensusBody::PreVoteResponse(it)) if it.granted)
+        }
+        _ => false,
+    };
+    let outputs = std::iter::from_fn(|| replica.poll_output());
+    outputs.filter(granted).count() > 0
+}
+
+#[test]
+fn only_a_candidate_that_gave_up_releases_its_voters() {
+    assert!(grants_pre_vote_after(1, pre_vote_request(2)));
+    let sent_before_its_candidacy = pre_vote_request(1);
+    assert!(!grants_pre_vote_after(0, sent_before_its_candidacy));
+}
+
+#[test]
+fn a_voter_that_waits_for_its_turn_stands_no_more_once_it_has_voted() {
+    let (mut replica, now) = starting_replica();
+    // An answer of a higher term: it asks again in that term.
+    hand(&mut replica, now, 3, 1, vote(false));
+    let longer = ConsensusBody::PreVoteRequest(PreVoteRequest {
+        proposed_term: 1,
+        last_index: 1,
+        last_term: 0,
+    });
+    hand(&mut replica, now, 2, 0, longer);
+    hand(&mut replica, now, 3, 1, pre_vote(2));
+    settle(&mut replica, now);
+    assert_eq!(
+        replica.role(),
+        Role::PreCandidate,
+        "the second one is first"
+    );
+    let asks = ConsensusBody::VoteRequest(VoteRequest {
+        last_index: 1,
+        ..VoteRequest::default()
+    });
+    hand(&mut replica, now, 2, 1, asks);
+    settle(&mut replica, now);
+    let later = now + ReplicaSettings::default().election_timeout.mul_f64(0.2);
+    replica.handle_timeout(later);
+    settle(&mut replica, later);
+    assert_eq!(replica.term(), 1, "it stands against its own vote");
+}
