Go back to ordinary waits when voters that start elect nobody

Cause: a voter that starts waits 0.4 to 0.8 election timeouts for a candidate, without end. Where two syncs take as long, candidates gave up before the votes came, again and again.

--- a/crates/petrellatch-core/src/consensus/start_of_group.rs
+++ b/crates/petrellatch-core/src/consensus/start_of_group.rs
@@ -4,7 +4,8 @@
 //! it starts. That tells the others that it is there: each of them asks it in
 //! turn, so the last voter of a quorum sets the election off. All of them may
 //! then have a quorum of pre-votes at once, so they stand in the order of their
-//! rank: the longest log first, then the highest term, then the lowest node.
+//! rank: the longest log first, then the highest term, then the lowest node. The
+//! start is over once a voter has voted in vain in some terms.
 //! Nothing of this is needed for safety, which rests on terms, logs and durable
 //! votes alone.
 
@@ -28,6 +29,10 @@
 /// How long a voter leaves a candidate to itself after its vote, in election
 /// timeouts.
 const TIMEOUTS_OF_HOLD: f64 = 0.3;
+/// In so many terms a voter votes by these rules. If they got no leader, syncs
+/// or messages take too long for the short waits, and it goes on with the
+/// ordinary ones.
+const MAX_TERMS_AT_START: usize = 2;
 
 /// What a voter knows before it has heard a leader.
 #[derive(Debug, Default)]
@@ -40,6 +45,8 @@
     voted_at: Option<Timestamp>,
     /// Voters that denied this candidate their vote.
     denied: BTreeSet<NodeId>,
+    /// Terms of this life in which it voted.
+    terms: BTreeSet<Term>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -50,9 +57,11 @@
 }
 
 impl Replica {
-    /// Whether voters may elect at once, and no leader was heard in this life.
+    /// Whether voters may elect at once, and this life has neither heard a
+    /// leader nor voted in vain too often.
     pub(super) fn is_starting(&self) -> bool {
-        self.settings.elects_at_start && self.last_leader_contact.is_none()
+        let may_elect = self.settings.elects_at_start && self.last_leader_contact.is_none();
+        may_elect && self.start_of_group.terms.len() <= MAX_TERMS_AT_START
     }
 
     /// Notes a voter that asks for pre-votes. Returns whether it has to be asked
@@ -87,8 +96,13 @@
         self.is_starting() && self.start_of_group.voted_at.is_some_and(is_recent)
     }
 
+    /// Notes a vote in the current term, for itself or another.
     pub(super) fn note_own_vote(&mut self) {
+        if !self.is_starting() {
+            return;
+        }
         self.start_of_group.voted_at = Some(self.now);
+        self.start_of_group.terms.insert(self.hard_state.term);
     }
 
     /// Lets others be elected: the candidate of the last vote has given up.
