--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -214,6 +214,7 @@
         confirm: 7,
         version: 3,
         zones: None,
+        ..Confirmed::default()
     };
     balancer.handle_message(now, REPLICA, PassThroughBody::Confirmed(confirmed));
     let entry = |index: u8| DirectoryEntry {
@@ -228,6 +229,7 @@
             leaving: Vec::new(),
             interval_millis: 500,
             evacuations_index: 0,
+            ..Report::default()
         },
         age_millis: 0,
     };
--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -179,6 +179,12 @@
     LinkFull = 537, Warning;
     /// Nothing has waited for a balancer's link for a second.
     LinkClear = 538, Info;
+    /// A placement policy was put or removed by an operator.
+    PolicyChanged = 550, Info;
+    /// A change of the placement policies was refused; nothing of it was done.
+    PolicyRefused = 551, Warning;
+    /// A balancer goes by newer placement policies.
+    PoliciesApplied = 552, Info;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -1,9 +1,9 @@
 //! Back ends that register themselves at the agent beside them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use petrellatch_proto::pass_through::AgentState;
+use petrellatch_proto::pass_through::{AgentState, BackendDescription};
 use snafu::Snafu;
 
 use crate::time::Timestamp;
@@ -31,7 +31,7 @@
 const UNANSWERED_LIMIT: Duration = Duration::from_millis(500);
 
 /// One call of a back end.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Registration {
     /// The back end. It may start again under the same name.
     pub id: String,
@@ -48,6 +48,8 @@
     pub draining: bool,
     /// How much longer it is slow after its start.
     pub cold: Duration,
+    /// Free-form labels, which placement policies read.
+    pub labels: BTreeMap<String, String>,
 }
 
 impl Registration {
@@ -114,6 +116,8 @@
     is_doubtful: bool,
     /// Digests of back ends that must not be offered again.
     departed: VecDeque<u64>,
+    /// Rises whenever another back end calls, or one says something else of itself.
+    description_revision: u64,
 }
 
 #[derive(Debug)]
@@ -124,6 +128,9 @@
     draining: bool,
     cold_until: Timestamp,
     heard_at: Timestamp,
+    /// When its first call was heard.
+    known_since: Timestamp,
+    labels: BTreeMap<String, String>,
 }
 
 /// A call may come seconds late, also after its sender has crashed and a newer life
@@ -153,6 +160,7 @@
             unanswered_since: None,
             is_doubtful: false,
             departed: VecDeque::new(),
+            description_revision: 0,
         }
     }
 
@@ -163,6 +171,7 @@
             return false;
         }
         let before = self.offer();
+        let mut known_since = now;
         self.first_call.get_or_insert(call.call_number);
         if let Some(current) = &mut self.current
             && current.life == life
@@ -170,6 +179,7 @@
             if call.call_number < current.call_number {
                 return false;
             }
+            known_since = current.known_since;
         } else if self.current.is_some() {
             if !self.is_newer(now, &life, call) {
                 self.note_rival(now, life, call);
@@ -177,6 +187,10 @@
             }
             self.replace_current();
         }
+        let is_described = |it: &Current| it.life == life && it.labels == call.labels;
+        if !self.current.as_ref().is_some_and(is_described) {
+            self.description_revision += 1;
+        }
         self.rival = None;
         self.unanswered_since = None;
         self.is_doubtful = false;
@@ -187,6 +201,8 @@
             draining: call.draining,
             cold_until: now + call.cold,
             heard_at: now,
+            known_since,
+            labels: call.labels.clone(),
         });
         before != self.offer()
     }
@@ -326,6 +342,22 @@
         self.current.is_some()
     }
 
+    /// Number of the latest description that differs from the one before.
+    pub fn description_revision(&self) -> u64 {
+        self.description_revision
+    }
+
+    /// What placement policies read of the back end that has called, if one has.
+    pub fn description(&self, now: Timestamp) -> Option<BackendDescription> {
+        let current = self.current.as_ref()?;
+        let age = now.saturating_since(current.known_since);
+        Some(BackendDescription {
+            name: current.life.id.clone(),
+            labels: current.labels.clone(),
+            age_millis: age.as_millis() as u64,
+        })
+    }
+
     /// Digest of the life of the back end that has called, if one has.
     pub fn backend(&self) -> Option<u64> {
         let current = self.current.as_ref()?;
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -142,6 +142,8 @@
     report_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
+    /// See [`RegistrationState::description_revision`].
+    reported_description: u64,
     /// Between two reports without news.
     report_interval: Duration,
     /// Whether no replica has shown that it heard of the reported state.
@@ -199,6 +201,7 @@
             report_at: now,
             sweep_at: now + SWEEP_INTERVAL,
             reported_state: AgentState::Empty,
+            reported_description: 0,
             unheard: true,
             stop_at: None,
             stopped: false,
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -48,10 +48,11 @@
 
     pub(super) fn report_if_changed(&mut self, now: Timestamp) {
         let state = self.state(now);
-        if state == self.reported_state {
+        let is_described = self.registration.description_revision() == self.reported_description;
+        if state == self.reported_state && is_described {
             return;
         }
-        if state == AgentState::Empty {
+        if state == AgentState::Empty && state != self.reported_state {
             let service = self.settings.service.clone();
             self.emit_event(EventKind::BackendSilent, service);
         }
@@ -68,8 +69,10 @@
     pub(super) fn report(&mut self, now: Timestamp) {
         self.report_number += 1;
         let state = self.state(now);
-        self.unheard |= state != self.reported_state;
+        let description = self.registration.description_revision();
+        self.unheard |= state != self.reported_state || description != self.reported_description;
         self.reported_state = state;
+        self.reported_description = description;
         let interval = match self.unheard {
             true if self.report_number <= FIRST_REPORTS => FIRST_REPORT_INTERVAL,
             true => URGENT_REPORT_INTERVAL,
@@ -87,6 +90,7 @@
             leaving: self.registration.leaving(),
             interval_millis: self.report_interval.as_millis() as u32,
             evacuations_index: self.evacuations.index(),
+            backend: self.registration.description(now),
         };
         for replica in self.contacts.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -14,8 +14,8 @@
 
 use petrellatch_proto::pass_through::{
     Accepted, AgentState, Carry, CarryReason, ConfigurationPart, Confirmed, DeclineReason,
-    Declined, Follow, GatheredAnswers, Group, Holds, Lacks, NotHeld, PassThroughBody, Seek,
-    SoughtFlow, Waiting, ZoneRecords, pack_address,
+    Declined, Follow, GatheredAnswers, Group, Holds, Lacks, NotHeld, PassThroughBody,
+    PolicyRecords, Seek, SoughtFlow, Waiting, ZoneRecords, pack_address,
 };
 
 use crate::event::{Event, EventKind};
@@ -25,6 +25,7 @@
 use super::choice::agent_directory::{AgentDirectory, ChosenAgent};
 use super::choice::answer_time::AnswerTime;
 use super::choice::ask_budget::AskBudget;
+use super::choice::known_agent::KnownAgent;
 use super::choice::service_pressure::{EdgeDecision, FlowKind, PressureChange, ServicePressure};
 use super::digest::{flow_digest, is_sampled};
 use super::flows::agent_set::AgentSet;
@@ -39,6 +40,7 @@
 use super::link::link_queue::LinkQueue;
 use super::output::PassThroughOutput;
 use super::packet::{FlowId, OPENING_PATIENCE, PacketCodec, PacketView};
+use super::policies::active_policies::{ActivePolicies, PolicyFigures};
 use super::routes::route_table::RouteTable;
 
 /// When nobody was heard for so long, the balancer counts as cut off.
@@ -134,6 +136,7 @@
     routes: RouteTable,
     evacuations: Evacuations,
     agents: AgentDirectory,
+    policies: ActivePolicies,
     hints: FlowHints,
     searches: FlowSearches,
     seek_budget: SeekBudget,
@@ -196,6 +199,7 @@
         let link_bytes_per_second = settings.link_bytes_per_second;
         PassThroughBalancer {
             agents: AgentDirectory::new(&settings.zone, incarnation.0),
+            policies: ActivePolicies::new(&settings.zone),
             settings,
             codec,
             incarnation,
@@ -282,6 +286,16 @@
         &self.evacuations
     }
 
+    /// Index of the placement policies in force; zero if there was never one.
+    pub fn policies_index(&self) -> u64 {
+        self.policies.index()
+    }
+
+    /// What each placement policy did so far.
+    pub fn policy_figures(&self) -> Vec<PolicyFigures> {
+        self.policies.figures()
+    }
+
     /// Flows and agents that are known, for metrics.
     pub fn sizes(&self) -> (usize, usize) {
         (self.hints.len(), self.agents.len())
--- a/crates/petrellatch-core/src/pass_through/balancer/news.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/news.rs
@@ -22,6 +22,7 @@
     pub(super) fn handle_group(&mut self, now: Timestamp, from: SocketAddrV4, group: &Group) {
         self.contacts.handle_group(group);
         self.handle_zones(group.zones.as_ref());
+        self.handle_policies(group.policies.as_ref());
         self.attachments.note_answer(now, from, group.serves);
         if !group.serves {
             // Another replica takes its place.
@@ -72,6 +73,7 @@
         if confirmed.confirm == self.confirm && !self.current {
             self.confirmed_version = Some(confirmed.version);
             self.handle_zones(confirmed.zones.as_ref());
+            self.handle_policies(confirmed.policies.as_ref());
             self.check_current(now);
         }
     }
@@ -86,6 +88,16 @@
         }
     }
 
+    /// Takes placement policies, if they are newer.
+    fn handle_policies(&mut self, told: Option<&PolicyRecords>) {
+        let Some(told) = told else { return };
+        if self.policies.take_newer(told) {
+            let (index, count) = (told.index, told.policies.len());
+            let subject = format!("index={index} policies={count}");
+            self.emit_event(EventKind::PoliciesApplied, subject);
+        }
+    }
+
     /// The balancer is current once it has what was the newest version at
     /// some time of its life.
     fn check_current(&mut self, now: Timestamp) {
@@ -169,6 +181,7 @@
             wants_configuration: false,
             attached: false,
             evacuations_index: self.evacuations.index(),
+            policies_index: self.policies.index(),
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -94,9 +94,18 @@
         self.counters.further_asked += u64::from(is_further && is_paid);
         self.counters.further_unpaid += u64::from(!is_paid);
         let found = match may_ask && is_paid {
-            true => choose_other(now, flow, hint, &self.agents, &self.pressure),
+            true => {
+                let (agents, pressure) = (&self.agents, &self.pressure);
+                choose_other(now, flow, hint, agents, &mut self.policies, pressure)
+            }
             false => None,
         };
+        if let Some(name) = self.policies.take_without_backend() {
+            let count = self.agents.count(service);
+            let subject = format!("policy={name} flow={flow} {count}");
+            let event = Event::new(EventKind::NoEligibleBackend, subject);
+            self.outputs.push_back(PassThroughOutput::Event(event));
+        }
         let Some(ChosenAgent {
             address: agent,
             despite_failures,
@@ -116,12 +125,20 @@
             true => CarryReason::OpenQueued,
         };
         self.counters.placed += 1;
+        let policy = self.policies.find(flow.route, service);
+        if let Some(policy) = policy.filter(|_| !is_further) {
+            self.policies.note_placed(policy);
+        }
         self.agents.note_sent(agent);
         let limit = now + self.answer_time.limit();
         self.awaited.push_back((limit, flow, agent));
         if is_sampled(flow) {
             let version = self.routes.version();
-            let subject = format!("flow={flow} agent={agent} version={version} reason={reason:?}");
+            let policy = policy.map(|policy| self.policies.name(policy));
+            let policy = policy.unwrap_or("none");
+            let subject = format!(
+                "flow={flow} agent={agent} version={version} policy={policy} reason={reason:?}"
+            );
             self.emit_event(EventKind::FlowPlaced, subject);
         }
         let carry = Carry {
@@ -160,7 +177,11 @@
         let asked = hint.asked;
         let counts = self.agents.count(hint.service);
         let detail = format!(" {asked} {counts}");
-        self.refuse(flow, "no_agent", &detail);
+        let reason = match self.policies.excludes_all(flow.route, hint.service) {
+            true => "no_eligible_backend",
+            false => "no_agent",
+        };
+        self.refuse(flow, reason, &detail);
     }
 
     pub(super) fn handle_unanswered(&mut self, now: Timestamp, flow: FlowId, agent: SocketAddrV4) {
@@ -329,10 +350,26 @@
     flow: FlowId,
     hint: &FlowHint,
     agents: &AgentDirectory,
+    policies: &mut ActivePolicies,
     pressure: &ServicePressure,
 ) -> Option<ChosenAgent> {
-    let choose = |is_excluded: &dyn Fn(SocketAddrV4) -> bool| {
-        agents.choose(now, hint.service, flow, hint.queued, is_excluded)
+    let policy = policies.find(flow.route, hint.service);
+    let mut choose = |is_excluded: &dyn Fn(SocketAddrV4) -> bool| {
+        let Some(policy) = policy else {
+            return agents.choose(
+                now,
+                hint.service,
+                flow,
+                hint.queued,
+                |_, _| Some(1.0),
+                is_excluded,
+            );
+        };
+        policies.begin_choice();
+        let weight_of = |address, agent: &KnownAgent| policies.weight(policy, now, address, agent);
+        let chosen = agents.choose(now, hint.service, flow, hint.queued, weight_of, is_excluded);
+        policies.end_choice(policy, hint.service);
+        chosen
     };
     let was_asked = |agent| hint.was_asked(agent);
     let other = choose(&|agent| was_asked(agent) || pressure.has_declined(now, agent));
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -12,12 +12,14 @@
 use crate::time::Timestamp;
 
 use super::expected_completion::usual_work_millis;
-use super::known_agent::KnownAgent;
+use super::known_agent::{AVOIDED_COST, KnownAgent};
 use super::service_pattern::ServicePattern;
+use super::weight_groups::WeightGroups;
 use crate::pass_through::digest::{address_digest, flow_digest, service_digest, zone_digest};
 use crate::pass_through::flows::flow_search::SearchedAgent;
 use crate::pass_through::group::evacuations::Evacuations;
 use crate::pass_through::packet::FlowId;
+use crate::pass_through::policies::backend_profile::BackendProfile;
 use crate::pass_through::routes::change_assembly::PartAssembly;
 
 /// How long an agent is avoided whose back end returned an opening packet, or
@@ -28,6 +30,8 @@
 /// Spreads flows over agents of the same cost, as a part of the service's mean time of
 /// work: less than one request more on a slot costs.
 const TIE_SHARE: f64 = 0.05;
+/// Salt of the hash that spreads the flows of a service over agents of different weights.
+const GROUP_SALT: u64 = 0x5745_4947;
 /// What an agent costs whose back end is left out as it fails requests, in
 /// milliseconds: it comes before those that are suspected only.
 const LEFT_OUT_COST: f64 = 900_000.0;
@@ -55,12 +59,19 @@
 }
 
 /// The agent with the lowest cost so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Best {
     address: Option<SocketAddrV4>,
     cost: f64,
 }
 
+/// The best agents with and without those that are left out as they fail.
+#[derive(Clone, Copy, Debug, Default)]
+struct BestAgents {
+    best: Best,
+    best_of_all: Best,
+}
+
 /// Agents of one service, and how many of them take no new flows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct AgentCounts {
@@ -317,7 +328,10 @@
             }
         }
         let same_life = known.is_some_and(|known| known.incarnation == report.incarnation);
+        let profile = BackendProfile::of_report(reported_at, report);
         if !same_life {
+            // Numbers of a former life at the address must not come again.
+            let revision = known.map_or(0, |known| known.load_revision + 1);
             let agent = KnownAgent {
                 service: service_digest(&report.service),
                 state: report.state(),
@@ -334,6 +348,9 @@
                 suspect_until: Timestamp::ZERO,
                 avoided_until: Timestamp::ZERO,
                 left_out_until: Timestamp::ZERO,
+                profile,
+                profile_revision: revision,
+                load_revision: revision,
             };
             let is_added = self.agents.insert(address, agent).is_none();
             self.added += u64::from(is_added);
@@ -342,7 +359,7 @@
         let Some(known) = self.agents.get_mut(&address) else {
             return;
         };
-        known.state = report.state();
+        known.note_profile(report.state(), profile);
         known.reported_at = known.reported_at.max(reported_at);
         known.heard_at = now;
         if report.sequence > known.sequence {
@@ -388,7 +405,7 @@
     /// Notes that an agent takes nothing new, until it reports otherwise.
     pub(crate) fn note_state(&mut self, address: SocketAddrV4, state: AgentState) {
         if let Some(agent) = self.agents.get_mut(&address) {
-            agent.state = state;
+            agent.note_state(state);
         }
     }
 
@@ -408,7 +425,7 @@
 
     pub(crate) fn note_sent(&mut self, address: SocketAddrV4) {
         if let Some(agent) = self.agents.get_mut(&address) {
-            agent.sent_since += 1;
+            agent.note_sent();
         }
     }
 
@@ -427,12 +444,16 @@
 
     /// The agent of a service that is the best for a new flow. Those that have
     /// just started come after the others, if they are to be asked at all.
+    ///
+    /// `weight_of` tells the share of an agent in new flows, relative to others; none if
+    /// it may get none. Agents of one weight compete by what they cost.
     pub(crate) fn choose(
         &self,
         now: Timestamp,
         service: u64,
         flow: FlowId,
         include_starting: bool,
+        mut weight_of: impl FnMut(SocketAddrV4, &KnownAgent) -> Option<f64>,
         is_excluded: impl Fn(SocketAddrV4) -> bool,
     ) -> Option<ChosenAgent> {
         let takes_flows = |state| match state {
@@ -444,28 +465,36 @@
         let tie_millis = usual_work_millis(pattern.work_millis()) * TIE_SHARE;
         let mut serving = 0;
         let mut failing = 0;
-        let mut best = Best::default();
-        let mut best_of_all = Best::default();
+        let mut groups: WeightGroups<BestAgents> = WeightGroups::default();
         for (address, agent) in &self.agents {
             let is_evacuated = self.evacuated.contains(&agent.zone);
             if agent.service != service || !takes_flows(agent.state) || is_evacuated {
                 continue;
             }
+            let Some(weight) = weight_of(*address, agent) else {
+                continue;
+            };
             serving += 1;
-            let is_left_out = now < agent.left_out_until;
+            let is_left_out = agent.is_left_out(now);
             failing += usize::from(is_left_out);
+            let group = groups.add(weight);
             if is_excluded(*address) {
                 continue;
             }
             let salt = petrellatch_proto::pass_through::pack_address(*address);
             let tie = flow_digest(flow, salt) as f64 / u64::MAX as f64;
             let cost = agent.cost(now, self.zone, &pattern) + tie * tie_millis;
-            best_of_all.note(*address, cost);
+            group.best_of_all.note(*address, cost);
             let penalty = if is_left_out { LEFT_OUT_COST } else { 0.0 };
-            best.note(*address, cost + penalty);
+            group.best.note(*address, cost + penalty);
         }
         let despite_failures = failing > (serving as f64 * MAX_LEFT_OUT_SHARE) as usize;
-        let best = if despite_failures { best_of_all } else { best };
+        let point = flow_digest(flow, GROUP_SALT) as f64 / u64::MAX as f64;
+        let best = groups.select(point, |group: &BestAgents| {
+            let best = group.best(despite_failures);
+            best.address.map(|_| best.cost < AVOIDED_COST)
+        });
+        let best = best?.best(despite_failures);
         best.address.map(|address| ChosenAgent {
             address,
             despite_failures,
@@ -473,6 +502,15 @@
     }
 }
 
+impl BestAgents {
+    fn best(&self, despite_failures: bool) -> Best {
+        match despite_failures {
+            true => self.best_of_all,
+            false => self.best,
+        }
+    }
+}
+
 impl Best {
     fn note(&mut self, address: SocketAddrV4, cost: f64) {
         if self.address.is_none() || cost < self.cost {
--- a/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
@@ -8,6 +8,7 @@
     completion_millis, usual_work_millis, waiting_millis, work_millis,
 };
 use super::service_pattern::ServicePattern;
+use crate::pass_through::policies::backend_profile::{BackendCondition, BackendProfile};
 use crate::time::Timestamp;
 
 /// A load figure loses half of its weight in this time, since the requests
@@ -22,7 +23,7 @@
 const STARTING_COST: f64 = 500_000.0;
 /// What an agent costs that is avoided, as it declined for a reason that lasts: it comes
 /// after all others but those that fail or are suspected. In milliseconds.
-const AVOIDED_COST: f64 = 750_000.0;
+pub(super) const AVOIDED_COST: f64 = 750_000.0;
 /// What a suspected agent costs, in milliseconds: it comes after all others.
 const SUSPECT_COST: f64 = 1_000_000.0;
 /// An agent that has not answered a question for flows by then asks no others:
@@ -57,6 +58,11 @@
     pub(crate) avoided_until: Timestamp,
     /// Until then its back end is left out, by its own word.
     pub(crate) left_out_until: Timestamp,
+    pub(crate) profile: BackendProfile,
+    /// Rises with each change of the profile or the state.
+    pub(crate) profile_revision: u64,
+    /// Rises with each change of anything that a policy reads.
+    pub(crate) load_revision: u64,
 }
 
 impl KnownAgent {
@@ -64,9 +70,46 @@
         self.load = load;
         self.load_at = now;
         self.sent_since = 0;
+        self.load_revision += 1;
         self.left_out_until = now + Duration::from_millis(u64::from(load.left_out_millis));
     }
 
+    pub(crate) fn note_sent(&mut self) {
+        self.sent_since += 1;
+        self.load_revision += 1;
+    }
+
+    /// Takes the back end's profile and the agent's state, if they differ.
+    pub(crate) fn note_profile(&mut self, state: AgentState, profile: BackendProfile) {
+        let profile = profile.steadied_by(&self.profile);
+        if self.state != state || self.profile != profile {
+            self.state = state;
+            self.profile = profile;
+            self.profile_revision += 1;
+            self.load_revision += 1;
+        }
+    }
+
+    pub(crate) fn note_state(&mut self, state: AgentState) {
+        let profile = self.profile.clone();
+        self.note_profile(state, profile);
+    }
+
+    /// Whether its back end is left out, as it fails requests.
+    pub(crate) fn is_left_out(&self, now: Timestamp) -> bool {
+        now < self.left_out_until
+    }
+
+    /// What a policy reads of it beside the profile.
+    pub(crate) fn condition(&self, now: Timestamp) -> BackendCondition {
+        BackendCondition {
+            state: self.state,
+            load: self.load,
+            sent_since: self.sent_since,
+            is_left_out: self.is_left_out(now),
+        }
+    }
+
     /// Whether it answers questions for flows, unless it is just restarted. One
     /// that has not heard of its back end in its present life counts as gone with
     /// that if it does not answer.
--- a/crates/petrellatch-core/src/pass_through/choice/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod known_agent;
 pub(crate) mod service_pattern;
 pub(crate) mod service_pressure;
+pub(crate) mod weight_groups;
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -40,7 +40,10 @@
                 .news(follow.version, self.state.configuration());
             self.send_all(from, news);
         }
-        let group = self.group_with_zones(now, follow.evacuations_index);
+        let group = Group {
+            policies: self.policies().news_since(follow.policies_index),
+            ..self.group_with_zones(now, follow.evacuations_index)
+        };
         self.send(from, PassThroughBody::Group(group));
         if follow.confirm != 0 && self.replica.role() == Role::Leader {
             let read = PendingRead::Balancer {
@@ -77,6 +80,7 @@
             had_former_life: false,
             answers_report: false,
             zones: None,
+            policies: None,
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddrV4;
 
-use petrellatch_proto::pass_through::PassThroughBody;
+use petrellatch_proto::pass_through::{PassThroughBody, PlacementPolicy, PolicyRecords};
 use snafu::Snafu;
 
 use crate::consensus::PersistRequest;
 use crate::event::Event;
+use crate::pass_through::policies::placement_policies::PolicyRefusal;
+use crate::pass_through::policies::policy_check::ExplainedPolicy;
 use crate::pass_through::routes::configuration::Configuration;
 
 /// What an operator asks.
@@ -28,6 +30,29 @@
         /// read it.
         ordered_at_millis: u64,
     },
+    /// Put a placement policy in place of one of the same name.
+    PutPolicy {
+        /// The policy.
+        policy: PlacementPolicy,
+        /// Index of the policies that it is based on; zero if it holds in any case.
+        base_index: u64,
+    },
+    /// Remove a placement policy.
+    RemovePolicy {
+        /// Its name.
+        name: String,
+        /// See [`ConfigurationRequest::PutPolicy`].
+        base_index: u64,
+    },
+    /// Check a placement policy without effect.
+    CheckPolicy(PlacementPolicy),
+    /// Tell what the policy of a service decides for each of its back ends.
+    ExplainPolicy {
+        /// The service.
+        service: String,
+    },
+    /// Read the newest placement policies.
+    ReadPolicies,
 }
 
 /// Why an order about a zone is refused; nothing of it is done.
@@ -63,6 +88,19 @@
     ZoneOrdered,
     /// The order about a zone is refused.
     ZoneOrderRefused(ZoneOrderRefusal),
+    /// The change of the policies holds for good.
+    PolicyChanged {
+        /// Index of the policies.
+        index: u64,
+    },
+    /// The policy, or a change of the policies, is refused.
+    PolicyRefused(PolicyRefusal),
+    /// Nothing is wrong with the policy.
+    PolicySound,
+    /// What the policy of a service decides.
+    PolicyExplained(ExplainedPolicy),
+    /// The newest policies.
+    Policies(PolicyRecords),
     /// Another replica leads.
     Elsewhere {
         /// Its address for messages between processes.
@@ -80,6 +118,13 @@
             ConfigurationResponse::Read(read) => format!("read({})", read.version),
             ConfigurationResponse::ZoneOrdered => "zone_ordered".to_owned(),
             ConfigurationResponse::ZoneOrderRefused(refusal) => format!("refused({refusal})"),
+            ConfigurationResponse::PolicyChanged { index } => format!("policies({index})"),
+            ConfigurationResponse::PolicyRefused(refusal) => format!("refused({refusal})"),
+            ConfigurationResponse::PolicySound => "sound".to_owned(),
+            ConfigurationResponse::PolicyExplained(explained) => {
+                format!("explained({})", explained.service)
+            }
+            ConfigurationResponse::Policies(read) => format!("policies({})", read.index),
             ConfigurationResponse::Elsewhere { leader } => format!("elsewhere({leader})"),
             ConfigurationResponse::Unavailable => "unavailable".to_owned(),
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -4,9 +4,11 @@
 mod calls;
 mod directory_fetch;
 mod own_zone;
+mod policy_changes;
 mod replica_outputs;
 mod requests;
 mod settings;
+mod waiting_orders;
 mod zone_news;
 mod zone_orders;
 
@@ -16,8 +18,8 @@
 
 use petrellatch_proto::consensus::{ConsensusBody, ConsensusMessage};
 use petrellatch_proto::pass_through::{
-    Confirmed, Directory, Follow, Group, PassThroughBody, ReplicaZone, Report, ZoneOrder,
-    pack_address, unpack_address,
+    Confirmed, Directory, Follow, Group, PassThroughBody, PolicyChange, ReplicaZone, Report,
+    ZoneOrder, pack_address, unpack_address,
 };
 use prost::Message;
 use rand::{RngExt, SeedableRng};
@@ -46,8 +48,8 @@
 pub use settings::ConfigurationNodeSettings;
 
 use directory_fetch::DirectoryFetch;
+use waiting_orders::WaitingOrders;
 use zone_news::ZoneNews;
-use zone_orders::WaitingZoneOrders;
 
 /// Between two sweeps over soft state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -68,8 +70,22 @@
 
 #[derive(Debug)]
 enum PendingRead {
-    Operator { token: u64, deadline: Timestamp },
-    Balancer { address: SocketAddrV4, confirm: u64 },
+    Operator {
+        token: u64,
+        deadline: Timestamp,
+        subject: ReadSubject,
+    },
+    Balancer {
+        address: SocketAddrV4,
+        confirm: u64,
+    },
+}
+
+/// What an operator reads.
+#[derive(Clone, Copy, Debug)]
+enum ReadSubject {
+    Configuration,
+    Policies,
 }
 
 /// The state machine of a replica.
@@ -80,7 +96,10 @@
     random: ChaCha8Rng,
     state: ConfigurationState,
     replacements: Replacements,
-    zone_orders: WaitingZoneOrders,
+    /// Orders about zones that are in the log.
+    zone_orders: WaitingOrders,
+    /// Changes of the placement policies that are in the log.
+    policy_changes: WaitingOrders,
     zone_news: ZoneNews,
     reads: BTreeMap<u64, PendingRead>,
     next_read: u64,
@@ -144,7 +163,8 @@
             settings,
             state: ConfigurationState::default(),
             replacements: Replacements::default(),
-            zone_orders: WaitingZoneOrders::default(),
+            zone_orders: WaitingOrders::default(),
+            policy_changes: WaitingOrders::default(),
             zone_news: ZoneNews::default(),
             reads: BTreeMap::new(),
             next_read: 0,
@@ -252,8 +272,34 @@
                 self.handle_replace(now, token, configuration);
             }
             ConfigurationRequest::Read => {
-                let deadline = now + self.settings.request_limit;
-                self.request_read(now, PendingRead::Operator { token, deadline });
+                self.request_operator_read(now, token, ReadSubject::Configuration);
+            }
+            ConfigurationRequest::ReadPolicies => {
+                self.request_operator_read(now, token, ReadSubject::Policies);
+            }
+            ConfigurationRequest::PutPolicy { policy, base_index } => {
+                let change = PolicyChange {
+                    change: self.random.random(),
+                    base_index,
+                    put: Some(policy),
+                    removed: String::new(),
+                };
+                self.handle_policy_change(now, token, change);
+            }
+            ConfigurationRequest::RemovePolicy { name, base_index } => {
+                let change = PolicyChange {
+                    change: self.random.random(),
+                    base_index,
+                    put: None,
+                    removed: name,
+                };
+                self.handle_policy_change(now, token, change);
+            }
+            ConfigurationRequest::CheckPolicy(policy) => {
+                self.handle_policy_check(now, token, &policy);
+            }
+            ConfigurationRequest::ExplainPolicy { service } => {
+                self.handle_policy_explanation(now, token, service);
             }
             ConfigurationRequest::OrderZone {
                 zone,
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/policy_changes.rs
@@ -0,0 +1,118 @@
+//! Placement policies, from the request of an operator to the answer and to balancers.
+
+use petrellatch_proto::pass_through::{PlacementPolicy, PolicyChange};
+
+use super::*;
+use crate::pass_through::policies::placement_policies::{PlacementPolicies, PolicyRefusal};
+use crate::pass_through::policies::policy_check::{self, ExplainedPolicy};
+
+impl ConfigurationNode {
+    /// The placement policies as far as they are applied here.
+    pub fn policies(&self) -> &PlacementPolicies {
+        self.state.policies()
+    }
+
+    /// Puts a change into the log once its policy has passed all checks. Repeated changes
+    /// go there as well: only what the log says is known to hold for good.
+    pub(super) fn handle_policy_change(
+        &mut self,
+        now: Timestamp,
+        token: u64,
+        change: PolicyChange,
+    ) {
+        if self.replica.role() != Role::Leader {
+            self.respond_elsewhere(token);
+            return;
+        }
+        if let Some(policy) = &change.put
+            && let Err(refusal) = policy_check::check(policy, &self.followers.backends(now))
+        {
+            self.refuse_policy(token, refusal);
+            return;
+        }
+        let command = ConfigurationState::policy_command(&change);
+        match self.replica.propose(now, command) {
+            Ok(_) => {
+                let deadline = now + self.settings.request_limit;
+                self.policy_changes.add(change.change, token, deadline);
+            }
+            Err(_) => self.respond_elsewhere(token),
+        }
+    }
+
+    /// Checks a policy without effect, on the back ends that this replica hears of.
+    pub(super) fn handle_policy_check(
+        &mut self,
+        now: Timestamp,
+        token: u64,
+        policy: &PlacementPolicy,
+    ) {
+        match policy_check::check(policy, &self.followers.backends(now)) {
+            Ok(()) => self.respond(token, ConfigurationResponse::PolicySound),
+            Err(refusal) => self.respond(token, ConfigurationResponse::PolicyRefused(refusal)),
+        }
+    }
+
+    /// Tells what the policy of a service decides for each of its back ends. Only the
+    /// leader hears all agents.
+    pub(super) fn handle_policy_explanation(
+        &mut self,
+        now: Timestamp,
+        token: u64,
+        service: String,
+    ) {
+        if self.replica.role() != Role::Leader {
+            self.respond_elsewhere(token);
+            return;
+        }
+        let policy = self.policies().of_service(&service).cloned();
+        let mut explained = ExplainedPolicy {
+            service,
+            policy: String::new(),
+            index: self.policies().index(),
+            backends: Vec::new(),
+        };
+        if let Some(policy) = policy {
+            let backends = self.followers.backends(now);
+            match policy_check::explain(now, &explained.service, &policy, &backends) {
+                Ok(backends) => explained.backends = backends,
+                Err(error) => {
+                    let message = error.to_string();
+                    self.refuse_policy(token, PolicyRefusal::Invalid { message });
+                    return;
+                }
+            }
+            explained.policy = policy.name;
+        }
+        self.respond(token, ConfigurationResponse::PolicyExplained(explained));
+    }
+
+    fn refuse_policy(&mut self, token: u64, refusal: PolicyRefusal) {
+        self.emit_event(EventKind::PolicyRefused, refusal.to_string());
+        self.respond(token, ConfigurationResponse::PolicyRefused(refusal));
+    }
+
+    /// A change was applied: whoever waits for it is answered, and balancers are told.
+    pub(super) fn note_policy_change(
+        &mut self,
+        change: &PolicyChange,
+        outcome: Result<bool, PolicyRefusal>,
+    ) {
+        let index = self.policies().index();
+        if outcome == Ok(true) {
+            let subject = match &change.put {
+                Some(policy) => format!("policy={} index={index}", policy.name),
+                None => format!("removed={} index={index}", change.removed),
+            };
+            self.emit_event(EventKind::PolicyChanged, subject);
+            self.zone_news.note_balancers();
+        }
+        let Some(token) = self.policy_changes.take(change.change) else {
+            return;
+        };
+        match outcome {
+            Ok(_) => self.respond(token, ConfigurationResponse::PolicyChanged { index }),
+            Err(refusal) => self.refuse_policy(token, refusal),
+        }
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/replica_outputs.rs
@@ -10,7 +10,7 @@
             self.carry_out(now, output);
         }
         self.push_news();
-        self.tell_balancers_of_zones(now);
+        self.tell_balancers_of_orders(now);
         self.tell_return(now);
     }
 
@@ -39,7 +39,7 @@
             }
             ReplicaOutput::ProposalLost { .. } => {
                 self.give_up_replacements();
-                self.give_up_zone_orders();
+                self.give_up_orders();
             }
             ReplicaOutput::RoleChanged { role, term } => self.note_role(now, role, term),
             ReplicaOutput::MembershipChanged(membership) => {
@@ -60,6 +60,9 @@
             Some(Applied::ZoneOrder { order, changed }) => {
                 self.note_zone_order(now, &order, changed);
             }
+            Some(Applied::PolicyChange { change, outcome }) => {
+                self.note_policy_change(&change, outcome);
+            }
             None => {}
         }
     }
@@ -105,7 +108,7 @@
             Role::Leader if self.evacuations().index() > 0 => self.zone_news.note_order(now),
             Role::Follower => {
                 self.give_up_replacements();
-                self.give_up_zone_orders();
+                self.give_up_orders();
             }
             _ => {}
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/requests.rs
@@ -61,13 +61,40 @@
         }
     }
 
+    pub(super) fn request_operator_read(
+        &mut self,
+        now: Timestamp,
+        token: u64,
+        subject: ReadSubject,
+    ) {
+        let read = PendingRead::Operator {
+            token,
+            deadline: now + self.settings.request_limit,
+            subject,
+        };
+        self.request_read(now, read);
+    }
+
+    /// Nothing is known of the outcome of orders that wait.
+    pub(super) fn give_up_orders(&mut self) {
+        let zones = self.zone_orders.take_all();
+        let policies = self.policy_changes.take_all();
+        for token in zones.into_iter().chain(policies) {
+            self.respond(token, ConfigurationResponse::Unavailable);
+        }
+    }
+
     pub(super) fn expire_requests(&mut self, now: Timestamp) {
-        for token in self.replacements.take_expired(now) {
+        let replacements = self.replacements.take_expired(now);
+        let zones = self.zone_orders.take_expired(now);
+        let policies = self.policy_changes.take_expired(now);
+        for token in replacements.into_iter().chain(zones).chain(policies) {
             self.respond(token, ConfigurationResponse::Unavailable);
         }
-        self.expire_zone_orders(now);
         let expired = |read: &PendingRead| match read {
-            PendingRead::Operator { token, deadline } if *deadline <= now => Some(*token),
+            PendingRead::Operator {
+                token, deadline, ..
+            } if *deadline <= now => Some(*token),
             _ => None,
         };
         let tokens: Vec<u64> = self.reads.values().filter_map(expired).collect();
@@ -79,17 +106,24 @@
 
     pub(super) fn answer_read(&mut self, number: u64) {
         match self.reads.remove(&number) {
-            Some(PendingRead::Operator { token, .. }) => {
-                let configuration = self.configuration().clone();
-                self.respond(token, ConfigurationResponse::Read(configuration));
+            Some(PendingRead::Operator { token, subject, .. }) => {
+                let response = match subject {
+                    ReadSubject::Configuration => {
+                        ConfigurationResponse::Read(self.configuration().clone())
+                    }
+                    ReadSubject::Policies => {
+                        ConfigurationResponse::Policies(self.policies().to_message())
+                    }
+                };
+                self.respond(token, response);
             }
             Some(PendingRead::Balancer { address, confirm }) => {
                 let version = self.configuration().version;
-                let zones = self.evacuations().news_since(0);
                 let confirmed = Confirmed {
                     confirm,
                     version,
-                    zones,
+                    zones: self.evacuations().news_since(0),
+                    policies: self.policies().news_since(0),
                 };
                 self.send(address, PassThroughBody::Confirmed(confirmed));
             }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/zone_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/zone_news.rs
@@ -1,6 +1,6 @@
-//! Who is told of orders about zones, and when again.
+//! Who is told of orders about zones and of placement policies, and when again.
 //!
-//! Each replica tells the balancers that follow it. The agents of the zone are
+//! Each replica tells the balancers that follow it. Of zones, the agents of the zone are
 //! told by the leader, which hears all of them, until each has said that it
 //! knows: they report by themselves too rarely in a large fleet.
 
@@ -32,18 +32,26 @@
         self.agents_at = Some(now);
     }
 
+    /// Notes that balancers are to be told, and no agents.
+    pub(super) fn note_balancers(&mut self) {
+        self.balancers_due = true;
+    }
+
     pub(super) fn poll_timeout(&self) -> Option<Timestamp> {
         self.agents_at
     }
 }
 
 impl ConfigurationNode {
-    /// Tells the balancers that follow this replica of a new order.
-    pub(super) fn tell_balancers_of_zones(&mut self, now: Timestamp) {
+    /// Tells the balancers that follow this replica of a new order or policy.
+    pub(super) fn tell_balancers_of_orders(&mut self, now: Timestamp) {
         if !std::mem::take(&mut self.zone_news.balancers_due) {
             return;
         }
-        let group = self.group_with_zones(now, 0);
+        let group = Group {
+            policies: self.policies().news_since(0),
+            ..self.group_with_zones(now, 0)
+        };
         for follower in self.followers.followers() {
             self.send(follower, PassThroughBody::Group(group.clone()));
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/zone_orders.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/zone_orders.rs
@@ -2,46 +2,6 @@
 
 use super::*;
 
-/// Orders of this leader that are in the log and wait to be applied, by their
-/// random numbers.
-#[derive(Debug, Default)]
-pub(super) struct WaitingZoneOrders {
-    waiting: BTreeMap<u64, WaitingZoneOrder>,
-}
-
-#[derive(Debug)]
-struct WaitingZoneOrder {
-    token: u64,
-    deadline: Timestamp,
-}
-
-impl WaitingZoneOrders {
-    fn add(&mut self, order: u64, token: u64, deadline: Timestamp) {
-        let waiting = WaitingZoneOrder { token, deadline };
-        self.waiting.insert(order, waiting);
-    }
-
-    /// Takes out who waits for an order that was applied.
-    fn take(&mut self, order: u64) -> Option<u64> {
-        self.waiting.remove(&order).map(|waiting| waiting.token)
-    }
-
-    /// Takes out all.
-    fn take_all(&mut self) -> Vec<u64> {
-        let all = std::mem::take(&mut self.waiting).into_values();
-        all.map(|waiting| waiting.token).collect()
-    }
-
-    /// Takes out those who have waited too long. Their orders may still hold.
-    fn take_expired(&mut self, now: Timestamp) -> Vec<u64> {
-        let due = |waiting: &WaitingZoneOrder| waiting.deadline <= now;
-        let expired = self.waiting.values().filter(|waiting| due(waiting));
-        let expired = expired.map(|waiting| waiting.token).collect();
-        self.waiting.retain(|_, waiting| !due(waiting));
-        expired
-    }
-}
-
 impl ConfigurationNode {
     /// Puts an order into the log. Repeated orders go there as well: only what the
     /// log says is known to hold for good.
@@ -115,17 +75,4 @@
             self.respond(token, ConfigurationResponse::ZoneOrdered);
         }
     }
-
-    /// Nothing is known of the outcome of what waits.
-    pub(super) fn give_up_zone_orders(&mut self) {
-        for token in self.zone_orders.take_all() {
-            self.respond(token, ConfigurationResponse::Unavailable);
-        }
-    }
-
-    pub(super) fn expire_zone_orders(&mut self, now: Timestamp) {
-        for token in self.zone_orders.take_expired(now) {
-            self.respond(token, ConfigurationResponse::Unavailable);
-        }
-    }
 }
--- a/crates/petrellatch-core/src/pass_through/group/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
+    AgentState, ConfigurationChange, ConfigurationPart, Directory, DirectoryChange, DirectoryEntry,
     MAX_PART_BYTES, PassThroughBody, Report, unpack_address,
 };
 use prost::Message;
@@ -13,6 +13,7 @@
 use crate::time::Timestamp;
 
 use super::evacuations::Evacuations;
+use crate::pass_through::policies::policy_check::ReportedBackend;
 use crate::pass_through::routes::change_assembly::{PartAssembly, compress, split};
 use crate::pass_through::routes::configuration::Configuration;
 
@@ -167,7 +168,9 @@
             }
         }
         let news = known.is_none_or(|known| {
-            known.report.incarnation != report.incarnation || known.report.state != report.state
+            known.report.incarnation != report.incarnation
+                || known.report.state != report.state
+                || !describes_same(&known.report, &report)
         });
         let had_former_life = match known {
             Some(known) if known.report.incarnation == report.incarnation => known.had_former_life,
@@ -284,6 +287,15 @@
         without.map(|(service, _)| service.to_owned())
     }
 
+    /// The back ends that agents report of, as policies see them.
+    pub(crate) fn backends(&self, now: Timestamp) -> Vec<ReportedBackend> {
+        let serves = |agent: &&ReportedAgent| agent.report.state() != AgentState::Empty;
+        let agents = self.agents.values().filter(serves);
+        let backend =
+            |agent: &ReportedAgent| ReportedBackend::new(now, agent.heard_at, &agent.report);
+        agents.map(backend).collect()
+    }
+
     /// What lives of the agent at `address` told of back ends that leave.
     pub(crate) fn leaving(&self, address: u64) -> Vec<u64> {
         let leaving = self.leaving.get(&address);
@@ -452,6 +464,15 @@
     }
 }
 
+/// Whether two reports tell the same of the back end, but for its age.
+fn describes_same(one: &Report, other: &Report) -> bool {
+    let description = |report: &'_ Report| {
+        let backend = report.backend.as_ref();
+        backend.map(|it| (it.name.clone(), it.labels.clone()))
+    };
+    description(one) == description(other)
+}
+
 /// Removes what only operators read.
 fn strip(change: &mut ConfigurationChange) {
     change.annotation = None;
--- a/crates/petrellatch-core/src/pass_through/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/mod.rs
@@ -26,6 +26,7 @@
 mod link;
 mod output;
 mod packet;
+mod policies;
 mod routes;
 
 pub use admission::cold_admission::ColdBounds;
@@ -48,5 +49,10 @@
 pub use link::link_queue::LinkCounters;
 pub use output::PassThroughOutput;
 pub use packet::{FlowId, PacketCodec, PacketView};
+pub use policies::active_policies::PolicyFigures;
+pub use policies::placement_policies::{
+    MAX_PLACEMENT_POLICIES, MAX_POLICY_BYTES, PlacementPolicies, PolicyRefusal,
+};
+pub use policies::policy_check::{ExplainedBackend, ExplainedPolicy};
 pub use routes::configuration::{Configuration, ConfigurationError};
 pub use routes::route_table::{RequestClass, RouteTable};
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/policies/placement_policies.rs
@@ -0,0 +1,185 @@
+//! The replicated policies: what operators put and removed, as of an index of the log.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use petrellatch_proto::pass_through::{
+    PlacementPolicy, PolicyChange, PolicyRecords, unpack_address,
+};
+use prost::Message;
+use snafu::Snafu;
+
+/// Most policies at once.
+pub const MAX_PLACEMENT_POLICIES: usize = 64;
+/// Largest encoded size of all policies together, in bytes: balancers get them in one
+/// datagram.
+pub const MAX_POLICY_BYTES: usize = 24 * 1024;
+/// Longest name of a policy, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Why a change of the policies is refused; nothing of it is done.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum PolicyRefusal {
+    /// The name is empty or too long.
+    #[snafu(display("a policy needs a name of at most {MAX_NAME_BYTES} bytes"))]
+    BadName,
+    /// The change is based on older policies than those in force.
+    #[snafu(display("the policies have changed since {based_on}; they are at {current}"))]
+    Conflict {
+        /// The index that it is based on.
+        based_on: u64,
+        /// The index in force.
+        current: u64,
+    },
+    /// There are too many policies, or they are too large together.
+    #[snafu(display(
+        "there may be {MAX_PLACEMENT_POLICIES} policies of {MAX_POLICY_BYTES} bytes together"
+    ))]
+    TooLarge,
+    /// Another policy places the flows of a service or route already.
+    #[snafu(display("the policy {other} places flows of {scope} already"))]
+    SharedScope {
+        /// The other policy.
+        other: String,
+        /// The service or route.
+        scope: String,
+    },
+    /// The text of the policy, or its result for a back end, is wrong.
+    #[snafu(display("{message}"))]
+    Invalid {
+        /// What is wrong, and where.
+        message: String,
+    },
+}
+
+/// All policies, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlacementPolicies {
+    index: u64,
+    policies: BTreeMap<String, PlacementPolicy>,
+}
+
+impl PlacementPolicies {
+    /// Index of the latest change that had an effect; zero if there was none.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// The policies, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &PlacementPolicy> {
+        self.policies.values()
+    }
+
+    /// The policy that places the flows of a service.
+    pub fn of_service(&self, service: &str) -> Option<&PlacementPolicy> {
+        let names = |policy: &&PlacementPolicy| policy.services.iter().any(|it| it == service);
+        self.iter().find(names)
+    }
+
+    /// Applies a change. One that leads to what holds already changes nothing and is not
+    /// refused, so that it can be sent again. Returns whether it changed something.
+    ///
+    /// # Errors
+    ///
+    /// A refused change has no effect, at any replica.
+    pub(crate) fn apply(
+        &mut self,
+        index: u64,
+        change: &PolicyChange,
+    ) -> Result<bool, PolicyRefusal> {
+        if self.holds(change) {
+            return Ok(false);
+        }
+        if change.base_index != 0 && change.base_index != self.index {
+            return Err(PolicyRefusal::Conflict {
+                based_on: change.base_index,
+                current: self.index,
+            });
+        }
+        match &change.put {
+            Some(policy) => self.put(policy)?,
+            None => {
+                self.policies.remove(&change.removed);
+            }
+        }
+        self.index = index;
+        Ok(true)
+    }
+
+    /// Whether a change would make no difference.
+    fn holds(&self, change: &PolicyChange) -> bool {
+        match &change.put {
+            Some(policy) => self.policies.get(&policy.name) == Some(policy),
+            None => !self.policies.contains_key(&change.removed),
+        }
+    }
+
+    fn put(&mut self, policy: &PlacementPolicy) -> Result<(), PolicyRefusal> {
+        if policy.name.is_empty() || policy.name.len() > MAX_NAME_BYTES {
+            return Err(PolicyRefusal::BadName);
+        }
+        self.check_scope(policy)?;
+        let mut next = self.policies.clone();
+        next.insert(policy.name.clone(), policy.clone());
+        let bytes: usize = next.values().map(Message::encoded_len).sum();
+        if next.len() > MAX_PLACEMENT_POLICIES || bytes > MAX_POLICY_BYTES {
+            return Err(PolicyRefusal::TooLarge);
+        }
+        self.policies = next;
+        Ok(())
+    }
+
+    /// Refuses a policy for a service or route that another policy has.
+    fn check_scope(&self, policy: &PlacementPolicy) -> Result<(), PolicyRefusal> {
+        for other in self.iter().filter(|other| other.name != policy.name) {
+            let service = policy
+                .services
+                .iter()
+                .find(|it| other.services.contains(it));
+            let route = policy.routes.iter().find(|it| other.routes.contains(it));
+            let scope = match (service, route) {
+                (Some(service), _) => format!("the service {service}"),
+                (None, Some(route)) => format!("the route {}", unpack_address(*route)),
+                (None, None) => continue,
+            };
+            let other = other.name.clone();
+            return Err(PolicyRefusal::SharedScope { other, scope });
+        }
+        Ok(())
+    }
+
+    /// Takes what another process told, if that is newer. Returns whether it is.
+    pub(crate) fn take_newer(&mut self, told: &PolicyRecords) -> bool {
+        let is_newer = told.index > self.index;
+        if is_newer {
+            *self = PlacementPolicies::from_message(told);
+        }
+        is_newer
+    }
+
+    pub(crate) fn from_message(told: &PolicyRecords) -> PlacementPolicies {
+        let policies = told.policies.iter();
+        let policies = policies.map(|policy| (policy.name.clone(), policy.clone()));
+        PlacementPolicies {
+            index: told.index,
+            policies: policies.collect(),
+        }
+    }
+
+    pub(crate) fn to_message(&self) -> PolicyRecords {
+        PolicyRecords {
+            index: self.index,
+            policies: self.policies.values().cloned().collect(),
+        }
+    }
+
+    /// What somebody who knows the policies up to `known` has to be told, if anything.
+    pub(crate) fn news_since(&self, known: u64) -> Option<PolicyRecords> {
+        (self.index > known).then(|| self.to_message())
+    }
+}
+
+/// The routes of a policy, as addresses.
+pub(crate) fn routes(policy: &PlacementPolicy) -> impl Iterator<Item = SocketAddrV4> + '_ {
+    policy.routes.iter().copied().map(unpack_address)
+}
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/policies/policy_check.rs
@@ -0,0 +1,127 @@
+//! Checks and explanations of policies, from the reports of agents.
+
+use petrellatch_proto::pass_through::{PlacementPolicy, Report};
+
+use super::backend_profile::{BackendCondition, BackendProfile};
+use super::placement_policies::PolicyRefusal;
+use crate::policy::{
+    BackendExplanation, BackendView, Policy, PolicyError, PolicySource, ServiceView, shares,
+};
+use crate::time::Timestamp;
+
+/// A back end with the service that it runs.
+#[derive(Clone, Debug)]
+pub(crate) struct ReportedBackend {
+    service: String,
+    view: BackendView,
+    /// When its agent reported last.
+    heard_at: Timestamp,
+}
+
+/// What a policy decides for one back end, and from what.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExplainedBackend {
+    /// What it gets, and why.
+    pub explanation: BackendExplanation,
+    /// How old the agent's words are that it rests on, in milliseconds.
+    pub age_millis: u64,
+}
+
+/// What the policy of a service decides.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExplainedPolicy {
+    /// The service.
+    pub service: String,
+    /// The policy's name; empty if the service has none.
+    pub policy: String,
+    /// Index of the policies.
+    pub index: u64,
+    /// Its back ends.
+    pub backends: Vec<ExplainedBackend>,
+}
+
+impl ReportedBackend {
+    pub(crate) fn new(now: Timestamp, heard_at: Timestamp, report: &Report) -> ReportedBackend {
+        let profile = BackendProfile::of_report(heard_at, report);
+        let condition = BackendCondition {
+            state: report.state(),
+            load: report.load,
+            sent_since: 0,
+            is_left_out: report.load.left_out_millis > 0,
+        };
+        ReportedBackend {
+            service: report.service.clone(),
+            view: profile.view(now, &condition),
+            heard_at,
+        }
+    }
+}
+
+fn source(policy: &PlacementPolicy) -> PolicySource {
+    PolicySource {
+        eligible: policy.eligible.clone(),
+        weight: policy.weight.clone(),
+    }
+}
+
+/// Checks a policy: its text, and its results for the back ends of its services (for all
+/// of them if it names none) and for edge cases.
+pub(crate) fn check(
+    policy: &PlacementPolicy,
+    backends: &[ReportedBackend],
+) -> Result<(), PolicyRefusal> {
+    check_source(&source(policy), &policy.services, backends).map_err(|error| {
+        PolicyRefusal::Invalid {
+            message: error.to_string(),
+        }
+    })
+}
+
+fn check_source(
+    source: &PolicySource,
+    services: &[String],
+    backends: &[ReportedBackend],
+) -> Result<(), PolicyError> {
+    let compiled = Policy::compile(source)?;
+    let mut checked: Vec<&str> = services.iter().map(String::as_str).collect();
+    if checked.is_empty() {
+        checked = backends.iter().map(|it| it.service.as_str()).collect();
+        checked.push("");
+    }
+    checked.sort_unstable();
+    checked.dedup();
+    for name in checked {
+        let views = backends.iter().filter(|it| it.service == name);
+        let views: Vec<BackendView> = views.map(|it| it.view.clone()).collect();
+        compiled.check(&service_view(name), &views)?;
+    }
+    Ok(())
+}
+
+/// What a policy decides for the back ends of a service, as callers of no particular
+/// zone would have it.
+pub(crate) fn explain(
+    now: Timestamp,
+    service: &str,
+    policy: &PlacementPolicy,
+    backends: &[ReportedBackend],
+) -> Result<Vec<ExplainedBackend>, PolicyError> {
+    let compiled = Policy::compile(&source(policy))?;
+    let of_service = backends.iter().filter(|it| it.service == service);
+    let of_service: Vec<&ReportedBackend> = of_service.collect();
+    let views: Vec<BackendView> = of_service.iter().map(|it| it.view.clone()).collect();
+    let explained = shares(&compiled, &service_view(service), &views).explanations;
+    let explained = explained.into_iter().zip(of_service);
+    let explained = explained.map(|(explanation, backend)| ExplainedBackend {
+        explanation,
+        age_millis: now.saturating_since(backend.heard_at).as_millis() as u64,
+    });
+    Ok(explained.collect())
+}
+
+fn service_view(name: &str) -> ServiceView {
+    ServiceView {
+        name: name.to_owned(),
+        ..ServiceView::default()
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/routes/configuration_state.rs
+++ b/crates/petrellatch-core/src/pass_through/routes/configuration_state.rs
@@ -1,11 +1,14 @@
 //! The replicated state: what the commands of the log lead to.
 
-use petrellatch_proto::pass_through::{ConfigurationChange, GroupCommand, ZoneOrder, ZoneRecords};
+use petrellatch_proto::pass_through::{
+    ConfigurationChange, GroupCommand, PolicyChange, PolicyRecords, ZoneOrder, ZoneRecords,
+};
 use prost::Message;
 
 use super::change_assembly::{PartAssembly, compress, decompress, split};
 use super::configuration::Configuration;
 use crate::pass_through::group::evacuations::Evacuations;
+use crate::pass_through::policies::placement_policies::{PlacementPolicies, PolicyRefusal};
 
 /// Largest part of a change in one command, in bytes.
 const COMMAND_PART_BYTES: usize = 6 * 1024;
@@ -31,14 +34,22 @@
         /// Whether it changed something.
         changed: bool,
     },
+    /// A change of the placement policies was applied, or refused.
+    PolicyChange {
+        /// The change.
+        change: PolicyChange,
+        /// Whether it changed something.
+        outcome: Result<bool, PolicyRefusal>,
+    },
 }
 
-/// The configuration, the zones out of service, and the change whose parts are
+/// The configuration, the zones out of service, the placement policies, and the change whose parts are
 /// being applied.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ConfigurationState {
     configuration: Configuration,
     evacuations: Evacuations,
+    policies: PlacementPolicies,
     assembly: PartAssembly,
     /// Commands of the change that is not complete yet, for snapshots.
     pending: Vec<Vec<u8>>,
@@ -52,6 +63,8 @@
     pending: Vec<Vec<u8>>,
     #[prost(message, optional, tag = "3")]
     zones: Option<ZoneRecords>,
+    #[prost(message, optional, tag = "4")]
+    policies: Option<PolicyRecords>,
 }
 
 impl ConfigurationState {
@@ -63,6 +76,19 @@
         &self.evacuations
     }
 
+    pub(crate) fn policies(&self) -> &PlacementPolicies {
+        &self.policies
+    }
+
+    /// The command that makes a change of the placement policies.
+    pub(crate) fn policy_command(change: &PolicyChange) -> Vec<u8> {
+        let command = GroupCommand {
+            policy_change: Some(change.clone()),
+            ..GroupCommand::default()
+        };
+        command.encode_to_vec()
+    }
+
     /// The command that makes an order about a zone.
     pub(crate) fn zone_command(order: &ZoneOrder) -> Vec<u8> {
         let command = GroupCommand {
@@ -82,7 +108,7 @@
             part: part as u32,
             parts: count,
             bytes: bytes.to_vec(),
-            zone_order: None,
+            ..GroupCommand::default()
         };
         let commands = parts.into_iter().enumerate().map(command);
         commands.map(|command| command.encode_to_vec()).collect()
@@ -96,6 +122,10 @@
             let changed = self.evacuations.apply(index, &order);
             return Some(Applied::ZoneOrder { order, changed });
         }
+        if let Some(change) = command.policy_change {
+            let outcome = self.policies.apply(index, &change);
+            return Some(Applied::PolicyChange { change, outcome });
+        }
         self.apply_part(command, bytes).map(Applied::Change)
     }
 
@@ -120,6 +150,7 @@
             configuration: Some(Configuration::default().change_to(&self.configuration)),
             pending: self.pending.clone(),
             zones: Some(self.evacuations.to_message()),
+            policies: Some(self.policies.to_message()),
         };
         compress(&snapshot.encode_to_vec())
     }
@@ -135,6 +166,9 @@
         if let Some(zones) = &snapshot.zones {
             state.evacuations = Evacuations::from_message(zones);
         }
+        if let Some(policies) = &snapshot.policies {
+            state.policies = PlacementPolicies::from_message(policies);
+        }
         Some(state)
     }
 }
--- a/crates/petrellatch-core/src/policy/checker.rs
+++ b/crates/petrellatch-core/src/policy/checker.rs
@@ -32,7 +32,7 @@
 const CALL_COST: u32 = 16;
 
 /// The fields of `backend` and their types.
-pub(super) const BACKEND_FIELDS: [(&str, ExpressionType); 9] = [
+pub(super) static BACKEND_FIELDS: [(&str, ExpressionType); 9] = [
     ("name", ExpressionType::String),
     ("zone", ExpressionType::String),
     ("labels", ExpressionType::Labels),
@@ -45,7 +45,7 @@
 ];
 
 /// The fields of `service` and their types.
-pub(super) const SERVICE_FIELDS: [(&str, ExpressionType); 2] = [
+pub(super) static SERVICE_FIELDS: [(&str, ExpressionType); 2] = [
     ("name", ExpressionType::String),
     ("zone", ExpressionType::String),
 ];
@@ -56,6 +56,8 @@
     pub(super) result: ExpressionType,
     /// The label keys that the expression names, sorted.
     pub(super) label_keys: Vec<String>,
+    /// The fields of `backend` that it reads.
+    pub(super) backend_fields: Vec<&'static str>,
 }
 
 /// Checks a whole expression.
@@ -71,6 +73,7 @@
         cost: 0,
         depth: 0,
         label_keys: Vec::new(),
+        backend_fields: Vec::new(),
     };
     let result = checker.visit(root)?;
     checker.label_keys.sort_unstable();
@@ -82,6 +85,7 @@
     Ok(Checked {
         result,
         label_keys: checker.label_keys,
+        backend_fields: checker.backend_fields,
     })
 }
 
@@ -93,6 +97,7 @@
     cost: u32,
     depth: u32,
     label_keys: Vec<String>,
+    backend_fields: Vec<&'static str>,
 }
 
 impl Checker<'_> {
@@ -210,17 +215,20 @@
 
     /// Returns the type of a variable's field.
     fn field_type(
-        &self,
+        &mut self,
         node: &Expression,
         variable: &str,
         field: &str,
     ) -> Result<ExpressionType, PolicyError> {
-        let fields: &[(&str, ExpressionType)] = match variable {
+        let fields: &'static [(&'static str, ExpressionType)] = match variable {
             context::BACKEND => &BACKEND_FIELDS,
             context::SERVICE => &SERVICE_FIELDS,
             _ => return Err(self.refuse_variable(node, variable)),
         };
-        if let Some((_, field_type)) = fields.iter().find(|(name, _)| *name == field) {
+        if let Some((name, field_type)) = fields.iter().find(|(name, _)| *name == field) {
+            if variable == context::BACKEND {
+                self.backend_fields.push(name);
+            }
             return Ok(*field_type);
         }
         let names: Vec<&str> = fields.iter().map(|(name, _)| *name).collect();
--- a/crates/petrellatch-core/src/policy/expression.rs
+++ b/crates/petrellatch-core/src/policy/expression.rs
@@ -20,6 +20,7 @@
     part: PolicyPart,
     program: Program,
     label_keys: Vec<String>,
+    backend_fields: Vec<&'static str>,
 }
 
 impl CompiledExpression {
@@ -31,11 +32,16 @@
             .map_err(|errors| syntax_error(part, &errors))?;
         let checked = checker::check(part, program.source_info(), program.expression())?;
         check_result(part, checked.result)?;
-        let Checked { label_keys, .. } = checked;
+        let Checked {
+            label_keys,
+            backend_fields,
+            ..
+        } = checked;
         Ok(CompiledExpression {
             part,
             program,
             label_keys,
+            backend_fields,
         })
     }
 
@@ -44,6 +50,11 @@
         &self.label_keys
     }
 
+    /// Whether the expression reads one of these fields of `backend`.
+    pub(super) fn reads_any(&self, fields: &[&str]) -> bool {
+        self.backend_fields.iter().any(|it| fields.contains(it))
+    }
+
     /// Evaluates the expression.
     pub(super) fn evaluate(&self, variables: &Context<'_, '_>) -> Result<Value, PolicyError> {
         self.program.execute(variables).map_err(|error| {
--- a/crates/petrellatch-core/src/policy/program.rs
+++ b/crates/petrellatch-core/src/policy/program.rs
@@ -9,6 +9,11 @@
 use super::policy_source::{PolicyPart, PolicySource};
 use super::view::{BackendView, ServiceView};
 
+/// The fields that change with each request of a back end.
+const LOAD_FIELDS: [&str; 2] = ["free_slots", "connections"];
+/// The field that changes with time alone.
+const AGE_FIELDS: [&str; 1] = ["age_seconds"];
+
 /// What a policy says about one back end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Evaluation {
@@ -42,6 +47,20 @@
         &self.source
     }
 
+    /// Whether its results change with each request of a back end.
+    pub fn reads_load(&self) -> bool {
+        self.reads_any(&LOAD_FIELDS)
+    }
+
+    /// Whether its results change as a back end grows older.
+    pub fn reads_age(&self) -> bool {
+        self.reads_any(&AGE_FIELDS)
+    }
+
+    fn reads_any(&self, fields: &[&str]) -> bool {
+        self.eligible.reads_any(fields) || self.weight.reads_any(fields)
+    }
+
     /// Evaluates the policy for one back end. The weight of a back end that
     /// isn't eligible is not evaluated, so eligibility can guard it.
     pub fn evaluate(
--- a/crates/petrellatch-core/tests/pass_through/cold_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/cold_backends.rs
@@ -32,6 +32,7 @@
         capacity: CAPACITY,
         draining: false,
         cold,
+        ..Registration::default()
     };
     world.call(1, &call);
     world.run(5 * MILLI);
--- a/crates/petrellatch-core/tests/pass_through/evacuated_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/evacuated_flows.rs
@@ -107,6 +107,7 @@
         confirm: 7,
         version: 3,
         zones: Some(zones(7, true)),
+        ..Confirmed::default()
     };
     world.start_balancer_with(confirmed);
     assert!(world.balancer.is_ready(world.now));
--- a/crates/petrellatch-core/tests/pass_through/fleet.rs
+++ b/crates/petrellatch-core/tests/pass_through/fleet.rs
@@ -541,6 +541,7 @@
         capacity: SLOTS,
         draining: false,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     let taken = agent.handle_registration(now, &call);
     taken.expect("it is of the agent's service");
@@ -585,6 +586,7 @@
         confirm: life.0 | 1,
         version: 3,
         zones: None,
+        ..Confirmed::default()
     };
     balancer.handle_message(now, REPLICA, PassThroughBody::Configuration(part));
     balancer.handle_message(now, REPLICA, PassThroughBody::Confirmed(confirmed));
--- a/crates/petrellatch-core/tests/pass_through/late_calls.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_calls.rs
@@ -17,6 +17,7 @@
         capacity: 4,
         draining,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     world.call(AGENT, &call);
     world.run(MILLI);
@@ -136,6 +137,7 @@
         capacity: 4,
         draining,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     world.call(AGENT, &call);
     world.run(MILLI);
@@ -222,6 +224,7 @@
         capacity: 9,
         draining: true,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     let now = world.now;
     let agent = super::world::agent_address(AGENT);
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -21,6 +21,8 @@
 mod moved_routes;
 mod narrow_links;
 mod news;
+mod placement_policies;
+mod policy_changes;
 mod pressure;
 mod queueing;
 mod remembered_daemons;
--- a/crates/petrellatch-core/tests/pass_through/news.rs
+++ b/crates/petrellatch-core/tests/pass_through/news.rs
@@ -37,6 +37,7 @@
         confirm: 7,
         version: 3,
         zones: None,
+        ..Confirmed::default()
     };
     balancer.handle_message(START, REPLICA, PassThroughBody::Confirmed(confirmed));
     assert!(balancer.is_ready(START));
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/placement_policies.rs
@@ -0,0 +1,308 @@
+//! Placement policies at a balancer: where new flows land, what each evaluation costs, and
+//! that open flows stay where they are.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_core::pass_through::Registration;
+use petrellatch_proto::pass_through::{
+    Group, PassThroughBody, PlacementPolicy, PolicyRecords, pack_address,
+};
+
+use super::world::{MILLI, REPLICA, ROUTE, SERVICE, World, agent_address};
+
+const CAPACITY: u32 = 50;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn policy(name: &str, eligible: &str, weight: &str) -> PlacementPolicy {
+    PlacementPolicy {
+        name: name.to_owned(),
+        eligible: eligible.to_owned(),
+        weight: weight.to_owned(),
+        services: vec![SERVICE.to_owned()],
+        routes: Vec::new(),
+    }
+}
+
+/// A replica tells the balancer which policies there are.
+fn tell(world: &mut World, index: u64, policies: &[PlacementPolicy]) {
+    let group = Group {
+        directory_revision: world.revision,
+        serves: true,
+        policies: Some(PolicyRecords {
+            index,
+            policies: policies.to_vec(),
+        }),
+        ..Group::default()
+    };
+    let body = PassThroughBody::Group(group);
+    world.balancer.handle_message(world.now, REPLICA, body);
+}
+
+/// The back end beside an agent registers itself with a label, and its agent reports it.
+fn label(world: &mut World, index: u8, key: &str, value: &str) {
+    let call = Registration {
+        id: format!("backend-{index}"),
+        service: SERVICE.to_owned(),
+        call_number: 2,
+        capacity: CAPACITY,
+        labels: BTreeMap::from([(key.to_owned(), value.to_owned())]),
+        ..Registration::default()
+    };
+    world.call(index, &call);
+}
+
+/// A world in which the back ends of `labelled` have a label, and all have reported.
+fn labelled_world(agents: u8, labelled: &[u8], key: &str, value: &str) -> World {
+    let mut world = World::new(agents, CAPACITY);
+    for index in labelled {
+        label(&mut world, *index, key, value);
+    }
+    world.run(SECOND);
+    world
+}
+
+/// Lets seconds pass in which the back ends beside these agents go on calling.
+fn run_with_calls(world: &mut World, agents: &[u8], seconds: u64) {
+    for _ in 0..seconds {
+        for index in agents {
+            let call_number = world.now.as_micros();
+            world.register(*index, CAPACITY, false, call_number);
+        }
+        world.run(SECOND);
+    }
+}
+
+/// Opens flows and returns the agent of each.
+fn open_flows(world: &mut World, ports: std::ops::Range<u16>) -> Vec<SocketAddrV4> {
+    let mut agents = Vec::new();
+    for port in ports {
+        world.open(port, 0);
+        world.run(2 * MILLI);
+        agents.push(world.answered_by(port).expect("an answer"));
+    }
+    agents
+}
+
+/// Opens flows that end at once, and returns how many landed at each agent.
+fn open_and_end(world: &mut World, ports: std::ops::Range<u16>) -> BTreeMap<SocketAddrV4, usize> {
+    let mut landed = BTreeMap::new();
+    for port in ports {
+        world.open(port, 0);
+        let agent = world.answered_by(port).expect("an answer");
+        *landed.entry(agent).or_default() += 1;
+        world.request(port, agent);
+        world.speak(agent, port);
+        world.finish(port, agent);
+        world.run(MILLI);
+    }
+    landed
+}
+
+#[test]
+fn a_new_version_gets_its_share_of_new_flows_and_all_once_it_is_let() {
+    let mut world = labelled_world(10, &[1], "version", "v2");
+    let canary = "has(backend.labels.version) && backend.labels.version == 'v2'";
+    let five_percent = format!("{canary} ? 9.0 / 19.0 : 1.0");
+    tell(&mut world, 1, &[policy("canary", "true", &five_percent)]);
+    let landed = open_and_end(&mut world, 1..1_001);
+    let share = landed.get(&agent_address(1)).copied().unwrap_or_default();
+    assert!(
+        (30..=70).contains(&share),
+        "{share} of 1,000 at the new version"
+    );
+    tell(&mut world, 2, &[policy("canary", canary, "1.0")]);
+    let landed = open_and_end(&mut world, 2_000..2_050);
+    assert_eq!(landed.get(&agent_address(1)), Some(&50));
+}
+
+#[test]
+fn equal_weights_leave_the_choice_as_it_is_without_a_policy() {
+    let mut plain = World::new(6, CAPACITY);
+    let mut placed = World::new(6, CAPACITY);
+    tell(&mut placed, 1, &[policy("all", "true", "1.0")]);
+    let expected = open_flows(&mut plain, 1..60);
+    assert_eq!(open_flows(&mut placed, 1..60), expected);
+}
+
+#[test]
+fn a_route_goes_by_its_own_policy_before_that_of_its_service() {
+    let mut world = labelled_world(4, &[3], "member", "two");
+    let of_service = policy("others", "!has(backend.labels.member)", "1.0");
+    let of_route = PlacementPolicy {
+        services: Vec::new(),
+        routes: vec![pack_address(ROUTE)],
+        ..policy("member", "has(backend.labels.member)", "1.0")
+    };
+    tell(&mut world, 1, std::slice::from_ref(&of_service));
+    let agents = open_flows(&mut world, 1..20);
+    assert!(!agents.contains(&agent_address(3)));
+    tell(&mut world, 2, &[of_service, of_route]);
+    let agents = open_flows(&mut world, 21..40);
+    assert!(agents.iter().all(|agent| *agent == agent_address(3)));
+}
+
+#[test]
+fn the_callers_zone_is_preferred_while_it_has_room() {
+    let mut world = World::new(2, 2);
+    world.zone_of = |index| if index == 2 { "b" } else { "a" };
+    world.start_agent(2);
+    world.register(2, 2, false, 1);
+    world.run(SECOND);
+    let weight = "backend.zone == service.zone ? 1.0 : 0.000001";
+    tell(&mut world, 1, &[policy("near", "true", weight)]);
+    let agents = open_flows(&mut world, 1..3);
+    assert!(agents.iter().all(|agent| *agent == agent_address(1)));
+    // Both slots are taken: what comes next goes to the other zone.
+    let agents = open_flows(&mut world, 3..4);
+    assert_eq!(agents, [agent_address(2)]);
+}
+
+#[test]
+fn what_started_a_moment_ago_gets_nothing_before_its_time() {
+    let mut world = World::new(3, CAPACITY);
+    let young = 3;
+    run_with_calls(&mut world, &[1, 2], 70);
+    world.start_agent(young);
+    run_with_calls(&mut world, &[1, 2, young], 1);
+    tell(
+        &mut world,
+        1,
+        &[policy("grown", "backend.age_seconds >= 60.0", "1.0")],
+    );
+    let agents = open_flows(&mut world, 1..30);
+    assert!(!agents.contains(&agent_address(young)));
+    run_with_calls(&mut world, &[1, 2, young], 61);
+    let agents = open_flows(&mut world, 31..60);
+    assert!(agents.contains(&agent_address(young)));
+}
+
+#[test]
+fn nobody_eligible_is_refused_at_once_and_said_once() {
+    let mut world = World::new(3, CAPACITY);
+    tell(&mut world, 1, &[policy("none", "false", "1.0")]);
+    for port in 1..=5 {
+        world.open(port, 0);
+    }
+    assert_eq!(world.resets(), 5);
+    assert!(
+        world
+            .refusals
+            .iter()
+            .all(|it| it.contains("no_eligible_backend"))
+    );
+    assert_eq!(world.without_eligible.len(), 1);
+    tell(&mut world, 2, &[]);
+    open_flows(&mut world, 6..8);
+    tell(&mut world, 3, &[policy("none", "true", "0.0")]);
+    world.open(9, 0);
+    assert_eq!(world.resets(), 6);
+}
+
+#[test]
+fn a_policy_that_fails_for_a_back_end_leaves_that_one_out() {
+    let mut world = labelled_world(3, &[2], "share", "many");
+    let weight = "has(backend.labels.share) ? double(backend.labels.share) : 1.0";
+    tell(&mut world, 1, &[policy("by label", "true", weight)]);
+    let agents = open_flows(&mut world, 1..30);
+    assert!(!agents.contains(&agent_address(2)));
+}
+
+#[test]
+fn older_policies_change_nothing() {
+    let mut world = World::new(2, CAPACITY);
+    tell(&mut world, 5, &[]);
+    tell(&mut world, 4, &[policy("none", "false", "1.0")]);
+    assert_eq!(world.balancer.policies_index(), 5);
+    open_flows(&mut world, 1..3);
+}
+
+#[test]
+fn open_flows_stay_through_fifty_changes_and_new_ones_land_where_they_may() {
+    let mut world = labelled_world(8, &[1, 2, 3, 4], "half", "first");
+    let first = "has(backend.labels.half)";
+    let owners = open_flows(&mut world, 1..40);
+    for (port, owner) in (1..).zip(&owners) {
+        world.request(port, *owner);
+    }
+    let mut port = 100;
+    for change in 1..=50_u64 {
+        let is_first = change % 2 == 0;
+        let eligible = if is_first {
+            first.to_owned()
+        } else {
+            format!("!{first}")
+        };
+        tell(&mut world, change, &[policy("half", &eligible, "1.0")]);
+        if change == 20 {
+            // A balancer that joins gets its policies before it is current.
+            world.restart_balancer();
+            tell(&mut world, change, &[policy("half", &eligible, "1.0")]);
+        }
+        if change == 30 {
+            // An agent with an old state: its reports stop.
+            world.frozen = vec![agent_address(8)];
+        }
+        for _ in 0..2 {
+            world.open(port, 0);
+            world.run(400 * MILLI);
+            let agent = world.answered_by(port).expect("an answer");
+            let index = agent.ip().octets()[3];
+            assert_eq!(index <= 4, is_first, "change {change}");
+            port += 1;
+        }
+    }
+    world.frozen.clear();
+    for (port, owner) in (1..).zip(&owners) {
+        let before = world.data_at(*owner);
+        world.request(port, *owner);
+        world.run(200 * MILLI);
+        assert!(
+            world.data_at(*owner) > before,
+            "the flow of port {port} moved"
+        );
+    }
+}
+
+#[test]
+fn a_policy_is_evaluated_only_when_what_it_reads_has_changed() {
+    let mut world = World::new(20, CAPACITY);
+    tell(
+        &mut world,
+        1,
+        &[policy("static", "backend.zone == 'a'", "backend.slots")],
+    );
+    open_and_end(&mut world, 1..200);
+    let figures = world.balancer.policy_figures();
+    assert_eq!(figures[0].placed, 199);
+    assert!(figures[0].evaluations <= 2 * 20, "{figures:?}");
+    tell(
+        &mut world,
+        2,
+        &[policy("load", "true", "1.0 + backend.free_slots")],
+    );
+    open_and_end(&mut world, 200..400);
+    let figures = world.balancer.policy_figures();
+    let each = figures[0].evaluations as f64 / figures[0].placed as f64;
+    assert!(each <= 4.0, "{each} evaluations for each flow");
+}
+
+#[test]
+fn a_back_end_that_calls_after_its_agent_was_reported_ready_is_described_at_once() {
+    let mut world = World::new(2, CAPACITY);
+    world.start_agent(1);
+    // Packets show that a back end is there, which has not called this life of its agent.
+    world.speak(agent_address(1), 900);
+    world.run(SECOND);
+    tell(
+        &mut world,
+        1,
+        &[policy("one", "backend.name == 'backend-1'", "1.0")],
+    );
+    world.open(1, 0);
+    assert_eq!(world.resets(), 1);
+    world.register(1, CAPACITY, false, 100);
+    world.run(5 * MILLI);
+    assert_eq!(open_flows(&mut world, 2..3), [agent_address(1)]);
+}
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/policy_changes.rs
@@ -0,0 +1,356 @@
+//! Changes of placement policies: what is acknowledged holds at all replicas, and what is
+//! refused changes nothing.
+
+use std::time::Duration;
+
+use petrellatch_core::pass_through::{
+    ConfigurationRequest, ConfigurationResponse, MAX_PLACEMENT_POLICIES, PolicyRefusal,
+};
+use petrellatch_proto::pass_through::{
+    AgentState, BackendDescription, Follow, LoadMessage, PassThroughBody, PlacementPolicy, Report,
+    pack_address,
+};
+use proptest::prelude::*;
+
+use super::group::{Group, address};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Numbers of machines with an agent and a balancer.
+const AGENT: u8 = 120;
+const BALANCER: u8 = 130;
+
+fn policy(name: &str, eligible: &str, services: &[&str]) -> PlacementPolicy {
+    PlacementPolicy {
+        name: name.to_owned(),
+        eligible: eligible.to_owned(),
+        weight: "1.0".to_owned(),
+        services: services.iter().map(|it| (*it).to_owned()).collect(),
+        routes: Vec::new(),
+    }
+}
+
+fn put(policy: &PlacementPolicy, base_index: u64) -> ConfigurationRequest {
+    ConfigurationRequest::PutPolicy {
+        policy: policy.clone(),
+        base_index,
+    }
+}
+
+fn remove(name: &str) -> ConfigurationRequest {
+    ConfigurationRequest::RemovePolicy {
+        name: name.to_owned(),
+        base_index: 0,
+    }
+}
+
+fn founded(count: u8) -> Group {
+    let mut group = Group::start(count);
+    group.replace(3, 1);
+    group.run_until(10 * SECOND, "all vote", |it| {
+        it.voters().len() == usize::from(count)
+    });
+    group
+}
+
+fn leader(group: &mut Group) -> u8 {
+    group.run_until(10 * SECOND, "a leader", |it| it.leader().is_some());
+    group.leader().expect("there is one")
+}
+
+/// Asks the leader and waits for the answer.
+fn ask(group: &mut Group, request: ConfigurationRequest) -> ConfigurationResponse {
+    let leader = leader(group);
+    let token = group.ask(leader, request);
+    group.run_until(2 * SECOND, "an answer", |it| it.answer(token).is_some());
+    group.answer(token).expect("there is one").clone()
+}
+
+fn index_of(response: &ConfigurationResponse) -> u64 {
+    match response {
+        ConfigurationResponse::PolicyChanged { index } => *index,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn names_at(group: &Group, replica: u8) -> Vec<String> {
+    let policies = group.node(replica).policies();
+    policies.iter().map(|it| it.name.clone()).collect()
+}
+
+#[test]
+fn an_accepted_policy_holds_at_all_replicas_and_survives_the_end_of_all() {
+    let mut group = founded(3);
+    let near = policy("near", "true", &["desk"]);
+    index_of(&ask(&mut group, put(&near, 0)));
+    group.run(SECOND);
+    for replica in 1..=3 {
+        assert_eq!(names_at(&group, replica), ["near"]);
+    }
+    for replica in 1..=3 {
+        group.kill(replica);
+    }
+    for replica in 1..=3 {
+        group.restart(replica);
+    }
+    let leader = leader(&mut group);
+    group.run(SECOND);
+    assert_eq!(names_at(&group, leader), ["near"]);
+}
+
+#[test]
+fn a_policy_reaches_an_empty_replica_in_a_snapshot() {
+    let mut group = founded(5);
+    index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let first = leader(&mut group);
+    for version in 10..1_300 {
+        group.replace(version, 1);
+    }
+    group.wipe(first);
+    group.restart(first);
+    group.run(4 * SECOND);
+    assert_eq!(names_at(&group, first), ["near"]);
+}
+
+#[test]
+fn a_change_that_is_sent_again_is_acknowledged_and_changes_nothing() {
+    let mut group = founded(3);
+    let near = policy("near", "true", &["desk"]);
+    let first = index_of(&ask(&mut group, put(&near, 0)));
+    // Its answer was lost; meanwhile nothing else has changed.
+    assert_eq!(index_of(&ask(&mut group, put(&near, 0))), first);
+    let gone = index_of(&ask(&mut group, remove("near")));
+    assert_eq!(index_of(&ask(&mut group, remove("near"))), gone);
+}
+
+#[test]
+fn of_two_operators_with_one_base_only_one_gets_through() {
+    let mut group = founded(3);
+    let base = index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let leader = leader(&mut group);
+    let far = policy("near", "backend.zone == 'far'", &["desk"]);
+    let old = policy("near", "backend.age_seconds > 60.0", &["desk"]);
+    let tokens = [
+        group.ask(leader, put(&far, base)),
+        group.ask(leader, put(&old, base)),
+    ];
+    group.run(SECOND);
+    let answers = tokens.map(|token| group.answer(token).expect("an answer").clone());
+    let index = index_of(&answers[0]);
+    let refusal = PolicyRefusal::Conflict {
+        based_on: base,
+        current: index,
+    };
+    assert_eq!(answers[1], ConfigurationResponse::PolicyRefused(refusal));
+    let held = group.node(leader).policies().of_service("desk").cloned();
+    assert_eq!(held, Some(far));
+}
+
+#[test]
+fn wrong_policies_are_refused_whole_with_the_place_of_the_fault() {
+    let mut group = founded(3);
+    for wrong in [
+        "1.0 +",
+        "backend.slots",
+        "slots > 2",
+        "backend.labels.x == 'y'",
+    ] {
+        match ask(&mut group, put(&policy("wrong", wrong, &["desk"]), 0)) {
+            ConfigurationResponse::PolicyRefused(PolicyRefusal::Invalid { message }) => {
+                assert!(message.contains("eligible, line 1"), "{wrong}: {message}");
+            }
+            other => panic!("{wrong}: {other:?}"),
+        }
+    }
+    let leader = leader(&mut group);
+    assert_eq!(group.node(leader).policies().index(), 0);
+    let sound = ConfigurationRequest::CheckPolicy(policy("sound", "true", &[]));
+    assert_eq!(ask(&mut group, sound), ConfigurationResponse::PolicySound);
+}
+
+#[test]
+fn a_service_has_one_policy_and_there_is_a_bound_on_all() {
+    let mut group = founded(3);
+    index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let second = ask(&mut group, put(&policy("far", "true", &["desk"]), 0));
+    assert!(matches!(
+        second,
+        ConfigurationResponse::PolicyRefused(PolicyRefusal::SharedScope { .. })
+    ));
+    for number in 1..MAX_PLACEMENT_POLICIES {
+        index_of(&ask(
+            &mut group,
+            put(&policy(&format!("p{number}"), "true", &[]), 0),
+        ));
+    }
+    let more = ask(&mut group, put(&policy("more", "true", &[]), 0));
+    let refusal = ConfigurationResponse::PolicyRefused(PolicyRefusal::TooLarge);
+    assert_eq!(more, refusal);
+}
+
+#[test]
+fn balancers_that_follow_are_told_and_those_that_know_are_not_told_again() {
+    let mut group = founded(3);
+    let leader = leader(&mut group);
+    let attach = |known| {
+        PassThroughBody::Follow(Follow {
+            incarnation: 1,
+            attached: true,
+            policies_index: known,
+            ..Follow::default()
+        })
+    };
+    group.hear(leader, BALANCER, attach(0));
+    group.sent_outside.clear();
+    let index = index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let told = |group: &Group| {
+        let sent = group.sent_outside.iter();
+        let told = sent.filter_map(|(_, _, body)| match body {
+            PassThroughBody::Group(group) => group.policies.as_ref().map(|it| it.index),
+            _ => None,
+        });
+        told.collect::<Vec<u64>>()
+    };
+    assert_eq!(told(&group), [index]);
+    group.sent_outside.clear();
+    group.hear(leader, BALANCER, attach(index));
+    assert!(told(&group).is_empty());
+    group.hear(leader, BALANCER, attach(0));
+    assert_eq!(told(&group), [index]);
+}
+
+#[test]
+fn a_cut_off_leader_accepts_nothing() {
+    let mut group = founded(3);
+    let first = leader(&mut group);
+    group.cut_off(first);
+    let token = group.ask(first, put(&policy("near", "true", &["desk"]), 0));
+    group.run(3 * SECOND);
+    let answer = group.answer(token);
+    assert_eq!(answer, Some(&ConfigurationResponse::Unavailable));
+    group.heal();
+    group.run(3 * SECOND);
+    for replica in 1..=3 {
+        assert!(names_at(&group, replica).is_empty());
+    }
+}
+
+#[test]
+fn an_explanation_names_the_condition_and_the_age_of_its_inputs() {
+    let mut group = founded(3);
+    index_of(&ask(
+        &mut group,
+        put(
+            &policy("new", "true && backend.labels.size() > 0", &["desk"]),
+            0,
+        ),
+    ));
+    let leader = leader(&mut group);
+    let report = Report {
+        address: pack_address(address(AGENT)),
+        incarnation: 1,
+        sequence: 1,
+        service: "desk".to_owned(),
+        zone: "a".to_owned(),
+        state: AgentState::Ready.into(),
+        load: LoadMessage {
+            capacity: 4,
+            ..LoadMessage::default()
+        },
+        backend: Some(BackendDescription {
+            name: "desk-1".to_owned(),
+            ..BackendDescription::default()
+        }),
+        ..Report::default()
+    };
+    group.hear(leader, AGENT, PassThroughBody::Report(report));
+    group.run(300 * Duration::from_millis(1));
+    let request = ConfigurationRequest::ExplainPolicy {
+        service: "desk".to_owned(),
+    };
+    let ConfigurationResponse::PolicyExplained(explained) = ask(&mut group, request) else {
+        panic!("no explanation");
+    };
+    assert_eq!(explained.policy, "new");
+    let backend = &explained.backends[0];
+    assert_eq!(backend.explanation.name, "desk-1");
+    let text = backend.explanation.explanation.to_string();
+    assert!(
+        text.contains("backend.labels.size() > 0 is false"),
+        "{text}"
+    );
+    assert!(backend.age_millis >= 300);
+}
+
+#[derive(Clone, Debug)]
+enum Operation {
+    Put(u8, u8),
+    Remove(u8),
+    KillLeader,
+}
+
+fn operation() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        4 => (0..3_u8, 0..4_u8).prop_map(|(name, text)| Operation::Put(name, text)),
+        2 => (0..3_u8).prop_map(Operation::Remove),
+        1 => Just(Operation::KillLeader),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// What is acknowledged holds in the order of the acknowledgements, and the index
+    /// never goes back.
+    #[test]
+    fn acknowledged_changes_hold_and_the_index_rises(
+        operations in prop::collection::vec(operation(), 1..14)
+    ) {
+        let mut group = founded(3);
+        let mut held = std::collections::BTreeMap::new();
+        let mut last = 0;
+        for operation in operations {
+            let (name, expected, request) = match operation {
+                Operation::KillLeader => {
+                    let leader = leader(&mut group);
+                    group.kill(leader);
+                    group.restart(leader);
+                    continue;
+                }
+                Operation::Put(name, text) => {
+                    let name = format!("p{name}");
+                    let put_policy = policy(&name, &format!("backend.slots > {text}.0"), &[]);
+                    (name, Some(put_policy.clone()), put(&put_policy, 0))
+                }
+                Operation::Remove(name) => {
+                    let name = format!("p{name}");
+                    (name.clone(), None, remove(&name))
+                }
+            };
+            let index = loop {
+                match ask(&mut group, request.clone()) {
+                    ConfigurationResponse::PolicyChanged { index } => break index,
+                    // Sent again unchanged, as operators do.
+                    ConfigurationResponse::Unavailable
+                    | ConfigurationResponse::Elsewhere { .. } => {}
+                    other => panic!("{other:?}"),
+                }
+            };
+            prop_assert!(index >= last);
+            last = index;
+            match expected {
+                Some(policy) => held.insert(name, policy),
+                None => held.remove(&name),
+            };
+            let read = match ask(&mut group, ConfigurationRequest::ReadPolicies) {
+                ConfigurationResponse::Policies(read) => read,
+                other => panic!("{other:?}"),
+            };
+            let read = read.policies.into_iter().map(|it| (it.name.clone(), it));
+            prop_assert_eq!(read.collect::<std::collections::BTreeMap<_, _>>(), held.clone());
+        }
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/queueing.rs
+++ b/crates/petrellatch-core/tests/pass_through/queueing.rs
@@ -71,6 +71,7 @@
             capacity: SLOTS,
             draining: false,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         let taken = agent.handle_registration(now, &call);
         taken.expect("it is of the agent's service");
--- a/crates/petrellatch-core/tests/pass_through/remembered_daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/remembered_daemons.rs
@@ -60,6 +60,7 @@
         leaving: Vec::new(),
         interval_millis: 60_000,
         evacuations_index: 0,
+        ..Report::default()
     })
 }
 
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -62,6 +62,7 @@
         capacity: 4,
         draining,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     let taken = agent.handle_registration(now, &call);
     taken.expect("it is of the agent's service");
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -278,6 +278,7 @@
                 confirm: follow.confirm,
                 version: self.version,
                 zones: None,
+                ..Confirmed::default()
             };
             let body = PassThroughBody::Confirmed(confirmed);
             self.balancer.handle_message(self.now, to, body);
--- a/crates/petrellatch-core/tests/pass_through/uneven_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/uneven_backends.rs
@@ -95,6 +95,7 @@
         capacity: SLOTS,
         draining: false,
         cold: Duration::from_secs(60),
+        ..Registration::default()
     };
     // It warms up, and yet answers earlier than the warm one.
     world.call(
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -74,6 +74,8 @@
     pub seeks: usize,
     /// What the balancer logged of refused flows.
     pub refusals: Vec<String>,
+    /// What the balancer logged of policies that leave nobody.
+    pub without_eligible: Vec<String>,
     /// What the balancer logged of searches without a verdict.
     pub not_found: Vec<String>,
     /// Packets that the balancer sent to agents to try.
@@ -92,6 +94,8 @@
     pub cold_rate: u32,
     /// The service of each agent.
     service_of: fn(u8) -> &'static str,
+    /// The zone of each agent that starts from now on.
+    pub zone_of: fn(u8) -> &'static str,
     version: u64,
     /// What the replica knows: the latest report of each agent.
     reports: BTreeMap<u64, Report>,
@@ -120,6 +124,7 @@
             revision: 0,
             seeks: 0,
             refusals: Vec::new(),
+            without_eligible: Vec::new(),
             not_found: Vec::new(),
             tries_sent: 0,
             balancer_bytes: 0,
@@ -129,6 +134,7 @@
             cold_rate: 0,
             objective_millis: 0,
             service_of,
+            zone_of: |_| "a",
             version: 3,
             reports: BTreeMap::new(),
             shares: vec![(SERVICE, 1)],
@@ -162,6 +168,7 @@
             confirm: 7,
             version: self.version,
             zones: None,
+            ..Confirmed::default()
         };
         self.confirm_with(confirmed);
     }
@@ -260,7 +267,7 @@
         let address = agent_address(index);
         let settings = PassThroughAgentSettings {
             address,
-            zone: "a".to_owned(),
+            zone: (self.zone_of)(index).to_owned(),
             service: (self.service_of)(index).to_owned(),
             first_start: false,
             report_interval: Duration::from_millis(500),
@@ -305,6 +312,7 @@
             capacity,
             draining,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         self.call(index, &call);
     }
@@ -429,6 +437,9 @@
             PassThroughOutput::Event(event) if event.kind == EventKind::FlowRefused => {
                 self.refusals.push(event.subject);
             }
+            PassThroughOutput::Event(event) if event.kind == EventKind::NoEligibleBackend => {
+                self.without_eligible.push(event.subject);
+            }
             PassThroughOutput::Event(event) if event.kind == EventKind::FlowNotFound => {
                 self.not_found.push(event.subject);
             }
--- a/crates/petrellatch-proto/src/pass_through/configuration.rs
+++ b/crates/petrellatch-proto/src/pass_through/configuration.rs
@@ -1,6 +1,6 @@
 //! Records and changes of the configuration, as they are kept, replicated and handed on.
 
-use super::ZoneOrder;
+use super::{PolicyChange, ZoneOrder};
 
 /// A service's share of a route's new flows.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -85,7 +85,7 @@
 }
 
 /// One command of the log: a part of an encoded and compressed
-/// [`ConfigurationChange`], or an order about a zone.
+/// [`ConfigurationChange`], an order about a zone, or a change of the policies.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct GroupCommand {
     /// Same for all parts of a change, and drawn at random for it.
@@ -103,6 +103,9 @@
     /// The order. The other fields are zero then.
     #[prost(message, optional, tag = "5")]
     pub zone_order: Option<ZoneOrder>,
+    /// The change of the policies. The other fields are zero then.
+    #[prost(message, optional, tag = "6")]
+    pub policy_change: Option<PolicyChange>,
 }
 
 /// A part of an encoded and compressed [`ConfigurationChange`] for balancers.
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -1,6 +1,6 @@
 //! Messages about agents: what each reports, and what replicas tell balancers of all.
 
-use super::LoadMessage;
+use super::{BackendDescription, LoadMessage};
 
 /// State of the back end beside an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -51,6 +51,9 @@
     /// [`super::ZoneRecords::index`] as the agent knows it.
     #[prost(uint64, tag = "11")]
     pub evacuations_index: u64,
+    /// The back end, if one has registered.
+    #[prost(message, optional, tag = "12")]
+    pub backend: Option<BackendDescription>,
 }
 
 /// One agent of a [`Directory`].
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -1,6 +1,6 @@
 //! Messages between replicas and daemons: who is a member, and who asks for news.
 
-use super::ZoneRecords;
+use super::{PolicyRecords, ZoneRecords};
 
 /// Where a replica runs. The leader chooses members of the group by it.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -38,6 +38,9 @@
     /// [`super::ZoneRecords::index`] as the balancer knows it.
     #[prost(uint64, tag = "8")]
     pub evacuations_index: u64,
+    /// [`PolicyRecords::index`] as the balancer knows it.
+    #[prost(uint64, tag = "9")]
+    pub policies_index: u64,
 }
 
 /// The replicas of the group.
@@ -83,6 +86,9 @@
     /// The orders about zones, if the receiver may not know of the latest one.
     #[prost(message, optional, tag = "12")]
     pub zones: Option<ZoneRecords>,
+    /// To a balancer: the placement policies, if it may not know of the latest change.
+    #[prost(message, optional, tag = "13")]
+    pub policies: Option<PolicyRecords>,
 }
 
 /// The daemons that a replica remembers from one life to the next, to tell them
@@ -109,4 +115,7 @@
     /// The orders about zones at that time, if there was ever one.
     #[prost(message, optional, tag = "3")]
     pub zones: Option<ZoneRecords>,
+    /// The placement policies at that time, if there was ever one.
+    #[prost(message, optional, tag = "4")]
+    pub policies: Option<PolicyRecords>,
 }
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -8,6 +8,7 @@
 mod flow_record;
 mod group;
 mod opening;
+mod policies;
 mod search;
 mod zones;
 
@@ -20,6 +21,7 @@
 };
 pub use group::{Confirmed, Follow, Group, RememberedDaemons, ReplicaZone};
 pub use opening::{Accepted, Carry, CarryReason, DeclineReason, Declined, LoadMessage, Waiting};
+pub use policies::{BackendDescription, PlacementPolicy, PolicyChange, PolicyRecords};
 pub use search::{
     GatheredAnswers, GatheredFlow, HeldFlow, Holds, Lacks, NotHeld, Seek, SoughtFlow,
 };
--- a/crates/petrellatch/src/api/endpoint.rs
+++ b/crates/petrellatch/src/api/endpoint.rs
@@ -11,6 +11,10 @@
     Status,
     /// Reads how far a version has come.
     Progress,
+    /// Reads the placement policies of passed-through flows.
+    Policies,
+    /// Puts or removes a placement policy of passed-through flows.
+    ChangePolicies,
     /// Checks a policy without effect.
     CheckPolicy,
     /// Says what each back end of a service receives.
@@ -21,11 +25,13 @@
 
 impl Endpoint {
     /// All endpoints, in the order of the documentation.
-    pub const ALL: [Endpoint; 7] = [
+    pub const ALL: [Endpoint; 9] = [
         Endpoint::Change,
         Endpoint::Configuration,
         Endpoint::Status,
         Endpoint::Progress,
+        Endpoint::Policies,
+        Endpoint::ChangePolicies,
         Endpoint::CheckPolicy,
         Endpoint::ExplainPolicy,
         Endpoint::ChangeReplicas,
@@ -34,10 +40,14 @@
     /// Returns the HTTP method.
     pub const fn method(self) -> &'static str {
         match self {
-            Endpoint::Change | Endpoint::CheckPolicy | Endpoint::ChangeReplicas => "POST",
+            Endpoint::Change
+            | Endpoint::ChangePolicies
+            | Endpoint::CheckPolicy
+            | Endpoint::ChangeReplicas => "POST",
             Endpoint::Configuration
             | Endpoint::Status
             | Endpoint::Progress
+            | Endpoint::Policies
             | Endpoint::ExplainPolicy => "GET",
         }
     }
@@ -49,6 +59,7 @@
             Endpoint::Configuration => "/v1/configuration",
             Endpoint::Status => "/v1/status",
             Endpoint::Progress => "/v1/progress",
+            Endpoint::Policies | Endpoint::ChangePolicies => "/v1/policies",
             Endpoint::CheckPolicy => "/v1/policies/check",
             Endpoint::ExplainPolicy => "/v1/policies/explain",
             Endpoint::ChangeReplicas => "/v1/replicas",
--- a/crates/petrellatch/src/api/mod.rs
+++ b/crates/petrellatch/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod document;
 mod endpoint;
 mod error_body;
+mod placement_policy;
 mod status;
 
 pub use change::{ChangeAccepted, ChangeRequest, DrainEdit, DrainKind, EditDocument};
@@ -15,6 +16,10 @@
 };
 pub use endpoint::Endpoint;
 pub use error_body::{ErrorBody, ErrorDocument, kind_by_name};
+pub use placement_policy::{
+    PlacementPolicyDocument, PlacementPolicyFile, PlacementPolicyList, PolicyChangeAccepted,
+    PolicyChangeRequest,
+};
 pub use status::{
     AnnouncedReplica, BackendShare, MemberStatus, PolicyCheck, PolicyCheckRequest, PolicyDecision,
     PolicyExplanation, ProgressDocument, ReplicaAction, ReplicaRequest, ReplicaStatus,
--- a/crates/petrellatch/src/command_line.rs
+++ b/crates/petrellatch/src/command_line.rs
@@ -216,7 +216,7 @@
     Wait(WaitOptions),
     /// List, add or remove control replicas.
     Replica(ReplicaOptions),
-    /// Check a policy or explain what it decides.
+    /// Check, apply, list, remove or explain policies.
     Policy(PolicyOptions),
 }
 
@@ -322,11 +322,19 @@
 ///
 /// `check FILE`: checks the policies of a document on the cluster's back ends.
 /// `explain SERVICE`: prints what the policy decides for each back end.
+///
+/// For flows that are passed through:
+/// `apply FILE`: puts the policies of a document in force.
+/// `list`: prints the policies in force.
+/// `remove NAME`: removes a policy.
 #[derive(Debug, Default, Options)]
 pub struct PolicyOptions {
     /// Print this help.
     pub help: bool,
-    /// check FILE, or explain SERVICE.
+    /// check FILE, explain SERVICE, apply FILE, list, or remove NAME.
     #[options(free)]
     pub arguments: Vec<String>,
+    /// Refuse the change unless the policies are still at this index.
+    #[options(meta = "INDEX", no_short)]
+    pub based_on: Option<u64>,
 }
--- a/crates/petrellatch/src/ctl/policy.rs
+++ b/crates/petrellatch/src/ctl/policy.rs
@@ -3,14 +3,20 @@
 use std::fmt::Write;
 use std::path::Path;
 
-use super::apply::read_document;
+use petrellatch_core::ErrorKind;
+
 use super::client::OperatorClient;
 use super::output::print_document;
-use crate::api::{Endpoint, PolicyCheck, PolicyCheckRequest, PolicyExplanation};
+use super::request_error;
+use crate::api::{
+    Endpoint, PlacementPolicyFile, PlacementPolicyList, PolicyChangeAccepted, PolicyChangeRequest,
+    PolicyCheck, PolicyCheckRequest, PolicyExplanation,
+};
 use crate::command_line::{OutputFormat, PolicyOptions};
 use crate::error::ProgramError;
 
-/// Checks the policies of a document, or explains what a policy decides.
+/// Checks the policies of a document, explains what a policy decides, or works on the
+/// policies of passed-through flows.
 pub fn run(
     client: &mut OperatorClient,
     options: &PolicyOptions,
@@ -19,8 +25,13 @@
     match options.arguments.as_slice() {
         [verb, file] if verb == "check" => check(client, Path::new(file), output),
         [verb, service] if verb == "explain" => explain(client, service, output),
+        [verb] if verb == "list" => list(client, output),
+        [verb, file] if verb == "apply" => apply(client, Path::new(file), options.based_on, output),
+        [verb, name] if verb == "remove" => remove(client, name, options.based_on, output),
         _ => {
-            let message = "say policy check FILE, or policy explain SERVICE".to_string();
+            let message = "say policy check FILE, apply FILE, list, remove NAME, \
+                           or explain SERVICE"
+                .to_string();
             Err(ProgramError::Usage { message })
         }
     }
@@ -31,8 +42,7 @@
     file: &Path,
     output: OutputFormat,
 ) -> Result<(), ProgramError> {
-    let document = read_document(file)?;
-    for policy in &document.policies {
+    for policy in &read_policies(file)?.policies {
         let request = PolicyCheckRequest {
             eligible: policy.eligible.clone(),
             weight: policy.weight.clone(),
@@ -46,6 +56,89 @@
     Ok(())
 }
 
+/// Reads the policies of a document in TOML, or in JSON if its name ends so.
+fn read_policies(path: &Path) -> Result<PlacementPolicyFile, ProgramError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| request_error(ErrorKind::NotFound, format!("{name}: {error}")))?;
+    let read = match path.extension().is_some_and(|it| it == "json") {
+        true => serde_json::from_str(&text).map_err(|error| error.to_string()),
+        false => toml::from_str(&text).map_err(|error| error.to_string()),
+    };
+    read.map_err(|error| request_error(ErrorKind::Invalid, format!("{name}: {error}")))
+}
+
+/// Puts the policies of a document one after the other, each in place of one of the same
+/// name.
+fn apply(
+    client: &mut OperatorClient,
+    file: &Path,
+    based_on: Option<u64>,
+    output: OutputFormat,
+) -> Result<(), ProgramError> {
+    let mut based_on = based_on;
+    for policy in read_policies(file)?.policies {
+        let name = policy.name.clone();
+        let request = PolicyChangeRequest {
+            put: Some(policy),
+            based_on,
+            ..PolicyChangeRequest::default()
+        };
+        let index = change(client, &request, output, &format!("policy {name} in force"))?;
+        // The next one is based on this change.
+        based_on = based_on.map(|_| index);
+    }
+    Ok(())
+}
+
+fn remove(
+    client: &mut OperatorClient,
+    name: &str,
+    based_on: Option<u64>,
+    output: OutputFormat,
+) -> Result<(), ProgramError> {
+    let request = PolicyChangeRequest {
+        remove: Some(name.to_owned()),
+        based_on,
+        ..PolicyChangeRequest::default()
+    };
+    change(client, &request, output, &format!("policy {name} removed"))?;
+    Ok(())
+}
+
+fn change(
+    client: &mut OperatorClient,
+    request: &PolicyChangeRequest,
+    output: OutputFormat,
+    result: &str,
+) -> Result<u64, ProgramError> {
+    let path = Endpoint::ChangePolicies.path();
+    let accepted: PolicyChangeAccepted = client.post(path, request)?;
+    let index = accepted.index;
+    print_document(output, &accepted, || format!("{result}: index {index}\n"));
+    Ok(index)
+}
+
+fn list(client: &mut OperatorClient, output: OutputFormat) -> Result<(), ProgramError> {
+    let list: PlacementPolicyList = client.get(Endpoint::Policies.path())?;
+    print_document(output, &list, || describe_list(&list));
+    Ok(())
+}
+
+fn describe_list(list: &PlacementPolicyList) -> String {
+    let mut text = format!("policies at index {}\n", list.index);
+    for policy in &list.policies {
+        let services = policy.services.join(", ");
+        let routes: Vec<String> = policy.routes.iter().map(ToString::to_string).collect();
+        let _ = writeln!(text, "{}", policy.name);
+        let _ = writeln!(text, "  eligible  {}", policy.eligible);
+        let _ = writeln!(text, "  weight    {}", policy.weight);
+        let _ = writeln!(text, "  services  {services}");
+        let _ = writeln!(text, "  routes    {}", routes.join(", "));
+    }
+    text
+}
+
 fn explain(
     client: &mut OperatorClient,
     service: &str,
--- a/crates/petrellatch/src/runtime/control/operator_api.rs
+++ b/crates/petrellatch/src/runtime/control/operator_api.rs
@@ -115,6 +115,11 @@
         Endpoint::Configuration => node(OperatorRequest::ReadConfiguration),
         Endpoint::Status => node(OperatorRequest::Status),
         Endpoint::Progress => read_progress(request),
+        Endpoint::Policies | Endpoint::ChangePolicies => {
+            let message = "policies of this group are part of its configuration; \
+                           use POST /v1/changes";
+            Err(HttpResponse::error(ErrorKind::NotFound, message))
+        }
         Endpoint::CheckPolicy => {
             let check: PolicyCheckRequest = request.json()?;
             node(OperatorRequest::CheckPolicy {
--- a/crates/petrellatch/src/runtime/metrics.rs
+++ b/crates/petrellatch/src/runtime/metrics.rs
@@ -2,7 +2,7 @@
 
 use petrellatch_core::admission::RefusalReason;
 use petrellatch_core::routing::DropReason;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 use super::sealed_socket::ControlTraffic;
 
@@ -65,6 +65,13 @@
     gauge
 }
 
+/// Registers a gauge for each value of a label.
+pub(super) fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect(UNIQUE);
+    registry.register(Box::new(gauges.clone())).expect(UNIQUE);
+    gauges
+}
+
 /// Brings a counter up to a total that is counted elsewhere.
 pub(super) fn raise(counter: &IntCounter, total: u64) {
     counter.inc_by(total.saturating_sub(counter.get()));
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -138,7 +138,9 @@
             agent.handle_withdrawal(now, &id);
             CallAnswer::Registered
         }
-        Call::Replace(_) | Call::Read | Call::OrderZone { .. } => CallAnswer::NotServed,
+        Call::Replace(_) | Call::Read | Call::OrderZone { .. } | Call::Policies(_) => {
+            CallAnswer::NotServed
+        }
     }
 }
 
--- a/crates/petrellatch/src/runtime/pass_through/event_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -13,6 +13,7 @@
 
 use super::bounded_log::BoundedLog;
 use super::interface::{Call, CallAnswer, Interface};
+use super::policy_api;
 use super::settings::PassThroughSettings;
 use super::settings_watcher::SettingsWatcher;
 use super::signals::Signals;
@@ -150,7 +151,10 @@
     while let Some(received) = queue.pop() {
         let call = match received.request.path.as_str() {
             METRICS_PATH => Err(metrics()),
-            _ => interface.call(&received.request),
+            _ => match policy_api::read(&received.request) {
+                Some(read) => read.map(Call::Policies),
+                None => interface.call(&received.request),
+            },
         };
         let response: Option<HttpResponse> = match call {
             Err(answer) if answer.status == 200 => Some(answer),
--- a/crates/petrellatch/src/runtime/pass_through/interface.rs
+++ b/crates/petrellatch/src/runtime/pass_through/interface.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_core::pass_through::{
-    Configuration, Registration, RegistrationRefusal, ZoneOrderRefusal,
+    Configuration, ConfigurationRequest, Registration, RegistrationRefusal, ZoneOrderRefusal,
 };
 
 use crate::http::{HttpRequest, HttpResponse};
@@ -33,6 +33,8 @@
         /// Whether a service may be left without any zone.
         allow_last: bool,
     },
+    /// A call about placement policies; [`Interface`] translates none.
+    Policies(ConfigurationRequest),
 }
 
 /// The answer to a call.
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -13,7 +13,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use crate::http::HttpResponse;
-use crate::runtime::metrics::{counter, counters, gauge, raise, set};
+use crate::runtime::metrics::{counter, counters, gauge, gauges, raise, set};
 
 const PACKETS_TOTAL: &str = "petrellatch_pass_through_packets_total";
 const PLACED_TOTAL: &str = "petrellatch_pass_through_placed_total";
@@ -49,10 +49,14 @@
 const LINK_BYTES_TOTAL: &str = "petrellatch_pass_through_link_bytes_total";
 const LINK_PACKETS_TOTAL: &str = "petrellatch_pass_through_link_packets_total";
 const LINK_WAIT_SECONDS: &str = "petrellatch_pass_through_link_wait_seconds";
+const POLICIES_INDEX: &str = "petrellatch_pass_through_policies_index";
+const POLICY_FLOWS_TOTAL: &str = "petrellatch_pass_through_policy_flows_total";
+const POLICY_EVALUATIONS_TOTAL: &str = "petrellatch_pass_through_policy_evaluations_total";
+const POLICY_ELIGIBLE: &str = "petrellatch_pass_through_policy_eligible";
 
 /// The metrics that a process may have. `docs/API.md` lists them; a test
 /// compares the two.
-pub const METRIC_NAMES: [&str; 34] = [
+pub const METRIC_NAMES: [&str; 38] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -87,11 +91,16 @@
     LINK_BYTES_TOTAL,
     LINK_PACKETS_TOTAL,
     LINK_WAIT_SECONDS,
+    POLICIES_INDEX,
+    POLICY_FLOWS_TOTAL,
+    POLICY_EVALUATIONS_TOTAL,
+    POLICY_ELIGIBLE,
 ];
 
 /// Upper bounds of the buckets of all histograms, in milliseconds.
 const BUCKET_MILLIS: [u64; 12] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
+const POLICIES_INDEX_HELP: &str = "Index of the placement policies in force.";
 const PACKETS_HELP: &str = "Packets by what became of them.";
 
 pub(super) fn balancer_metrics<C: PacketCodec>(balancer: &PassThroughBalancer<C>) -> HttpResponse {
@@ -180,6 +189,7 @@
     let version = gauge(&registry, VERSION, "Version in force.");
     set(&version, balancer.version());
     tell_evacuated(&registry, balancer.evacuations().evacuated().count());
+    tell_policies(&registry, balancer);
     let latencies = balancer.latencies();
     let placement = histogram(
         PLACEMENT_SECONDS,
@@ -262,6 +272,8 @@
     let voters = gauge(&registry, VOTERS, "Voters of the group.");
     set(&voters, replica.membership().voters().count());
     tell_evacuated(&registry, node.evacuations().evacuated().count());
+    let index = gauge(&registry, POLICIES_INDEX, POLICIES_INDEX_HELP);
+    set(&index, node.policies().index());
     let help = "Agents that have not said that they know the latest order about their zone.";
     set(&gauge(&registry, AGENTS_BEHIND, help), node.agents_behind());
     let latencies = node.latencies();
@@ -275,6 +287,24 @@
     encode(&registry, [acceptance, sync])
 }
 
+/// What each placement policy did at a balancer.
+fn tell_policies<C: PacketCodec>(registry: &Registry, balancer: &PassThroughBalancer<C>) {
+    let index = gauge(registry, POLICIES_INDEX, POLICIES_INDEX_HELP);
+    set(&index, balancer.policies_index());
+    let help = "New flows placed by a policy.";
+    let flows = counters(registry, POLICY_FLOWS_TOTAL, help, "policy");
+    let help = "Evaluations of a policy for one back end.";
+    let evaluations = counters(registry, POLICY_EVALUATIONS_TOTAL, help, "policy");
+    let help = "Back ends that a policy makes eligible, by its latest results.";
+    let eligible = gauges(registry, POLICY_ELIGIBLE, help, "policy");
+    for figures in balancer.policy_figures() {
+        let label = [figures.name.as_str()];
+        raise(&flows.with_label_values(&label), figures.placed);
+        raise(&evaluations.with_label_values(&label), figures.evaluations);
+        set(&eligible.with_label_values(&label), figures.eligible);
+    }
+}
+
 /// Zones out of service: all of them, or for an agent its own one.
 fn tell_evacuated(registry: &Registry, zones: usize) {
     let evacuated = gauge(registry, ZONES_EVACUATED, "Zones out of service.");
--- a/crates/petrellatch/src/runtime/pass_through/mod.rs
+++ b/crates/petrellatch/src/runtime/pass_through/mod.rs
@@ -13,6 +13,7 @@
 mod interface;
 mod message_socket;
 mod metrics;
+mod policy_api;
 mod replica_loop;
 mod retrying_log_writer;
 mod settings;
--- /dev/null
+++ b/crates/petrellatch/src/runtime/pass_through/policy_api.rs
@@ -0,0 +1,140 @@
+//! The operator's calls about placement policies. They are the product's own: the other
+//! calls go through the [`Interface`](super::Interface) of the platform.
+
+use std::net::SocketAddrV4;
+
+use petrellatch_core::ErrorKind;
+use petrellatch_core::pass_through::{
+    ConfigurationRequest, ConfigurationResponse, ExplainedBackend, ExplainedPolicy, PolicyRefusal,
+};
+use petrellatch_core::policy::Explanation;
+use petrellatch_proto::pass_through::{PlacementPolicy, PolicyRecords};
+
+use crate::api::{
+    Endpoint, ErrorDocument, PlacementPolicyDocument, PlacementPolicyList, PolicyChangeAccepted,
+    PolicyChangeRequest, PolicyCheck, PolicyCheckRequest, PolicyDecision, PolicyExplanation,
+};
+use crate::http::{HttpRequest, HttpResponse};
+
+/// Whether a request is about policies.
+pub(super) fn is_policy_call(request: &HttpRequest) -> bool {
+    read(request).is_some()
+}
+
+/// Reads a request about policies; none if it is about something else.
+pub(super) fn read(request: &HttpRequest) -> Option<Result<ConfigurationRequest, HttpResponse>> {
+    let read = match Endpoint::find(&request.method, &request.path)? {
+        Endpoint::Policies => Ok(ConfigurationRequest::ReadPolicies),
+        Endpoint::ChangePolicies => read_change(request),
+        Endpoint::CheckPolicy => read_check(request),
+        Endpoint::ExplainPolicy => read_explanation(request),
+        _ => return None,
+    };
+    Some(read)
+}
+
+fn read_change(request: &HttpRequest) -> Result<ConfigurationRequest, HttpResponse> {
+    let change: PolicyChangeRequest = request.json()?;
+    let base_index = change.based_on.unwrap_or(0);
+    match (&change.put, change.remove) {
+        (Some(policy), None) => Ok(ConfigurationRequest::PutPolicy {
+            policy: policy.into(),
+            base_index,
+        }),
+        (None, Some(name)) => Ok(ConfigurationRequest::RemovePolicy { name, base_index }),
+        _ => Err(invalid("say either put or remove")),
+    }
+}
+
+fn read_check(request: &HttpRequest) -> Result<ConfigurationRequest, HttpResponse> {
+    let check: PolicyCheckRequest = request.json()?;
+    Ok(ConfigurationRequest::CheckPolicy(PlacementPolicy {
+        eligible: check.eligible,
+        weight: check.weight,
+        services: check.service.into_iter().collect(),
+        ..PlacementPolicy::default()
+    }))
+}
+
+fn read_explanation(request: &HttpRequest) -> Result<ConfigurationRequest, HttpResponse> {
+    let service = request.query_value("service");
+    let service = service.ok_or_else(|| invalid("the query needs service=NAME"))?;
+    Ok(ConfigurationRequest::ExplainPolicy {
+        service: service.to_owned(),
+    })
+}
+
+/// Answers a request about policies. All replicas serve operators at `operator_port`.
+pub(super) fn answer(response: &ConfigurationResponse, operator_port: u16) -> HttpResponse {
+    match response {
+        ConfigurationResponse::PolicyChanged { index } => {
+            HttpResponse::document(&PolicyChangeAccepted { index: *index })
+        }
+        ConfigurationResponse::PolicyRefused(refusal) => refused(refusal),
+        ConfigurationResponse::PolicySound => HttpResponse::document(&PolicyCheck { sound: true }),
+        ConfigurationResponse::PolicyExplained(explained) => {
+            HttpResponse::document(&explanation(explained))
+        }
+        ConfigurationResponse::Policies(records) => HttpResponse::document(&list(records)),
+        ConfigurationResponse::Elsewhere { leader } => {
+            let operators = SocketAddrV4::new(*leader.ip(), operator_port);
+            let mut document = ErrorDocument::new(ErrorKind::NotLeader, "another replica leads");
+            document.error.leader = Some(operators.to_string());
+            HttpResponse::refusal(&document)
+        }
+        _ => HttpResponse::error(
+            ErrorKind::Unavailable,
+            "the outcome is not known; send it again unchanged",
+        ),
+    }
+}
+
+fn refused(refusal: &PolicyRefusal) -> HttpResponse {
+    let kind = match refusal {
+        PolicyRefusal::Conflict { .. } => ErrorKind::Conflict,
+        PolicyRefusal::TooLarge => ErrorKind::TooLarge,
+        PolicyRefusal::BadName | PolicyRefusal::SharedScope { .. } => ErrorKind::Invalid,
+        PolicyRefusal::Invalid { .. } => ErrorKind::InvalidPolicy,
+    };
+    let mut document = ErrorDocument::new(kind, refusal.to_string());
+    if let PolicyRefusal::Conflict { current, .. } = refusal {
+        document.error.current_version = Some(*current);
+    }
+    HttpResponse::refusal(&document)
+}
+
+fn list(records: &PolicyRecords) -> PlacementPolicyList {
+    let policies = records.policies.iter().map(PlacementPolicyDocument::from);
+    PlacementPolicyList {
+        index: records.index,
+        policies: policies.collect(),
+    }
+}
+
+fn explanation(explained: &ExplainedPolicy) -> PolicyExplanation {
+    PolicyExplanation {
+        service: explained.service.clone(),
+        policy: explained.policy.clone(),
+        backends: explained.backends.iter().map(decision).collect(),
+    }
+}
+
+fn decision(backend: &ExplainedBackend) -> PolicyDecision {
+    let explained = &backend.explanation;
+    let weight = match &explained.explanation {
+        Explanation::Weighted { share, .. } => Some(*share),
+        _ => None,
+    };
+    let reason = &explained.explanation;
+    let age = backend.age_millis;
+    PolicyDecision {
+        backend: explained.name.clone(),
+        eligible: weight.is_some(),
+        weight: weight.unwrap_or(0),
+        reason: format!("{reason} (told {age} ms ago)"),
+    }
+}
+
+fn invalid(message: &str) -> HttpResponse {
+    HttpResponse::error(ErrorKind::Invalid, message)
+}
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -26,6 +26,7 @@
 use super::interface::{Call, CallAnswer, Interface};
 use super::message_socket::MessageSocket;
 use super::metrics::replica_metrics;
+use super::policy_api;
 use super::retrying_log_writer::{RetryingLogWriter, WriteOutcome};
 use super::settings::{PassThroughSettings, ReplicaAddresses};
 use super::settings_watcher::SettingsWatcher;
@@ -142,6 +143,7 @@
                         allow_last,
                         ordered_at_millis: unix_millis(),
                     },
+                    Call::Policies(request) => request,
                     Call::Readiness => return Some(readiness(&node.borrow())),
                     Call::Register(_) | Call::Withdraw { .. } => {
                         return Some(CallAnswer::NotServed);
@@ -170,8 +172,14 @@
                 ConfigurationOutput::Remember(bytes) => writer.save_daemons(bytes),
                 ConfigurationOutput::Respond { token, response } => {
                     if let Some(waiting) = waiting.remove(&token) {
-                        let answer = call_answer(response, addresses.operators.port());
-                        let response = interface.answer(&waiting.request, &answer);
+                        let port = addresses.operators.port();
+                        let response = match policy_api::is_policy_call(&waiting.request) {
+                            true => policy_api::answer(&response, port),
+                            false => {
+                                let answer = call_answer(response, port);
+                                interface.answer(&waiting.request, &answer)
+                            }
+                        };
                         ahead.extend(http.respond(now, waiting.connection, &response));
                     }
                 }
@@ -226,7 +234,12 @@
         ConfigurationResponse::Elsewhere { leader } => CallAnswer::Elsewhere {
             operators: SocketAddrV4::new(*leader.ip(), operator_port),
         },
-        ConfigurationResponse::Unavailable => CallAnswer::Unavailable,
+        ConfigurationResponse::Unavailable
+        | ConfigurationResponse::PolicyChanged { .. }
+        | ConfigurationResponse::PolicyRefused(_)
+        | ConfigurationResponse::PolicySound
+        | ConfigurationResponse::PolicyExplained(_)
+        | ConfigurationResponse::Policies(_) => CallAnswer::Unavailable,
     }
 }
 
