Refuse a policy that is too large before it goes to the log

Cause: a policy larger than a command of the log could not be proposed, and the operator was told that the outcome is not known and to send it again, for ever. Change: its size is checked first; reports of agents are compared without copies of their labels. Result: it is refused as too large (new test, red before).

--- a/crates/petrellatch-core/src/pass_through/configuration_node/policy_changes.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/policy_changes.rs
@@ -3,7 +3,9 @@
 use petrellatch_proto::pass_through::{PlacementPolicy, PolicyChange};
 
 use super::*;
-use crate::pass_through::policies::placement_policies::{PlacementPolicies, PolicyRefusal};
+use crate::pass_through::policies::placement_policies::{
+    MAX_POLICY_BYTES, PlacementPolicies, PolicyRefusal,
+};
 use crate::pass_through::policies::policy_check::{self, ExplainedPolicy};
 
 impl ConfigurationNode {
@@ -24,6 +26,10 @@
             self.respond_elsewhere(token);
             return;
         }
+        if policy_size(&change) > MAX_POLICY_BYTES {
+            self.refuse_policy(token, PolicyRefusal::TooLarge);
+            return;
+        }
         if let Some(policy) = &change.put
             && let Err(refusal) = policy_check::check(policy, &self.followers.backends(now))
         {
@@ -116,3 +122,8 @@
         }
     }
 }
+
+/// Size of the policy that a change puts, in bytes.
+fn policy_size(change: &PolicyChange) -> usize {
+    change.put.as_ref().map_or(0, Message::encoded_len)
+}
--- a/crates/petrellatch-core/src/pass_through/group/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -466,11 +466,11 @@
 
 /// Whether two reports tell the same of the back end, but for its age.
 fn describes_same(one: &Report, other: &Report) -> bool {
-    let description = |report: &'_ Report| {
-        let backend = report.backend.as_ref();
-        backend.map(|it| (it.name.clone(), it.labels.clone()))
-    };
-    description(one) == description(other)
+    let (one, other) = (one.backend.as_ref(), other.backend.as_ref());
+    match one.zip(other) {
+        Some((one, other)) => one.name == other.name && one.labels == other.labels,
+        None => one.is_none() && other.is_none(),
+    }
 }
 
 /// Removes what only operators read.
--- a/crates/petrellatch-core/tests/pass_through/policy_changes.rs
+++ b/crates/petrellatch-core/tests/pass_through/policy_changes.rs
@@ -354,3 +354,17 @@
         }
     }
 }
+
+#[test]
+fn a_policy_that_is_too_large_for_the_log_is_refused_for_good() {
+    let mut group = founded(3);
+    let names: Vec<String> = (0..8_000).map(|it| format!("service-{it}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let refusal = ConfigurationResponse::PolicyRefused(PolicyRefusal::TooLarge);
+    for count in [2_000, 8_000] {
+        let large = policy("large", "true", &names[..count]);
+        assert_eq!(ask(&mut group, put(&large, 0)), refusal);
+    }
+    let leader = leader(&mut group);
+    assert_eq!(group.node(leader).policies().index(), 0);
+}
