Let shares spill over, and judge agents at reused addresses anew

Change: after two questions in vain to agents of one weight other weights are asked; a weight of zero is none; only a choice that includes starting agents tells that nobody is eligible; revisions of forgotten agents do not come again, and the metric of eligible back ends leaves these out. Choices with one weight take no memory from the heap, and a change of an agent's state copies no profile. New tests also count evaluations with 35 and 205 agents, and show a policy that a balancer can't compile and weights of zero.

--- a/crates/petrellatch-core/src/pass_through/balancer/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/mod.rs
@@ -22,7 +22,7 @@
 use crate::identity::Incarnation;
 use crate::time::Timestamp;
 
-use super::choice::agent_directory::{AgentDirectory, ChosenAgent};
+use super::choice::agent_directory::{AgentDirectory, ChosenAgent, Exclusion};
 use super::choice::answer_time::AnswerTime;
 use super::choice::ask_budget::AskBudget;
 use super::choice::known_agent::KnownAgent;
@@ -293,7 +293,8 @@
 
     /// What each placement policy did so far.
     pub fn policy_figures(&self) -> Vec<PolicyFigures> {
-        self.policies.figures()
+        self.policies
+            .figures(|address| self.agents.get(address).is_some())
     }
 
     /// Flows and agents that are known, for metrics.
--- a/crates/petrellatch-core/src/pass_through/balancer/openings.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/openings.rs
@@ -354,25 +354,24 @@
     pressure: &ServicePressure,
 ) -> Option<ChosenAgent> {
     let policy = policies.find(flow.route, hint.service);
-    let mut choose = |is_excluded: &dyn Fn(SocketAddrV4) -> bool| {
+    let queued = hint.queued;
+    let mut choose = |exclusion_of: &dyn Fn(SocketAddrV4) -> Option<Exclusion>| {
         let Some(policy) = policy else {
-            return agents.choose(
-                now,
-                hint.service,
-                flow,
-                hint.queued,
-                |_, _| Some(1.0),
-                is_excluded,
-            );
+            let weight_of = |_, _: &KnownAgent| Some(1.0);
+            return agents.choose(now, hint.service, flow, queued, weight_of, exclusion_of);
         };
         policies.begin_choice();
         let weight_of = |address, agent: &KnownAgent| policies.weight(policy, now, address, agent);
-        let chosen = agents.choose(now, hint.service, flow, hint.queued, weight_of, is_excluded);
-        policies.end_choice(policy, hint.service);
+        let chosen = agents.choose(now, hint.service, flow, queued, weight_of, exclusion_of);
+        policies.end_choice(policy, hint.service, queued);
         chosen
     };
-    let was_asked = |agent| hint.was_asked(agent);
-    let other = choose(&|agent| was_asked(agent) || pressure.has_declined(now, agent));
+    let was_asked = |agent| hint.was_asked(agent).then_some(Exclusion::WasAsked);
+    let has_declined = |agent| {
+        let has_declined = pressure.has_declined(now, agent);
+        has_declined.then_some(Exclusion::HasDeclined)
+    };
+    let other = choose(&|agent| was_asked(agent).or_else(|| has_declined(agent)));
     let answers = |it: &ChosenAgent| !agents.is_suspected(now, it.address);
     other.filter(answers).or_else(|| choose(&was_asked))
 }
--- a/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/agent_directory.rs
@@ -32,6 +32,9 @@
 const TIE_SHARE: f64 = 0.05;
 /// Salt of the hash that spreads the flows of a service over agents of different weights.
 const GROUP_SALT: u64 = 0x5745_4947;
+/// After a flow was offered to so many agents of one weight in vain, it goes to those of
+/// other weights, before nobody else may be asked.
+const MAX_ASKED_OF_WEIGHT: usize = 2;
 /// What an agent costs whose back end is left out as it fails requests, in
 /// milliseconds: it comes before those that are suspected only.
 const LEFT_OUT_COST: f64 = 900_000.0;
@@ -70,6 +73,17 @@
 struct BestAgents {
     best: Best,
     best_of_all: Best,
+    /// Agents that were asked for the flow already.
+    asked: usize,
+}
+
+/// Why an agent is not asked for a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Exclusion {
+    /// It was asked for this flow already.
+    WasAsked,
+    /// It has just had no room for another one.
+    HasDeclined,
 }
 
 /// Agents of one service, and how many of them take no new flows.
@@ -131,6 +145,8 @@
     patterns: BTreeMap<u64, ServicePattern>,
     /// How many agents have been added since the start.
     added: u64,
+    /// Revisions of agents that are added: none of a forgotten one comes again.
+    first_revision: u64,
 }
 
 impl AgentDirectory {
@@ -143,6 +159,7 @@
             agents: BTreeMap::new(),
             patterns: BTreeMap::new(),
             added: 0,
+            first_revision: 0,
         }
     }
 
@@ -313,8 +330,14 @@
             let reported_at = now - Duration::from_millis(u64::from(entry.age_millis));
             self.handle_report(now, reported_at, &entry.report);
         }
-        self.agents
-            .retain(|_, agent| now.saturating_since(agent.heard_at) < SILENCE_LIMIT);
+        let first_revision = &mut self.first_revision;
+        self.agents.retain(|_, agent| {
+            let is_kept = now.saturating_since(agent.heard_at) < SILENCE_LIMIT;
+            if !is_kept {
+                *first_revision = (*first_revision).max(agent.load_revision + 1);
+            }
+            is_kept
+        });
     }
 
     fn handle_report(&mut self, now: Timestamp, reported_at: Timestamp, report: &Report) {
@@ -331,7 +354,7 @@
         let profile = BackendProfile::of_report(reported_at, report);
         if !same_life {
             // Numbers of a former life at the address must not come again.
-            let revision = known.map_or(0, |known| known.load_revision + 1);
+            let revision = known.map_or(self.first_revision, |known| known.load_revision + 1);
             let agent = KnownAgent {
                 service: service_digest(&report.service),
                 state: report.state(),
@@ -445,8 +468,8 @@
     /// The agent of a service that is the best for a new flow. Those that have
     /// just started come after the others, if they are to be asked at all.
     ///
-    /// `weight_of` tells the share of an agent in new flows, relative to others; none if
-    /// it may get none. Agents of one weight compete by what they cost.
+    /// `weight_of` tells the share of an agent in new flows, relative to others, which is
+    /// more than zero; none if it may get none. Agents of one weight compete by what they cost.
     pub(crate) fn choose(
         &self,
         now: Timestamp,
@@ -454,7 +477,7 @@
         flow: FlowId,
         include_starting: bool,
         mut weight_of: impl FnMut(SocketAddrV4, &KnownAgent) -> Option<f64>,
-        is_excluded: impl Fn(SocketAddrV4) -> bool,
+        exclusion_of: impl Fn(SocketAddrV4) -> Option<Exclusion>,
     ) -> Option<ChosenAgent> {
         let takes_flows = |state| match state {
             AgentState::Ready => true,
@@ -478,7 +501,8 @@
             let is_left_out = agent.is_left_out(now);
             failing += usize::from(is_left_out);
             let group = groups.add(weight);
-            if is_excluded(*address) {
+            if let Some(exclusion) = exclusion_of(*address) {
+                group.asked += usize::from(exclusion == Exclusion::WasAsked);
                 continue;
             }
             let salt = petrellatch_proto::pass_through::pack_address(*address);
@@ -492,7 +516,8 @@
         let point = flow_digest(flow, GROUP_SALT) as f64 / u64::MAX as f64;
         let best = groups.select(point, |group: &BestAgents| {
             let best = group.best(despite_failures);
-            best.address.map(|_| best.cost < AVOIDED_COST)
+            let is_likely = best.cost < AVOIDED_COST && group.asked < MAX_ASKED_OF_WEIGHT;
+            best.address.map(|_| is_likely)
         });
         let best = best?.best(despite_failures);
         best.address.map(|address| ChosenAgent {
--- a/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/known_agent.rs
@@ -81,9 +81,9 @@
 
     /// Takes the back end's profile and the agent's state, if they differ.
     pub(crate) fn note_profile(&mut self, state: AgentState, profile: BackendProfile) {
+        self.note_state(state);
         let profile = profile.steadied_by(&self.profile);
-        if self.state != state || self.profile != profile {
-            self.state = state;
+        if self.profile != profile {
             self.profile = profile;
             self.profile_revision += 1;
             self.load_revision += 1;
@@ -91,8 +91,11 @@
     }
 
     pub(crate) fn note_state(&mut self, state: AgentState) {
-        let profile = self.profile.clone();
-        self.note_profile(state, profile);
+        if self.state != state {
+            self.state = state;
+            self.profile_revision += 1;
+            self.load_revision += 1;
+        }
     }
 
     /// Whether its back end is left out, as it fails requests.
--- a/crates/petrellatch-core/src/pass_through/choice/weight_groups.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/weight_groups.rs
@@ -9,31 +9,43 @@
     best: T,
 }
 
-/// Groups of agents by weight, in the order in which they were met. Mostly there is one.
+/// Groups of agents by weight, in the order in which they were met. Mostly there is one,
+/// which takes no memory from the heap.
 #[derive(Debug)]
 pub(super) struct WeightGroups<T> {
-    groups: Vec<WeightGroup<T>>,
+    first: Option<WeightGroup<T>>,
+    others: Vec<WeightGroup<T>>,
 }
 
 impl<T> Default for WeightGroups<T> {
     fn default() -> Self {
-        WeightGroups { groups: Vec::new() }
+        WeightGroups {
+            first: None,
+            others: Vec::new(),
+        }
     }
 }
 
 impl<T: Default> WeightGroups<T> {
-    /// Counts an agent of this weight. Returns what is kept for its group.
+    /// Counts an agent of this weight, which is more than zero. Returns what is kept for
+    /// its group.
     pub(super) fn add(&mut self, weight: f64) -> &mut T {
-        let known = self.groups.iter().position(|it| it.weight == weight);
-        let place = known.unwrap_or_else(|| {
-            self.groups.push(WeightGroup {
-                weight,
-                agents: 0,
-                best: T::default(),
+        let new_group = || WeightGroup {
+            weight,
+            agents: 0,
+            best: T::default(),
+        };
+        let first = self.first.get_or_insert_with(new_group);
+        let group = if first.weight == weight {
+            first
+        } else {
+            let known = self.others.iter().position(|it| it.weight == weight);
+            let place = known.unwrap_or_else(|| {
+                self.others.push(new_group());
+                self.others.len() - 1
             });
-            self.groups.len() - 1
-        });
-        let group = &mut self.groups[place];
+            &mut self.others[place]
+        };
         group.agents += 1;
         &mut group.best
     }
@@ -41,29 +53,28 @@
     /// The group that a flow falls to, at a `point` from 0 to 1 of all weights. If it has
     /// nobody who is likely to take the flow, the next one that has, and otherwise the
     /// next one that has anybody. `is_likely` tells that of a group; none if it has nobody.
-    ///
-    /// Without a positive weight there is no group to fall to.
     pub(super) fn select(&self, point: f64, is_likely: impl Fn(&T) -> Option<bool>) -> Option<&T> {
-        let first = self.group_at(point)?;
-        let count = self.groups.len();
-        let in_turn = || (0..count).map(|step| &self.groups[(first + step) % count]);
-        let with_weight = || in_turn().filter(|group| group.weight > 0.0);
-        let likely = with_weight().find(|group| is_likely(&group.best) == Some(true));
-        let group = likely.or_else(|| with_weight().find(|it| is_likely(&it.best).is_some()));
+        let first = self.place_at(point);
+        let count = self.groups().count();
+        let in_turn = || self.groups().cycle().skip(first).take(count);
+        let likely = in_turn().find(|group| is_likely(&group.best) == Some(true));
+        let group = likely.or_else(|| in_turn().find(|it| is_likely(&it.best).is_some()));
         group.map(|group| &group.best)
     }
 
-    fn group_at(&self, point: f64) -> Option<usize> {
+    fn groups(&self) -> impl Iterator<Item = &WeightGroup<T>> + Clone {
+        self.first.iter().chain(&self.others)
+    }
+
+    fn place_at(&self, point: f64) -> usize {
         let part = |group: &WeightGroup<T>| group.weight * group.agents as f64;
-        let total: f64 = self.groups.iter().map(part).sum();
+        let total: f64 = self.groups().map(part).sum();
         let mut left = point * total;
-        for (place, group) in self.groups.iter().enumerate() {
+        let reaches = |group: &WeightGroup<T>| {
             left -= part(group);
-            if group.weight > 0.0 && left <= 0.0 {
-                return Some(place);
-            }
-        }
+            left <= 0.0
+        };
         // What sums of floats leave over belongs to the last one.
-        self.groups.iter().rposition(|group| group.weight > 0.0)
+        self.groups().position(reaches).unwrap_or(self.others.len())
     }
 }
--- a/crates/petrellatch-core/src/pass_through/policies/active_policies.rs
+++ b/crates/petrellatch-core/src/pass_through/policies/active_policies.rs
@@ -89,8 +89,10 @@
         self.records.index()
     }
 
-    pub(crate) fn figures(&self) -> Vec<PolicyFigures> {
-        self.policies.iter().map(ActivePolicy::figures).collect()
+    /// What each policy did. Of back ends only those count whose agents are known.
+    pub(crate) fn figures(&self, is_known: impl Fn(SocketAddrV4) -> bool) -> Vec<PolicyFigures> {
+        let policies = self.policies.iter();
+        policies.map(|policy| policy.figures(&is_known)).collect()
     }
 
     /// Takes what a replica told, if that is newer. Returns whether it is.
@@ -124,7 +126,8 @@
         self.policies.get(place).map_or("", |it| it.name.as_str())
     }
 
-    /// The weight that a policy gives an agent; none if its back end is not eligible.
+    /// The weight that a policy gives an agent; none if that is zero or its back end is not
+    /// eligible.
     pub(crate) fn weight(
         &mut self,
         place: usize,
@@ -134,8 +137,9 @@
     ) -> Option<f64> {
         let policy = self.policies.get_mut(place)?;
         let weight = policy.weight(now, &self.zone, address, agent);
+        let weight = weight.filter(|weight| *weight > 0.0);
         self.choice.agents += 1;
-        self.choice.eligible += usize::from(weight.is_some_and(|weight| weight > 0.0));
+        self.choice.eligible += usize::from(weight.is_some());
         weight
     }
 
@@ -144,15 +148,16 @@
         self.choice = ChoiceCounts::default();
     }
 
-    /// Notes whether a policy left any agent of a service to choose from.
-    pub(crate) fn end_choice(&mut self, place: usize, service: u64) {
+    /// Notes whether a policy left any agent of a service to choose from. That it left none
+    /// counts only if the choice was among `all` agents, also those that have just started.
+    pub(crate) fn end_choice(&mut self, place: usize, service: u64, all: bool) {
         let ChoiceCounts { agents, eligible } = self.choice;
         let Some(policy) = self.policies.get_mut(place).filter(|_| agents > 0) else {
             return;
         };
         if eligible > 0 {
             policy.without_backend.remove(&service);
-        } else if policy.without_backend.insert(service) {
+        } else if all && policy.without_backend.insert(service) {
             self.newly_without_backend = Some(place);
         }
     }
@@ -193,8 +198,12 @@
         }
     }
 
-    fn figures(&self) -> PolicyFigures {
-        let eligible = self.results.values().filter(|it| it.weight.is_some());
+    fn figures(&self, is_known: impl Fn(SocketAddrV4) -> bool) -> PolicyFigures {
+        let known = self
+            .results
+            .iter()
+            .filter(|(address, _)| is_known(**address));
+        let eligible = known.filter(|(_, result)| result.weight.is_some());
         PolicyFigures {
             name: self.name.clone(),
             placed: self.placed,
--- a/crates/petrellatch-core/tests/pass_through/placement_policies.rs
+++ b/crates/petrellatch-core/tests/pass_through/placement_policies.rs
@@ -10,7 +10,7 @@
     Group, PassThroughBody, PlacementPolicy, PolicyRecords, pack_address,
 };
 
-use super::world::{MILLI, REPLICA, ROUTE, SERVICE, World, agent_address};
+use super::world::{FIRST_OWN_PORT, MILLI, REPLICA, ROUTE, SERVICE, World, agent_address};
 
 const CAPACITY: u32 = 50;
 const SECOND: Duration = Duration::from_secs(1);
@@ -306,3 +306,151 @@
     world.run(5 * MILLI);
     assert_eq!(open_flows(&mut world, 2..3), [agent_address(1)]);
 }
+
+/// Evaluations for each flow of policies that read no load, and that read it.
+fn evaluations_with(agents: u8) -> [f64; 2] {
+    let mut world = World::new(agents, CAPACITY);
+    let mut told = Vec::new();
+    for (index, weight) in [(1, "backend.slots"), (2, "1.0 + backend.free_slots")] {
+        let before = world.balancer.policy_figures();
+        let before = before
+            .first()
+            .map_or((0, 0), |it| (it.placed, it.evaluations));
+        tell(&mut world, index, &[policy("counted", "true", weight)]);
+        let first = 1 + 1_000 * index as u16;
+        open_and_end(&mut world, first..first + 200);
+        let after = &world.balancer.policy_figures()[0];
+        let placed = (after.placed - before.0) as f64;
+        // Each back end has to be evaluated once before.
+        let evaluations = (after.evaluations - before.1 - u64::from(agents)) as f64;
+        told.push(evaluations / placed);
+    }
+    [told[0], told[1]]
+}
+
+#[test]
+fn evaluations_for_each_flow_do_not_grow_with_the_back_ends() {
+    for agents in [35, 205] {
+        let [of_profile, of_load] = evaluations_with(agents);
+        // An agent is evaluated anew after a flow was sent there, after its answer, after
+        // packets that change its load, and after its reports.
+        assert!(of_profile <= 0.1, "{agents}: {of_profile}");
+        assert!(of_load <= 5.0, "{agents}: {of_load}");
+    }
+}
+
+#[test]
+fn a_policy_that_the_balancer_cannot_compile_lets_nobody_through_until_it_is_replaced() {
+    let mut world = World::new(3, CAPACITY);
+    let owner = open_flows(&mut world, 1..2)[0];
+    tell(
+        &mut world,
+        1,
+        &[policy("newer", "backend.unheard_of > 1", "1.0")],
+    );
+    world.open(2, 0);
+    assert_eq!(world.resets(), 1);
+    assert!(world.refusals[0].contains("no_eligible_backend"));
+    assert_eq!(world.without_eligible.len(), 1);
+    let before = world.data_at(owner);
+    world.request(1, owner);
+    assert!(world.data_at(owner) > before, "an open flow was touched");
+    tell(&mut world, 2, &[policy("newer", "true", "1.0")]);
+    open_flows(&mut world, 3..6);
+}
+
+#[test]
+fn a_weight_of_zero_gets_nothing_when_the_others_are_full() {
+    let mut world = labelled_world(3, &[], "none", "");
+    let weight = "backend.name == 'backend-2' ? 0.0 : 1.0";
+    tell(&mut world, 1, &[policy("spare", "true", weight)]);
+    world.fill_from_elsewhere(1, 4 * CAPACITY as u16);
+    world.fill_from_elsewhere(3, 4 * CAPACITY as u16);
+    for port in 1..=10 {
+        world.open(port, 0);
+        world.run(20 * MILLI);
+    }
+    let spare = (1..=10).filter(|port| world.answered_by(*port) == Some(agent_address(2)));
+    assert_eq!(spare.count(), 0);
+}
+
+#[test]
+fn back_ends_of_weight_zero_are_no_reason_to_leave_out_the_one_that_gets_all() {
+    let mut world = World::new(10, CAPACITY);
+    let weight = "backend.name == 'backend-1' ? 1.0 : 0.0";
+    tell(&mut world, 1, &[policy("one", "true", weight)]);
+    world.resetting = vec![agent_address(1)];
+    for port in FIRST_OWN_PORT..FIRST_OWN_PORT + 20 {
+        world.open(port, 0);
+        if let Some(agent) = world.answered_by(port) {
+            world.request(port, agent);
+        }
+        world.run(MILLI);
+    }
+    let before = world.balancer.counters().further_asked;
+    // Nobody else may take flows: it gets them in spite of its failures, without a
+    // further question.
+    world.open(100, 0);
+    world.run(5 * MILLI);
+    assert_eq!(world.answered_by(100), Some(agent_address(1)));
+    assert_eq!(world.balancer.counters().further_asked, before);
+}
+
+#[test]
+fn a_share_whose_back_ends_are_all_busy_spills_over_however_many_they_are() {
+    let mut world = World::new(12, 2);
+    world.zone_of = |_| "b";
+    for index in 13..=24 {
+        world.start_agent(index);
+        world.register(index, 2, false, 1);
+    }
+    world.run(SECOND);
+    let weight = "backend.zone == service.zone ? 1.0 : 0.000001";
+    tell(&mut world, 1, &[policy("near", "true", weight)]);
+    for index in 1..=12 {
+        world.fill_from_elsewhere(index, 2);
+    }
+    // By the balancer's old news all of them have room.
+    for port in 1..=10 {
+        world.open(port, 0);
+        world.run(5 * MILLI);
+        let agent = world.answered_by(port).expect("an answer");
+        assert!(agent.ip().octets()[3] > 12, "{agent} has no room");
+    }
+}
+
+#[test]
+fn a_back_end_that_has_just_started_is_eligible() {
+    let mut world = World::new(3, CAPACITY);
+    world.start_agent(2);
+    world.run(SECOND);
+    let eligible = "backend.name == ''";
+    tell(&mut world, 1, &[policy("unnamed", eligible, "1.0")]);
+    for port in 1..=3 {
+        world.open(port, 0);
+        world.run(5 * MILLI);
+    }
+    assert_eq!(world.without_eligible, Vec::<String>::new());
+}
+
+#[test]
+fn an_agent_at_the_address_of_a_forgotten_one_is_judged_anew() {
+    let mut world = labelled_world(2, &[2], "version", "v1");
+    let eligible = "has(backend.labels.version) && backend.labels.version == 'v1'";
+    tell(&mut world, 1, &[policy("v1", eligible, "1.0")]);
+    open_flows(&mut world, 1..3);
+    world.agents.remove(&agent_address(2));
+    run_with_calls(&mut world, &[1], 12);
+    assert_eq!(world.balancer.sizes().1, 1);
+    // The new one says as much of itself as the former one did.
+    world.start_agent(2);
+    world.register(2, CAPACITY, false, 1);
+    world.run(5 * MILLI);
+    label(&mut world, 2, "version", "v2");
+    world.run(SECOND);
+    world.open(10, 0);
+    world.run(5 * MILLI);
+    assert_eq!(world.answered_by(10), None, "its label is another one now");
+    let figures = world.balancer.policy_figures();
+    assert_eq!(figures[0].eligible, 0);
+}
