Hold a change of policies to its base also at index 0 and in files of several

Cause: based_on 0 meant no condition, so of two operators that start from no policies the second one replaced the first one's; and ctl policy apply took the index of a policy that held already as the base of the next one, which let another operator's change through. Change: no base and index 0 are told apart; the answer says whether the change had an effect, and only then is the next policy of a file based on it. Result: the new test is red with the former rule. That of ctl has no test of its own: not run.

--- a/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/calls.rs
@@ -34,15 +34,15 @@
     PutPolicy {
         /// The policy.
         policy: PlacementPolicy,
-        /// Index of the policies that it is based on; zero if it holds in any case.
-        base_index: u64,
+        /// Index of the policies that it is based on; none if it holds in any case.
+        base_index: Option<u64>,
     },
     /// Remove a placement policy.
     RemovePolicy {
         /// Its name.
         name: String,
         /// See [`ConfigurationRequest::PutPolicy`].
-        base_index: u64,
+        base_index: Option<u64>,
     },
     /// Check a placement policy without effect.
     CheckPolicy(PlacementPolicy),
@@ -92,6 +92,8 @@
     PolicyChanged {
         /// Index of the policies.
         index: u64,
+        /// Whether it had an effect; otherwise what it leads to held already.
+        changed: bool,
     },
     /// The policy, or a change of the policies, is refused.
     PolicyRefused(PolicyRefusal),
@@ -118,7 +120,7 @@
             ConfigurationResponse::Read(read) => format!("read({})", read.version),
             ConfigurationResponse::ZoneOrdered => "zone_ordered".to_owned(),
             ConfigurationResponse::ZoneOrderRefused(refusal) => format!("refused({refusal})"),
-            ConfigurationResponse::PolicyChanged { index } => format!("policies({index})"),
+            ConfigurationResponse::PolicyChanged { index, .. } => format!("policies({index})"),
             ConfigurationResponse::PolicyRefused(refusal) => format!("refused({refusal})"),
             ConfigurationResponse::PolicySound => "sound".to_owned(),
             ConfigurationResponse::PolicyExplained(explained) => {
--- a/crates/petrellatch-core/src/pass_through/configuration_node/policy_changes.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/policy_changes.rs
@@ -117,7 +117,12 @@
             return;
         };
         match outcome {
-            Ok(_) => self.respond(token, ConfigurationResponse::PolicyChanged { index }),
+            Ok(changed) => {
+                self.respond(
+                    token,
+                    ConfigurationResponse::PolicyChanged { index, changed },
+                );
+            }
             Err(refusal) => self.refuse_policy(token, refusal),
         }
     }
--- a/crates/petrellatch-core/src/pass_through/policies/placement_policies.rs
+++ b/crates/petrellatch-core/src/pass_through/policies/placement_policies.rs
@@ -90,11 +90,9 @@
         if self.holds(change) {
             return Ok(false);
         }
-        if change.base_index != 0 && change.base_index != self.index {
-            return Err(PolicyRefusal::Conflict {
-                based_on: change.base_index,
-                current: self.index,
-            });
+        let current = self.index;
+        if let Some(based_on) = change.base_index.filter(|it| *it != current) {
+            return Err(PolicyRefusal::Conflict { based_on, current });
         }
         match &change.put {
             Some(policy) => self.put(policy)?,
--- a/crates/petrellatch-core/tests/pass_through/policy_changes.rs
+++ b/crates/petrellatch-core/tests/pass_through/policy_changes.rs
@@ -29,7 +29,7 @@
     }
 }
 
-fn put(policy: &PlacementPolicy, base_index: u64) -> ConfigurationRequest {
+fn put(policy: &PlacementPolicy, base_index: Option<u64>) -> ConfigurationRequest {
     ConfigurationRequest::PutPolicy {
         policy: policy.clone(),
         base_index,
@@ -39,7 +39,7 @@
 fn remove(name: &str) -> ConfigurationRequest {
     ConfigurationRequest::RemovePolicy {
         name: name.to_owned(),
-        base_index: 0,
+        base_index: None,
     }
 }
 
@@ -67,7 +67,7 @@
 
 fn index_of(response: &ConfigurationResponse) -> u64 {
     match response {
-        ConfigurationResponse::PolicyChanged { index } => *index,
+        ConfigurationResponse::PolicyChanged { index, .. } => *index,
         other => panic!("not accepted: {other:?}"),
     }
 }
@@ -81,7 +81,7 @@
 fn an_accepted_policy_holds_at_all_replicas_and_survives_the_end_of_all() {
     let mut group = founded(3);
     let near = policy("near", "true", &["desk"]);
-    index_of(&ask(&mut group, put(&near, 0)));
+    index_of(&ask(&mut group, put(&near, None)));
     group.run(SECOND);
     for replica in 1..=3 {
         assert_eq!(names_at(&group, replica), ["near"]);
@@ -100,7 +100,10 @@
 #[test]
 fn a_policy_reaches_an_empty_replica_in_a_snapshot() {
     let mut group = founded(5);
-    index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    index_of(&ask(
+        &mut group,
+        put(&policy("near", "true", &["desk"]), None),
+    ));
     let first = leader(&mut group);
     for version in 10..1_300 {
         group.replace(version, 1);
@@ -115,9 +118,9 @@
 fn a_change_that_is_sent_again_is_acknowledged_and_changes_nothing() {
     let mut group = founded(3);
     let near = policy("near", "true", &["desk"]);
-    let first = index_of(&ask(&mut group, put(&near, 0)));
+    let first = index_of(&ask(&mut group, put(&near, None)));
     // Its answer was lost; meanwhile nothing else has changed.
-    assert_eq!(index_of(&ask(&mut group, put(&near, 0))), first);
+    assert_eq!(index_of(&ask(&mut group, put(&near, None))), first);
     let gone = index_of(&ask(&mut group, remove("near")));
     assert_eq!(index_of(&ask(&mut group, remove("near"))), gone);
 }
@@ -125,13 +128,16 @@
 #[test]
 fn of_two_operators_with_one_base_only_one_gets_through() {
     let mut group = founded(3);
-    let base = index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let base = index_of(&ask(
+        &mut group,
+        put(&policy("near", "true", &["desk"]), None),
+    ));
     let leader = leader(&mut group);
     let far = policy("near", "backend.zone == 'far'", &["desk"]);
     let old = policy("near", "backend.age_seconds > 60.0", &["desk"]);
     let tokens = [
-        group.ask(leader, put(&far, base)),
-        group.ask(leader, put(&old, base)),
+        group.ask(leader, put(&far, Some(base))),
+        group.ask(leader, put(&old, Some(base))),
     ];
     group.run(SECOND);
     let answers = tokens.map(|token| group.answer(token).expect("an answer").clone());
@@ -154,7 +160,7 @@
         "slots > 2",
         "backend.labels.x == 'y'",
     ] {
-        match ask(&mut group, put(&policy("wrong", wrong, &["desk"]), 0)) {
+        match ask(&mut group, put(&policy("wrong", wrong, &["desk"]), None)) {
             ConfigurationResponse::PolicyRefused(PolicyRefusal::Invalid { message }) => {
                 assert!(message.contains("eligible, line 1"), "{wrong}: {message}");
             }
@@ -170,8 +176,11 @@
 #[test]
 fn a_service_has_one_policy_and_there_is_a_bound_on_all() {
     let mut group = founded(3);
-    index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
-    let second = ask(&mut group, put(&policy("far", "true", &["desk"]), 0));
+    index_of(&ask(
+        &mut group,
+        put(&policy("near", "true", &["desk"]), None),
+    ));
+    let second = ask(&mut group, put(&policy("far", "true", &["desk"]), None));
     assert!(matches!(
         second,
         ConfigurationResponse::PolicyRefused(PolicyRefusal::SharedScope { .. })
@@ -179,10 +188,10 @@
     for number in 1..MAX_PLACEMENT_POLICIES {
         index_of(&ask(
             &mut group,
-            put(&policy(&format!("p{number}"), "true", &[]), 0),
+            put(&policy(&format!("p{number}"), "true", &[]), None),
         ));
     }
-    let more = ask(&mut group, put(&policy("more", "true", &[]), 0));
+    let more = ask(&mut group, put(&policy("more", "true", &[]), None));
     let refusal = ConfigurationResponse::PolicyRefused(PolicyRefusal::TooLarge);
     assert_eq!(more, refusal);
 }
@@ -201,7 +210,10 @@
     };
     group.hear(leader, BALANCER, attach(0));
     group.sent_outside.clear();
-    let index = index_of(&ask(&mut group, put(&policy("near", "true", &["desk"]), 0)));
+    let index = index_of(&ask(
+        &mut group,
+        put(&policy("near", "true", &["desk"]), None),
+    ));
     let told = |group: &Group| {
         let sent = group.sent_outside.iter();
         let told = sent.filter_map(|(_, _, body)| match body {
@@ -223,7 +235,7 @@
     let mut group = founded(3);
     let first = leader(&mut group);
     group.cut_off(first);
-    let token = group.ask(first, put(&policy("near", "true", &["desk"]), 0));
+    let token = group.ask(first, put(&policy("near", "true", &["desk"]), None));
     group.run(3 * SECOND);
     let answer = group.answer(token);
     assert_eq!(answer, Some(&ConfigurationResponse::Unavailable));
@@ -241,7 +253,7 @@
         &mut group,
         put(
             &policy("new", "true && backend.labels.size() > 0", &["desk"]),
-            0,
+            None,
         ),
     ));
     let leader = leader(&mut group);
@@ -281,6 +293,27 @@
     assert!(backend.age_millis >= 300);
 }
 
+#[test]
+fn a_change_based_on_no_policies_is_refused_once_there_is_one() {
+    let mut group = founded(3);
+    let near = policy("near", "true", &["desk"]);
+    let index = index_of(&ask(&mut group, put(&near, Some(0))));
+    let far = policy("near", "false", &["desk"]);
+    let refusal = PolicyRefusal::Conflict {
+        based_on: 0,
+        current: index,
+    };
+    assert_eq!(
+        ask(&mut group, put(&far, Some(0))),
+        ConfigurationResponse::PolicyRefused(refusal)
+    );
+    let again = ConfigurationResponse::PolicyChanged {
+        index,
+        changed: false,
+    };
+    assert_eq!(ask(&mut group, put(&near, Some(0))), again);
+}
+
 #[derive(Clone, Debug)]
 enum Operation {
     Put(u8, u8),
@@ -323,7 +356,7 @@
                 Operation::Put(name, text) => {
                     let name = format!("p{name}");
                     let put_policy = policy(&name, &format!("backend.slots > {text}.0"), &[]);
-                    (name, Some(put_policy.clone()), put(&put_policy, 0))
+                    (name, Some(put_policy.clone()), put(&put_policy, None))
                 }
                 Operation::Remove(name) => {
                     let name = format!("p{name}");
@@ -332,7 +365,7 @@
             };
             let index = loop {
                 match ask(&mut group, request.clone()) {
-                    ConfigurationResponse::PolicyChanged { index } => break index,
+                    ConfigurationResponse::PolicyChanged { index, .. } => break index,
                     // Sent again unchanged, as operators do.
                     ConfigurationResponse::Unavailable
                     | ConfigurationResponse::Elsewhere { .. } => {}
@@ -363,7 +396,7 @@
     let refusal = ConfigurationResponse::PolicyRefused(PolicyRefusal::TooLarge);
     for count in [2_000, 8_000] {
         let large = policy("large", "true", &names[..count]);
-        assert_eq!(ask(&mut group, put(&large, 0)), refusal);
+        assert_eq!(ask(&mut group, put(&large, None)), refusal);
     }
     let leader = leader(&mut group);
     assert_eq!(group.node(leader).policies().index(), 0);
--- a/crates/petrellatch-proto/src/pass_through/policies.rs
+++ b/crates/petrellatch-proto/src/pass_through/policies.rs
@@ -27,9 +27,9 @@
     /// Drawn at random for the change.
     #[prost(fixed64, tag = "1")]
     pub change: u64,
-    /// [`PolicyRecords::index`] that it is based on; zero if it holds in any case.
-    #[prost(uint64, tag = "2")]
-    pub base_index: u64,
+    /// [`PolicyRecords::index`] that it is based on; none if it holds in any case.
+    #[prost(uint64, optional, tag = "2")]
+    pub base_index: Option<u64>,
     /// The policy that is put in place of one of the same name.
     #[prost(message, optional, tag = "3")]
     pub put: Option<PlacementPolicy>,
--- a/crates/petrellatch/src/api/placement_policy.rs
+++ b/crates/petrellatch/src/api/placement_policy.rs
@@ -51,6 +51,8 @@
 pub struct PolicyChangeAccepted {
     /// Index of the policies.
     pub index: u64,
+    /// Whether the change had an effect; otherwise what it leads to held already.
+    pub changed: bool,
 }
 
 /// All policies.
--- a/crates/petrellatch/src/ctl/policy.rs
+++ b/crates/petrellatch/src/ctl/policy.rs
@@ -84,9 +84,12 @@
             based_on,
             ..PolicyChangeRequest::default()
         };
-        let index = change(client, &request, output, &format!("policy {name} in force"))?;
-        // The next one is based on this change.
-        based_on = based_on.map(|_| index);
+        let accepted = change(client, &request, output, &format!("policy {name} in force"))?;
+        // The next one is based on this change. One that held already tells the index in
+        // force, which may be due to another operator.
+        if accepted.changed {
+            based_on = based_on.map(|_| accepted.index);
+        }
     }
     Ok(())
 }
@@ -111,12 +114,12 @@
     request: &PolicyChangeRequest,
     output: OutputFormat,
     result: &str,
-) -> Result<u64, ProgramError> {
+) -> Result<PolicyChangeAccepted, ProgramError> {
     let path = Endpoint::ChangePolicies.path();
     let accepted: PolicyChangeAccepted = client.post(path, request)?;
     let index = accepted.index;
     print_document(output, &accepted, || format!("{result}: index {index}\n"));
-    Ok(index)
+    Ok(accepted)
 }
 
 fn list(client: &mut OperatorClient, output: OutputFormat) -> Result<(), ProgramError> {
--- a/crates/petrellatch/src/runtime/pass_through/policy_api.rs
+++ b/crates/petrellatch/src/runtime/pass_through/policy_api.rs
@@ -35,7 +35,7 @@
 
 fn read_change(request: &HttpRequest) -> Result<ConfigurationRequest, HttpResponse> {
     let change: PolicyChangeRequest = request.json()?;
-    let base_index = change.based_on.unwrap_or(0);
+    let base_index = change.based_on;
     match (&change.put, change.remove) {
         (Some(policy), None) => Ok(ConfigurationRequest::PutPolicy {
             policy: policy.into(),
@@ -67,8 +67,11 @@
 /// Answers a request about policies. All replicas serve operators at `operator_port`.
 pub(super) fn answer(response: &ConfigurationResponse, operator_port: u16) -> HttpResponse {
     match response {
-        ConfigurationResponse::PolicyChanged { index } => {
-            HttpResponse::document(&PolicyChangeAccepted { index: *index })
+        ConfigurationResponse::PolicyChanged { index, changed } => {
+            HttpResponse::document(&PolicyChangeAccepted {
+                index: *index,
+                changed: *changed,
+            })
         }
         ConfigurationResponse::PolicyRefused(refusal) => refused(refusal),
         ConfigurationResponse::PolicySound => HttpResponse::document(&PolicyCheck { sound: true }),
