Test that a balancer is current only with the policies

Cause: no test failed when the policies of a confirmation were dropped at the balancer, or left out by the replica. Change: a test of each side.

--- a/crates/petrellatch-core/tests/pass_through/placement_policies.rs
+++ b/crates/petrellatch-core/tests/pass_through/placement_policies.rs
@@ -7,7 +7,7 @@
 
 use petrellatch_core::pass_through::Registration;
 use petrellatch_proto::pass_through::{
-    Group, PassThroughBody, PlacementPolicy, PolicyRecords, pack_address,
+    Confirmed, Group, PassThroughBody, PlacementPolicy, PolicyRecords, pack_address,
 };
 
 use super::world::{FIRST_OWN_PORT, MILLI, REPLICA, ROUTE, SERVICE, World, agent_address};
@@ -454,3 +454,22 @@
     let figures = world.balancer.policy_figures();
     assert_eq!(figures[0].eligible, 0);
 }
+
+#[test]
+fn a_balancer_that_starts_has_the_policies_once_it_is_current() {
+    let mut world = World::new(3, CAPACITY);
+    let confirmed = Confirmed {
+        confirm: 7,
+        version: 3,
+        policies: Some(PolicyRecords {
+            index: 9,
+            policies: vec![policy("one", "backend.name == 'backend-2'", "1.0")],
+        }),
+        ..Confirmed::default()
+    };
+    world.start_balancer_with(confirmed);
+    assert!(world.balancer.is_ready(world.now));
+    assert_eq!(world.balancer.policies_index(), 9);
+    let agents = open_flows(&mut world, 1..10);
+    assert!(agents.iter().all(|agent| *agent == agent_address(2)));
+}
--- a/crates/petrellatch-core/tests/pass_through/policy_changes.rs
+++ b/crates/petrellatch-core/tests/pass_through/policy_changes.rs
@@ -230,6 +230,34 @@
     assert_eq!(told(&group), [index]);
 }
 
+#[test]
+fn the_confirmation_that_makes_a_balancer_current_has_the_policies() {
+    let mut group = founded(3);
+    let index = index_of(&ask(
+        &mut group,
+        put(&policy("near", "true", &["desk"]), None),
+    ));
+    let leader = leader(&mut group);
+    group.sent_outside.clear();
+    let follow = Follow {
+        incarnation: 1,
+        confirm: 5,
+        policies_index: index,
+        ..Follow::default()
+    };
+    group.hear(leader, BALANCER, PassThroughBody::Follow(follow));
+    group.run(SECOND);
+    let confirmed = group
+        .sent_outside
+        .iter()
+        .find_map(|(_, _, body)| match body {
+            PassThroughBody::Confirmed(confirmed) => Some(confirmed),
+            _ => None,
+        });
+    let policies = confirmed.expect("a confirmation").policies.as_ref();
+    assert_eq!(policies.map(|it| it.index), Some(index));
+}
+
 #[test]
 fn a_cut_off_leader_accepts_nothing() {
     let mut group = founded(3);
