--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -195,6 +195,12 @@
     FlowsTakenOver = 547, Info;
     /// A flow of a life that is over was told to its caller, or to a balancer.
     FlowTold = 548, Info;
+    /// A placement policy was put or removed by an operator.
+    PolicyChanged = 550, Info;
+    /// A change of the placement policies was refused; nothing of it was done.
+    PolicyRefused = 551, Warning;
+    /// A balancer goes by newer placement policies.
+    PoliciesApplied = 552, Info;
 }
 
 /// One event with what it is about.
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -165,6 +165,8 @@
     reported_at: Timestamp,
     sweep_at: Timestamp,
     reported_state: AgentState,
+    /// See [`RegistrationState::description_revision`].
+    reported_description: u64,
     /// Between two reports without news.
     report_interval: Duration,
     /// Whether no replica has shown that it heard of the reported state.
@@ -236,6 +238,7 @@
             reported_at: Timestamp::ZERO,
             sweep_at: now + SWEEP_INTERVAL,
             reported_state: AgentState::Empty,
+            reported_description: 0,
             unheard: true,
             remembered_by: BTreeSet::new(),
             stop_at: None,
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -61,7 +61,8 @@
 
     pub(super) fn report_if_changed(&mut self, now: Timestamp) {
         let state = self.state(now);
-        if state == self.reported_state {
+        let is_described = self.registration.description_revision() == self.reported_description;
+        if state == self.reported_state && is_described {
             return;
         }
         self.report(now);
@@ -110,8 +111,10 @@
             let service = self.settings.service.clone();
             self.emit_event(EventKind::BackendSilent, service);
         }
-        self.unheard |= is_news;
+        let description = self.registration.description_revision();
+        self.unheard |= is_news || description != self.reported_description;
         self.reported_state = state;
+        self.reported_description = description;
         self.reported_at = now;
         self.report_at = now + self.time_to_next_report(now);
         let report = Report {
@@ -128,6 +131,7 @@
                 None => self.report_interval.as_millis() as u32,
             },
             evacuations_index: self.evacuations.index(),
+            backend: self.registration.description(now),
         };
         for replica in self.contacts.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- /dev/null
+++ b/crates/petrellatch-core/src/pass_through/choice/weight_groups.rs
@@ -0,0 +1,80 @@
+//! Agents of one weight compete with each other; agents of different weights share new
+//! flows by their weights.
+
+/// Agents of one weight.
+#[derive(Clone, Copy, Debug)]
+struct WeightGroup<T> {
+    weight: f64,
+    agents: usize,
+    best: T,
+}
+
+/// Groups of agents by weight, in the order in which they were met. Mostly there is one,
+/// which takes no memory from the heap.
+#[derive(Debug)]
+pub(super) struct WeightGroups<T> {
+    first: Option<WeightGroup<T>>,
+    others: Vec<WeightGroup<T>>,
+}
+
+impl<T> Default for WeightGroups<T> {
+    fn default() -> Self {
+        WeightGroups {
+            first: None,
+            others: Vec::new(),
+        }
+    }
+}
+
+impl<T: Default> WeightGroups<T> {
+    /// Counts an agent of this weight, which is more than zero. Returns what is kept for
+    /// its group.
+    pub(super) fn add(&mut self, weight: f64) -> &mut T {
+        let new_group = || WeightGroup {
+            weight,
+            agents: 0,
+            best: T::default(),
+        };
+        let first = self.first.get_or_insert_with(new_group);
+        let group = if first.weight == weight {
+            first
+        } else {
+            let known = self.others.iter().position(|it| it.weight == weight);
+            let place = known.unwrap_or_else(|| {
+                self.others.push(new_group());
+                self.others.len() - 1
+            });
+            &mut self.others[place]
+        };
+        group.agents += 1;
+        &mut group.best
+    }
+
+    /// The group that a flow falls to, at a `point` from 0 to 1 of all weights. If it has
+    /// nobody who is likely to take the flow, the next one that has, and otherwise the
+    /// next one that has anybody. `is_likely` tells that of a group; none if it has nobody.
+    pub(super) fn select(&self, point: f64, is_likely: impl Fn(&T) -> Option<bool>) -> Option<&T> {
+        let first = self.place_at(point);
+        let count = self.groups().count();
+        let in_turn = || self.groups().cycle().skip(first).take(count);
+        let likely = in_turn().find(|group| is_likely(&group.best) == Some(true));
+        let group = likely.or_else(|| in_turn().find(|it| is_likely(&it.best).is_some()));
+        group.map(|group| &group.best)
+    }
+
+    fn groups(&self) -> impl Iterator<Item = &WeightGroup<T>> + Clone {
+        self.first.iter().chain(&self.others)
+    }
+
+    fn place_at(&self, point: f64) -> usize {
+        let part = |group: &WeightGroup<T>| group.weight * group.agents as f64;
+        let total: f64 = self.groups().map(part).sum();
+        let mut left = point * total;
+        let reaches = |group: &WeightGroup<T>| {
+            left -= part(group);
+            left <= 0.0
+        };
+        // What sums of floats leave over belongs to the last one.
+        self.groups().position(reaches).unwrap_or(self.others.len())
+    }
+}
--- a/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/balancer_news.rs
@@ -48,7 +48,10 @@
                 .news(follow.version, self.state.configuration());
             self.send_all(from, news);
         }
-        let group = self.group_with_zones(now, follow.evacuations_index);
+        let group = Group {
+            policies: self.policies().news_since(follow.policies_index),
+            ..self.group_with_zones(now, follow.evacuations_index)
+        };
         self.send(from, PassThroughBody::Group(group));
         if follow.confirm != 0 && self.replica.role() == Role::Leader {
             let read = PendingRead::Balancer {
@@ -90,6 +93,7 @@
             wants_report: false,
             remembered_agents: Vec::new(),
             remembered_count: 0,
+            policies: None,
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/group/followers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/followers.rs
@@ -15,6 +15,7 @@
 use super::evacuations::Evacuations;
 use super::expected_agents::ExpectedAgents;
 use crate::pass_through::agent::YOUNG_REPORTS;
+use crate::pass_through::policies::policy_check::ReportedBackend;
 use crate::pass_through::routes::change_assembly::{PartAssembly, compress, split};
 
 /// A balancer that did not ask for so long is forgotten.
@@ -219,7 +220,9 @@
             }
         }
         let news = known.is_none_or(|known| {
-            known.report.incarnation != report.incarnation || known.report.state != report.state
+            known.report.incarnation != report.incarnation
+                || known.report.state != report.state
+                || !describes_same(&known.report, &report)
         });
         let had_former_life = match known {
             Some(known) if known.report.incarnation == report.incarnation => known.had_former_life,
@@ -337,6 +340,15 @@
         without.map(|(service, _)| service.to_owned())
     }
 
+    /// The back ends that agents report of, as policies see them.
+    pub(crate) fn backends(&self, now: Timestamp) -> Vec<ReportedBackend> {
+        let serves = |agent: &&ReportedAgent| agent.report.state() != AgentState::Empty;
+        let agents = self.agents.values().filter(serves);
+        let backend =
+            |agent: &ReportedAgent| ReportedBackend::new(now, agent.heard_at, &agent.report);
+        agents.map(backend).collect()
+    }
+
     /// What lives of the agent at `address` told of back ends that leave.
     pub(crate) fn leaving(&self, address: u64) -> Vec<u64> {
         let leaving = self.leaving.get(&address);
@@ -493,3 +505,12 @@
     let interval = Duration::from_secs(1) * agents as u32 / REPORTS_PER_SECOND;
     interval.min(MAX_REPORT_INTERVAL)
 }
+
+/// Whether two reports tell the same of the back end, but for its age.
+fn describes_same(one: &Report, other: &Report) -> bool {
+    let (one, other) = (one.backend.as_ref(), other.backend.as_ref());
+    match one.zip(other) {
+        Some((one, other)) => one.name == other.name && one.labels == other.labels,
+        None => one.is_none() && other.is_none(),
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/dead_back_ends.rs
+++ b/crates/petrellatch-core/tests/pass_through/dead_back_ends.rs
@@ -38,6 +38,7 @@
         capacity: 4,
         draining: false,
         cold: Duration::ZERO,
+        ..Registration::default()
     };
     world.call(agent.ip().octets()[3], &call);
     world.run(20 * MILLI);
--- a/crates/petrellatch-core/tests/pass_through/flow_record_world.rs
+++ b/crates/petrellatch-core/tests/pass_through/flow_record_world.rs
@@ -103,6 +103,7 @@
             capacity: 60_000,
             draining: false,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         let taken = self.agent.handle_registration(self.now, &call);
         taken.expect("it is of the agent's service");
--- a/crates/petrellatch-core/tests/pass_through/last_words.rs
+++ b/crates/petrellatch-core/tests/pass_through/last_words.rs
@@ -36,6 +36,7 @@
             capacity: 4,
             draining: false,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         let taken = leaving.agent.handle_registration(leaving.now, &call);
         taken.expect("it is of the agent's service");
--- a/crates/petrellatch-core/tests/pass_through/lives.rs
+++ b/crates/petrellatch-core/tests/pass_through/lives.rs
@@ -175,6 +175,7 @@
             capacity: 100,
             draining: false,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         let taken = self.agent.handle_registration(self.now, &call);
         taken.expect("it is of the agent's service");
--- a/crates/petrellatch-core/tests/pass_through/returning_site.rs
+++ b/crates/petrellatch-core/tests/pass_through/returning_site.rs
@@ -150,6 +150,7 @@
             capacity: 4,
             draining: false,
             cold: Duration::ZERO,
+            ..Registration::default()
         };
         let taken = agent.handle_registration(self.now, &call);
         taken.expect("it is of the agent's service");
@@ -192,6 +193,7 @@
             confirm: 7,
             version: 3,
             zones: None,
+            ..Confirmed::default()
         };
         balancer.handle_message(now, REPLICAS[0], PassThroughBody::Configuration(part));
         balancer.handle_message(now, REPLICAS[0], PassThroughBody::Confirmed(confirmed));
--- a/crates/petrellatch-core/tests/pass_through/scale.rs
+++ b/crates/petrellatch-core/tests/pass_through/scale.rs
@@ -279,6 +279,7 @@
                 confirm: follow.confirm,
                 version: self.version,
                 zones: None,
+                ..Confirmed::default()
             };
             let body = PassThroughBody::Confirmed(confirmed);
             self.balancer.handle_message(self.now, to, body);
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -1,6 +1,6 @@
 //! Messages between replicas and daemons: who is a member, and who asks for news.
 
-use super::ZoneRecords;
+use super::{PolicyRecords, ZoneRecords};
 
 /// Where a replica runs. The leader chooses members of the group by it.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -41,6 +41,9 @@
     /// Another replica asks which agents the receiver remembers.
     #[prost(bool, tag = "9")]
     pub wants_remembered: bool,
+    /// [`PolicyRecords::index`] as the balancer knows it.
+    #[prost(uint64, tag = "10")]
+    pub policies_index: u64,
 }
 
 /// The replicas of the group.
@@ -102,6 +105,9 @@
     /// How many these are in all.
     #[prost(uint32, tag = "17")]
     pub remembered_count: u32,
+    /// To a balancer: the placement policies, if it may not know of the latest change.
+    #[prost(message, optional, tag = "18")]
+    pub policies: Option<PolicyRecords>,
 }
 
 /// The daemons that a replica remembers from one life to the next, to tell them
@@ -128,4 +134,7 @@
     /// The orders about zones at that time, if there was ever one.
     #[prost(message, optional, tag = "3")]
     pub zones: Option<ZoneRecords>,
+    /// The placement policies at that time, if there was ever one.
+    #[prost(message, optional, tag = "4")]
+    pub policies: Option<PolicyRecords>,
 }
--- a/crates/petrellatch/src/runtime/pass_through/mod.rs
+++ b/crates/petrellatch/src/runtime/pass_through/mod.rs
@@ -14,6 +14,7 @@
 mod interface;
 mod message_socket;
 mod metrics;
+mod policy_api;
 mod replica_loop;
 mod retrying_log_writer;
 mod settings;
