--- a/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
@@ -41,6 +41,8 @@
 /// So many flows that are let wait, with none taken between, show that there is no room:
 /// of a large service a single agent may have a queue while others have none.
 const WAITING_RUN: u32 = 3;
+/// The same after a pause since which no flow was taken: there is likely still no room.
+const FURTHER_WAITING_RUN: u32 = 3;
 /// A service without a pause for so long is no more under pressure.
 const CALM: Duration = Duration::from_secs(1);
 
@@ -203,10 +205,15 @@
         kind: FlowKind,
         created_at: Timestamp,
     ) -> bool {
-        let mut pauses = self.pauses.get(&kind).into_iter();
-        if pauses.any(|pause| created_at < pause.until) {
+        let pause = self.pauses.get(&kind);
+        if pause.is_some_and(|pause| created_at < pause.until) {
             return false;
         }
+        let is_further = pause.is_some_and(|pause| pause.taken == 0 && now < pause.until + CALM);
+        let needed = match is_further {
+            true => FURTHER_WAITING_RUN,
+            false => WAITING_RUN,
+        };
         let run = self.waiting.entry(kind).or_insert(WaitingRun {
             flows: 0,
             latest_at: now,
@@ -214,7 +221,7 @@
         let is_broken = now >= run.latest_at + CALM;
         run.flows = if is_broken { 1 } else { run.flows + 1 };
         run.latest_at = now;
-        run.flows >= WAITING_RUN
+        run.flows >= needed
     }
 
     /// A flow that came at `created_at` was taken: there is room for its kind, and for
--- a/crates/petrellatch-core/tests/pass_through/returning_site.rs
+++ b/crates/petrellatch-core/tests/pass_through/returning_site.rs
@@ -15,8 +15,8 @@
     PassThroughBalancer, PassThroughBalancerSettings, PassThroughOutput, Registration, node_at,
 };
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, Confirmed, DirectoryChange, Follow, PassThroughBody,
-    RouteRecord, ShareRecord, pack_address,
+    ConfigurationChange, ConfigurationPart, Confirmed, Directory, DirectoryChange, Follow,
+    PassThroughBody, RouteRecord, ShareRecord, pack_address,
 };
 use prost::Message;
 
@@ -55,6 +55,8 @@
     said_whole: BTreeSet<SocketAddrV4>,
     /// The agents that each replica lists.
     listed: BTreeMap<SocketAddrV4, BTreeSet<u64>>,
+    /// Parts of directories, by replica and revision.
+    directory_parts: BTreeMap<(SocketAddrV4, u64), BTreeMap<u32, Vec<u8>>>,
     under_way: VecDeque<(SocketAddrV4, SocketAddrV4, PassThroughBody)>,
 }
 
@@ -73,6 +75,7 @@
             resets: 0,
             said_whole: BTreeSet::new(),
             listed: BTreeMap::new(),
+            directory_parts: BTreeMap::new(),
             under_way: VecDeque::new(),
         };
         site.start_replicas();
@@ -275,8 +278,11 @@
                 self.said_whole.remove(&from);
             }
             PassThroughBody::Directory(directory) => {
-                assert_eq!((directory.base_revision, directory.parts), (0, 1));
-                let bytes = decompress_size_prepended(&directory.bytes).expect("compressed");
+                assert_eq!(directory.base_revision, 0);
+                let Some(bytes) = self.assemble(from, directory) else {
+                    return;
+                };
+                let bytes = decompress_size_prepended(&bytes).expect("compressed");
                 let change = DirectoryChange::decode(bytes.as_slice()).expect("a directory");
                 let agents = change.agents.iter().map(|entry| entry.report.address);
                 self.listed.insert(from, agents.collect());
@@ -285,6 +291,18 @@
         }
     }
 
+    /// Joins the parts of a directory; none as long as some are missing.
+    fn assemble(&mut self, from: SocketAddrV4, directory: Directory) -> Option<Vec<u8>> {
+        let key = (from, directory.revision);
+        let parts = self.directory_parts.entry(key).or_default();
+        parts.insert(directory.part, directory.bytes);
+        if parts.len() < directory.parts as usize {
+            return None;
+        }
+        let parts = self.directory_parts.remove(&key)?;
+        Some(parts.into_values().flatten().collect())
+    }
+
     /// Takes what all have to send.
     fn collect(&mut self) {
         let now = self.now;
