Tell only flows that the back end has shown to have

Cause: A balancer hands packets to the sole agent that it asked, or to the owner of an earlier flow under the same address and port, though another back end may have answered first. The agent took such a flow for an open one of its back end. When that returned a packet, or a later life of it a witness, the agent reset the caller, whose flow lives elsewhere.

Change: A flow counts for proofs and for the record only if the back end has spoken on it or its first sequence number is known. An acknowledgement that does not go on from what is known of the flow is not kept, nor is its packet.

--- a/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/former_flows.rs
@@ -252,7 +252,7 @@
             self.begin_record_proof(now);
         }
         let known = self.flows.get(id);
-        let was_open = known.is_some_and(|flow| flow.is_open() && flow.owns(acknowledged));
+        let was_open = known.is_some_and(|flow| flow.is_proved_open() && flow.owns(acknowledged));
         if was_open && self.stop_at.is_none() {
             self.former.is_in_doubt = true;
             self.begin_proof(now);
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -40,6 +40,8 @@
     /// The caller's latest packet without data. The back end returns it if it does not
     /// have the flow.
     pub(crate) bare_packet: Option<Vec<u8>>,
+    /// The back end has spoken on it in this life of the agent.
+    backend_has_spoken: bool,
     /// A request waits for its answer.
     busy: bool,
     caller_has_ended: bool,
@@ -73,6 +75,18 @@
         self.open && !self.has_ended()
     }
 
+    /// Whether it is open and the back end has shown that it has it, or had: balancers may
+    /// hand over packets of a flow that lives at another back end.
+    pub(crate) fn is_proved_open(&self) -> bool {
+        self.is_open() && (self.sequence.is_some() || self.backend_has_spoken)
+    }
+
+    /// Whether an acknowledgement goes on from what is known of the flow.
+    fn goes_on(&self, acknowledged: u32) -> bool {
+        let known = self.acknowledged.or(self.sequence);
+        known.is_none_or(|known| acknowledged.wrapping_sub(known) < SEQUENCE_WINDOW)
+    }
+
     /// Whether one of its ends has ended it: no new request comes.
     fn has_ended(&self) -> bool {
         self.caller_has_ended || self.backend_has_ended
@@ -186,15 +200,17 @@
     }
 
     /// Keeps what a reset of the flow, or a question to its back end, needs later.
-    /// `packet` is of the caller, and not an opening one.
+    /// `packet` is of the caller, and not an opening one. Old copies, and packets of a flow
+    /// that another back end answered under the same address and port, change nothing.
     pub(crate) fn note_acknowledged(&mut self, id: FlowId, view: &PacketView, packet: &[u8]) {
         let Some(flow) = self.flows.get_mut(&id) else {
             return;
         };
-        if view.acknowledge {
-            flow.acknowledged = Some(view.acknowledged);
+        if !view.acknowledge || !flow.goes_on(view.acknowledged) {
+            return;
         }
-        if view.acknowledge && view.data_bytes == 0 && !view.finish && !view.reset {
+        flow.acknowledged = Some(view.acknowledged);
+        if view.data_bytes == 0 && !view.finish && !view.reset {
             flow.bare_packet = Some(packet.to_vec());
         }
     }
@@ -212,6 +228,7 @@
         }
         let flow = self.entry(now, id);
         flow.active_at = now;
+        flow.backend_has_spoken = true;
         match packet {
             BackendPacket::OpeningAnswer { sequence } => flow.sequence = Some(sequence),
             BackendPacket::Established => self.open(id),
@@ -287,14 +304,14 @@
         Some(now.saturating_since(since))
     }
 
-    /// Open flows that are younger than `lifetime`, with packets that the back end returns
+    /// Open flows of the back end that are younger than `lifetime`, with packets that the back end returns
     /// if it does not have them.
     pub(crate) fn probed(&self, now: Timestamp, lifetime: Duration) -> Vec<ProbedFlow> {
         let is_young = |flow: &AgentFlow| now.saturating_since(flow.created_at) < lifetime;
         let open = self
             .flows
             .iter()
-            .filter(|(_, flow)| flow.is_open() && is_young(flow));
+            .filter(|(_, flow)| flow.is_proved_open() && is_young(flow));
         let probed = |(id, flow): (&FlowId, &AgentFlow)| {
             let acknowledged = flow.acknowledged?;
             Some(ProbedFlow {
@@ -379,6 +396,7 @@
             open: false,
             acknowledged: None,
             bare_packet: None,
+            backend_has_spoken: false,
             busy: false,
             caller_has_ended: false,
             backend_has_ended: false,
--- a/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
@@ -200,7 +200,7 @@
         self.beyond_limit = 0;
         for (id, flow) in flows.iter() {
             let age = now.saturating_since(flow.created_at);
-            if !flow.is_open() || age < self.settings.age {
+            if !flow.is_proved_open() || age < self.settings.age {
                 continue;
             }
             let known = self.recorded.get(id).map(|known| known.flow);
--- a/crates/petrellatch-core/tests/pass_through/former_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/former_flows.rs
@@ -151,6 +151,38 @@
     assert_eq!(lives.agent.demand(lives.now).0, 4);
 }
 
+/// A balancer that was asked again for the same flow hands its packets to the wrong agent.
+#[test]
+fn a_flow_that_lives_at_another_back_end_is_not_told() {
+    let mut lives = with_flows(6);
+    lives.hold_elsewhere(20, 1 << 30);
+    lives.acknowledge(20);
+    lives.request(20);
+    lives.run(SECOND);
+    assert_eq!(lives.reset_ports(), []);
+    lives.frozen = true;
+    lives.acknowledge(20);
+    lives.start_life();
+    lives.call();
+    lives.run(4 * SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 3, 4, 5, 6]);
+    assert!(lives.not_held.iter().all(|it| !it.was_open));
+}
+
+/// The same, where this back end has answered the opening packet as well.
+#[test]
+fn a_flow_that_opened_at_another_back_end_that_answered_first_is_not_told() {
+    let mut lives = with_flows(6);
+    assert!(lives.open_half(20));
+    lives.hold_elsewhere(20, 1 << 30);
+    lives.acknowledge(20);
+    lives.run(2 * SECOND);
+    lives.start_life();
+    lives.call();
+    lives.run(4 * SECOND);
+    assert_eq!(lives.reset_ports(), [1, 2, 3, 4, 5, 6]);
+}
+
 #[test]
 fn a_flow_that_opens_anew_under_its_address_and_port_is_not_told() {
     let mut lives = with_flows(6);
--- a/crates/petrellatch-core/tests/pass_through/lives.rs
+++ b/crates/petrellatch-core/tests/pass_through/lives.rs
@@ -183,17 +183,31 @@
 
     /// A caller opens a flow, also anew under the same port. Returns whether it is open.
     pub fn open(&mut self, port: u16) -> bool {
+        let is_open = self.open_half(port);
+        if is_open {
+            self.acknowledge(port);
+        }
+        is_open
+    }
+
+    /// The same, before the caller acknowledges the answer. Returns whether there is one.
+    pub fn open_half(&mut self, port: u16) -> bool {
         self.callers.remove(&port);
         let opening = PacketView {
             synchronize: true,
             ..empty(caller(port), ROUTE)
         };
         self.carry(CarryReason::OpenQueued, &opening);
-        let is_open = self.callers.contains_key(&port);
-        if is_open {
-            self.acknowledge(port);
-        }
-        is_open
+        self.callers.contains_key(&port)
+    }
+
+    /// The caller's flow is at another back end.
+    pub fn hold_elsewhere(&mut self, port: u16, sequence: u32) {
+        let flow = CallerFlow {
+            sequence,
+            was_reset: false,
+        };
+        self.callers.insert(port, flow);
     }
 
     /// The caller acknowledges what it has.
