Begin further pauses after two flows that wait, in services with few agents

Ruled out: two flows that wait in a row after any pause.

Change: after a short pause since which nothing was taken two flows that wait begin the next one, where the service has at most 64 agents.

--- a/crates/petrellatch-core/src/pass_through/balancer/edge.rs
+++ b/crates/petrellatch-core/src/pass_through/balancer/edge.rs
@@ -96,7 +96,13 @@
     /// just started: they will soon take more, so that more flows may wait for it.
     pub(super) fn note_waiting(&mut self, now: Timestamp, flow: AskedFlow, load: LoadMessage) {
         let is_starting = load.cold || load.work_micros == 0;
-        if !is_starting && self.pressure.note_waiting(now, flow.kind, flow.created_at) {
+        let agents = self.agents.count(flow.kind.service).serving();
+        let created_at = flow.created_at;
+        if !is_starting
+            && self
+                .pressure
+                .note_waiting(now, flow.kind, created_at, agents)
+        {
             self.begin_pause(now, flow);
         } else {
             self.pressure.note_unknown(flow.kind);
--- a/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
+++ b/crates/petrellatch-core/src/pass_through/choice/service_pressure.rs
@@ -41,8 +41,11 @@
 /// So many flows that are let wait, with none taken between, show that there is no room:
 /// of a large service a single agent may have a queue while others have none.
 const WAITING_RUN: u32 = 3;
-/// The same after a pause since which no flow was taken: there is likely still no room.
-const FURTHER_WAITING_RUN: u32 = 3;
+/// The same after a short pause since which no flow was taken, of a service with few
+/// agents: there is likely still no room.
+const FURTHER_WAITING_RUN: u32 = 2;
+/// More agents than these are not few.
+const FEW_AGENTS: usize = 64;
 /// A service without a pause for so long is no more under pressure.
 const CALM: Duration = Duration::from_secs(1);
 
@@ -198,19 +201,23 @@
     }
 
     /// An agent whose back end works at its usual rate lets a flow wait that came at
-    /// `created_at`. Returns whether this shows that there is no room.
+    /// `created_at`; the service has so many agents. Returns whether this shows that there
+    /// is no room.
     pub(crate) fn note_waiting(
         &mut self,
         now: Timestamp,
         kind: FlowKind,
         created_at: Timestamp,
+        agents: usize,
     ) -> bool {
         let pause = self.pauses.get(&kind);
         if pause.is_some_and(|pause| created_at < pause.until) {
             return false;
         }
-        let is_further = pause.is_some_and(|pause| pause.taken == 0 && now < pause.until + CALM);
-        let needed = match is_further {
+        let is_further = pause.is_some_and(|pause| {
+            pause.taken == 0 && pause.length < MAX_PAUSE / 2 && now < pause.until + CALM
+        });
+        let needed = match is_further && agents <= FEW_AGENTS {
             true => FURTHER_WAITING_RUN,
             false => WAITING_RUN,
         };
