--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# The stand-ins are Python programs and need no build.
+exit 0
