--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -305,8 +305,9 @@
     acknowledged. It works on `capacity` requests at once and queues the rest.
     """
 
-    def __init__(self, fleet, machine, capacity, work_seconds):
+    def __init__(self, fleet, machine, capacity, work_seconds, says_born=False):
         self.fleet, self.machine, self.record = fleet, machine, fleet.record
+        self.says_born, self.born = says_born, 0
         self.capacity, self.work_seconds = capacity, work_seconds
         self.outbound = fleet.at(machine, "outbound")
         self.control = fleet.at(machine, "control")
@@ -320,7 +321,7 @@
         self.lives += 1
         self.id = f"i-{self.machine}-{self.lives}"
         self.state, self.calls, self.flows, self.drain_acked_at = "ready", 0, {}, None
-        self.started_at = time.monotonic()
+        self.started_at, self.born = time.monotonic(), int(time.time() * 1000)
         self.slots = asyncio.Semaphore(self.capacity)
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
@@ -350,6 +351,8 @@
         body = {"Service": self.fleet.service, "Zone": self.fleet.machines[self.machine][2],
                 "Address": "%s:%d" % self.fleet.at(self.machine, "app"), "Version": "v1",
                 "Capacity": self.capacity, "State": state, "ColdLeftMs": cold, "CallSeq": call}
+        if self.says_born:
+            body["born"] = self.born
         answer = await http_call(self.control, "PUT", f"/v1/instances/{id_}", body)
         status = answer[0] if answer else "no answer"
         self.record.note(f"heartbeat of {id_} CallSeq={call} State={state} -> {status}")
