--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,12 +8,9 @@
 import asyncio
 import pathlib
 import random
-import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common"))
-
-from stand_ins import (Backend, CannotRun, Clients, Fleet, HeldUpLink,  # noqa: E402
+from stand_ins import (Backend, CannotRun, Clients, Fleet, HeldUpLink,
                        Operator, Router, configuration, main, wait_until)
 
 # As in newcomers/svil-plattform-grown.toml, with fewer machines.
