Keep the flows of a leaving back end after a restart of its agent

Cause: an agent without a registration after its provisional time answered for certain that its back end owns no flow. After a restart a back end that drains or has deregistered never becomes registered again: its digest is restored from the replicas and its calls are dropped, or it makes none. A returned SYN ended the provisional time at once, so that a full back end was denied as well, and packets that the back end sent were not considered. For the directory such an agent had no back end, so that after its next planned stop nobody waited for its replies. Ruled out: the reply of another agent (all others lacked the flows rightly); a loss of the digests at the replicas (they were restored, and that is what hid the back end). Change: silence shows that there is no back end only if nothing came from it since the start, a replica has said whether one was leaving, and none was. A restored one counts as draining until it is known to have ended. In its place as a fast proof: packets for a back end that hasn't registered go through a connected socket, and if the address refuses one (ICMP), nothing runs there and all earlier flows are known to have died (new event 549).

--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -195,6 +195,9 @@
     FlowsTakenOver = 547, Info;
     /// A caller or a balancer was notified that a flow is orphaned.
     FlowTold = 548, Info;
+    /// The address of a back end refused a packet: no back end runs there, and flows of earlier
+    /// incarnations have ended.
+    BackendAbsent = 549, Info;
     /// A placement policy was put or removed by an operator.
     PolicyChanged = 550, Info;
     /// A change of the placement policies was refused and changed nothing.
--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -102,6 +102,10 @@
     contender: Option<Contender>,
     /// Whether the back end has sent a packet, which shows that it runs.
     seen_alive: bool,
+    /// Whether any incarnation has registered or deregistered, even if that was ignored.
+    has_called: bool,
+    /// Whether the address of the back end has refused a packet: nothing ran there then.
+    was_absent: bool,
     /// Until when a back end that hasn't registered may get new flows.
     provisional_until: Timestamp,
     /// Whether the back end has returned a SYN since its last packet.
@@ -156,6 +160,8 @@
             current: None,
             contender: None,
             seen_alive: false,
+            has_called: false,
+            was_absent: false,
             provisional_until,
             returned_syn: false,
             first_sequence: None,
@@ -170,6 +176,7 @@
     /// Handles a registration. Returns whether the current incarnation or its draining state
     /// changed.
     pub fn handle_registration(&mut self, now: Timestamp, registration: &Registration) -> bool {
+        self.has_called = true;
         let incarnation = registration.incarnation();
         if self.deregistered.contains(&incarnation.digest()) {
             return false;
@@ -280,6 +287,7 @@
     /// Handles a deregistration. The back end keeps its flows, and its later registrations are
     /// ignored. Returns whether the current incarnation or its draining state changed.
     pub fn handle_deregistration(&mut self, id: &str) -> bool {
+        self.has_called = true;
         let before = self.drain_state();
         let incarnation = self.deregistered_incarnation(id);
         let was_deregistered = self.deregistered.contains(&incarnation.digest());
@@ -333,6 +341,31 @@
         self.returned_syn = true;
     }
 
+    /// Notes that the address of the back end refused a packet, as nothing runs there. Flows of
+    /// earlier incarnations have ended with them.
+    pub fn note_refused_packet(&mut self) {
+        self.was_absent = true;
+        self.seen_alive = false;
+    }
+
+    /// Whether no back end ran at some time since the start.
+    pub fn was_absent(&self) -> bool {
+        self.was_absent
+    }
+
+    /// Whether the back end has shown no sign of life since the start, for as long as a running
+    /// one needs to register, and none that may still run has left.
+    pub fn is_silent_since_start(&self, now: Timestamp) -> bool {
+        let may_run = self.seen_alive || self.has_called || self.has_left();
+        now >= self.provisional_until && !may_run
+    }
+
+    /// Whether a back end is draining or has deregistered, may still own flows and hasn't
+    /// registered since the start: it need not register again, and is silent without requests.
+    fn has_left(&self) -> bool {
+        self.current.is_none() && !self.was_absent && !self.deregistered.is_empty()
+    }
+
     /// State of the back end. It is unavailable if it was silent for `silence_timeout`.
     pub fn state(&self, now: Timestamp, silence_timeout: Duration) -> AgentState {
         match &self.current {
@@ -342,6 +375,7 @@
             }
             None if self.is_provisional(now) && self.seen_alive => AgentState::Ready,
             None if self.is_provisional(now) => AgentState::Starting,
+            None if self.has_left() => AgentState::Draining,
             Some(_) | None => AgentState::Unavailable,
         }
     }
--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -25,6 +25,25 @@
         self.serve_queue(now);
     }
 
+    /// Whether no back end has registered yet, so that a refusal by its address would show that
+    /// none ran.
+    pub fn awaits_backend_refusal(&self) -> bool {
+        !self.registration.is_registered() && !self.registration.was_absent()
+    }
+
+    /// Handles the refusal of a packet by the address of the back end: no process receives
+    /// packets there. Speculative deliveries are reported with the replies to the next queries.
+    pub fn handle_refused_packet(&mut self, now: Timestamp) {
+        if !self.awaits_backend_refusal() {
+            return;
+        }
+        self.registration.note_refused_packet();
+        let subject = self.settings.service.clone();
+        self.emit_event(EventKind::BackendAbsent, subject);
+        self.report_if_changed(now);
+        self.serve_queue(now);
+    }
+
     fn process_backend_packet(&mut self, now: Timestamp, packet: &[u8]) {
         let Some(view) = self.codec.view(packet) else {
             self.counters.malformed += 1;
--- a/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 
 use petrellatch_proto::pass_through::{
-    AgentState, FlowQuery, FlowsNotOwned, FlowsOwned, OwnedFlow, PassThroughBody, QueriedFlow,
-    pack_address, unpack_address,
+    FlowQuery, FlowsNotOwned, FlowsOwned, OwnedFlow, PassThroughBody, QueriedFlow, pack_address,
+    unpack_address,
 };
 
 use super::PassThroughAgent;
@@ -99,9 +99,9 @@
     }
 
     /// Whether every flow of the back end is known: this incarnation of the agent has seen the
-    /// back end start, or is older than any flow, or no back end has registered or sent a
-    /// packet for so long that there is none. A back end whose first registrations arrive here
-    /// has started during this incarnation if there was no previous one.
+    /// back end start, or is older than any flow, or no back end ran at some time since its
+    /// start. A back end whose first registrations arrive here has started during this
+    /// incarnation if there was no previous one.
     pub(super) fn all_flows_are_known(&self, now: Timestamp) -> bool {
         let age = now.saturating_since(self.started_at);
         let is_first_incarnation = self.has_previous_incarnation == Some(false);
@@ -109,6 +109,13 @@
             || self.registration.was_replaced()
             || (is_first_incarnation && self.registration.saw_first_registration())
             || age >= self.settings.flow_ttl
-            || (self.state(now) == AgentState::Unavailable && !self.registration.is_registered())
+            || self.registration.was_absent()
+            || self.backend_is_absent(now)
+    }
+
+    /// Whether there is no back end. What the previous incarnation of the agent knew of one that
+    /// left comes with the first response of a replica.
+    fn backend_is_absent(&self, now: Timestamp) -> bool {
+        self.has_previous_incarnation.is_some() && self.registration.is_silent_since_start(now)
     }
 }
--- /dev/null
+++ b/crates/petrellatch-core/tests/pass_through/leaving_backends.rs
@@ -0,0 +1,255 @@
+//! Agents that restart beside a back end that is leaving: it drains or has deregistered, still
+//! runs, and still owns open flows.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use petrellatch_core::pass_through::Registration;
+use petrellatch_proto::pass_through::{GroupStatus, PassThroughBody};
+
+use super::world::{MILLI, REPLICA, SERVICE, World, agent_address};
+
+const AGENT: u8 = 1;
+/// Agents whose back ends started with them, so that they know all flows.
+const OTHER_AGENTS: [u8; 2] = [2, 3];
+const PORT: u16 = 1;
+const BACKEND: &str = "backend";
+/// The time in which a running back end registers at a restarted agent.
+const PROVISIONAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How a back end leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// It says that it is draining, and goes on registering.
+    Draining,
+    /// It deregisters, and is silent from then on.
+    Deregistered,
+}
+
+/// A case of a restart beside a leaving back end.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    departure: Departure,
+    /// Whether the back end reports its start time.
+    reports_start_time: bool,
+    /// How often the agent restarts.
+    restarts: u32,
+}
+
+impl Case {
+    fn all() -> impl Iterator<Item = Case> {
+        let departures = [Departure::Draining, Departure::Deregistered];
+        departures.into_iter().flat_map(|departure| {
+            [false, true]
+                .into_iter()
+                .flat_map(move |reports_start_time| {
+                    (1..=2).map(move |restarts| Case {
+                        departure,
+                        reports_start_time,
+                        restarts,
+                    })
+                })
+        })
+    }
+
+    fn registration(self, sequence: u64, draining: bool) -> Registration {
+        Registration {
+            id: BACKEND.to_owned(),
+            service: SERVICE.to_owned(),
+            started_at_millis: self.reports_start_time.then_some(1_000),
+            sequence,
+            slots: 4,
+            draining,
+            ..Registration::default()
+        }
+    }
+
+    /// A world in which one back end leaves, with one open flow.
+    fn world_with_leaving_backend(self) -> (World, SocketAddrV4) {
+        let mut world = World::new(0, 4);
+        world.start_agent(AGENT);
+        world.send_registration(AGENT, &self.registration(1, false));
+        world.run(5 * MILLI);
+        world.open(PORT, 0);
+        let agent = world.accepted_by(PORT).expect("a SYN-ACK");
+        world.request(PORT, agent);
+        for other in OTHER_AGENTS {
+            world.start_agent(other);
+            world.register(other, 4, false, 1);
+            world.acknowledge_report(other, false);
+        }
+        world.run(3 * PROVISIONAL_TIMEOUT);
+        match self.departure {
+            Departure::Draining => world.send_registration(AGENT, &self.registration(9, true)),
+            Departure::Deregistered => deregister(&mut world),
+        }
+        world.run(100 * MILLI);
+        (world, agent)
+    }
+
+    /// Restarts the agent, and lets the back end register for some time if it still does.
+    fn restart_agent(self, world: &mut World) {
+        for _ in 0..self.restarts {
+            world.restart_agent_with_draining(AGENT);
+            acknowledge_report(world);
+            for sequence in 10..14 {
+                world.run(PROVISIONAL_TIMEOUT / 3);
+                if self.departure == Departure::Draining {
+                    world.send_registration(AGENT, &self.registration(sequence, true));
+                }
+            }
+        }
+    }
+}
+
+fn deregister(world: &mut World) {
+    let now = world.now;
+    let agent = world.agents.get_mut(&agent_address(AGENT));
+    agent.expect("known").handle_deregistration(now, BACKEND);
+}
+
+/// A replica that knows the previous incarnation of the agent acknowledges its report.
+fn acknowledge_report(world: &mut World) {
+    let status = GroupStatus {
+        has_report: true,
+        knows_previous_incarnation: true,
+        ..GroupStatus::default()
+    };
+    let now = world.now;
+    let agent = world.agents.get_mut(&agent_address(AGENT));
+    let body = PassThroughBody::GroupStatus(status);
+    agent.expect("known").handle_message(now, REPLICA, body);
+}
+
+/// The caller sends a request through a balancer that doesn't know its flow.
+fn request_through_another_balancer(world: &mut World, agent: SocketAddrV4) {
+    world.restart_balancer();
+    world.notify_complete_directory();
+    world.request(PORT, agent);
+    world.run(200 * MILLI);
+}
+
+// Guards against the reset of open flows of a leaving back end after a restart of its agent.
+#[test]
+fn a_restarted_agent_does_not_deny_the_flows_of_a_leaving_back_end() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        let received = world.data_packets_at(agent);
+        request_through_another_balancer(&mut world, agent);
+        assert_eq!(world.resets(), 0, "{case:?}");
+        assert_eq!(world.data_packets_at(agent), received + 1, "{case:?}");
+    }
+}
+
+// Guards against the reset of such flows while their agent, which has stopped, can't be asked.
+#[test]
+fn the_flows_of_a_leaving_back_end_are_not_reset_after_a_planned_stop_of_its_restarted_agent() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        let now = world.now;
+        world.agents.get_mut(&agent).expect("known").begin_stop(now);
+        world.run(2 * PROVISIONAL_TIMEOUT);
+        assert!(world.agents[&agent].is_stopped());
+        world.paused.push(agent);
+        world.restart_balancer();
+        world.repeat_reports();
+        for _ in 0..6 {
+            world.notify_complete_directory();
+            world.request(PORT, agent);
+            world.run(200 * MILLI);
+        }
+        assert_eq!(world.resets(), 0, "{case:?}");
+    }
+}
+
+// Guards against the loss of the flows of a back end whose departure no replica has heard of.
+#[test]
+fn a_restarted_agent_does_not_deny_flows_of_a_back_end_that_has_sent_packets() {
+    let case = Case {
+        departure: Departure::Deregistered,
+        reports_start_time: false,
+        restarts: 1,
+    };
+    let (mut world, agent) = case.world_with_leaving_backend();
+    world.start_agent(AGENT);
+    acknowledge_report(&mut world);
+    // An answer to another flow.
+    world.send_backend_data(agent, PORT + 1);
+    world.run(3 * PROVISIONAL_TIMEOUT);
+    request_through_another_balancer(&mut world, agent);
+    assert_eq!(world.resets(), 0);
+}
+
+// Guards against a verdict on flows before a replica has said whether a back end is leaving.
+#[test]
+fn an_agent_that_no_replica_has_answered_denies_no_flow() {
+    let case = Case {
+        departure: Departure::Deregistered,
+        reports_start_time: false,
+        restarts: 1,
+    };
+    let (mut world, agent) = case.world_with_leaving_backend();
+    world.start_agent(AGENT);
+    world.run(3 * PROVISIONAL_TIMEOUT);
+    request_through_another_balancer(&mut world, agent);
+    assert_eq!(world.resets(), 0);
+}
+
+// Guards against a back end that is full, and returns a SYN, being taken for absent.
+#[test]
+fn a_returned_syn_does_not_show_that_there_is_no_back_end() {
+    let case = Case {
+        departure: Departure::Deregistered,
+        reports_start_time: false,
+        restarts: 1,
+    };
+    let (mut world, agent) = case.world_with_leaving_backend();
+    world.start_agent(AGENT);
+    acknowledge_report(&mut world);
+    world.returning_syns.push(agent);
+    world.fill_from_other_balancer(AGENT, 1);
+    world.settle();
+    request_through_another_balancer(&mut world, agent);
+    assert_eq!(world.resets(), 0);
+}
+
+// Callers of flows that have died are told at once, as the back end returns their packets.
+#[test]
+fn callers_of_flows_that_a_leaving_back_end_has_lost_are_reset() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        world.backends.get_mut(&agent).expect("known").flows.clear();
+        request_through_another_balancer(&mut world, agent);
+        assert_eq!(world.resets(), 1, "{case:?}");
+    }
+}
+
+// Callers are also told if the back end has ended, so that its address refuses packets.
+#[test]
+fn callers_of_flows_of_a_leaving_back_end_that_has_ended_are_reset() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        world.refusing.push(agent);
+        request_through_another_balancer(&mut world, agent);
+        assert_eq!(world.resets(), 1, "{case:?}");
+    }
+}
+
+// A back end that crashed with its agent has said nothing of leaving.
+#[test]
+fn callers_of_a_back_end_that_crashed_with_its_agent_are_reset_without_a_delivery() {
+    let mut world = World::new(1, 4);
+    world.open(PORT, 0);
+    let agent = world.accepted_by(PORT).expect("a SYN-ACK");
+    world.request(PORT, agent);
+    world.start_agent(AGENT);
+    acknowledge_report(&mut world);
+    world.silent.push(agent);
+    world.run(PROVISIONAL_TIMEOUT);
+    request_through_another_balancer(&mut world, agent);
+    assert_eq!(world.resets(), 1);
+}
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -20,6 +20,7 @@
 mod group;
 mod late_callers;
 mod late_registrations;
+mod leaving_backends;
 mod load_shedding;
 mod long_lived_flows;
 mod lost_flows;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -72,6 +72,8 @@
     pub resetting: Vec<SocketAddrV4>,
     /// Agents whose back ends don't react to packets.
     pub silent: Vec<SocketAddrV4>,
+    /// Agents whose back ends have ended, so that their addresses refuse packets.
+    pub refusing: Vec<SocketAddrV4>,
     /// Revision of the simulated replica's directory.
     pub revision: u64,
     /// Number of flow queries sent to agents.
@@ -124,6 +126,7 @@
             returning_syns: Vec::new(),
             resetting: Vec::new(),
             silent: Vec::new(),
+            refusing: Vec::new(),
             revision: 0,
             flow_queries: 0,
             refusals: Vec::new(),
@@ -507,6 +510,11 @@
         if self.silent.contains(&agent) {
             return;
         }
+        if self.refusing.contains(&agent) {
+            let agent = self.agents.get_mut(&agent).expect("the agent exists");
+            agent.handle_refused_packet(self.now);
+            return;
+        }
         let view = TestCodec.view(packet).expect("a valid packet");
         let backend = self.backends.get_mut(&agent).expect("the agent exists");
         backend.received.push(view);
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -12,7 +12,8 @@
     Unavailable = 0,
     /// The back end takes new flows.
     Ready = 1,
-    /// The back end takes no new flows; open ones continue.
+    /// The back end takes no new flows; open ones continue. After a restart of the agent, a back
+    /// end that was leaving counts as draining until it is known to have ended.
     Draining = 2,
     /// The agent has just started and has received nothing from its back end yet. Balancers
     /// offer it only flows that no other agent takes.
--- a/crates/petrellatch/src/logs/flow_timeline.rs
+++ b/crates/petrellatch/src/logs/flow_timeline.rs
@@ -12,7 +12,7 @@
 const NEARBY_MILLIS: u64 = 3_000;
 
 /// Events of a node that are included besides the lines of the flow itself.
-const NODE_EVENTS: [EventKind; 13] = [
+const NODE_EVENTS: [EventKind; 14] = [
     EventKind::ProcessStarted,
     EventKind::ProcessStopping,
     EventKind::AgentSuspected,
@@ -20,6 +20,7 @@
     EventKind::BackendRegistered,
     EventKind::BackendLeaving,
     EventKind::BackendSilent,
+    EventKind::BackendAbsent,
     EventKind::ConfigurationApplied,
     EventKind::BecameReady,
     EventKind::BecameUnready,
--- a/crates/petrellatch/src/runtime/datagram_socket.rs
+++ b/crates/petrellatch/src/runtime/datagram_socket.rs
@@ -1,7 +1,7 @@
 //! A UDP socket for sealed messages or raw packets.
 
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
@@ -96,6 +96,57 @@
     }
 }
 
+/// A UDP socket that sends to one address, and notices if that address refuses a datagram. The
+/// system reports refusals (ICMP) only to connected sockets.
+#[derive(Debug)]
+pub struct ConnectedDatagramSocket {
+    socket: UdpSocket,
+    was_refused: bool,
+}
+
+impl ConnectedDatagramSocket {
+    /// Connects a socket on a free port of `local` to `remote`, and registers it for errors.
+    pub fn open(
+        local: Ipv4Addr,
+        remote: SocketAddrV4,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<Self> {
+        let mut socket = UdpSocket::bind(SocketAddrV4::new(local, 0).into())?;
+        socket.connect(remote.into())?;
+        registry.register(&mut socket, token, Interest::READABLE)?;
+        Ok(ConnectedDatagramSocket {
+            socket,
+            was_refused: false,
+        })
+    }
+
+    /// Sends one datagram, which is dropped if it can't be sent.
+    pub fn send(&mut self, datagram: &[u8]) {
+        if let Err(error) = self.socket.send(datagram) {
+            // This is the refusal of an earlier datagram, and this one wasn't sent.
+            self.note_error(&error);
+            let _ = self.socket.send(datagram);
+        }
+    }
+
+    /// Reads the pending error, after an event of the socket.
+    pub fn read_error(&mut self) {
+        if let Ok(Some(error)) = self.socket.take_error() {
+            self.note_error(&error);
+        }
+    }
+
+    /// Whether a datagram was refused since the last call, as far as errors were read.
+    pub fn take_refusal(&mut self) -> bool {
+        std::mem::take(&mut self.was_refused)
+    }
+
+    fn note_error(&mut self, error: &io::Error) {
+        self.was_refused |= error.kind() == io::ErrorKind::ConnectionRefused;
+    }
+}
+
 fn receive_batch(
     socket: &UdpSocket,
     buffer: &mut [u8],
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -12,11 +12,11 @@
 
 use crate::error::ProgramError;
 use crate::http::EventServer;
-use crate::runtime::datagram_socket::{Batch, DatagramSocket};
+use crate::runtime::datagram_socket::{Batch, ConnectedDatagramSocket, DatagramSocket};
 
 use super::api_translator::{ApiRequest, ApiResponse, ApiTranslator};
 use super::event_loop::{
-    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS, SECOND_HTTP,
+    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS, REFUSALS, SECOND_HTTP,
     SECOND_HTTP_FIRST_CONNECTION, serve_requests,
 };
 use super::message_socket::MessageSocket;
@@ -56,6 +56,14 @@
     let packet_address = role.backend_packet_address;
     let mut packets = DatagramSocket::open(packet_address, "packets", PACKET_BUFFER_BYTES)?;
     packets.register(registry, PACKETS)?;
+    // Without this socket the agent works too, but doesn't notice that its back end has ended.
+    let mut refusals = ConnectedDatagramSocket::open(
+        *packet_address.ip(),
+        role.backend_address,
+        registry,
+        REFUSALS,
+    )
+    .ok();
     let open_http = |address, token, first| {
         EventServer::open(address, registry, token, first, MAX_CONNECTIONS, BODY_BYTES)
     };
@@ -91,6 +99,9 @@
             agent.known_replicas_mut().set_seeds(settings.seeds);
         }
         for token in wakeup.tokens {
+            if let Some(refusals) = refusals.as_mut().filter(|_| token == REFUSALS) {
+                refusals.read_error();
+            }
             for http in &mut http {
                 let received = http.handle_event(now, event_loop.poll.registry(), token);
                 let agent = RefCell::new(&mut agent);
@@ -103,6 +114,12 @@
                 }
             }
         }
+        if refusals
+            .as_mut()
+            .is_some_and(ConnectedDatagramSocket::take_refusal)
+        {
+            agent.handle_refused_packet(now);
+        }
         if wakeup.begin_stop {
             agent.begin_stop(now);
         }
@@ -119,9 +136,12 @@
         while let Some(output) = agent.poll_output() {
             match output {
                 PassThroughOutput::Send { to, body } => messages.send(to, body),
-                PassThroughOutput::ToBackend(packet) => {
-                    packets.send(role.backend_address, &packet);
-                }
+                PassThroughOutput::ToBackend(packet) => match &mut refusals {
+                    Some(refusals) if agent.awaits_backend_refusal() => refusals.send(&packet),
+                    _ => {
+                        packets.send(role.backend_address, &packet);
+                    }
+                },
                 PassThroughOutput::ToCaller { address, packet } => {
                     packets.send(SocketAddrV4::new(address, role.caller_port), &packet);
                 }
--- a/crates/petrellatch/src/runtime/pass_through/event_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -24,6 +24,7 @@
 pub(super) const HTTP: Token = Token(2);
 pub(super) const SECOND_HTTP: Token = Token(3);
 pub(super) const WAKE: Token = Token(4);
+pub(super) const REFUSALS: Token = Token(5);
 /// First tokens of the connections of the two HTTP servers.
 pub(super) const FIRST_CONNECTION: usize = 1 << 8;
 pub(super) const SECOND_HTTP_FIRST_CONNECTION: usize = 1 << 40;
