Don't take a delayed registration for a restart of the back end

Cause: an agent knew all flows once any incarnation had replaced another one. A delayed registration is replaced as well, by an incarnation that has run since before the agent. Ruled out: start times, as clocks may be set in between. Change: a restart was seen only if the replaced incarnation had registered here for 3 s, and the new one has just started. Otherwise flows are looked for by a delivery to the back end, as for every agent that may have forgotten them. Red first: a_running_back_end_that_replaces_a_delayed_registration_keeps_its_flows. That flows of a restarted back end are still reset without a delivery is a test of its own.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -19,7 +19,8 @@
 /// An incarnation whose start time is before that of the current one is the newer one all the
 /// same if it keeps registering for this long while the current one doesn't: its clock was set
 /// back. Delayed registrations of a previous incarnation arrive within a moment, and the
-/// current one registers about every second.
+/// current one registers about every second. An incarnation that has registered for this long has
+/// run beside this agent.
 const EARLIER_START_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of deregistered incarnations that are kept, so that a delayed registration
 /// doesn't bring one of them back.
@@ -112,8 +113,8 @@
     returned_syn: bool,
     /// Sequence number of the first registration received.
     first_sequence: Option<u64>,
-    /// Whether an incarnation has replaced another one.
-    was_replaced: bool,
+    /// Whether an incarnation has started after another one had run beside this agent.
+    saw_restart: bool,
     /// When the back end got the first SYN that it hasn't answered.
     unanswered_since: Option<Timestamp>,
     /// Whether the back end may have restarted, and be cold, since its last registration.
@@ -134,6 +135,8 @@
     last_seen_at: Timestamp,
     /// When its first registration was received.
     first_seen_at: Timestamp,
+    /// When its latest registration was received.
+    registered_at: Timestamp,
     labels: BTreeMap<String, String>,
 }
 
@@ -165,7 +168,7 @@
             provisional_until,
             returned_syn: false,
             first_sequence: None,
-            was_replaced: false,
+            saw_restart: false,
             unanswered_since: None,
             may_have_restarted: false,
             deregistered: VecDeque::new(),
@@ -196,7 +199,7 @@
                 self.note_contender(now, incarnation, registration);
                 return before != self.drain_state();
             }
-            self.replace_current();
+            self.replace_current(registration);
         }
         let is_described =
             |it: &Current| it.incarnation == incarnation && it.labels == registration.labels;
@@ -214,6 +217,7 @@
             cold_until: now + registration.cold_for,
             last_seen_at: now,
             first_seen_at,
+            registered_at: now,
             labels: registration.labels.clone(),
         });
         before != self.drain_state()
@@ -274,11 +278,18 @@
 
     /// Removes the current incarnation in favour of another one. If it was draining, it must
     /// not come back.
-    fn replace_current(&mut self) {
+    ///
+    /// A delayed registration may be replaced as well, by an incarnation that has run since
+    /// before this agent started.
+    fn replace_current(&mut self, registration: &Registration) {
         let Some(replaced) = self.current.take() else {
             return;
         };
-        self.was_replaced = true;
+        let registered_for = replaced
+            .registered_at
+            .saturating_since(replaced.first_seen_at);
+        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
+        self.saw_restart |= has_just_started && registered_for >= EARLIER_START_TIMEOUT;
         if replaced.draining {
             self.note_deregistered(replaced.incarnation.digest());
         }
@@ -434,9 +445,10 @@
         current.is_some_and(|current| current.incarnation.started_at_millis.is_some())
     }
 
-    /// Whether the current incarnation replaced another one while this agent ran.
-    pub fn was_replaced(&self) -> bool {
-        self.was_replaced
+    /// Whether an incarnation has started after another one had run beside this agent, so that
+    /// no flow is older than the agent.
+    pub fn saw_restart(&self) -> bool {
+        self.saw_restart
     }
 
     /// Whether the back end still warms up, according to its last registration.
--- a/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
@@ -106,7 +106,7 @@
         let age = now.saturating_since(self.started_at);
         let is_first_incarnation = self.has_previous_incarnation == Some(false);
         self.settings.first_start
-            || self.registration.was_replaced()
+            || self.registration.saw_restart()
             || (is_first_incarnation && self.registration.saw_first_registration())
             || age >= self.settings.flow_ttl
             || self.registration.was_absent()
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -238,3 +238,64 @@
     assert!(agent.handle_registration(now, &foreign).is_err());
     assert!(admits_flows(&mut world, 1));
 }
+
+/// Restarts the agent, and lets a replica that knows its previous incarnation acknowledge a
+/// report.
+fn restart_agent(world: &mut World) {
+    world.start_agent(AGENT);
+    world.acknowledge_report(AGENT, true);
+}
+
+/// Sends a request of the flow with this port through a balancer that doesn't know the flow.
+fn request_through_another_balancer(world: &mut World, port: u16) {
+    world.restart_balancer();
+    world.notify_complete_directory();
+    world.request(port, super::world::agent_address(AGENT));
+    world.run(200 * MILLI);
+}
+
+// Guards against a delayed registration being taken for a restart of the back end that was seen,
+// after which a restarted agent denied all flows that are older than itself.
+#[test]
+fn a_running_back_end_that_replaces_a_delayed_registration_keeps_its_flows() {
+    for reports_start_time in [false, true] {
+        let mut world = world_with_restarted_agent();
+        let register = |world: &mut World, id: &str, sequence| match reports_start_time {
+            false => register(world, id, sequence, false),
+            true => {
+                let started_at = if id == "new" { 11_000 } else { 1_000 };
+                register_started_at(world, started_at, sequence, false);
+            }
+        };
+        register(&mut world, "new", 1);
+        assert!(admits_flows(&mut world, 1));
+        world.request(1, super::world::agent_address(AGENT));
+        restart_agent(&mut world);
+        register(&mut world, "old", 40);
+        register(&mut world, "new", 2);
+        register(&mut world, "new", 3);
+        request_through_another_balancer(&mut world, 1);
+        assert_eq!(world.resets(), 0, "start time: {reports_start_time}");
+    }
+}
+
+// The flows of an incarnation that ran beside the restarted agent have died with it.
+#[test]
+fn flows_of_a_back_end_that_restarts_beside_a_restarted_agent_are_reset_without_a_delivery() {
+    let mut world = world_with_restarted_agent();
+    register(&mut world, "old", 1, false);
+    assert!(admits_flows(&mut world, 1));
+    let agent = super::world::agent_address(AGENT);
+    world.request(1, agent);
+    restart_agent(&mut world);
+    for sequence in 2..=6 {
+        register(&mut world, "old", sequence, false);
+        world.run(Duration::from_secs(1));
+    }
+    world.backends.get_mut(&agent).expect("known").flows.clear();
+    register(&mut world, "new", 1, false);
+    let received = world.data_packets_at(agent);
+    request_through_another_balancer(&mut world, 1);
+    assert_eq!(world.resets(), 1);
+    assert_eq!(world.data_packets_at(agent), received);
+}
