Let a deregistration hold for each incarnation of its name that may have sent it

Cause: deregistered incarnations are kept by a digest of name and start time, and a deregistration gives the name alone. After a restart of the agent no registration had come, so the digest was that of an incarnation without a start time, which matches no registration of a back end that reports one. A delayed heartbeat made it ready again, and the next life of the agent was given the wrong digest as well. The same happened if the agent only knew an earlier incarnation of the name. Ruled out: the order of the calls (the deregistration was handled first); the replicas. Change: a deregistration is kept for the name too. A registration of that name with a start time counts as a newer incarnation only if it is one of its first, or if it keeps coming for 10 s, three times at least; delayed ones come within seconds. Once one counts, the name is forgotten. Red first: a_delayed_registration_does_not_undo_a_deregistration_after_a_restart and a_deregistration_holds_for_an_incarnation_that_registers_after_a_previous_one; a third test shows that a back end whose first registrations were lost gets flows in the end.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -22,6 +22,12 @@
 /// current one registers about every second. An incarnation that has registered for this long has
 /// run beside this agent.
 const EARLIER_START_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for an incarnation whose first registrations weren't received, beside a back end that
+/// is leaving: that one is silent after its deregistration, and registrations of a previous
+/// incarnation may be delayed by seconds.
+const LATE_REGISTRATION_TIMEOUT: Duration = Duration::from_secs(10);
+/// Minimum number of registrations within that time.
+const MIN_LATE_REGISTRATIONS: u32 = 3;
 /// Maximum number of deregistered incarnations that are kept, so that a delayed registration
 /// doesn't bring one of them back.
 const MAX_DEREGISTERED: usize = 16;
@@ -88,6 +94,11 @@
         backend_digest(&self.id, self.started_at_millis)
     }
 
+    /// Digest of its name alone.
+    fn name_digest(&self) -> u64 {
+        backend_digest(&self.id, None)
+    }
+
     /// Whether it started after another one; `None` unless both report a start time.
     fn started_after(&self, other: &BackendIncarnation) -> Option<bool> {
         Some(self.started_at_millis? > other.started_at_millis?)
@@ -119,7 +130,8 @@
     unanswered_since: Option<Timestamp>,
     /// Whether the back end may have restarted, and be cold, since its last registration.
     may_have_restarted: bool,
-    /// Digests of deregistered incarnations, which must not get new flows again.
+    /// Digests of deregistered incarnations, which must not get new flows again. A digest without
+    /// a start time stands for each incarnation of its name that isn't known to be newer.
     deregistered: VecDeque<u64>,
     /// Increases when another incarnation registers or when the labels change.
     description_revision: u64,
@@ -148,13 +160,34 @@
 #[derive(Debug)]
 struct Contender {
     incarnation: BackendIncarnation,
+    /// Sequence number of its first registration received.
+    first_sequence: u64,
     sequence: u64,
     draining: bool,
+    /// Number of registrations received.
+    registrations: u32,
     /// When its first registration since the last one of the current incarnation was received;
     /// `None` if there is none.
     registering_since: Option<Timestamp>,
 }
 
+impl Contender {
+    /// Whether it has registered for so long that it runs, and not the back end before it.
+    fn outlasts(&self, now: Timestamp, is_leaving: bool) -> bool {
+        let registers_for = |time| {
+            self.registering_since
+                .is_some_and(|since| now.saturating_since(since) >= time)
+        };
+        match is_leaving && self.first_sequence > EARLY_REGISTRATIONS {
+            false => registers_for(EARLIER_START_TIMEOUT),
+            true => {
+                self.registrations >= MIN_LATE_REGISTRATIONS
+                    && registers_for(LATE_REGISTRATION_TIMEOUT)
+            }
+        }
+    }
+}
+
 impl RegistrationState {
     /// Creates the state without a back end. Until `provisional_until`, a running back end gets
     /// new flows although it hasn't registered.
@@ -181,10 +214,10 @@
     pub fn handle_registration(&mut self, now: Timestamp, registration: &Registration) -> bool {
         self.has_called = true;
         let incarnation = registration.incarnation();
+        let before = self.drain_state();
         if self.deregistered.contains(&incarnation.digest()) {
             return false;
         }
-        let before = self.drain_state();
         let mut first_seen_at = now;
         self.first_sequence.get_or_insert(registration.sequence);
         if let Some(current) = &mut self.current
@@ -194,13 +227,14 @@
                 return false;
             }
             first_seen_at = current.first_seen_at;
-        } else if self.current.is_some() {
+        } else if self.current.is_some() || self.is_deregistered_name(&incarnation) {
             if !self.is_newer(now, &incarnation, registration) {
                 self.note_contender(now, incarnation, registration);
                 return before != self.drain_state();
             }
             self.replace_current(registration);
         }
+        self.forget_deregistered_name(&incarnation);
         let is_described =
             |it: &Current| it.incarnation == incarnation && it.labels == registration.labels;
         if !self.current.as_ref().is_some_and(is_described) {
@@ -223,8 +257,9 @@
         before != self.drain_state()
     }
 
-    /// Whether an incarnation is newer than the current one: its start time is later, or it has
-    /// just started, or it keeps registering while the current one doesn't.
+    /// Whether an incarnation is newer than the current one, or than one that is leaving since
+    /// before this agent started: its start time is later, or it has just started, or it keeps
+    /// registering while the other one doesn't.
     ///
     /// A low sequence number shows nothing if the current one drains, as it may have sent its
     /// last registration, or if the start time is earlier than that of the current one.
@@ -234,22 +269,48 @@
         incarnation: &BackendIncarnation,
         registration: &Registration,
     ) -> bool {
-        let Some(current) = &self.current else {
+        if self.contender_outlasts(now, incarnation, registration) {
             return true;
+        }
+        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
+        if self.is_deregistered_name(incarnation) && !has_just_started {
+            return false;
+        }
+        let Some(current) = &self.current else {
+            return has_just_started;
         };
         let started_after = incarnation.started_after(&current.incarnation);
-        let keeps_registering = |contender: &&Contender| {
-            contender.incarnation == *incarnation && contender.sequence < registration.sequence
-        };
-        if let Some(contender) = self.contender.as_ref().filter(keeps_registering) {
-            let registering_for = contender
-                .registering_since
-                .map(|since| now.saturating_since(since));
-            let outlasts = registering_for.is_some_and(|time| time >= EARLIER_START_TIMEOUT);
-            return started_after != Some(false) || outlasts;
+        match self.registers_again(incarnation, registration) {
+            true => started_after != Some(false),
+            false => started_after.unwrap_or(has_just_started && !current.draining),
         }
-        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
-        started_after.unwrap_or(has_just_started && !current.draining)
+    }
+
+    /// Whether the contender registers again.
+    fn registers_again(
+        &self,
+        incarnation: &BackendIncarnation,
+        registration: &Registration,
+    ) -> bool {
+        let contender = self.contender.as_ref();
+        contender.is_some_and(|contender| {
+            contender.incarnation == *incarnation && contender.sequence < registration.sequence
+        })
+    }
+
+    /// Whether the contender registers again, and has registered for so long that it runs.
+    fn contender_outlasts(
+        &self,
+        now: Timestamp,
+        incarnation: &BackendIncarnation,
+        registration: &Registration,
+    ) -> bool {
+        let current = self.current.as_ref();
+        let is_leaving = current.is_none() || self.is_deregistered_name(incarnation);
+        let contender = self.contender.as_ref();
+        contender.is_some_and(|contender| {
+            self.registers_again(incarnation, registration) && contender.outlasts(now, is_leaving)
+        })
     }
 
     /// Notes a registration of an incarnation that isn't known to be newer. If its start time
@@ -265,13 +326,16 @@
             current.and_then(|current| incarnation.started_after(current)) == Some(false);
         let known = self
             .contender
-            .as_ref()
-            .filter(|contender| contender.incarnation == incarnation);
-        let registering_since = known.and_then(|contender| contender.registering_since);
+            .take_if(|contender| contender.incarnation == incarnation);
+        let registering_since = known.as_ref().and_then(|known| known.registering_since);
+        let first_sequence = known.as_ref().map(|known| known.first_sequence);
+        let registrations = known.map_or(0, |known| known.registrations);
         self.contender = Some(Contender {
             incarnation,
+            first_sequence: first_sequence.unwrap_or(registration.sequence),
             sequence: registration.sequence,
             draining: registration.draining && !is_older,
+            registrations: registrations + 1,
             registering_since: registering_since.or(Some(now)),
         });
     }
@@ -297,41 +361,61 @@
 
     /// Handles a deregistration. The back end keeps its flows, and its later registrations are
     /// ignored. Returns whether the current incarnation or its draining state changed.
+    ///
+    /// A deregistration names no start time. It may come from an incarnation that hasn't
+    /// registered since the start of this agent, so it holds for each one of the name that
+    /// isn't known to have started later.
     pub fn handle_deregistration(&mut self, id: &str) -> bool {
         self.has_called = true;
         let before = self.drain_state();
-        let incarnation = self.deregistered_incarnation(id);
-        let was_deregistered = self.deregistered.contains(&incarnation.digest());
-        self.note_deregistered(incarnation.digest());
-        if let Some(current) = &mut self.current
-            && current.incarnation == incarnation
-        {
-            current.draining = true;
-        } else if self.current.is_some() && !was_deregistered {
-            // The current one may be a previous incarnation whose registration was delayed.
-            self.contender = Some(Contender {
-                incarnation,
-                sequence: u64::MAX,
-                draining: true,
-                registering_since: None,
-            });
+        let of_name = BackendIncarnation {
+            id: id.to_owned(),
+            started_at_millis: None,
+        };
+        let was_deregistered = self.deregistered.contains(&of_name.digest());
+        for digest in self.registered_digests(id) {
+            self.note_deregistered(digest);
+        }
+        self.note_deregistered(of_name.digest());
+        match &mut self.current {
+            Some(current) if current.incarnation.id == id => current.draining = true,
+            Some(_) if !was_deregistered => {
+                // The current one may be a previous incarnation whose registration was delayed.
+                self.contender = Some(Contender {
+                    incarnation: of_name,
+                    first_sequence: u64::MAX,
+                    sequence: u64::MAX,
+                    draining: true,
+                    registrations: 0,
+                    registering_since: None,
+                });
+            }
+            _ => {}
         }
         before != self.drain_state()
     }
 
-    /// The incarnation that deregisters under a name: the last one that registered under it.
-    fn deregistered_incarnation(&self, id: &str) -> BackendIncarnation {
-        let current = self.current.as_ref().map(|current| &current.incarnation);
-        let contender = self
-            .contender
-            .as_ref()
-            .map(|contender| &contender.incarnation);
-        let mut known = contender.into_iter().chain(current);
-        let known = known.find(|incarnation| incarnation.id == id).cloned();
-        known.unwrap_or_else(|| BackendIncarnation {
-            id: id.to_owned(),
-            started_at_millis: None,
-        })
+    /// Digests of the incarnations that have registered under a name.
+    fn registered_digests(&self, id: &str) -> Vec<u64> {
+        let current = self.current.iter().map(|current| &current.incarnation);
+        let contender = self.contender.iter();
+        let contender = contender.map(|contender| &contender.incarnation);
+        let registered = contender.chain(current);
+        let of_name = registered.filter(|incarnation| incarnation.id == id);
+        of_name.map(BackendIncarnation::digest).collect()
+    }
+
+    /// Whether an incarnation with a start time has the name of one that deregistered without
+    /// one.
+    fn is_deregistered_name(&self, incarnation: &BackendIncarnation) -> bool {
+        incarnation.started_at_millis.is_some()
+            && self.deregistered.contains(&incarnation.name_digest())
+    }
+
+    /// A newer incarnation has the name of a deregistered one.
+    fn forget_deregistered_name(&mut self, incarnation: &BackendIncarnation) {
+        let digest = incarnation.name_digest();
+        self.deregistered.retain(|it| *it != digest);
     }
 
     /// Notes a packet of the back end, which shows that it runs. A returned packet doesn't
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -299,3 +299,48 @@
     assert_eq!(world.resets(), 1);
     assert_eq!(world.data_packets_at(agent), received);
 }
+
+// Guards against new flows at a back end that a restarted agent knows only by its
+// deregistration, after a delayed registration with the start time (DRAIN).
+#[test]
+fn a_delayed_registration_does_not_undo_a_deregistration_after_a_restart() {
+    for restarts in 1..=2 {
+        let mut world = world_with_restarted_agent();
+        register_started_at(&mut world, 1_000, 40, false);
+        world.start_agent(AGENT);
+        deregister(&mut world);
+        for _ in 1..restarts {
+            world.run(Duration::from_secs(1));
+            world.restart_agent_with_draining(AGENT);
+        }
+        register_started_at(&mut world, 1_000, 41, false);
+        assert!(!admits_flows(&mut world, 1), "{restarts} restarts");
+        world.run(Duration::from_secs(4));
+        register_started_at(&mut world, 1_000, 42, false);
+        assert!(!admits_flows(&mut world, 2), "{restarts} restarts");
+        register_started_at(&mut world, 21_000, 1, false);
+        assert!(admits_flows(&mut world, 3), "{restarts} restarts");
+    }
+}
+
+// Guards against the same if a previous incarnation of the name registered late before.
+#[test]
+fn a_deregistration_holds_for_an_incarnation_that_registers_after_a_previous_one() {
+    let mut world = world_with_restarted_agent();
+    register_started_at(&mut world, 1_000, 40, false);
+    deregister(&mut world);
+    register_started_at(&mut world, 11_000, 41, false);
+    assert!(!admits_flows(&mut world, 1));
+}
+
+// Guards against a back end without new flows, as its early registrations were lost.
+#[test]
+fn a_back_end_of_a_deregistered_name_gets_flows_once_it_has_registered_for_long() {
+    let mut world = world_with_restarted_agent();
+    deregister(&mut world);
+    for sequence in 7..=16 {
+        register_started_at(&mut world, 11_000, sequence, false);
+        world.run(Duration::from_millis(1_200));
+    }
+    assert!(admits_flows(&mut world, 1));
+}
