Don't let two delayed registrations displace a draining back end

Cause: a second registration of another incarnation counted as "registers while the current one doesn't", however soon it came, so that two delayed heartbeats of the crashed one before it replaced the running one. That one was draining, so its digest was kept as one that must not come back, and all its later calls were dropped. Ruled out: a longer wait alone, as a deregistered back end is silent for many seconds. Beside one that isn't leaving nothing changes. Red first: delayed_registrations_of_a_crashed_back_end_do_not_undo_draining and delayed_registrations_seconds_apart_do_not_undo_a_deregistration.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -262,7 +262,8 @@
     /// registering while the other one doesn't.
     ///
     /// A low sequence number shows nothing if the current one drains, as it may have sent its
-    /// last registration, or if the start time is earlier than that of the current one.
+    /// last registration, or if the start time is earlier than that of the current one. While a
+    /// back end is leaving, registering twice shows nothing either.
     fn is_newer(
         &self,
         now: Timestamp,
@@ -280,9 +281,14 @@
             return has_just_started;
         };
         let started_after = incarnation.started_after(&current.incarnation);
-        match self.registers_again(incarnation, registration) {
-            true => started_after != Some(false),
-            false => started_after.unwrap_or(has_just_started && !current.draining),
+        let contender = self.contender.as_ref();
+        match contender.filter(|_| self.registers_again(incarnation, registration)) {
+            Some(contender) if current.draining => {
+                let had_just_started = contender.first_sequence <= EARLY_REGISTRATIONS;
+                started_after.unwrap_or(had_just_started)
+            }
+            Some(_) => started_after != Some(false),
+            None => started_after.unwrap_or(has_just_started && !current.draining),
         }
     }
 
@@ -306,7 +312,7 @@
         registration: &Registration,
     ) -> bool {
         let current = self.current.as_ref();
-        let is_leaving = current.is_none() || self.is_deregistered_name(incarnation);
+        let is_leaving = current.is_none_or(|current| current.draining);
         let contender = self.contender.as_ref();
         contender.is_some_and(|contender| {
             self.registers_again(incarnation, registration) && contender.outlasts(now, is_leaving)
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -300,6 +300,30 @@
     assert_eq!(world.data_packets_at(agent), received);
 }
 
+/// A back end that says that it is draining, or only deregisters, and runs on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    Draining,
+    Deregistered,
+}
+
+const DEPARTURES: [Departure; 2] = [Departure::Draining, Departure::Deregistered];
+
+/// A back end of this name leaves. `sequence` is that of its registration.
+fn leave(world: &mut World, departure: Departure, id: &str, sequence: u64) {
+    match departure {
+        Departure::Draining => register(world, id, sequence, true),
+        Departure::Deregistered => deregister_id(world, id),
+    }
+}
+
+fn deregister_id(world: &mut World, id: &str) {
+    let now = world.now;
+    let agent = world.agents.get_mut(&super::world::agent_address(AGENT));
+    agent.expect("known").handle_deregistration(now, id);
+    world.run(MILLI);
+}
+
 // Guards against new flows at a back end that a restarted agent knows only by its
 // deregistration, after a delayed registration with the start time (DRAIN).
 #[test]
@@ -344,3 +368,37 @@
     }
     assert!(admits_flows(&mut world, 1));
 }
+
+// Guards against new flows at a draining back end after two delayed registrations of the one
+// before it, in a burst or seconds apart (DRAIN).
+#[test]
+fn delayed_registrations_of_a_crashed_back_end_do_not_undo_draining() {
+    for departure in DEPARTURES {
+        for gap in [MILLI, Duration::from_secs(4)] {
+            let mut world = world_with_restarted_agent();
+            register(&mut world, "old", 7, false);
+            register(&mut world, "new", 1, false);
+            leave(&mut world, departure, "new", 2);
+            register(&mut world, "old", 8, false);
+            world.run(gap);
+            register(&mut world, "old", 9, false);
+            assert!(!admits_flows(&mut world, 1), "{departure:?} {gap:?}");
+            if departure == Departure::Draining {
+                register(&mut world, "new", 3, true);
+                assert!(!admits_flows(&mut world, 2), "{departure:?} {gap:?}");
+            }
+        }
+    }
+}
+
+// Guards against the same where back ends report start times.
+#[test]
+fn delayed_registrations_seconds_apart_do_not_undo_a_deregistration() {
+    let mut world = world_with_restarted_agent();
+    register_started_at(&mut world, 11_000, 1, false);
+    deregister(&mut world);
+    register_started_at(&mut world, 1_000, 40, false);
+    world.run(Duration::from_secs(4));
+    register_started_at(&mut world, 1_000, 41, false);
+    assert!(!admits_flows(&mut world, 1));
+}
