Restore which back end serves, and let no delayed registration displace a leaving one

Cause: a restarted agent was given the digests of leaving back ends, but not whether one of them still runs. So the first other incarnation to register became ready, a delayed one included, whether it came before or after the digests or around a deregistration; calls of the leaving one were dropped and changed nothing. Ruled out: to distrust every registration beside restored digests: a running back end whose predecessor left within a minute would get no flows for 10 s after each restart of its agent. Change: reports say which back end takes new flows (8 bytes, and 8 in the reply to an agent with draining back ends), and replicas hand that to the next incarnation of the agent. An incarnation is confirmed if it is that one, or one of its first registrations came, or it has registered for 10 s. Beside a leaving back end only a confirmed one gets flows; one accepted before the digests arrived or before a deregistration is held back. Red first: a_delayed_registration_does_not_displace_a_leaving_back_end_after_a_restart and a_deregistration_between_two_delayed_registrations_holds; a_serving_back_end_gets_flows_at_once_after_restarts_of_its_agent shows that service goes on.

--- a/crates/petrellatch-core/examples/pass_through_figures.rs
+++ b/crates/petrellatch-core/examples/pass_through_figures.rs
@@ -227,6 +227,7 @@
             state: AgentState::Ready.into(),
             load: LoadMessage::default(),
             draining_backends: Vec::new(),
+            serving_backend: 0,
             next_report_millis: 500,
             evacuations_index: 0,
             ..Report::default()
--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -133,6 +133,8 @@
     /// Digests of deregistered incarnations, which must not get new flows again. A digest without
     /// a start time stands for each incarnation of its name that isn't known to be newer.
     deregistered: VecDeque<u64>,
+    /// Digest of the back end that took new flows at the end of the agent's previous incarnation.
+    restored_serving: Option<u64>,
     /// Increases when another incarnation registers or when the labels change.
     description_revision: u64,
 }
@@ -149,6 +151,9 @@
     first_seen_at: Timestamp,
     /// When its latest registration was received.
     registered_at: Timestamp,
+    /// Whether it certainly runs: its first registrations were received, or it has registered for
+    /// a long time. Otherwise it may be a previous incarnation whose registration was delayed.
+    is_confirmed: bool,
     labels: BTreeMap<String, String>,
 }
 
@@ -205,6 +210,7 @@
             unanswered_since: None,
             may_have_restarted: false,
             deregistered: VecDeque::new(),
+            restored_serving: None,
             description_revision: 0,
         }
     }
@@ -216,9 +222,12 @@
         let incarnation = registration.incarnation();
         let before = self.drain_state();
         if self.deregistered.contains(&incarnation.digest()) {
-            return false;
+            self.handle_leaving_registration(now, incarnation, registration);
+            return before != self.drain_state();
         }
         let mut first_seen_at = now;
+        let mut is_confirmed = registration.sequence <= EARLY_REGISTRATIONS
+            || self.restored_serving == Some(incarnation.digest());
         self.first_sequence.get_or_insert(registration.sequence);
         if let Some(current) = &mut self.current
             && current.incarnation == incarnation
@@ -227,11 +236,14 @@
                 return false;
             }
             first_seen_at = current.first_seen_at;
-        } else if self.current.is_some() || self.is_deregistered_name(&incarnation) {
+            let registered_for = now.saturating_since(first_seen_at);
+            is_confirmed = current.is_confirmed || registered_for >= LATE_REGISTRATION_TIMEOUT;
+        } else if self.current.is_some() || self.has_left() {
             if !self.is_newer(now, &incarnation, registration) {
                 self.note_contender(now, incarnation, registration);
                 return before != self.drain_state();
             }
+            is_confirmed |= self.contender_outlasts(now, &incarnation, registration);
             self.replace_current(registration);
         }
         self.forget_deregistered_name(&incarnation);
@@ -252,11 +264,37 @@
             last_seen_at: now,
             first_seen_at,
             registered_at: now,
+            is_confirmed,
             labels: registration.labels.clone(),
         });
         before != self.drain_state()
     }
 
+    /// Handles a registration of an incarnation that is leaving. It runs, unless the registration
+    /// was delayed, so that another incarnation without a sign of its start may be a previous one.
+    fn handle_leaving_registration(
+        &mut self,
+        now: Timestamp,
+        incarnation: BackendIncarnation,
+        registration: &Registration,
+    ) {
+        match &self.current {
+            None => self.contender = None,
+            Some(current) if current.is_confirmed || current.incarnation == incarnation => {}
+            Some(_) => {
+                let keeps_registering = self.registers_again(&incarnation, registration);
+                self.note_contender(now, incarnation, registration);
+                if let Some(contender) = &mut self.contender {
+                    contender.draining = true;
+                }
+                if keeps_registering {
+                    self.current = None;
+                    self.contender = None;
+                }
+            }
+        }
+    }
+
     /// Whether an incarnation is newer than the current one, or than one that is leaving since
     /// before this agent started: its start time is later, or it has just started, or it keeps
     /// registering while the other one doesn't.
@@ -385,7 +423,8 @@
         self.note_deregistered(of_name.digest());
         match &mut self.current {
             Some(current) if current.incarnation.id == id => current.draining = true,
-            Some(_) if !was_deregistered => {
+            _ if was_deregistered => {}
+            Some(current) if current.is_confirmed => {
                 // The current one may be a previous incarnation whose registration was delayed.
                 self.contender = Some(Contender {
                     incarnation: of_name,
@@ -396,7 +435,8 @@
                     registering_since: None,
                 });
             }
-            _ => {}
+            Some(_) => self.demote_unconfirmed(),
+            None => self.restored_serving = None,
         }
         before != self.drain_state()
     }
@@ -424,6 +464,23 @@
         self.deregistered.retain(|it| *it != digest);
     }
 
+    /// Makes the current incarnation a contender unless it certainly runs, as another one is
+    /// leaving.
+    fn demote_unconfirmed(&mut self) {
+        let is_unconfirmed = |current: &mut Current| !current.is_confirmed && !current.draining;
+        let Some(current) = self.current.take_if(is_unconfirmed) else {
+            return;
+        };
+        self.contender = Some(Contender {
+            incarnation: current.incarnation,
+            first_sequence: current.sequence,
+            sequence: current.sequence,
+            draining: false,
+            registrations: 1,
+            registering_since: Some(current.first_seen_at),
+        });
+    }
+
     /// Notes a packet of the back end, which shows that it runs. A returned packet doesn't
     /// count: packets for a back end that has ended are returned as well.
     pub fn note_alive(&mut self, now: Timestamp) {
@@ -464,7 +521,8 @@
     /// Whether a back end is draining or has deregistered, may still own flows and hasn't
     /// registered since the start: it need not register again, and is silent without requests.
     fn has_left(&self) -> bool {
-        self.current.is_none() && !self.was_absent && !self.deregistered.is_empty()
+        let is_restored = self.restored_serving.is_none() && !self.deregistered.is_empty();
+        self.current.is_none() && !self.was_absent && is_restored
     }
 
     /// State of the back end. It is unavailable if it was silent for `silence_timeout`.
@@ -594,16 +652,36 @@
         draining.split_off(draining.len().saturating_sub(MAX_DRAINING_REPORTED))
     }
 
+    /// Digest of the back end that takes new flows, as far as this or the previous incarnation of
+    /// the agent knows.
+    pub fn serving_backend(&self) -> Option<u64> {
+        match &self.current {
+            Some(current) if current.draining || self.contender_drains() => None,
+            Some(current) => Some(current.incarnation.digest()),
+            None => self.restored_serving,
+        }
+    }
+
     /// Restores what a previous incarnation of the agent reported with
-    /// [`RegistrationState::draining_backends`].
-    pub fn restore_draining(&mut self, draining: &[u64]) {
-        for digest in draining {
+    /// [`RegistrationState::draining_backends`] and [`RegistrationState::serving_backend`].
+    pub fn restore(&mut self, draining: &[u64], serving: Option<u64>) {
+        let mut has_new = false;
+        for digest in draining.iter().filter(|digest| Some(**digest) != serving) {
+            has_new |= !self.deregistered.contains(digest);
             self.note_deregistered(*digest);
         }
-        if let Some(current) = &mut self.current
-            && draining.contains(&current.incarnation.digest())
-        {
+        if self.current.is_none() && !self.was_absent {
+            self.restored_serving = self.restored_serving.or(serving);
+        }
+        let Some(current) = &mut self.current else {
+            return;
+        };
+        let digest = current.incarnation.digest();
+        current.is_confirmed |= serving == Some(digest);
+        if self.deregistered.contains(&digest) {
             current.draining = true;
+        } else if has_new && serving.is_none() {
+            self.demote_unconfirmed();
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -389,7 +389,8 @@
         let known = self.known_replicas.all();
         self.known_replicas.handle_group_status(group);
         let has_new_replicas = !self.known_replicas.all().is_subset(&known);
-        self.registration.restore_draining(&group.draining_backends);
+        let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
+        self.registration.restore(&group.draining_backends, serving);
         if group.has_report {
             *self.has_previous_incarnation.get_or_insert(false) |= group.knows_previous_incarnation;
             self.note_report_interval(group.report_interval_millis);
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -128,6 +128,7 @@
             state: state.into(),
             load: self.load_message(now),
             draining_backends: self.registration.draining_backends(),
+            serving_backend: self.registration.serving_backend().unwrap_or_default(),
             next_report_millis: match self.final_report {
                 Some(_) => 0,
                 None => self.report_interval.as_millis() as u32,
--- a/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
@@ -8,7 +8,7 @@
     /// otherwise for one of [`REPORTS_PER_GROUP_STATUS`] reports.
     pub(super) fn handle_report(&mut self, now: Timestamp, from: SocketAddrV4, report: Report) {
         let is_group_status_due = report.sequence % REPORTS_PER_GROUP_STATUS == 1;
-        let agent = report.address;
+        let (agent, incarnation) = (report.address, report.incarnation);
         let lacks_zone_command =
             report.evacuations_index < self.evacuations().index_of(&report.zone);
         let known_zones = report.evacuations_index;
@@ -22,6 +22,7 @@
         if has_changed || is_group_status_due || lacks_zone_command || is_final {
             let status = GroupStatus {
                 draining_backends: self.daemons.draining_backends(agent),
+                serving_backend: self.daemons.served_previously(agent, incarnation),
                 knows_previous_incarnation: self.daemons.knows_previous_incarnation(agent),
                 has_report: true,
                 acknowledged_report,
@@ -94,6 +95,7 @@
             version: self.configuration().version,
             directory_revision: self.daemons.revision(),
             draining_backends: Vec::new(),
+            serving_backend: 0,
             has_leader: self.has_leader(now),
             leader: self.replica.leader().map_or(0, |leader| leader.0),
             report_interval_millis: self.daemons.report_interval().as_millis() as u32,
--- a/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
+++ b/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
@@ -76,6 +76,12 @@
 #[derive(Debug)]
 struct DrainingBackends {
     digests: Vec<u64>,
+    /// Digest of the back end that takes new flows; zero if there is none.
+    serving: u64,
+    /// The same at the end of the agent's previous incarnation.
+    served_previously: u64,
+    /// Incarnation of the agent that reported last.
+    incarnation: u64,
     reported_at: Timestamp,
 }
 
@@ -214,11 +220,13 @@
     /// balancers soon.
     pub(crate) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
         let draining = std::mem::take(&mut report.draining_backends);
+        // An agent that has just started reports before it has restored what is kept for it.
+        let is_restored = !draining.is_empty();
         let interval = Duration::from_millis(u64::from(report.next_report_millis));
         self.announced_interval = self
             .announced_interval
             .max(interval.min(MAX_REPORT_INTERVAL));
-        self.note_draining(now, report.address, draining);
+        self.note_draining(now, report.address, report.incarnation, draining);
         self.expected.note_seen(report.address);
         let known = self.agents.get(&report.address);
         if let Some(known) = known {
@@ -227,6 +235,10 @@
                 return false;
             }
         }
+        if is_restored {
+            self.note_serving(&report);
+        }
+        let known = self.agents.get(&report.address);
         let has_changed = known.is_none_or(|known| {
             known.report.incarnation != report.incarnation
                 || known.report.state != report.state
@@ -371,7 +383,17 @@
         draining.map_or_else(Vec::new, |draining| draining.digests.clone())
     }
 
-    fn note_draining(&mut self, now: Timestamp, address: u64, digests: Vec<u64>) {
+    /// Digest of the back end that took new flows when the agent at `address` had another
+    /// incarnation, if there are draining ones as well; otherwise zero.
+    pub(crate) fn served_previously(&self, address: u64, incarnation: u64) -> u64 {
+        match self.draining_backends.get(&address) {
+            Some(draining) if draining.incarnation == incarnation => draining.served_previously,
+            Some(draining) => draining.serving,
+            None => 0,
+        }
+    }
+
+    fn note_draining(&mut self, now: Timestamp, address: u64, incarnation: u64, digests: Vec<u64>) {
         if digests.is_empty() {
             return;
         }
@@ -380,6 +402,9 @@
             .entry(address)
             .or_insert(DrainingBackends {
                 digests: Vec::new(),
+                serving: 0,
+                served_previously: 0,
+                incarnation,
                 reported_at: now,
             });
         known.reported_at = now;
@@ -389,6 +414,18 @@
         known.digests.drain(..excess);
     }
 
+    /// Notes the back end that takes new flows, by the latest report of its agent.
+    fn note_serving(&mut self, report: &Report) {
+        let Some(known) = self.draining_backends.get_mut(&report.address) else {
+            return;
+        };
+        if known.incarnation != report.incarnation {
+            known.incarnation = report.incarnation;
+            known.served_previously = known.serving;
+        }
+        known.serving = report.serving_backend;
+    }
+
     pub(crate) fn expire(&mut self, now: Timestamp) {
         self.draining_backends
             .retain(|_, draining| now.saturating_since(draining.reported_at) < DRAINING_TTL);
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -402,3 +402,73 @@
     register_started_at(&mut world, 1_000, 41, false);
     assert!(!admits_flows(&mut world, 1));
 }
+
+// Guards against new flows at a leaving back end after a restart of its agent, if delayed
+// registrations of the one before it arrive first or last (DRAIN).
+#[test]
+fn a_delayed_registration_does_not_displace_a_leaving_back_end_after_a_restart() {
+    for departure in DEPARTURES {
+        for arrives_before in [false, true] {
+            let mut world = world_with_restarted_agent();
+            register(&mut world, "old", 40, false);
+            register(&mut world, "new", 1, false);
+            leave(&mut world, departure, "new", 2);
+            world.run(Duration::from_secs(1));
+            let context = format!("{departure:?} arrives_before={arrives_before}");
+            match arrives_before {
+                true => {
+                    let reported = world.reported_draining(AGENT);
+                    world.start_agent(AGENT);
+                    register(&mut world, "old", 41, false);
+                    world.restore_draining(AGENT, reported);
+                }
+                false => {
+                    world.restart_agent_with_draining(AGENT);
+                    register(&mut world, "old", 41, false);
+                }
+            }
+            assert!(!admits_flows(&mut world, 1), "{context}");
+            register(&mut world, "old", 42, false);
+            assert!(!admits_flows(&mut world, 2), "{context}");
+            register(&mut world, "next", 1, false);
+            assert!(admits_flows(&mut world, 3), "{context}");
+        }
+    }
+}
+
+// Guards against new flows at a back end that deregisters between two delayed registrations of
+// the one before it, at a restarted agent (DRAIN).
+#[test]
+fn a_deregistration_between_two_delayed_registrations_holds() {
+    let mut world = world_with_restarted_agent();
+    register(&mut world, "old", 40, false);
+    deregister_id(&mut world, "new");
+    register(&mut world, "old", 41, false);
+    assert!(!admits_flows(&mut world, 1));
+}
+
+// Guards against a running back end without new flows after a restart of its agent, as another
+// one left before it.
+#[test]
+fn a_serving_back_end_gets_flows_at_once_after_restarts_of_its_agent() {
+    for departure in DEPARTURES {
+        for restarts in 1..=2 {
+            let mut world = world_with_restarted_agent();
+            register(&mut world, "old", 1, false);
+            leave(&mut world, departure, "old", 2);
+            register(&mut world, "new", 1, false);
+            register(&mut world, "new", 2, false);
+            world.run(Duration::from_secs(1));
+            for _ in 0..restarts {
+                world.restart_agent_with_draining(AGENT);
+                world.run(Duration::from_secs(1));
+            }
+            register(&mut world, "new", 9, false);
+            let context = format!("{departure:?} restarts={restarts}");
+            assert!(admits_flows(&mut world, 1), "{context}");
+            register(&mut world, "old", 7, false);
+            register(&mut world, "old", 8, false);
+            assert!(admits_flows(&mut world, 2), "{context}");
+        }
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/saved_daemons.rs
+++ b/crates/petrellatch-core/tests/pass_through/saved_daemons.rs
@@ -58,6 +58,7 @@
         state: AgentState::Ready.into(),
         load: LoadMessage::default(),
         draining_backends: Vec::new(),
+        serving_backend: 0,
         next_report_millis: 60_000,
         evacuations_index: 0,
         ..Report::default()
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -313,13 +313,24 @@
     /// Restarts an agent. The replica sends it the back ends that its previous incarnation
     /// reported as draining.
     pub fn restart_agent_with_draining(&mut self, index: u8) {
-        let address = pack_address(agent_address(index));
-        let draining_backends = self.reports[&address].draining_backends.clone();
+        let reported = self.reported_draining(index);
         self.start_agent(index);
-        let status = GroupStatus {
-            draining_backends,
+        self.restore_draining(index, reported);
+    }
+
+    /// The status that a replica sends to the next incarnation of an agent, with the back ends
+    /// that this one reported.
+    pub fn reported_draining(&self, index: u8) -> GroupStatus {
+        let report = &self.reports[&pack_address(agent_address(index))];
+        GroupStatus {
+            draining_backends: report.draining_backends.clone(),
+            serving_backend: report.serving_backend,
             ..GroupStatus::default()
-        };
+        }
+    }
+
+    /// Delivers such a status to an agent.
+    pub fn restore_draining(&mut self, index: u8, status: GroupStatus) {
         let agent = self
             .agents
             .get_mut(&agent_address(index))
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -58,6 +58,9 @@
     /// Description of the back end, if one has registered.
     #[prost(message, optional, tag = "12")]
     pub backend: Option<BackendDescription>,
+    /// Digest of the back end incarnation that takes new flows; zero if there is none.
+    #[prost(fixed64, tag = "13")]
+    pub serving_backend: u64,
 }
 
 /// One agent of a [`DirectoryPart`].
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -107,6 +107,10 @@
     /// To a balancer: the placement policies, if it may not have the latest ones.
     #[prost(message, optional, tag = "18")]
     pub policies: Option<PolicySet>,
+    /// To an agent: [`super::Report::serving_backend`] of its previous incarnation, if any back
+    /// ends are draining.
+    #[prost(fixed64, tag = "19")]
+    pub serving_backend: u64,
 }
 
 /// Daemons that a replica saves on disk, to send them the group's addresses after a
