Take no silence for the absence of a back end

What callers saw: after a restart of an agent, flows of a running back end could be reset if its heartbeats were delayed for longer than the provisional time, or if its deregistration was acknowledged just before the agent was killed, so that no replica had heard of it. Cause: 2.4 s without a registration counted as "there is no back end", and in the directory a stopped agent without a registration counted as one without flows. Ruled out: a longer silence: a back end that has deregistered is silent until it ends. Change: after a restart a flow is denied only by proof: the back end returned its packet, its address refused a packet, or a new incarnation started here. An agent whose back end sent packets without registering says at its stop that it may own flows.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -114,8 +114,6 @@
     contender: Option<Contender>,
     /// Whether the back end has sent a packet, which shows that it runs.
     seen_alive: bool,
-    /// Whether any incarnation has registered or deregistered, even if that was ignored.
-    has_called: bool,
     /// Whether the address of the back end has refused a packet: nothing ran there then.
     was_absent: bool,
     /// Until when a back end that hasn't registered may get new flows.
@@ -201,7 +199,6 @@
             current: None,
             contender: None,
             seen_alive: false,
-            has_called: false,
             was_absent: false,
             provisional_until,
             returned_syn: false,
@@ -218,7 +215,6 @@
     /// Handles a registration. Returns whether the current incarnation or its draining state
     /// changed.
     pub fn handle_registration(&mut self, now: Timestamp, registration: &Registration) -> bool {
-        self.has_called = true;
         let incarnation = registration.incarnation();
         let before = self.drain_state();
         if self.deregistered.contains(&incarnation.digest()) {
@@ -410,7 +406,6 @@
     /// registered since the start of this agent, so it holds for each one of the name that
     /// isn't known to have started later.
     pub fn handle_deregistration(&mut self, id: &str) -> bool {
-        self.has_called = true;
         let before = self.drain_state();
         let of_name = BackendIncarnation {
             id: id.to_owned(),
@@ -511,11 +506,9 @@
         self.was_absent
     }
 
-    /// Whether the back end has shown no sign of life since the start, for as long as a running
-    /// one needs to register, and none that may still run has left.
-    pub fn is_silent_since_start(&self, now: Timestamp) -> bool {
-        let may_run = self.seen_alive || self.has_called || self.has_left();
-        now >= self.provisional_until && !may_run
+    /// Whether a back end that hasn't registered has sent packets.
+    pub fn runs_unregistered(&self) -> bool {
+        self.current.is_none() && self.seen_alive
     }
 
     /// Whether a back end is draining or has deregistered, may still own flows and hasn't
--- a/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
@@ -102,6 +102,9 @@
     /// back end start, or is older than any flow, or no back end ran at some time since its
     /// start. A back end whose first registrations arrive here has started during this
     /// incarnation if there was no previous one.
+    ///
+    /// Silence shows nothing: a back end that has deregistered doesn't register any more, and
+    /// registrations may be delayed.
     pub(super) fn all_flows_are_known(&self, now: Timestamp) -> bool {
         let age = now.saturating_since(self.started_at);
         let is_first_incarnation = self.has_previous_incarnation == Some(false);
@@ -110,12 +113,5 @@
             || (is_first_incarnation && self.registration.saw_first_registration())
             || age >= self.settings.flow_ttl
             || self.registration.was_absent()
-            || self.backend_is_absent(now)
-    }
-
-    /// Whether there is no back end. What the previous incarnation of the agent knew of one that
-    /// left comes with the first response of a replica.
-    fn backend_is_absent(&self, now: Timestamp) -> bool {
-        self.has_previous_incarnation.is_some() && self.registration.is_silent_since_start(now)
     }
 }
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -56,6 +56,12 @@
             AgentState::Ready | AgentState::Starting if self.stop_at.is_some() => {
                 AgentState::Draining
             }
+            // Balancers must not count the stopped agent as one without a back end.
+            AgentState::Unavailable
+                if self.stop_at.is_some() && self.registration.runs_unregistered() =>
+            {
+                AgentState::Draining
+            }
             state => state,
         }
     }
