Let a refused request of an earlier term confirm no round

Cause: a replica that refuses an append request for its term echoed the request's round in a response of the present term. Rounds start at zero in each leadership, so a high round of an earlier leadership of the same node confirmed ones that were never requested. Ruled out: accepted requests, whose term is the present one. Change: such a refusal carries round zero. Red first: a_refused_request_of_an_earlier_term_confirms_no_round (round 9 instead of 0).

--- a/crates/petrellatch-core/src/consensus/follower.rs
+++ b/crates/petrellatch-core/src/consensus/follower.rs
@@ -62,7 +62,10 @@
     /// is to be handled.
     pub(super) fn accept_leader(&mut self, sender: ReplicaId, term: Term, echo: Echo) -> bool {
         if term < self.hard_state.term {
-            // The term of the response makes the old leader step down.
+            // The term of the response makes the old leader step down. If that one leads the
+            // present term by now, its rounds count from the start again, so that this round
+            // must not confirm one of them.
+            let echo = Echo { round: 0, ..echo };
             self.refuse_append(sender, 0, echo);
             return false;
         }
--- a/crates/petrellatch-core/tests/consensus/main.rs
+++ b/crates/petrellatch-core/tests/consensus/main.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod checker;
 mod cluster;
+mod late_requests;
 mod mutations;
 mod node;
 mod power_loss_restart;
