Log what a restarted agent restores about leaving back ends

Cause: event 511 was written when a back end leaves, but not when the next incarnation of its agent learns of it, so that a held-back registration could not be explained afterwards. Change: the same event with the number of restored digests and the serving back end.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -656,8 +656,9 @@
     }
 
     /// Restores what a previous incarnation of the agent reported with
-    /// [`RegistrationState::draining_backends`] and [`RegistrationState::serving_backend`].
-    pub fn restore(&mut self, draining: &[u64], serving: Option<u64>) {
+    /// [`RegistrationState::draining_backends`] and [`RegistrationState::serving_backend`]. Returns
+    /// whether any of it is new.
+    pub fn restore(&mut self, draining: &[u64], serving: Option<u64>) -> bool {
         let mut has_new = false;
         for digest in draining.iter().filter(|digest| Some(**digest) != serving) {
             has_new |= !self.deregistered.contains(digest);
@@ -667,7 +668,7 @@
             self.restored_serving = self.restored_serving.or(serving);
         }
         let Some(current) = &mut self.current else {
-            return;
+            return has_new;
         };
         let digest = current.incarnation.digest();
         current.is_confirmed |= serving == Some(digest);
@@ -676,6 +677,7 @@
         } else if has_new && serving.is_none() {
             self.demote_unconfirmed();
         }
+        has_new
     }
 
     fn note_deregistered(&mut self, digest: u64) {
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -390,7 +390,12 @@
         self.known_replicas.handle_group_status(group);
         let has_new_replicas = !self.known_replicas.all().is_subset(&known);
         let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
-        self.registration.restore(&group.draining_backends, serving);
+        if self.registration.restore(&group.draining_backends, serving) {
+            let draining = group.draining_backends.len();
+            let serving = group.serving_backend;
+            let subject = format!("restored={draining} serving={serving:x}");
+            self.emit_event(EventKind::BackendLeaving, subject);
+        }
         if group.has_report {
             *self.has_previous_incarnation.get_or_insert(false) |= group.knows_previous_incarnation;
             self.note_report_interval(group.report_interval_millis);
