Add a test of the flows of a cold back end after a quick restart of its agent

It fails: the count of admissions starts anew with the agent, so that 36 flows reach a cold back end within a second where 20 are allowed (FAILBACK).

--- a/crates/petrellatch-core/tests/pass_through/cold_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/cold_backends.rs
@@ -160,3 +160,19 @@
     let times = arrivals(&mut world, 5_000, SECOND);
     assert!(times.len() > 200, "{}", times.len());
 }
+
+// Guards against a second burst of new flows at a cold back end whose agent restarts quickly
+// (FAILBACK): the bounds hold for what the back end gets, whichever incarnation admits it.
+#[test]
+fn a_quick_restart_of_the_agent_does_not_double_the_flows_of_a_cold_back_end() {
+    let mut world = world();
+    register(&mut world, "one", 1, 4 * SECOND);
+    let mut times = arrivals(&mut world, 1_000, SECOND / 2);
+    world.start_agent(1);
+    register(&mut world, "one", 2, 4 * SECOND);
+    let restarted_at = SECOND / 2;
+    let after = arrivals(&mut world, 3_000, SECOND / 2);
+    times.extend(after.iter().map(|at| *at + restarted_at));
+    let max = max_in_a_second(&times);
+    assert!(max <= BOUND, "{max} in a second");
+}
