Don't restore the serving back end again after it has deregistered

Cause: a deregistration cleared which back end served before the restart, but replicas name it in each reply, so that it was restored at once and its delayed heartbeat was believed. Ruled out: the digests, which were restored rightly (restored=2). Change: after a deregistration nothing is restored as serving. The digest of a name that a confirmed incarnation uses again isn't restored either: it was noted anew with each reply. Red first: a_deregistration_holds_although_replicas_go_on_naming_the_back_end_as_serving.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -133,6 +133,9 @@
     deregistered: VecDeque<u64>,
     /// Digest of the back end that took new flows at the end of the agent's previous incarnation.
     restored_serving: Option<u64>,
+    /// Whether a back end has deregistered since the start, so that the one that served before it
+    /// may be that one. Replicas go on naming it.
+    has_deregistered: bool,
     /// Increases when another incarnation registers or when the labels change.
     description_revision: u64,
 }
@@ -208,6 +211,7 @@
             may_have_restarted: false,
             deregistered: VecDeque::new(),
             restored_serving: None,
+            has_deregistered: false,
             description_revision: 0,
         }
     }
@@ -431,8 +435,10 @@
                 });
             }
             Some(_) => self.demote_unconfirmed(),
-            None => self.restored_serving = None,
+            None => {}
         }
+        self.restored_serving = None;
+        self.has_deregistered = true;
         before != self.drain_state()
     }
 
@@ -660,9 +666,13 @@
     /// whether any of it is new.
     pub fn restore(&mut self, draining: &[u64], serving: Option<u64>) -> bool {
         let mut has_new = false;
-        for digest in draining.iter().filter(|digest| Some(**digest) != serving) {
-            has_new |= !self.deregistered.contains(digest);
-            self.note_deregistered(*digest);
+        let serving = serving.filter(|_| !self.has_deregistered);
+        let reused_name = self.reused_name_digest();
+        for digest in draining.iter().copied() {
+            if Some(digest) != serving && Some(digest) != reused_name {
+                has_new |= !self.deregistered.contains(&digest);
+                self.note_deregistered(digest);
+            }
         }
         if self.current.is_none() && !self.was_absent {
             self.restored_serving = self.restored_serving.or(serving);
@@ -680,6 +690,15 @@
         has_new
     }
 
+    /// Digest of the name of the current incarnation, if that is certainly newer than one of the
+    /// same name that deregistered.
+    fn reused_name_digest(&self) -> Option<u64> {
+        let current = self.current.as_ref().filter(|current| {
+            current.is_confirmed && current.incarnation.started_at_millis.is_some()
+        });
+        current.map(|current| current.incarnation.name_digest())
+    }
+
     fn note_deregistered(&mut self, digest: u64) {
         if self.deregistered.contains(&digest) {
             return;
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -472,3 +472,23 @@
         }
     }
 }
+
+// Guards against a replica that repeats which back end served, after that one has deregistered,
+// so that its delayed registration was believed at once (DRAIN).
+#[test]
+fn a_deregistration_holds_although_replicas_go_on_naming_the_back_end_as_serving() {
+    let mut world = world_with_restarted_agent();
+    register_started_at(&mut world, 1_000, 1, false);
+    deregister(&mut world);
+    register_started_at(&mut world, 11_000, 1, false);
+    world.run(Duration::from_secs(1));
+    let reported = world.reported_draining(AGENT);
+    world.start_agent(AGENT);
+    world.restore_draining(AGENT, reported.clone());
+    deregister(&mut world);
+    world.restore_draining(AGENT, reported);
+    register_started_at(&mut world, 11_000, 11, false);
+    assert!(!admits_flows(&mut world, 1));
+    register_started_at(&mut world, 21_000, 1, false);
+    assert!(admits_flows(&mut world, 2));
+}
