--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -492,3 +492,29 @@
     register_started_at(&mut world, 21_000, 1, false);
     assert!(admits_flows(&mut world, 2));
 }
+
+// Guards against the same if the agent restarts once more after the deregistration.
+#[test]
+fn a_deregistration_between_two_restarts_holds() {
+    for reports_start_time in [false, true] {
+        let mut world = world_with_restarted_agent();
+        register(&mut world, "old", 1, true);
+        deregister_id(&mut world, "old");
+        let register = |world: &mut World, sequence| match reports_start_time {
+            false => register(world, "backend", sequence, false),
+            true => register_started_at(world, 11_000, sequence, false),
+        };
+        register(&mut world, 1);
+        register(&mut world, 2);
+        world.run(Duration::from_secs(1));
+        let reported = world.reported_draining(AGENT);
+        world.restart_agent_with_draining(AGENT);
+        world.run(Duration::from_secs(1));
+        deregister(&mut world);
+        world.restore_draining(AGENT, reported);
+        world.run(Duration::from_secs(1));
+        world.restart_agent_with_draining(AGENT);
+        register(&mut world, 11);
+        assert!(!admits_flows(&mut world, 1), "{reports_start_time}");
+    }
+}
