Find out before the final report whether a leaving back end has ended

The final report of such an agent says that its back end may own flows, so that balancers wait for replies that it can no longer give. Ruled out: to report no flows without proof, which resets flows of living back ends (the test beside it); balancers, which wait rightly. Change: before the final report the agent sends a probe packet of a recorded flow. If the address refuses it, nothing runs there; it waits 50 ms at most. A living back end drops the packet as an old duplicate, as in a restart probe. Red first: callers_are_reset_once_the_agent_of_an_ended_leaving_back_end_has_stopped; a_leaving_back_end_that_drops_the_probe_packet_keeps_its_flows_after_a_stop guards the other side.

--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -42,6 +42,7 @@
         self.emit_event(EventKind::BackendAbsent, subject);
         self.report_if_changed(now);
         self.serve_queue(now);
+        self.continue_stop(now);
     }
 
     fn process_backend_packet(&mut self, now: Timestamp, packet: &[u8]) {
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -176,6 +176,8 @@
     /// Replicas that have saved this agent, and know of it after a restart.
     saved_by: BTreeSet<SocketAddrV4>,
     stop_at: Option<Timestamp>,
+    /// Until when the stop waits for the refusal of a probe packet, once that was sent.
+    refusal_until: Option<Timestamp>,
     /// The final report, which is repeated until a replica acknowledges it.
     final_report: Option<FinalReport>,
     stopped: bool,
@@ -245,6 +247,7 @@
             report_unacknowledged: true,
             saved_by: BTreeSet::new(),
             stop_at: None,
+            refusal_until: None,
             final_report: None,
             stopped: false,
             has_no_open_flows: false,
@@ -470,6 +473,7 @@
         let others = [
             recovery,
             self.final_report_until(),
+            self.refusal_timeout(),
             self.relayed_queries.poll_timeout(),
             self.previous.poll_timeout(),
         ];
--- a/crates/petrellatch-core/src/pass_through/agent/restart_probes.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/restart_probes.rs
@@ -212,23 +212,28 @@
     }
 
     fn start_record_probe(&mut self, now: Timestamp) {
-        let Some(record) = &mut self.previous.record else {
-            return;
-        };
-        let flows = &self.flows;
-        let codec = &self.codec;
-        let probe_packet = |packet: &Vec<u8>| {
-            let id = codec.view(packet)?.flow_from_caller();
+        let probe_packets = self.recorded_probe_packets().collect();
+        if let Some(record) = &mut self.previous.record {
+            record.start_probe(now, probe_packets);
+        }
+    }
+
+    /// Probe packets of recorded flows, with their flows.
+    fn recorded_probe_packets(&self) -> impl Iterator<Item = (FlowId, Vec<u8>)> + '_ {
+        let records = self.previous.record.iter();
+        let packets = records.flat_map(|record| &record.flow_record.probe_packets);
+        packets.filter_map(|packet| {
+            let id = self.codec.view(packet)?.flow_from_caller();
             // The caller may have opened a new flow from the same address and port.
-            flows.get(id).is_none().then(|| (id, packet.clone()))
-        };
-        let probe_packets = record
-            .flow_record
-            .probe_packets
-            .iter()
-            .filter_map(probe_packet);
-        let probe_packets = probe_packets.collect();
-        record.start_probe(now, probe_packets);
+            let is_unknown = self.flows.get(id).is_none();
+            is_unknown.then(|| (id, packet.clone()))
+        })
+    }
+
+    /// The probe packet of a recorded flow, if there is one.
+    pub(super) fn recorded_probe_packet(&self) -> Option<Vec<u8>> {
+        let (_, packet) = self.recorded_probe_packets().next()?;
+        Some(packet)
     }
 
     /// Takes over the flows of the record as flows of the back end.
--- a/crates/petrellatch-core/src/pass_through/agent/stopping.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/stopping.rs
@@ -6,6 +6,7 @@
 use petrellatch_proto::pass_through::{AgentState, FlowsOwned, OwnedFlow, PassThroughBody};
 
 use super::PassThroughAgent;
+use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 use crate::time::Timestamp;
 
@@ -15,6 +16,10 @@
 /// acknowledges it: it may be lost, and replicas may be starting.
 const FINAL_REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long an agent that stops waits for the refusal of a probe packet. The system reports it at
+/// once, as agent and back end share a machine.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The final report of an agent that has stopped, which is repeated.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FinalReport {
@@ -45,6 +50,9 @@
         if now < stop_at && must_wait {
             return;
         }
+        if now < stop_at && self.awaits_refusal(now) {
+            return;
+        }
         // A back end that was never seen is reported as silent before the final report.
         self.report_if_changed(now);
         self.announce_owned_flows();
@@ -72,6 +80,29 @@
         self.final_report.map(|report| report.until)
     }
 
+    /// Whether the agent has to wait for the refusal of a probe packet. It sends one if a back end
+    /// that hasn't registered may own flows: if that has ended, balancers need not wait for
+    /// replies that the agent can no longer give.
+    fn awaits_refusal(&mut self, now: Timestamp) -> bool {
+        if !self.awaits_backend_refusal() || self.state(now) != AgentState::Draining {
+            return false;
+        }
+        if let Some(until) = self.refusal_until {
+            return now < until;
+        }
+        let Some(packet) = self.recorded_probe_packet() else {
+            return false;
+        };
+        self.outputs.push_back(PassThroughOutput::ToBackend(packet));
+        self.refusal_until = Some(now + REFUSAL_TIMEOUT);
+        true
+    }
+
+    /// Until when the stop waits for a refusal.
+    pub(super) fn refusal_timeout(&self) -> Option<Timestamp> {
+        self.refusal_until.filter(|_| self.final_report.is_none())
+    }
+
     /// Whether nothing was received from the back end yet. It may run and own flows that this
     /// incarnation of the agent hasn't seen, and if the agent stopped now, balancers could not
     /// find out about them.
--- a/crates/petrellatch-core/tests/pass_through/leaving_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/leaving_backends.rs
@@ -4,10 +4,15 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use petrellatch_core::pass_through::Registration;
-use petrellatch_proto::pass_through::{GroupStatus, PassThroughBody};
+use petrellatch_core::pass_through::{PacketView, Registration};
+use petrellatch_proto::pass_through::{
+    FlowColumns, FlowRecordResponse, GroupStatus, PassThroughBody, pack_address,
+};
 
-use super::world::{MILLI, REPLICA, SERVICE, World, agent_address};
+use super::codec::{empty, encode};
+use super::world::{
+    MILLI, REPLICA, ROUTE, SERVICE, World, agent_address, caller, initial_sequence,
+};
 
 const AGENT: u8 = 1;
 /// Agents whose back ends started with them, so that they know all flows.
@@ -154,6 +159,68 @@
     }
 }
 
+// Guards against callers that wait for an agent that has stopped after its leaving back end has
+// ended: it has to find that out before its final report.
+#[test]
+fn callers_are_reset_once_the_agent_of_an_ended_leaving_back_end_has_stopped() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        recover_record(&mut world, agent);
+        world.refusing.push(agent);
+        stop_agent(&mut world, agent);
+        world.restart_balancer();
+        world.repeat_reports();
+        world.notify_complete_directory();
+        world.request(PORT, agent);
+        world.run(200 * MILLI);
+        assert_eq!(world.resets(), 1, "{case:?}");
+    }
+}
+
+// Guards against the same if the probe packet is taken for a sign that the back end has ended.
+#[test]
+fn a_leaving_back_end_that_drops_the_probe_packet_keeps_its_flows_after_a_stop() {
+    for case in Case::all() {
+        let (mut world, agent) = case.world_with_leaving_backend();
+        case.restart_agent(&mut world);
+        recover_record(&mut world, agent);
+        stop_agent(&mut world, agent);
+        request_after_stop(&mut world, agent);
+        assert_eq!(world.resets(), 0, "{case:?}");
+    }
+}
+
+/// A replica sends the restarted agent the record of its previous incarnation.
+fn recover_record(world: &mut World, agent: SocketAddrV4) {
+    let sequence = initial_sequence(agent);
+    let probe_packet = PacketView {
+        ack: true,
+        ack_number: sequence.wrapping_add(1),
+        ..empty(caller(PORT), ROUTE)
+    };
+    let record = FlowRecordResponse {
+        incarnation: world.incarnation(AGENT),
+        backend_incarnation: 1,
+        revision: 1,
+        part: 0,
+        parts: 1,
+        flows: FlowColumns {
+            routes: vec![pack_address(ROUTE)],
+            callers: vec![pack_address(caller(PORT))],
+            route_indexes: vec![0],
+            sequences: vec![sequence],
+            acknowledged_steps: vec![0],
+        },
+        probe_packets: vec![encode(&probe_packet)],
+    };
+    let now = world.now;
+    let body = PassThroughBody::FlowRecordResponse(record);
+    let restarted = world.agents.get_mut(&agent).expect("known");
+    restarted.handle_message(now, REPLICA, body);
+    world.settle();
+}
+
 /// Stops the agent as planned.
 fn stop_agent(world: &mut World, agent: SocketAddrV4) {
     let now = world.now;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -310,6 +310,11 @@
         self.backends.entry(address).or_default();
     }
 
+    /// Incarnation of an agent, by its latest report.
+    pub fn incarnation(&self, index: u8) -> u64 {
+        self.reports[&pack_address(agent_address(index))].incarnation
+    }
+
     /// Restarts an agent. The replica sends it the back ends that its previous incarnation
     /// reported as draining.
     pub fn restart_agent_with_draining(&mut self, index: u8) {
