--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -374,6 +374,8 @@
 
     def end(self):
         self.ended, self.beats = True, False
+        self.health.shutdown(socket.SHUT_RDWR)
+        time.sleep(0.05)
         self.socket.close()
         self.health.close()
         self.fleet.record.note(f"back end {self.identity} ends")
