Deny flows of a back end only with a proof that no agent was there before

Cause: a restarted agent stated for certain that its back end owned none of the flows that it didn't know, if one replica knew no previous incarnation of the agent and the first registration had a low sequence number. Replicas keep the agents in memory, which the kill had cleared, and a low number is that of any young back end.

Ruled out: the flow record. It was recovered, but flows younger than a second aren't in it, and it isn't asked for a denial.

Change: what proves a denial stands in one place, agent/flow_proofs.rs. "No agent was here before" now needs the reply of every member of the group, each of which says that its memory goes back for the lifetime of a flow (it has run for that long, or since the whole system first started). The sequence number of a registration plays no part any more. Otherwise the flow is possibly owned, and its packet is delivered speculatively. Replies carry the incarnation of the agent that they are for, so that a late one isn't taken for that of the next incarnation.

Tests: flow_proofs::an_agent_denies_no_flow_after_all_processes_were_killed and an_agent_denies_no_flow_if_one_replica_may_know_of_an_agent_before fail with the old rule put back; a_new_agent_denies_unknown_flows_at_once keeps new agents fast.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -120,8 +120,6 @@
     provisional_until: Timestamp,
     /// Whether the back end has returned a SYN since its last packet.
     returned_syn: bool,
-    /// Sequence number of the first registration received.
-    first_sequence: Option<u64>,
     /// Whether an incarnation has started after another one had run beside this agent.
     saw_restart: bool,
     /// When the back end got the first SYN that it hasn't answered.
@@ -205,7 +203,6 @@
             was_absent: false,
             provisional_until,
             returned_syn: false,
-            first_sequence: None,
             saw_restart: false,
             unanswered_since: None,
             may_have_restarted: false,
@@ -228,7 +225,6 @@
         let mut first_seen_at = now;
         let mut is_confirmed = registration.sequence <= EARLY_REGISTRATIONS
             || self.restored_serving == Some(incarnation.digest());
-        self.first_sequence.get_or_insert(registration.sequence);
         if let Some(current) = &mut self.current
             && current.incarnation == incarnation
         {
@@ -552,12 +548,6 @@
         }
     }
 
-    /// Whether one of the first registrations of an incarnation was received.
-    pub fn saw_first_registration(&self) -> bool {
-        self.first_sequence
-            .is_some_and(|sequence| sequence <= EARLY_REGISTRATIONS)
-    }
-
     /// Whether a back end has registered.
     pub fn is_registered(&self) -> bool {
         self.current.is_some()
--- a/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
@@ -52,7 +52,6 @@
 
     /// Splits the flows of a query into those that the back end owns and those that it doesn't.
     fn split_by_owner(&self, now: Timestamp, query: &FlowQuery) -> (FlowsOwned, FlowsNotOwned) {
-        let all_known = self.all_flows_are_known(now);
         let mut owned = FlowsOwned::default();
         let mut not_owned = FlowsNotOwned::default();
         for queried in &query.flows {
@@ -63,10 +62,7 @@
                     flow: queried.flow,
                     sequence: known.sequence,
                 });
-            } else if all_known
-                || self.speculative_deliveries.was_returned(flow)
-                || self.is_query_orphaned(queried)
-            {
+            } else if self.not_owned(now, queried).is_some() {
                 not_owned.not_owned.push(queried.flow);
             } else {
                 not_owned.possibly_owned.push(queried.flow);
@@ -97,21 +93,4 @@
             self.send(balancer, PassThroughBody::AggregatedReplies(replies));
         }
     }
-
-    /// Whether every flow of the back end is known: this incarnation of the agent has seen the
-    /// back end start, or is older than any flow, or no back end ran at some time since its
-    /// start. A back end whose first registrations arrive here has started during this
-    /// incarnation if there was no previous one.
-    ///
-    /// Silence shows nothing: a back end that has deregistered doesn't register any more, and
-    /// registrations may be delayed.
-    pub(super) fn all_flows_are_known(&self, now: Timestamp) -> bool {
-        let age = now.saturating_since(self.started_at);
-        let is_first_incarnation = self.has_previous_incarnation == Some(false);
-        self.settings.first_start
-            || self.registration.saw_restart()
-            || (is_first_incarnation && self.registration.saw_first_registration())
-            || age >= self.settings.flow_ttl
-            || self.registration.was_absent()
-    }
 }
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_packets;
 mod caller_packets;
+mod flow_proofs;
 mod flow_queries;
 mod flow_recording;
 mod new_flows;
@@ -40,6 +41,7 @@
 use crate::pass_through::flows::speculative_deliveries::SpeculativeDeliveries;
 use crate::pass_through::group::evacuations::Evacuations;
 use crate::pass_through::group::known_replicas::KnownReplicas;
+use crate::pass_through::group::replica_answers::ReplicaAnswers;
 use crate::pass_through::latency::LatencyHistogram;
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
@@ -158,9 +160,8 @@
     /// Flow queries that this agent relays to other agents for balancers.
     relayed_queries: RelayedQueries,
     started_at: Timestamp,
-    /// Whether a replica knows a previous incarnation of this agent; `None` until one has
-    /// acknowledged a report.
-    has_previous_incarnation: Option<bool>,
+    /// What the replicas have replied to the reports of this incarnation.
+    replica_answers: ReplicaAnswers,
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
@@ -236,7 +237,7 @@
             previous: PreviousIncarnations::default(),
             relayed_queries: RelayedQueries::default(),
             started_at: now,
-            has_previous_incarnation: None,
+            replica_answers: ReplicaAnswers::default(),
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
@@ -399,8 +400,10 @@
             let subject = format!("restored={draining} serving={serving:x}");
             self.emit_event(EventKind::BackendLeaving, subject);
         }
+        if group.agent_incarnation == self.incarnation.0 {
+            self.replica_answers.note(from, group);
+        }
         if group.has_report {
-            *self.has_previous_incarnation.get_or_insert(false) |= group.knows_previous_incarnation;
             self.note_report_interval(group.report_interval_millis);
             self.report_unacknowledged = false;
             self.note_report_acknowledged(group.acknowledged_report);
--- a/crates/petrellatch-core/src/pass_through/agent/stopping.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/stopping.rs
@@ -56,7 +56,7 @@
         // A back end that was never seen is reported as silent before the final report.
         self.report_if_changed(now);
         self.announce_owned_flows();
-        self.has_no_open_flows = self.flows.unclosed() == 0 && self.all_flows_are_known(now);
+        self.has_no_open_flows = self.flows.unclosed() == 0 && self.all_flows_known(now).is_some();
         // If the back end may have open flows, balancers go on waiting for replies of this agent.
         self.final_report = Some(FinalReport {
             sequence: self.report_number + 1,
--- a/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
@@ -24,6 +24,8 @@
                 draining_backends: self.daemons.draining_backends(agent),
                 serving_backend: self.daemons.served_previously(agent, incarnation),
                 knows_previous_incarnation: self.daemons.knows_previous_incarnation(agent),
+                remembers_agents: self.daemons.remembers_agents(now),
+                agent_incarnation: incarnation,
                 has_report: true,
                 acknowledged_report,
                 agent_is_saved: self.daemon_store.is_saved(now, agent),
@@ -109,6 +111,8 @@
             saved_agents: Vec::new(),
             saved_agent_count: 0,
             policies: None,
+            remembers_agents: false,
+            agent_incarnation: 0,
         }
     }
 
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -163,7 +163,9 @@
             settings.flow_record_ttl,
         );
         let mut random = ChaCha8Rng::seed_from_u64(start.seed.wrapping_add(1));
-        let daemons = DaemonRegistry::new(now, random.random());
+        let salt = random.random();
+        let first_start = settings.first_start;
+        let daemons = DaemonRegistry::new(now, salt, first_start, settings.flow_record_ttl);
         let founders = start.bootstrap.as_ref().map(Membership::members);
         let founders = founders.unwrap_or_default().iter();
         let seeds = founders.map(|founder| address_of_node_id(founder.replica.node));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
@@ -33,6 +33,8 @@
     /// A flow record is removed after this time without a message of its agent, since no flow
     /// is kept that is idle for longer.
     pub flow_record_ttl: Duration,
+    /// Whether the whole system starts for the first time, so that there was no agent before.
+    pub first_start: bool,
 }
 
 impl Default for ConfigurationNodeSettings {
@@ -57,6 +59,7 @@
             zones: BTreeSet::new(),
             max_flow_record_bytes: 16 * 1024 * 1024,
             flow_record_ttl: Duration::from_secs(60),
+            first_start: false,
         }
     }
 }
--- a/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
+++ b/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
@@ -35,8 +35,6 @@
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
 /// How long a draining back end is kept after its agent's last report of it.
 const DRAINING_TTL: Duration = Duration::from_secs(60);
-/// How long a silent agent is kept after its removal from the directory.
-const SILENT_AGENT_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of draining back ends kept per agent.
 const MAX_DRAINING_KEPT: usize = 8;
 /// Number of directory revisions kept, so that balancers can be sent only the changes since
@@ -106,6 +104,10 @@
     /// Agents that replicas saved before the start.
     expected: ExpectedAgents,
     started_at: Timestamp,
+    first_start: bool,
+    /// How long a silent agent is kept after its removal from the directory: flows of its back
+    /// end may be open for as long.
+    agent_memory: Duration,
     /// The longest report interval that an agent has announced.
     announced_interval: Duration,
     /// Whether a complete directory was fetched, or all expected agents have been seen.
@@ -121,10 +123,13 @@
 
 impl DaemonRegistry {
     /// Starts without subscribers and agents. `salt` distinguishes the revisions of this
-    /// incarnation from those of others.
-    pub(crate) fn new(now: Timestamp, salt: u32) -> Self {
+    /// incarnation from those of others. `first_start` is set if the whole system starts for the
+    /// first time, and `flow_ttl` is the lifetime of a flow.
+    pub(crate) fn new(now: Timestamp, salt: u32, first_start: bool, flow_ttl: Duration) -> Self {
         DaemonRegistry {
             started_at: now,
+            first_start,
+            agent_memory: flow_ttl,
             expected: ExpectedAgents::new(now),
             revision: u64::from(salt.max(1)) << 32,
             ..DaemonRegistry::default()
@@ -301,6 +306,12 @@
         true
     }
 
+    /// Whether every agent is known that has reported to this replica within the lifetime of a
+    /// flow. Agents are kept in memory, which a restart clears.
+    pub(crate) fn remembers_agents(&self, now: Timestamp) -> bool {
+        self.first_start || now.saturating_since(self.started_at) >= self.agent_memory
+    }
+
     /// Whether a previous incarnation of the agent at `address` was known.
     pub(crate) fn knows_previous_incarnation(&self, address: u64) -> bool {
         let agent = self.agents.get(&address);
@@ -449,7 +460,7 @@
             self.note_change(address);
         }
         self.silent_agents
-            .retain(|_, agent| now.saturating_since(agent.since) < SILENT_AGENT_TTL);
+            .retain(|_, agent| now.saturating_since(agent.since) < self.agent_memory);
         if now >= self.all_reported_at() {
             self.expected.expire(now);
         }
--- a/crates/petrellatch-core/src/pass_through/group/known_replicas.rs
+++ b/crates/petrellatch-core/src/pass_through/group/known_replicas.rs
@@ -52,6 +52,12 @@
         self.leader
     }
 
+    /// The members of the group, according to the latest known membership; none until a replica
+    /// has named them.
+    pub fn members(&self) -> &[SocketAddrV4] {
+        &self.members
+    }
+
     /// All known replicas, without duplicates.
     pub fn all(&self) -> BTreeSet<SocketAddrV4> {
         self.seeds.iter().chain(&self.members).copied().collect()
--- a/crates/petrellatch-core/src/pass_through/group/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/group/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod membership_manager;
 pub(crate) mod preferred_replicas;
 pub(crate) mod recent_changes;
+pub(crate) mod replica_answers;
 pub(crate) mod replica_assignment;
 pub(crate) mod saved_daemons;
--- a/crates/petrellatch-core/tests/pass_through/final_reports.rs
+++ b/crates/petrellatch-core/tests/pass_through/final_reports.rs
@@ -111,6 +111,8 @@
     fn acknowledge(&mut self, number: u64) {
         let group = GroupStatus {
             replicas: vec![pack_address(REPLICA)],
+            agent_incarnation: 9,
+            remembers_agents: true,
             has_report: true,
             acknowledged_report: number,
             ..GroupStatus::default()
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -151,6 +151,7 @@
             settings.max_lost_zones = 1;
             settings.max_lost_replicas = 2;
         }
+        settings.first_start = now == Timestamp::ZERO;
         machine.node = Some(ConfigurationNode::new(now, settings, start));
     }
 
@@ -305,6 +306,12 @@
             .expect("the machine runs")
     }
 
+    /// Whether a replica runs.
+    pub fn is_running(&self, index: u8) -> bool {
+        let machine = self.machines.get(&index);
+        machine.is_some_and(|machine| machine.node.is_some())
+    }
+
     /// Delivers a message of another process to a replica.
     pub fn receive(&mut self, index: u8, from: u8, body: PassThroughBody) {
         let now = self.now;
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -2,6 +2,7 @@
 //! virtual clock, and balancers and agents packet by packet.
 
 mod admission_queue;
+mod agent_with_group;
 mod closed_flows;
 mod codec;
 mod cold_backends;
@@ -14,6 +15,7 @@
 mod final_reports;
 mod fleet;
 mod flow_priorities;
+mod flow_proofs;
 mod flow_record;
 mod flow_record_world;
 mod formation;
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -253,8 +253,12 @@
 
     /// The replica acknowledges an agent's report.
     pub fn acknowledge_report(&mut self, index: u8, knows_previous_incarnation: bool) {
+        self.settle();
         let status = GroupStatus {
+            replicas: vec![pack_address(REPLICA)],
+            agent_incarnation: self.incarnation(index),
             knows_previous_incarnation,
+            remembers_agents: true,
             has_report: true,
             ..GroupStatus::default()
         };
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -111,6 +111,13 @@
     /// ends are draining.
     #[prost(fixed64, tag = "19")]
     pub serving_backend: u64,
+    /// To an agent: whether the sender remembers every agent that has reported to it within the
+    /// lifetime of a flow. A replica that restarted can't say so for that time.
+    #[prost(bool, tag = "23")]
+    pub remembers_agents: bool,
+    /// To an agent: the incarnation of the agent that this message is for; zero if it is for any.
+    #[prost(fixed64, tag = "24")]
+    pub agent_incarnation: u64,
 }
 
 /// Daemons that a replica saves on disk, to send them the group's addresses after a
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -388,6 +388,7 @@
         zones: role.zones.clone(),
         max_flow_record_bytes: role.max_flow_record_bytes,
         flow_record_ttl: settings.flow_ttl,
+        first_start: role.first_start,
         replica: ReplicaSettings {
             election_timeout,
             heartbeat_interval: election_timeout / HEARTBEATS_PER_ELECTION,
