--- a/crates/petrellatch-core/src/event.rs
+++ b/crates/petrellatch-core/src/event.rs
@@ -187,6 +187,13 @@
     FormerFlowsRecalled = 540, Info;
     /// The flow records can't be read or written on disk; they are kept in memory.
     FlowRecordsNotSaved = 541, Warning;
+    /// The departures of back ends can't be read or written on disk. Agents acknowledge them
+    /// once a majority of the replicas has saved them.
+    DeparturesNotSaved = 542, Warning;
+    /// A departure of a back end was saved by a majority of the replicas, and is acknowledged.
+    DepartureSaved = 543, Info;
+    /// An agent that started knows which back ends have left, and may admit flows.
+    DeparturesKnown = 544, Info;
     /// Returned packets show that an incarnation of a back end has ended; its callers are notified.
     LifeOver = 545, Info;
     /// A restart probe of a back end that may have restarted was inconclusive.
--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -520,6 +520,13 @@
         self.current.is_none() && !self.was_absent && is_restored
     }
 
+    /// Whether the current incarnation has registered until so long after `since` that no
+    /// registration sent before that is still on its way.
+    pub fn registers_steadily(&self, since: Timestamp) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|it| it.registered_at >= since + LATE_REGISTRATION_TIMEOUT)
+    }
+
     /// State of the back end. It is unavailable if it was silent for `silence_timeout`.
     pub fn state(&self, now: Timestamp, silence_timeout: Duration) -> AgentState {
         match &self.current {
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_packets;
 mod caller_packets;
+mod departures;
 mod flow_proofs;
 mod flow_queries;
 mod flow_recording;
@@ -46,6 +47,7 @@
 use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 
+use departures::DepartureProgress;
 use reported_processing_time::ReportedProcessingTime;
 pub(crate) use reports::NEW_AGENT_REPORTS;
 use restart_probes::PreviousIncarnations;
@@ -162,6 +164,7 @@
     started_at: Timestamp,
     /// What the replicas have replied to the reports of this incarnation.
     replica_answers: ReplicaAnswers,
+    departures: DepartureProgress,
     balancers: BTreeMap<SocketAddrV4, Timestamp>,
     report_number: u64,
     report_at: Timestamp,
@@ -213,6 +216,7 @@
         known_replicas: KnownReplicas,
     ) -> Self {
         let provisional_timeout = settings.provisional_timeout.min(MAX_PROVISIONAL_TIMEOUT);
+        let departures = DepartureProgress::new(settings.first_start);
         let may_have_previous =
             !settings.first_start && !settings.flow_record.min_flow_age.is_zero();
         PassThroughAgent {
@@ -238,6 +242,7 @@
             relayed_queries: RelayedQueries::default(),
             started_at: now,
             replica_answers: ReplicaAnswers::default(),
+            departures,
             balancers: BTreeMap::new(),
             report_number: 0,
             report_at: now,
@@ -309,8 +314,9 @@
             .micros(self.registration.is_cold(now))
     }
 
-    /// Handles a registration of the back end. It may be acknowledged once this returns: every
-    /// later decision about a new flow takes it into account.
+    /// Handles a registration of the back end. Every later decision about a new flow takes it
+    /// into account. If it reports that the back end is draining, it may be acknowledged once
+    /// [`PassThroughAgent::departures_are_saved`] holds, and at once otherwise.
     ///
     /// # Errors
     ///
@@ -344,16 +350,20 @@
             self.emit_event(kind, subject);
         }
         self.note_registration(now, registration);
-        self.report_if_changed(now);
+        match registration.draining {
+            true => self.report_departure(now),
+            false => self.report_if_changed(now),
+        }
         Ok(())
     }
 
-    /// Handles a deregistration of the back end.
+    /// Handles a deregistration of the back end, which may be acknowledged once
+    /// [`PassThroughAgent::departures_are_saved`] holds.
     pub fn handle_deregistration(&mut self, now: Timestamp, id: &str) {
         if self.registration.handle_deregistration(id) {
             self.emit_event(EventKind::BackendLeaving, format!("{id} withdrawn"));
         }
-        self.report_if_changed(now);
+        self.report_departure(now);
     }
 
     /// Handles a message of a balancer, a replica or another agent.
@@ -393,16 +403,8 @@
         let known = self.known_replicas.all();
         self.known_replicas.handle_group_status(group);
         let has_new_replicas = !self.known_replicas.all().is_subset(&known);
-        let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
-        if self.registration.restore(&group.draining_backends, serving) {
-            let draining = group.draining_backends.len();
-            let serving = group.serving_backend;
-            let subject = format!("restored={draining} serving={serving:x}");
-            self.emit_event(EventKind::BackendLeaving, subject);
-        }
-        if group.agent_incarnation == self.incarnation.0 {
-            self.replica_answers.note(from, group);
-        }
+        self.restore_departures(group);
+        self.note_replica_answer(now, from, group);
         if group.has_report {
             self.note_report_interval(group.report_interval_millis);
             self.report_unacknowledged = false;
--- a/crates/petrellatch-core/src/pass_through/agent/new_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/new_flows.rs
@@ -175,6 +175,10 @@
         match self.state(now) {
             AgentState::Unavailable => Some(DeclineReason::NoBackend),
             AgentState::Draining => Some(DeclineReason::Draining),
+            // The back end may be one that is leaving.
+            AgentState::Ready | AgentState::Starting if !self.departures_are_known() => {
+                Some(DeclineReason::NoBackend)
+            }
             AgentState::Ready | AgentState::Starting => None,
         }
     }
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -26,6 +26,9 @@
 /// An agent counts as new for at most this time. If most replicas haven't saved it by then,
 /// they or their disks have failed.
 const NEW_AGENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval between reports while replicas have to save departures, or to tell which ones they
+/// have. A back end waits for a second until its departure is acknowledged.
+const DEPARTURE_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// A report that was sent this recently also serves a replica that asks for one.
 const RECENT_REPORT: Duration = Duration::from_millis(20);
 /// Interval between repetitions of the final report.
@@ -56,6 +59,7 @@
             AgentState::Ready | AgentState::Starting if self.stop_at.is_some() => {
                 AgentState::Draining
             }
+            AgentState::Ready if !self.departures_are_known() => AgentState::Starting,
             // Balancers must not count the stopped agent as one without a back end.
             AgentState::Unavailable
                 if self.stop_at.is_some() && self.registration.runs_unregistered() =>
@@ -69,7 +73,9 @@
     pub(super) fn report_if_changed(&mut self, now: Timestamp) {
         let state = self.state(now);
         let is_described = self.registration.description_revision() == self.reported_description;
-        if state == self.reported_state && is_described {
+        let departures_are_reported =
+            self.registration.draining_backends() == self.departures.reported;
+        if state == self.reported_state && is_described && departures_are_reported {
             return;
         }
         self.report(now);
@@ -83,6 +89,16 @@
     }
 
     fn time_to_next_report(&self, now: Timestamp) -> Duration {
+        let interval = self.regular_time_to_next_report(now);
+        // If a majority hasn't replied by then, replicas have failed or have lost their disks.
+        let is_awaited = |since| now.saturating_since(since) < NEW_AGENT_TIMEOUT;
+        match self.awaits_departures_since().is_some_and(is_awaited) {
+            true => interval.min(DEPARTURE_REPORT_INTERVAL.max(interval / NEW_AGENT_REPORTS)),
+            false => interval,
+        }
+    }
+
+    fn regular_time_to_next_report(&self, now: Timestamp) -> Duration {
         let is_new = now.saturating_since(self.started_at) < NEW_AGENT_TIMEOUT;
         match self.report_unacknowledged {
             _ if self.final_report.is_some() => FINAL_REPORT_INTERVAL,
@@ -124,6 +140,7 @@
         self.reported_state = state;
         self.reported_description = description;
         self.reported_at = now;
+        self.note_reported_departures(now);
         self.report_at = now + self.time_to_next_report(now);
         let report = Report {
             address: pack_address(self.settings.address),
@@ -141,6 +158,7 @@
             },
             evacuations_index: self.evacuations.index(),
             backend: self.registration.description(now),
+            awaits_departures: self.awaits_departures_since().is_some(),
         };
         for replica in self.known_replicas.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
@@ -4,34 +4,23 @@
 
 impl ConfigurationNode {
     /// Handles a report of an agent. The agent gets a group status in reply if the report
-    /// changes the directory or is the final one, if the agent lacks a zone command, and
-    /// otherwise for one of [`REPORTS_PER_GROUP_STATUS`] reports.
+    /// changes the directory or is the final one, if the agent lacks a zone command or awaits
+    /// something about departures, and otherwise for one of [`REPORTS_PER_GROUP_STATUS`] reports.
     pub(super) fn handle_report(&mut self, now: Timestamp, from: SocketAddrV4, report: Report) {
         let is_group_status_due = report.sequence % REPORTS_PER_GROUP_STATUS == 1;
-        let (agent, incarnation) = (report.address, report.incarnation);
         let lacks_zone_command =
             report.evacuations_index < self.evacuations().index_of(&report.zone);
-        let known_zones = report.evacuations_index;
-        let acknowledged_report = report.sequence;
         let is_final = report.next_report_millis == 0;
-        let has_changed = self.daemons.handle_report(now, report);
+        self.note_departures(now, &report);
+        let has_changed = self.daemons.handle_report(now, report.clone());
         if has_changed {
             let at = now + DIRECTORY_DELAY;
             self.send_directory_at = Some(self.send_directory_at.map_or(at, |due| due.min(at)));
         }
-        if has_changed || is_group_status_due || lacks_zone_command || is_final {
-            let status = GroupStatus {
-                draining_backends: self.daemons.draining_backends(agent),
-                serving_backend: self.daemons.served_previously(agent, incarnation),
-                knows_previous_incarnation: self.daemons.knows_previous_incarnation(agent),
-                remembers_agents: self.daemons.remembers_agents(now),
-                agent_incarnation: incarnation,
-                has_report: true,
-                acknowledged_report,
-                agent_is_saved: self.daemon_store.is_saved(now, agent),
-                ..self.group_status_with_zones(now, known_zones)
-            };
-            self.send(from, PassThroughBody::GroupStatus(status));
+        let awaits_departures = report.awaits_departures;
+        if has_changed || is_group_status_due || lacks_zone_command || is_final || awaits_departures
+        {
+            self.send_agent_status(now, from, &report);
         }
     }
 
@@ -111,6 +100,9 @@
             saved_agents: Vec::new(),
             saved_agent_count: 0,
             policies: None,
+            draining_ages_millis: Vec::new(),
+            saved_departures: Vec::new(),
+            departures_are_complete: false,
             remembers_agents: false,
             agent_incarnation: 0,
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/mod.rs
@@ -1,6 +1,7 @@
 //! A replica of the group that holds the configuration.
 
 mod daemon_messages;
+mod departures;
 mod directory_fetch;
 mod flow_record_keeping;
 mod pending_commands;
@@ -35,6 +36,7 @@
 use crate::time::Timestamp;
 
 use super::group::daemon_registry::DaemonRegistry;
+use super::group::departure_store::DepartureStore;
 use super::group::evacuations::Evacuations;
 use super::group::flow_record_store::{FlowRecordStore, FlowRecordStoreStats};
 use super::group::known_replicas::KnownReplicas;
@@ -120,6 +122,7 @@
     membership_manager: MembershipManager,
     daemon_store: DaemonStore,
     flow_records: FlowRecordStore,
+    departures: DepartureStore,
     /// When this replica announces its zone to the others next.
     next_zone_announcement_at: Timestamp,
     /// Number of zone announcements since the start.
@@ -195,6 +198,7 @@
             unsent_since: None,
             daemon_store: DaemonStore::new(now),
             flow_records,
+            departures: DepartureStore::new(now, first_start),
             send_directory_at: None,
             directory_fetch: DirectoryFetch::new(now),
             saved_agents_exchange: SavedAgentsExchange::new(now),
@@ -382,6 +386,7 @@
             self.sweep_at = now + SWEEP_INTERVAL;
             self.daemons.expire(now);
             self.flow_records.expire(now);
+            self.departures.expire(now);
         }
         if self.send_directory_at.is_some_and(|at| at <= now) {
             self.send_directory_at = None;
@@ -391,6 +396,7 @@
         self.announce_zone(now);
         self.save_daemons(now);
         self.save_flow_records(now);
+        self.save_departures(now);
         self.fetch_directory(now);
         self.request_saved_agents(now);
         self.notify_saved_agents(now);
@@ -402,6 +408,7 @@
     /// When to call [`ConfigurationNode::handle_timeout`] next.
     pub fn poll_timeout(&self) -> Timestamp {
         let timers = [
+            self.departures.poll_timeout(),
             self.replica.poll_timeout(),
             Some(self.membership_manager.poll_timeout()),
             Some(self.sweep_at),
--- a/crates/petrellatch-core/src/pass_through/configuration_node/requests_and_responses.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/requests_and_responses.rs
@@ -7,7 +7,7 @@
 
 use crate::consensus::PersistRequest;
 use crate::event::Event;
-use crate::pass_through::group::flow_record_store::FlowRecordWrite;
+use crate::pass_through::group::record_file_write::RecordFileWrite;
 use crate::pass_through::policies::placement_policies::PolicyRefusal;
 use crate::pass_through::policies::policy_check::ExplainedPolicy;
 use crate::pass_through::routes::configuration::Configuration;
@@ -151,7 +151,10 @@
     SaveDaemons(Vec<u8>),
     /// Write to the file of flow records, then call
     /// [`ConfigurationNode::handle_flow_records_written`]. There is one write at a time.
-    WriteFlowRecords(FlowRecordWrite),
+    WriteFlowRecords(RecordFileWrite),
+    /// Write to the file of departures, then call
+    /// [`ConfigurationNode::handle_departures_written`]. There is one write at a time.
+    WriteDepartures(RecordFileWrite),
     /// Respond to a request.
     Respond {
         /// Token of the request.
--- a/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/settings.rs
@@ -33,7 +33,8 @@
     /// A flow record is removed after this time without a message of its agent, since no flow
     /// is kept that is idle for longer.
     pub flow_record_ttl: Duration,
-    /// Whether the whole system starts for the first time, so that there was no agent before.
+    /// Whether the whole system starts for the first time, so that there was no agent before, and
+    /// no back end that has left.
     pub first_start: bool,
 }
 
--- a/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
+++ b/crates/petrellatch-core/src/pass_through/group/daemon_registry.rs
@@ -33,10 +33,8 @@
 const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Maximum interval between regular reports of an agent.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(300);
-/// How long a draining back end is kept after its agent's last report of it.
-const DRAINING_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of draining back ends kept per agent.
-const MAX_DRAINING_KEPT: usize = 8;
+/// How long it is kept which back end serves, after its agent's last report of a draining one.
+const SERVING_TTL: Duration = Duration::from_secs(60);
 /// Number of directory revisions kept, so that balancers can be sent only the changes since
 /// theirs.
 const KEPT_REVISIONS: usize = 256;
@@ -70,11 +68,10 @@
     pub(crate) awaits_ack: bool,
 }
 
-/// Digests of the draining back ends of one agent.
+/// The back end that takes new flows at an agent with draining ones.
 #[derive(Debug)]
-struct DrainingBackends {
-    digests: Vec<u64>,
-    /// Digest of the back end that takes new flows; zero if there is none.
+struct ServingBackend {
+    /// Its digest; zero if there is none.
     serving: u64,
     /// The same at the end of the agent's previous incarnation.
     served_previously: u64,
@@ -97,8 +94,8 @@
 pub(crate) struct DaemonRegistry {
     subscribers: BTreeMap<SocketAddrV4, Timestamp>,
     agents: BTreeMap<u64, ReportedAgent>,
-    /// Draining back ends by the address of their agent, for its next incarnations.
-    draining_backends: BTreeMap<u64, DrainingBackends>,
+    /// Serving back ends by the address of their agent, for its next incarnations.
+    serving_backends: BTreeMap<u64, ServingBackend>,
     /// Silent agents by address.
     silent_agents: BTreeMap<u64, SilentAgent>,
     /// Agents that replicas saved before the start.
@@ -224,14 +221,12 @@
     /// Takes a report. Returns whether it changes the directory, so that it has to be sent to
     /// balancers soon.
     pub(crate) fn handle_report(&mut self, now: Timestamp, mut report: Report) -> bool {
-        let draining = std::mem::take(&mut report.draining_backends);
         // An agent that has just started reports before it has restored what is kept for it.
-        let is_restored = !draining.is_empty();
+        let is_restored = !std::mem::take(&mut report.draining_backends).is_empty();
         let interval = Duration::from_millis(u64::from(report.next_report_millis));
         self.announced_interval = self
             .announced_interval
             .max(interval.min(MAX_REPORT_INTERVAL));
-        self.note_draining(now, report.address, report.incarnation, draining);
         self.expected.note_seen(report.address);
         let known = self.agents.get(&report.address);
         if let Some(known) = known {
@@ -241,7 +236,7 @@
             }
         }
         if is_restored {
-            self.note_serving(&report);
+            self.note_serving(now, &report);
         }
         let known = self.agents.get(&report.address);
         let has_changed = known.is_none_or(|known| {
@@ -312,6 +307,11 @@
         self.first_start || now.saturating_since(self.started_at) >= self.agent_memory
     }
 
+    /// The latest report of the agent at `address`.
+    pub(crate) fn latest_report(&self, address: u64) -> Option<&Report> {
+        Some(&self.agents.get(&address)?.report)
+    }
+
     /// Whether a previous incarnation of the agent at `address` was known.
     pub(crate) fn knows_previous_incarnation(&self, address: u64) -> bool {
         let agent = self.agents.get(&address);
@@ -387,59 +387,38 @@
         agents.map(backend).collect()
     }
 
-    /// Digests of draining back ends that incarnations of the agent at `address` have
-    /// reported.
-    pub(crate) fn draining_backends(&self, address: u64) -> Vec<u64> {
-        let draining = self.draining_backends.get(&address);
-        draining.map_or_else(Vec::new, |draining| draining.digests.clone())
-    }
-
     /// Digest of the back end that took new flows when the agent at `address` had another
     /// incarnation, if there are draining ones as well; otherwise zero.
     pub(crate) fn served_previously(&self, address: u64, incarnation: u64) -> u64 {
-        match self.draining_backends.get(&address) {
-            Some(draining) if draining.incarnation == incarnation => draining.served_previously,
-            Some(draining) => draining.serving,
+        match self.serving_backends.get(&address) {
+            Some(known) if known.incarnation == incarnation => known.served_previously,
+            Some(known) => known.serving,
             None => 0,
         }
     }
 
-    fn note_draining(&mut self, now: Timestamp, address: u64, incarnation: u64, digests: Vec<u64>) {
-        if digests.is_empty() {
-            return;
-        }
+    /// Notes the back end that takes new flows, by the latest report of its agent.
+    fn note_serving(&mut self, now: Timestamp, report: &Report) {
         let known = self
-            .draining_backends
-            .entry(address)
-            .or_insert(DrainingBackends {
-                digests: Vec::new(),
+            .serving_backends
+            .entry(report.address)
+            .or_insert(ServingBackend {
                 serving: 0,
                 served_previously: 0,
-                incarnation,
+                incarnation: report.incarnation,
                 reported_at: now,
             });
-        known.reported_at = now;
-        known.digests.retain(|digest| !digests.contains(digest));
-        known.digests.extend(digests);
-        let excess = known.digests.len().saturating_sub(MAX_DRAINING_KEPT);
-        known.digests.drain(..excess);
-    }
-
-    /// Notes the back end that takes new flows, by the latest report of its agent.
-    fn note_serving(&mut self, report: &Report) {
-        let Some(known) = self.draining_backends.get_mut(&report.address) else {
-            return;
-        };
         if known.incarnation != report.incarnation {
             known.incarnation = report.incarnation;
             known.served_previously = known.serving;
         }
         known.serving = report.serving_backend;
+        known.reported_at = now;
     }
 
     pub(crate) fn expire(&mut self, now: Timestamp) {
-        self.draining_backends
-            .retain(|_, draining| now.saturating_since(draining.reported_at) < DRAINING_TTL);
+        self.serving_backends
+            .retain(|_, known| now.saturating_since(known.reported_at) < SERVING_TTL);
         self.subscribers
             .retain(|_, last_poll| now.saturating_since(*last_poll) < SUBSCRIBER_TTL);
         let ttl = AGENT_TTL.max(self.report_interval() * AGENT_TTL_INTERVALS);
--- a/crates/petrellatch-core/src/pass_through/group/flow_record_store.rs
+++ b/crates/petrellatch-core/src/pass_through/group/flow_record_store.rs
@@ -14,6 +14,8 @@
 use crate::pass_through::packet::FlowId;
 use crate::time::Timestamp;
 
+use super::record_file_write::RecordFileWrite;
+
 /// Memory of a flow in bytes, with its entry in a partly filled B-tree.
 const FLOW_BYTES: usize = 64;
 /// Memory of a record without flows, in bytes.
@@ -35,15 +37,6 @@
 /// Maximum number of parts of a change. No agent sends more.
 const MAX_PARTS: u32 = 1_024;
 
-/// A write to the file of flow records.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FlowRecordWrite {
-    /// Append these encoded changes to the file, and sync it.
-    Append(Vec<Vec<u8>>),
-    /// Replace the contents of the file with these encoded changes.
-    Replace(Vec<Vec<u8>>),
-}
-
 /// Statistics of the flow records that a replica keeps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FlowRecordStoreStats {
@@ -427,7 +420,7 @@
     }
 
     /// The next write, if it is due, none is in progress and something has changed.
-    pub(crate) fn poll_write(&mut self, now: Timestamp) -> Option<FlowRecordWrite> {
+    pub(crate) fn poll_write(&mut self, now: Timestamp) -> Option<RecordFileWrite> {
         if now < self.next_write_at {
             return None;
         }
@@ -442,7 +435,7 @@
         let has_grown = self.file_bytes > SMALL_FILE_BYTES
             && self.file_bytes > COMPACTION_FACTOR * self.compacted_file_bytes();
         if !self.must_replace && !has_grown {
-            return Some(FlowRecordWrite::Append(unsaved));
+            return Some(RecordFileWrite::Append(unsaved));
         }
         self.must_replace = false;
         let full = self.agents.iter();
@@ -450,7 +443,7 @@
             full.filter_map(|(agent, entry)| Some(entry.record.as_ref()?.to_full_change(*agent)));
         let full: Vec<Vec<u8>> = full.map(|full| full.encode_to_vec()).collect();
         self.file_bytes = full.iter().map(Vec::len).sum();
-        Some(FlowRecordWrite::Replace(full))
+        Some(RecordFileWrite::Replace(full))
     }
 
     /// Estimated size of the file after compaction, in bytes: a flow takes a quarter there of
--- a/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
+++ b/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
@@ -106,6 +106,12 @@
         self.exchange();
     }
 
+    pub fn deregister(&mut self) {
+        let now = self.group.now;
+        self.agent().handle_deregistration(now, BACKEND);
+        self.exchange();
+    }
+
     /// Whether the agent denies for certain that its back end owns a flow that the agent doesn't
     /// know.
     pub fn denies_unknown_flow(&mut self) -> bool {
@@ -128,6 +134,19 @@
         self.denials.pop().expect("a reply")
     }
 
+    /// Lets time pass until the departure may be acknowledged. Returns whether that is within
+    /// `limit`.
+    pub fn is_acknowledged_within(&mut self, limit: Duration) -> bool {
+        let end = self.group.now + limit;
+        while !self.agent().departures_are_saved() {
+            if self.group.now >= end {
+                return false;
+            }
+            self.run(MILLI);
+        }
+        true
+    }
+
     /// Whether the agent admits a new flow.
     pub fn admits_flows(&mut self) -> bool {
         self.next_port += 1;
--- a/crates/petrellatch-core/tests/pass_through/final_reports.rs
+++ b/crates/petrellatch-core/tests/pass_through/final_reports.rs
@@ -9,12 +9,10 @@
     PassThroughOutput, Registration,
 };
 use petrellatch_core::{EventKind, Timestamp};
-use petrellatch_proto::pass_through::{
-    AgentState, GroupStatus, PassThroughBody, Report, pack_address,
-};
+use petrellatch_proto::pass_through::{AgentState, GroupStatus, PassThroughBody, Report};
 
 use super::codec::TestCodec;
-use super::world::{MILLI, REPLICA, SERVICE, WARM_UP_BOUNDS, agent_address};
+use super::world::{MILLI, REPLICA, SERVICE, WARM_UP_BOUNDS, agent_address, no_departures};
 
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 const PROVISIONAL_TIMEOUT: Duration = Duration::from_millis(1_300);
@@ -67,7 +65,10 @@
             flow_record: FlowRecordSettings::default(),
         };
         let known_replicas = KnownReplicas::new(vec![REPLICA]);
-        let agent = PassThroughAgent::new(now, settings, TestCodec, Incarnation(9), known_replicas);
+        let mut agent =
+            PassThroughAgent::new(now, settings, TestCodec, Incarnation(9), known_replicas);
+        let body = PassThroughBody::GroupStatus(no_departures(REPLICA, 9));
+        agent.handle_message(now, REPLICA, body);
         StoppingAgent {
             now,
             agent,
@@ -110,12 +111,10 @@
     /// latest one.
     fn acknowledge(&mut self, number: u64) {
         let group = GroupStatus {
-            replicas: vec![pack_address(REPLICA)],
-            agent_incarnation: 9,
-            remembers_agents: true,
             has_report: true,
+            remembers_agents: true,
             acknowledged_report: number,
-            ..GroupStatus::default()
+            ..no_departures(REPLICA, 9)
         };
         let from: SocketAddrV4 = REPLICA;
         let body = PassThroughBody::GroupStatus(group);
--- a/crates/petrellatch-core/tests/pass_through/fleet.rs
+++ b/crates/petrellatch-core/tests/pass_through/fleet.rs
@@ -22,7 +22,7 @@
 use prost::Message;
 
 use super::codec::{TestCodec, empty, encode};
-use super::world::{REPLICA, SERVICE, WARM_UP_BOUNDS};
+use super::world::{REPLICA, SERVICE, WARM_UP_BOUNDS, no_departures};
 
 /// Rate of a balancer's link, 3.7 Mbit/s, in bytes per second.
 pub const LINK_BYTES_PER_SECOND: u64 = 462_500;
@@ -576,6 +576,8 @@
     let incarnation = Incarnation(u64::from(u32::from(*address.ip())));
     let known_replicas = KnownReplicas::new(vec![REPLICA]);
     let mut agent = PassThroughAgent::new(now, settings, TestCodec, incarnation, known_replicas);
+    let status = no_departures(REPLICA, incarnation.0);
+    agent.handle_message(now, REPLICA, PassThroughBody::GroupStatus(status));
     let registration = Registration {
         id: address.to_string(),
         service: SERVICE.to_owned(),
--- a/crates/petrellatch-core/tests/pass_through/flow_record_world.rs
+++ b/crates/petrellatch-core/tests/pass_through/flow_record_world.rs
@@ -8,8 +8,8 @@
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
     ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput, FlowRecordSettings,
-    FlowRecordWrite, KnownReplicas, PacketView, PassThroughAgent, PassThroughAgentSettings,
-    PassThroughOutput, Registration, service_digest,
+    KnownReplicas, PacketView, PassThroughAgent, PassThroughAgentSettings, PassThroughOutput,
+    RecordFileWrite, Registration, service_digest,
 };
 use petrellatch_core::{Event, EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
@@ -219,17 +219,17 @@
         }
     }
 
-    fn write(&mut self, address: SocketAddrV4, write: FlowRecordWrite) {
+    fn write(&mut self, address: SocketAddrV4, write: RecordFileWrite) {
         self.writes += 1;
         let file = self.files.entry(address).or_default();
         let result = match (self.disk, write) {
             (Disk::Stalls, _) => return,
             (Disk::Fails, _) => Err("no space left".to_owned()),
-            (Disk::Works, FlowRecordWrite::Append(records)) => {
+            (Disk::Works, RecordFileWrite::Append(records)) => {
                 file.extend(records);
                 Ok(())
             }
-            (Disk::Works, FlowRecordWrite::Replace(records)) => {
+            (Disk::Works, RecordFileWrite::Replace(records)) => {
                 *file = records;
                 Ok(())
             }
--- a/crates/petrellatch-core/tests/pass_through/group.rs
+++ b/crates/petrellatch-core/tests/pass_through/group.rs
@@ -11,7 +11,7 @@
 use petrellatch_core::identity::Incarnation;
 use petrellatch_core::pass_through::{
     Configuration, ConfigurationNode, ConfigurationNodeSettings, ConfigurationOutput,
-    ConfigurationRequest, ConfigurationResponse, node_id_of_address,
+    ConfigurationRequest, ConfigurationResponse, RecordFileWrite, node_id_of_address,
 };
 use petrellatch_proto::pass_through::{PassThroughBody, RouteRecord, RouteShare, ServiceRecord};
 
@@ -57,6 +57,9 @@
     incarnation: Incarnation,
     seeds: Vec<u8>,
     writes: VecDeque<(Timestamp, PersistRequest)>,
+    /// Records in the file of departures.
+    departures: Vec<Vec<u8>>,
+    departure_write: Option<(Timestamp, RecordFileWrite)>,
     disk_responds: bool,
 }
 
@@ -124,6 +127,8 @@
             incarnation,
             seeds,
             writes: VecDeque::new(),
+            departures: Vec::new(),
+            departure_write: None,
             disk_responds: true,
         };
         self.machines.insert(index, machine);
@@ -152,7 +157,9 @@
             settings.max_lost_replicas = 2;
         }
         settings.first_start = now == Timestamp::ZERO;
-        machine.node = Some(ConfigurationNode::new(now, settings, start));
+        let mut node = ConfigurationNode::new(now, settings, start);
+        assert!(node.load_departures(now, &machine.departures));
+        machine.node = Some(node);
     }
 
     /// Kills a process; writes that are not synced are lost.
@@ -160,6 +167,7 @@
         let machine = self.machines.get_mut(&index).expect("the machine exists");
         machine.node = None;
         machine.writes.clear();
+        machine.departure_write = None;
     }
 
     /// Removes a machine for good.
@@ -174,6 +182,7 @@
         let incarnation = Incarnation(self.next_incarnation);
         let machine = self.machines.get_mut(&index).expect("the machine exists");
         machine.disk = PersistentState::default();
+        machine.departures.clear();
         machine.incarnation = incarnation;
     }
 
@@ -374,6 +383,19 @@
                     node.handle_persisted(now, request.ticket);
                 }
             }
+            let disk_responds = machine.disk_responds;
+            let due = machine
+                .departure_write
+                .take_if(|(at, _)| *at <= now && disk_responds);
+            if let Some((_, write)) = due {
+                match write {
+                    RecordFileWrite::Append(records) => machine.departures.extend(records),
+                    RecordFileWrite::Replace(records) => machine.departures = records,
+                }
+                if let Some(node) = &mut machine.node {
+                    node.handle_departures_written(now, Ok(()));
+                }
+            }
             self.process_outputs(index);
         }
     }
@@ -431,6 +453,10 @@
                 ConfigurationOutput::Respond { token, response } => {
                     self.responses.insert(token, response);
                 }
+                ConfigurationOutput::WriteDepartures(write) => {
+                    assert!(machine.departure_write.is_none(), "one write at a time");
+                    machine.departure_write = Some((now + WRITE_TIME, write));
+                }
                 ConfigurationOutput::WriteFlowRecords(_)
                 | ConfigurationOutput::SaveDaemons(_)
                 | ConfigurationOutput::Event(_) => {}
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -9,6 +9,7 @@
 mod configuration_changes;
 mod configuration_updates;
 mod daemons;
+mod departures;
 mod evacuated_flows;
 mod expected_agents;
 mod failing_backends;
--- a/crates/petrellatch-core/tests/pass_through/queue_limits.rs
+++ b/crates/petrellatch-core/tests/pass_through/queue_limits.rs
@@ -13,7 +13,7 @@
 use petrellatch_proto::pass_through::{ForwardReason, ForwardedPacket, PassThroughBody};
 
 use super::codec::{TestCodec, empty, encode};
-use super::world::WARM_UP_BOUNDS;
+use super::world::{REPLICA, WARM_UP_BOUNDS, no_departures};
 
 const SERVICE: &str = "desk";
 pub const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 99), 7000);
@@ -67,6 +67,8 @@
         let known_replicas = KnownReplicas::new(Vec::new());
         let mut agent =
             PassThroughAgent::new(now, settings, TestCodec, Incarnation(1), known_replicas);
+        let body = PassThroughBody::GroupStatus(no_departures(REPLICA, 1));
+        agent.handle_message(now, REPLICA, body);
         let registration = Registration {
             id: "backend-1".to_owned(),
             service: SERVICE.to_owned(),
--- a/crates/petrellatch-core/tests/pass_through/restart_world.rs
+++ b/crates/petrellatch-core/tests/pass_through/restart_world.rs
@@ -16,7 +16,7 @@
 };
 
 use super::codec::{TestCodec, empty, encode};
-use super::world::{MILLI, ROUTE, SERVICE, WARM_UP_BOUNDS, caller};
+use super::world::{MILLI, ROUTE, SERVICE, WARM_UP_BOUNDS, caller, no_departures};
 
 const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
 const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
@@ -102,7 +102,10 @@
     };
     let incarnation = Incarnation(now.as_micros());
     let known_replicas = KnownReplicas::new(vec![REPLICA]);
-    PassThroughAgent::new(now, settings, TestCodec, incarnation, known_replicas)
+    let mut agent = PassThroughAgent::new(now, settings, TestCodec, incarnation, known_replicas);
+    let body = PassThroughBody::GroupStatus(no_departures(REPLICA, incarnation.0));
+    agent.handle_message(now, REPLICA, body);
+    agent
 }
 
 impl RestartWorld {
--- a/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
+++ b/crates/petrellatch-core/tests/pass_through/restarted_agents.rs
@@ -16,7 +16,7 @@
 
 use super::codec::{TestCodec, empty, encode};
 use super::replica::start_replica;
-use super::world::WARM_UP_BOUNDS;
+use super::world::{WARM_UP_BOUNDS, no_departures};
 
 const SERVICE: &str = "desk";
 const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 7000);
@@ -48,7 +48,10 @@
     };
     let incarnation = Incarnation(now.as_micros());
     let known_replicas = KnownReplicas::new(vec![REPLICA]);
-    PassThroughAgent::new(now, settings, TestCodec, incarnation, known_replicas)
+    let mut agent = PassThroughAgent::new(now, settings, TestCodec, incarnation, known_replicas);
+    let body = PassThroughBody::GroupStatus(no_departures(REPLICA, incarnation.0));
+    agent.handle_message(now, REPLICA, body);
+    agent
 }
 
 fn caller(port: u16) -> SocketAddrV4 {
--- a/crates/petrellatch-core/tests/pass_through/site.rs
+++ b/crates/petrellatch-core/tests/pass_through/site.rs
@@ -22,7 +22,7 @@
 use prost::Message;
 
 use super::codec::{TestCodec, empty, encode};
-use super::world::{BALANCER, MILLI, ROUTE, SERVICE, WARM_UP_BOUNDS, caller};
+use super::world::{BALANCER, MILLI, ROUTE, SERVICE, WARM_UP_BOUNDS, caller, no_departures};
 
 const STEP: Duration = Duration::from_millis(5);
 /// Address of an observer that asks replicas whether their directories are complete.
@@ -153,6 +153,9 @@
         let known_replicas = KnownReplicas::new(REPLICAS.to_vec());
         let mut agent =
             PassThroughAgent::new(self.now, settings, TestCodec, incarnation, known_replicas);
+        let status = no_departures(REPLICAS[0], incarnation.0);
+        let body = PassThroughBody::GroupStatus(status);
+        agent.handle_message(self.now, REPLICAS[0], body);
         let registration = Registration {
             id: address.to_string(),
             service: SERVICE.to_owned(),
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -33,6 +33,17 @@
 pub const REPLICA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
 pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80);
 
+/// The status of the only replica, `replica`, in reply to an agent: no back end has left at the
+/// agent's address. Whether there was an agent before isn't known.
+pub fn no_departures(replica: SocketAddrV4, agent_incarnation: u64) -> GroupStatus {
+    GroupStatus {
+        replicas: vec![pack_address(replica)],
+        agent_incarnation,
+        departures_are_complete: true,
+        ..GroupStatus::default()
+    }
+}
+
 pub fn agent_address(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7000)
 }
@@ -255,12 +266,10 @@
     pub fn acknowledge_report(&mut self, index: u8, knows_previous_incarnation: bool) {
         self.settle();
         let status = GroupStatus {
-            replicas: vec![pack_address(REPLICA)],
-            agent_incarnation: self.incarnation(index),
             knows_previous_incarnation,
             remembers_agents: true,
             has_report: true,
-            ..GroupStatus::default()
+            ..no_departures(REPLICA, self.incarnation(index))
         };
         let agent = self
             .agents
@@ -287,7 +296,17 @@
         self.register(index, slots, false, 100);
     }
 
+    /// Starts an agent. The replica replies that no back end has left at its address.
     pub fn start_agent(&mut self, index: u8) {
+        self.start_agent_without_reply(index);
+        let agent = self.agents.get_mut(&agent_address(index));
+        let agent = agent.expect("the agent has started");
+        let status = no_departures(REPLICA, self.now.as_micros() + u64::from(index));
+        agent.handle_message(self.now, REPLICA, PassThroughBody::GroupStatus(status));
+    }
+
+    /// Starts an agent that no replica has replied to.
+    pub fn start_agent_without_reply(&mut self, index: u8) {
         let address = agent_address(index);
         let settings = PassThroughAgentSettings {
             address,
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -61,6 +61,9 @@
     /// Digest of the back end incarnation that takes new flows; zero if there is none.
     #[prost(fixed64, tag = "13")]
     pub serving_backend: u64,
+    /// Whether the agent awaits that replicas save departures, or tell it which ones they have.
+    #[prost(bool, tag = "14")]
+    pub awaits_departures: bool,
 }
 
 /// One agent of a [`DirectoryPart`].
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -111,6 +111,16 @@
     /// ends are draining.
     #[prost(fixed64, tag = "19")]
     pub serving_backend: u64,
+    /// To an agent: time since the sender knows of each of `draining_backends`, in milliseconds.
+    #[prost(uint32, repeated, tag = "20")]
+    pub draining_ages_millis: Vec<u32>,
+    /// To an agent: those of `draining_backends` that the sender has synced to its disk.
+    #[prost(fixed64, repeated, tag = "21")]
+    pub saved_departures: Vec<u64>,
+    /// To an agent: whether the sender's disk has every departure that was ever reported to the
+    /// sender and may still matter. A replica that lost its disk can't say so for some time.
+    #[prost(bool, tag = "22")]
+    pub departures_are_complete: bool,
     /// To an agent: whether the sender remembers every agent that has reported to it within the
     /// lifetime of a flow. A replica that restarted can't say so for that time.
     #[prost(bool, tag = "23")]
@@ -120,6 +130,23 @@
     pub agent_incarnation: u64,
 }
 
+/// Replica's file of departures: one record.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SavedDepartures {
+    /// Address of the agent; zero in the record that marks the file as complete.
+    #[prost(fixed64, tag = "1")]
+    pub agent: u64,
+    /// Digest of the agent's service.
+    #[prost(fixed64, tag = "2")]
+    pub service: u64,
+    /// Digests of back end incarnations that have left, the latest last.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub backends: Vec<u64>,
+    /// Whether the file has every departure that was reported to the replica.
+    #[prost(bool, tag = "4")]
+    pub is_complete: bool,
+}
+
 /// Daemons that a replica saves on disk, to send them the group's addresses after a
 /// restart. The list may be outdated and is used only as a hint.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -20,7 +20,9 @@
     ACKNOWLEDGED_STEP_BYTES, FlowColumns, FlowRecordAck, FlowRecordChange, FlowRecordRequest,
     FlowRecordResponse,
 };
-pub use group::{GroupStatus, ReplicaZone, SavedDaemons, Subscribe, VersionConfirmed};
+pub use group::{
+    GroupStatus, ReplicaZone, SavedDaemons, SavedDepartures, Subscribe, VersionConfirmed,
+};
 pub use new_flow::{
     Accepted, DeclineReason, Declined, FlowQueued, ForwardReason, ForwardedPacket, LoadMessage,
 };
--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -1,6 +1,7 @@
 //! The event loop of an agent.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -11,13 +12,13 @@
 use petrellatch_core::{Event, EventKind, Timestamp};
 
 use crate::error::ProgramError;
-use crate::http::EventServer;
+use crate::http::{EventServer, ReceivedRequest};
 use crate::runtime::datagram_socket::{Batch, ConnectedDatagramSocket, DatagramSocket};
 
 use super::api_translator::{ApiRequest, ApiResponse, ApiTranslator};
 use super::event_loop::{
-    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS, REFUSALS, SECOND_HTTP,
-    SECOND_HTTP_FIRST_CONNECTION, serve_requests,
+    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PACKETS, PendingRequest,
+    REFUSALS, SECOND_HTTP, SECOND_HTTP_FIRST_CONNECTION, serve_requests,
 };
 use super::message_socket::MessageSocket;
 use super::metrics::agent_metrics;
@@ -43,6 +44,13 @@
 /// Maximum size of a request body, in bytes.
 const BODY_BYTES: usize = 16 * 1024;
 
+/// A departure of the back end that isn't acknowledged yet.
+struct PendingDeparture {
+    /// Index of the HTTP server that received it.
+    server: usize,
+    request: PendingRequest,
+}
+
 pub(super) fn run<C: PacketCodec, T: ApiTranslator>(
     watcher: SettingsWatcher,
     settings: PassThroughSettings,
@@ -92,26 +100,39 @@
         .log
         .write_always(now, EventKind::ProcessStarted, subject);
     let mut has_backlog = false;
+    let mut departures: VecDeque<PendingDeparture> = VecDeque::new();
+    // Requests that arrived behind a departure on the same connection, by server.
+    let mut pipelined: Vec<Vec<ReceivedRequest>> = vec![Vec::new(); http.len()];
     while !agent.is_stopped() {
-        let wakeup = event_loop.wait(agent.poll_timeout(), has_backlog)?;
+        let has_requests = pipelined.iter().any(|requests| !requests.is_empty());
+        let wakeup = event_loop.wait(agent.poll_timeout(), has_backlog || has_requests)?;
         let now = event_loop.clock.now();
         if let Some(settings) = wakeup.settings {
             agent.known_replicas_mut().set_seeds(settings.seeds);
         }
-        for token in wakeup.tokens {
-            if let Some(refusals) = refusals.as_mut().filter(|_| token == REFUSALS) {
-                refusals.read_error();
+        if wakeup.tokens.contains(&REFUSALS)
+            && let Some(refusals) = &mut refusals
+        {
+            refusals.read_error();
+        }
+        for (server, http) in http.iter_mut().enumerate() {
+            let mut received = std::mem::take(&mut pipelined[server]);
+            for token in &wakeup.tokens {
+                received.extend(http.handle_event(now, event_loop.poll.registry(), *token));
             }
-            for http in &mut http {
-                let received = http.handle_event(now, event_loop.poll.registry(), token);
-                let agent = RefCell::new(&mut agent);
-                let metrics = || agent_metrics(&agent.borrow(), now);
-                let handle =
-                    |_: &_, request| Some(handle_request(now, &mut agent.borrow_mut(), request));
-                for refusal in serve_requests(now, http, &translator, received, metrics, handle) {
-                    let event = Event::new(EventKind::RegistrationRefused, refusal);
-                    event_loop.log.write(now, &event);
+            let agent = RefCell::new(&mut agent);
+            let metrics = || agent_metrics(&agent.borrow(), now);
+            let handle = |received: &_, request| {
+                let response = handle_request(now, &mut agent.borrow_mut(), request);
+                if response.is_none() {
+                    let request = PendingRequest::new(received);
+                    departures.push_back(PendingDeparture { server, request });
                 }
+                response
+            };
+            for refusal in serve_requests(now, http, &translator, received, metrics, handle) {
+                let event = Event::new(EventKind::RegistrationRefused, refusal);
+                event_loop.log.write(now, &event);
             }
         }
         if refusals
@@ -133,6 +154,17 @@
         if agent.poll_timeout() <= now {
             agent.handle_timeout(now);
         }
+        if agent.departures_are_saved() {
+            for PendingDeparture { server, request } in departures.drain(..) {
+                let response =
+                    translator.translate_response(&request.request, &ApiResponse::Registered);
+                let next = http[server].respond(now, request.connection, &response);
+                pipelined[server].extend(next);
+            }
+        }
+        while departures.len() > MAX_CONNECTIONS {
+            departures.pop_front();
+        }
         while let Some(output) = agent.poll_output() {
             match output {
                 PassThroughOutput::Send { to, body } => messages.send(to, body),
@@ -156,28 +188,32 @@
     Ok(())
 }
 
+/// Handles a request. Returns `None` if it is a departure, which is acknowledged once
+/// [`PassThroughAgent::departures_are_saved`] holds.
 fn handle_request<C: PacketCodec>(
     now: Timestamp,
     agent: &mut PassThroughAgent<C>,
     request: ApiRequest,
-) -> ApiResponse {
-    match request {
+) -> Option<ApiResponse> {
+    let response = match request {
         ApiRequest::Readiness => ApiResponse::Readiness {
             ready: agent.is_ready(),
         },
         ApiRequest::Register(registration) => match agent.handle_registration(now, &registration) {
+            Ok(()) if registration.draining => return None,
             Ok(()) => ApiResponse::Registered,
             Err(refusal) => ApiResponse::RegistrationRefused(refusal),
         },
         ApiRequest::Deregister { id } => {
             agent.handle_deregistration(now, &id);
-            ApiResponse::Registered
+            return None;
         }
         ApiRequest::Replace(_)
         | ApiRequest::Read
         | ApiRequest::SetZoneEvacuated { .. }
         | ApiRequest::Policies(_) => ApiResponse::NotServed,
-    }
+    };
+    Some(response)
 }
 
 fn agent_settings(
--- a/crates/petrellatch/src/runtime/pass_through/event_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/event_loop.rs
@@ -7,7 +7,7 @@
 use petrellatch_core::{EventKind, Timestamp};
 
 use crate::error::ProgramError;
-use crate::http::{EventServer, HttpRequest, HttpResponse, ReceivedRequest};
+use crate::http::{ConnectionId, EventServer, HttpRequest, HttpResponse, ReceivedRequest};
 use crate::runtime::clock::ProcessClock;
 use crate::runtime::process::{check_wait_result, open_poll};
 
@@ -145,6 +145,35 @@
     }
 }
 
+/// A request whose response is sent later.
+#[derive(Debug)]
+pub(super) struct PendingRequest {
+    /// The connection to respond on.
+    pub(super) connection: ConnectionId,
+    /// The request without its body, which the translation of the response needs.
+    pub(super) request: HttpRequest,
+}
+
+impl PendingRequest {
+    pub(super) fn new(received: &ReceivedRequest) -> PendingRequest {
+        let HttpRequest {
+            method,
+            path,
+            query,
+            ..
+        } = received.request.clone();
+        PendingRequest {
+            connection: received.connection,
+            request: HttpRequest {
+                method,
+                path,
+                query,
+                body: Vec::new(),
+            },
+        }
+    }
+}
+
 /// Serves the requests of one event. `handle` returns the response to a request, or
 /// `None` if the response will be sent later. Returns a description of each request
 /// that could not be parsed.
--- a/crates/petrellatch/src/runtime/pass_through/flow_record_writer.rs
+++ b/crates/petrellatch/src/runtime/pass_through/record_file_writer.rs
@@ -1,13 +1,12 @@
-//! Writes the flow records on a separate thread, so that neither the syncs of the log
-//! nor the event loop wait for these writes.
+//! Writes a file of records, such as the flow records or the departures, on a separate
+//! thread, so that neither the syncs of the log nor the event loop wait for it.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 
 use mio::Waker;
-use petrellatch_core::pass_through::FlowRecordWrite;
+use petrellatch_core::pass_through::RecordFileWrite;
 use petrellatch_storage::{RecordFile, StorageError};
 
 use crate::error::ProgramError;
@@ -17,23 +16,28 @@
 
 /// The event loop's ends of the channels to and from the thread.
 #[derive(Debug)]
-pub(super) struct FlowRecordWriter {
-    requests: Sender<FlowRecordWrite>,
+pub(super) struct RecordFileWriter {
+    requests: Sender<RecordFileWrite>,
     results: Receiver<Result<(), StorageError>>,
 }
 
-impl FlowRecordWriter {
-    pub(super) fn start(mut file: RecordFile, waker: Arc<Waker>) -> Result<Self, ProgramError> {
-        let (requests, request_receiver) = channel::<FlowRecordWrite>();
+impl RecordFileWriter {
+    /// Starts the thread, which wakes the event loop after each write.
+    pub(super) fn start(
+        thread_name: &str,
+        mut file: RecordFile,
+        waker: Arc<Waker>,
+    ) -> Result<Self, ProgramError> {
+        let (requests, request_receiver) = channel::<RecordFileWrite>();
         let (result_sender, results) = channel();
         thread::Builder::new()
-            .name("flow-records".to_string())
+            .name(thread_name.to_string())
             .stack_size(STACK_BYTES)
             .spawn(move || {
                 while let Ok(request) = request_receiver.recv() {
                     let result = match request {
-                        FlowRecordWrite::Append(records) => file.append(&records),
-                        FlowRecordWrite::Replace(records) => file.replace(&records),
+                        RecordFileWrite::Append(records) => file.append(&records),
+                        RecordFileWrite::Replace(records) => file.replace(&records),
                     };
                     let _ = result_sender.send(result);
                     let _ = waker.wake();
@@ -43,10 +47,10 @@
                 action: "start a thread",
                 source,
             })?;
-        Ok(FlowRecordWriter { requests, results })
+        Ok(RecordFileWriter { requests, results })
     }
 
-    pub(super) fn write(&self, request: FlowRecordWrite) {
+    pub(super) fn write(&self, request: RecordFileWrite) {
         // Sending can't fail: the thread runs until this sender is dropped.
         let _ = self.requests.send(request);
     }
@@ -57,10 +61,5 @@
     }
 }
 
-/// Path of the flow record file in a data folder.
-pub(super) fn flow_record_path(data_folder: &std::path::Path) -> PathBuf {
-    data_folder.join("flow-records")
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/replica_loop.rs
@@ -19,17 +19,18 @@
 };
 
 use crate::error::ProgramError;
-use crate::http::{ConnectionId, EventServer, HttpRequest, ReceivedRequest};
+use crate::http::{EventServer, ReceivedRequest};
 use crate::runtime::datagram_socket::Batch;
 
 use super::api_translator::{ApiRequest, ApiResponse, ApiTranslator};
 use super::event_loop::{
-    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, WAKE, serve_requests,
+    EventLoop, FIRST_CONNECTION, HTTP, MAX_CONNECTIONS, MESSAGES, PendingRequest, WAKE,
+    serve_requests,
 };
-use super::flow_record_writer::{FlowRecordWriter, flow_record_path};
 use super::message_socket::MessageSocket;
 use super::metrics::replica_metrics;
 use super::policy_api;
+use super::record_file_writer::RecordFileWriter;
 use super::retrying_log_writer::{RetryingLogWriter, WriteOutcome};
 use super::settings::{PassThroughSettings, ReplicaRoleSettings};
 use super::settings_watcher::SettingsWatcher;
@@ -41,6 +42,9 @@
 /// Name of the file in the data folder with the daemons that the previous incarnation
 /// saved.
 const DAEMONS_FILE: &str = "daemons";
+/// Names of the files of flow records and of departures there.
+const FLOW_RECORDS_FILE: &str = "flow-records";
+const DEPARTURES_FILE: &str = "departures";
 /// Cluster id in every data folder. This tier has no cluster keys that could tell
 /// clusters apart.
 const CLUSTER_ID: u64 = 1;
@@ -56,12 +60,6 @@
 /// Number of heartbeats per election timeout.
 const HEARTBEATS_PER_ELECTION: u32 = 4;
 
-/// A request whose response needs the replica group.
-struct PendingRequest {
-    connection: ConnectionId,
-    request: HttpRequest,
-}
-
 pub(super) fn run<T: ApiTranslator>(
     watcher: SettingsWatcher,
     settings: PassThroughSettings,
@@ -87,7 +85,8 @@
     let start = replica_start(&settings, &opened);
     let daemons = AtomicFile::new(role.data_folder.join(DAEMONS_FILE));
     let saved_daemons = daemons.read();
-    let records = RecordFile::open(flow_record_path(&role.data_folder));
+    let records = RecordFile::open(role.data_folder.join(FLOW_RECORDS_FILE));
+    let departures = RecordFile::open(role.data_folder.join(DEPARTURES_FILE));
     let waker = Arc::new(waker);
     let writer = RetryingLogWriter::start(
         role.data_folder.clone(),
@@ -99,7 +98,9 @@
     let mut node = ConfigurationNode::new(now, node_settings(&settings, role), start);
     load_daemons(&mut event_loop, &mut node, saved_daemons);
     let record_file = load_flow_records(&mut event_loop, &mut node, records);
-    let record_writer = FlowRecordWriter::start(record_file, waker)?;
+    let departure_file = load_departures(&mut event_loop, &mut node, departures);
+    let record_writer = RecordFileWriter::start("flow-records", record_file, Arc::clone(&waker))?;
+    let departure_writer = RecordFileWriter::start("departures", departure_file, waker)?;
     event_loop
         .log
         .write_always(now, EventKind::ProcessStarted, "replica");
@@ -136,6 +137,10 @@
             let result = result.map_err(|error| error.to_string());
             node.handle_flow_records_written(now, result);
         }
+        while let Some(result) = departure_writer.poll() {
+            let result = result.map_err(|error| error.to_string());
+            node.handle_departures_written(now, result);
+        }
         has_backlog =
             messages.receive(|from, body| node.handle_message(now, from, body)) == Batch::Full;
         let mut requests = std::mem::take(&mut pipelined);
@@ -168,7 +173,7 @@
                     }
                 };
                 next_token += 1;
-                pending.insert(next_token, pending_request(received));
+                pending.insert(next_token, PendingRequest::new(received));
                 node.borrow_mut().handle_request(now, next_token, request);
                 None
             };
@@ -189,6 +194,7 @@
                 ConfigurationOutput::Persist(request) => writer.write(request),
                 ConfigurationOutput::SaveDaemons(bytes) => writer.save_daemons(bytes),
                 ConfigurationOutput::WriteFlowRecords(write) => record_writer.write(write),
+                ConfigurationOutput::WriteDepartures(write) => departure_writer.write(write),
                 ConfigurationOutput::Respond { token, response } => {
                     if let Some(pending) = pending.remove(&token) {
                         let port = role.operator_address.port();
@@ -220,24 +226,6 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-fn pending_request(received: &ReceivedRequest) -> PendingRequest {
-    let HttpRequest {
-        method,
-        path,
-        query,
-        ..
-    } = received.request.clone();
-    PendingRequest {
-        connection: received.connection,
-        request: HttpRequest {
-            method,
-            path,
-            query,
-            body: Vec::new(),
-        },
-    }
-}
-
 fn readiness(node: &ConfigurationNode) -> ApiResponse {
     ApiResponse::Readiness {
         ready: node.replica().leader().is_some(),
@@ -335,6 +323,25 @@
     opened.file
 }
 
+/// Loads the departures that the previous incarnation wrote into the node. A replica that can't
+/// read them doesn't count towards the majority that knows all departures.
+fn load_departures(
+    event_loop: &mut EventLoop,
+    node: &mut ConfigurationNode,
+    opened: OpenedRecords,
+) -> RecordFile {
+    let now = event_loop.clock.now();
+    let is_readable = node.load_departures(now, &opened.records);
+    let failure = match opened.failure {
+        Some(error) => error.to_string(),
+        None if is_readable => return opened.file,
+        None => "some departures can't be decoded".to_owned(),
+    };
+    let kind = EventKind::DeparturesNotSaved;
+    event_loop.log.write_always(now, kind, failure);
+    opened.file
+}
+
 /// Whether this replica is a founding member: the seeds are, when the whole group
 /// starts for the first time.
 fn is_founder(settings: &PassThroughSettings, role: &ReplicaRoleSettings) -> bool {
