Let another incarnation in the place of a leaving one only with a proof that it runs

What callers saw: a back end that reports its start time had just started when the agent beside it was stopped and started.

Cause: a registration with a sequence number of 3 or less counted as proof of an incarnation that has just started, though it may be a delayed one of the very back end that left, or of one that crashed before it. Two registrations in a row, or one of a back end that had registered for long, counted as proofs as well.

Change: admission/leaving_backends.rs keeps which back ends are leaving and has the short list of what proves that another one runs: it started later than the leaving one; it registers steadily, and still does 10 s after the departure, by which time anything that was sent before has arrived; a previous incarnation of the agent had a proof; or a packet was refused at the address since. A deregistered name holds back each incarnation of the name. What is only likely (sequence numbers, registering again) still chooses whose slots and labels are used, and proves nothing.

Cost: a back end that takes the place of one that left, at the same agent and without a later start time, gets new flows 10 s after the departure, where it was about a second.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -1,6 +1,6 @@
 //! State of an agent's back end, which registers itself at the agent.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use petrellatch_proto::pass_through::{AgentState, BackendDescription};
@@ -8,29 +8,19 @@
 
 use crate::time::Timestamp;
 
-use crate::pass_through::digest::backend_digest;
+use super::backend_incarnation::BackendIncarnation;
+use super::leaving_backends::{LeavingBackends, RegisteredIncarnation};
 
 /// Slots assumed for a back end that hasn't registered yet. If it has fewer, it queues or
 /// returns the excess requests.
 const PROVISIONAL_SLOTS: u32 = 4;
-/// Registrations that a back end may have sent before its agent was running. A sequence number
-/// up to this one still shows that an incarnation has just started.
+/// A sequence number up to this one is a sign that an incarnation has started recently. It may
+/// also be that of a delayed registration, so that it proves nothing.
 const EARLY_REGISTRATIONS: u64 = 3;
-/// An incarnation whose start time is before that of the current one is the newer one all the
+/// An incarnation whose start time is before that of the current one takes its place all the
 /// same if it keeps registering for this long while the current one doesn't: its clock was set
-/// back. Delayed registrations of a previous incarnation arrive within a moment, and the
-/// current one registers about every second. An incarnation that has registered for this long has
-/// run beside this agent.
+/// back.
 const EARLIER_START_TIMEOUT: Duration = Duration::from_secs(3);
-/// The same for an incarnation whose first registrations weren't received, beside a back end that
-/// is leaving: that one is silent after its deregistration, and registrations of a previous
-/// incarnation may be delayed by seconds.
-const LATE_REGISTRATION_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum number of registrations within that time.
-const MIN_LATE_REGISTRATIONS: u32 = 3;
-/// Maximum number of deregistered incarnations that are kept, so that a delayed registration
-/// doesn't bring one of them back.
-const MAX_DEREGISTERED: usize = 16;
 /// Maximum number of draining and deregistered incarnations in a report to the replica group.
 const MAX_DRAINING_REPORTED: usize = 4;
 /// A back end that hasn't answered a SYN for this long may have restarted, and be cold, when it
@@ -81,37 +71,17 @@
     },
 }
 
-/// One incarnation of a back end. The next one may have the same name, but shares nothing else
-/// with it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct BackendIncarnation {
-    id: String,
-    started_at_millis: Option<u64>,
-}
-
-impl BackendIncarnation {
-    fn digest(&self) -> u64 {
-        backend_digest(&self.id, self.started_at_millis)
-    }
-
-    /// Digest of its name alone.
-    fn name_digest(&self) -> u64 {
-        backend_digest(&self.id, None)
-    }
-
-    /// Whether it started after another one; `None` unless both report a start time.
-    fn started_after(&self, other: &BackendIncarnation) -> Option<bool> {
-        Some(self.started_at_millis? > other.started_at_millis?)
-    }
-}
-
 /// State of an agent's back end, as its registrations and packets show it.
 #[derive(Debug)]
 pub struct RegistrationState {
+    /// The incarnation that is likely to run. It gets new flows unless a leaving one may run
+    /// instead.
     current: Option<Current>,
     /// Another incarnation that has registered, and may be newer or older than the current one.
     /// It is dropped once the current one registers again.
     contender: Option<Contender>,
+    /// Back ends that must not get new flows again.
+    leaving: LeavingBackends,
     /// Whether the back end has sent a packet, which shows that it runs.
     seen_alive: bool,
     /// Whether the address of the back end has refused a packet: nothing ran there then.
@@ -126,9 +96,6 @@
     unanswered_since: Option<Timestamp>,
     /// Whether the back end may have restarted, and be cold, since its last registration.
     may_have_restarted: bool,
-    /// Digests of deregistered incarnations, which must not get new flows again. A digest without
-    /// a start time stands for each incarnation of its name that isn't known to be newer.
-    deregistered: VecDeque<u64>,
     /// Digest of the back end that took new flows at the end of the agent's previous incarnation.
     restored_serving: Option<u64>,
     /// Whether a back end has deregistered since the start, so that the one that served before it
@@ -142,21 +109,51 @@
 struct Current {
     incarnation: BackendIncarnation,
     sequence: u64,
+    /// Number of registrations received, except for repeated ones.
+    registrations: u32,
     slots: u32,
-    draining: bool,
+    draining_since: Option<Timestamp>,
     cold_until: Timestamp,
     last_seen_at: Timestamp,
     /// When its first registration was received.
     first_seen_at: Timestamp,
     /// When its latest registration was received.
     registered_at: Timestamp,
-    /// Whether it certainly runs: its first registrations were received, or it has registered for
-    /// a long time. Otherwise it may be a previous incarnation whose registration was delayed.
-    is_confirmed: bool,
     labels: BTreeMap<String, String>,
 }
 
-/// An incarnation other than the current one that has registered or deregistered.
+impl Current {
+    fn new(now: Timestamp, registration: &Registration) -> Current {
+        Current {
+            incarnation: registration.incarnation(),
+            sequence: registration.sequence,
+            registrations: 1,
+            slots: registration.slots.max(1),
+            draining_since: registration.draining.then_some(now),
+            cold_until: now + registration.cold_for,
+            last_seen_at: now,
+            first_seen_at: now,
+            registered_at: now,
+            labels: registration.labels.clone(),
+        }
+    }
+
+    /// Replaces what a later registration of the same incarnation reports.
+    fn update(&mut self, now: Timestamp, registration: &Registration) {
+        let is_repeated = registration.sequence == self.sequence;
+        let registrations = self.registrations + u32::from(!is_repeated);
+        let draining_since = self.draining_since.unwrap_or(now);
+        let first_seen_at = self.first_seen_at;
+        *self = Current {
+            registrations,
+            draining_since: registration.draining.then_some(draining_since),
+            first_seen_at,
+            ..Current::new(now, registration)
+        };
+    }
+}
+
+/// An incarnation other than the current one that has registered.
 ///
 /// A registration may arrive seconds late, even after its sender has crashed and a newer
 /// incarnation has registered. Names don't show which incarnation is the newer one. Start times
@@ -164,32 +161,11 @@
 #[derive(Debug)]
 struct Contender {
     incarnation: BackendIncarnation,
-    /// Sequence number of its first registration received.
-    first_sequence: u64,
     sequence: u64,
-    draining: bool,
-    /// Number of registrations received.
+    /// Number of registrations received, except for repeated ones.
     registrations: u32,
-    /// When its first registration since the last one of the current incarnation was received;
-    /// `None` if there is none.
-    registering_since: Option<Timestamp>,
-}
-
-impl Contender {
-    /// Whether it has registered for so long that it runs, and not the back end before it.
-    fn outlasts(&self, now: Timestamp, is_leaving: bool) -> bool {
-        let registers_for = |time| {
-            self.registering_since
-                .is_some_and(|since| now.saturating_since(since) >= time)
-        };
-        match is_leaving && self.first_sequence > EARLY_REGISTRATIONS {
-            false => registers_for(EARLIER_START_TIMEOUT),
-            true => {
-                self.registrations >= MIN_LATE_REGISTRATIONS
-                    && registers_for(LATE_REGISTRATION_TIMEOUT)
-            }
-        }
-    }
+    /// When its first registration since the last one of the current incarnation was received.
+    registering_since: Timestamp,
 }
 
 impl RegistrationState {
@@ -199,6 +175,7 @@
         RegistrationState {
             current: None,
             contender: None,
+            leaving: LeavingBackends::default(),
             seen_alive: false,
             was_absent: false,
             provisional_until,
@@ -206,7 +183,6 @@
             saw_restart: false,
             unanswered_since: None,
             may_have_restarted: false,
-            deregistered: VecDeque::new(),
             restored_serving: None,
             has_deregistered: false,
             description_revision: 0,
@@ -216,186 +192,124 @@
     /// Handles a registration. Returns whether the current incarnation or its draining state
     /// changed.
     pub fn handle_registration(&mut self, now: Timestamp, registration: &Registration) -> bool {
-        let incarnation = registration.incarnation();
         let before = self.drain_state();
-        if self.deregistered.contains(&incarnation.digest()) {
-            self.handle_leaving_registration(now, incarnation, registration);
-            return before != self.drain_state();
-        }
-        let mut first_seen_at = now;
-        let mut is_confirmed = registration.sequence <= EARLY_REGISTRATIONS
-            || self.restored_serving == Some(incarnation.digest());
-        if let Some(current) = &mut self.current
-            && current.incarnation == incarnation
-        {
-            if registration.sequence < current.sequence {
-                return false;
-            }
-            first_seen_at = current.first_seen_at;
-            let registered_for = now.saturating_since(first_seen_at);
-            is_confirmed = current.is_confirmed || registered_for >= LATE_REGISTRATION_TIMEOUT;
-        } else if self.current.is_some() || self.has_left() {
-            if !self.is_newer(now, &incarnation, registration) {
-                self.note_contender(now, incarnation, registration);
-                return before != self.drain_state();
-            }
-            is_confirmed |= self.contender_outlasts(now, &incarnation, registration);
-            self.replace_current(registration);
-        }
-        self.forget_deregistered_name(&incarnation);
-        let is_described =
-            |it: &Current| it.incarnation == incarnation && it.labels == registration.labels;
-        if !self.current.as_ref().is_some_and(is_described) {
-            self.description_revision += 1;
+        let incarnation = registration.incarnation();
+        if self.leaving.contains(incarnation.digest()) {
+            self.leaving.note_registration(now, incarnation.digest());
+        } else {
+            self.note_registration(now, incarnation, registration);
         }
-        self.contender = None;
-        self.unanswered_since = None;
-        self.may_have_restarted = false;
-        self.current = Some(Current {
-            incarnation,
-            sequence: registration.sequence,
-            slots: registration.slots.max(1),
-            draining: registration.draining,
-            cold_until: now + registration.cold_for,
-            last_seen_at: now,
-            first_seen_at,
-            registered_at: now,
-            is_confirmed,
-            labels: registration.labels.clone(),
-        });
         before != self.drain_state()
     }
 
-    /// Handles a registration of an incarnation that is leaving. It runs, unless the registration
-    /// was delayed, so that another incarnation without a sign of its start may be a previous one.
-    fn handle_leaving_registration(
+    /// Notes a registration of an incarnation that hasn't left.
+    fn note_registration(
         &mut self,
         now: Timestamp,
         incarnation: BackendIncarnation,
         registration: &Registration,
     ) {
-        match &self.current {
-            None => self.contender = None,
-            Some(current) if current.is_confirmed || current.incarnation == incarnation => {}
-            Some(_) => {
-                let keeps_registering = self.registers_again(&incarnation, registration);
-                self.note_contender(now, incarnation, registration);
-                if let Some(contender) = &mut self.contender {
-                    contender.draining = true;
+        let labels = self.current.as_ref().map(|current| current.labels.clone());
+        match &mut self.current {
+            Some(current) if current.incarnation == incarnation => {
+                if registration.sequence < current.sequence {
+                    return;
                 }
-                if keeps_registering {
-                    self.current = None;
-                    self.contender = None;
+                current.update(now, registration);
+            }
+            Some(current) => {
+                let is_older = incarnation.started_after(&current.incarnation) == Some(false);
+                if !self.is_newer(now, &incarnation, registration) {
+                    // It may be the one that runs unless it is older.
+                    if registration.draining && !is_older {
+                        self.leaving.note(now, now, &incarnation);
+                    }
+                    self.note_contender(now, incarnation, registration);
+                    return;
                 }
+                self.replace_current(now, registration);
+                self.description_revision += 1;
+            }
+            None => {
+                self.current = Some(Current::new(now, registration));
+                self.description_revision += 1;
             }
         }
+        if labels.is_some_and(|labels| labels != registration.labels) {
+            self.description_revision += 1;
+        }
+        self.contender = None;
+        self.unanswered_since = None;
+        self.may_have_restarted = false;
     }
 
-    /// Whether an incarnation is newer than the current one, or than one that is leaving since
-    /// before this agent started: its start time is later, or it has just started, or it keeps
-    /// registering while the other one doesn't.
-    ///
-    /// A low sequence number shows nothing if the current one drains, as it may have sent its
-    /// last registration, or if the start time is earlier than that of the current one. While a
-    /// back end is leaving, registering twice shows nothing either.
+    /// Whether an incarnation is likely to be newer than the current one: its start time is
+    /// later, or it has just started, or it keeps registering while the other one doesn't.
     fn is_newer(
         &self,
         now: Timestamp,
         incarnation: &BackendIncarnation,
         registration: &Registration,
     ) -> bool {
-        if self.contender_outlasts(now, incarnation, registration) {
-            return true;
-        }
-        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
-        if self.is_deregistered_name(incarnation) && !has_just_started {
-            return false;
-        }
         let Some(current) = &self.current else {
-            return has_just_started;
+            return true;
         };
-        let started_after = incarnation.started_after(&current.incarnation);
-        let contender = self.contender.as_ref();
-        match contender.filter(|_| self.registers_again(incarnation, registration)) {
-            Some(contender) if current.draining => {
-                let had_just_started = contender.first_sequence <= EARLY_REGISTRATIONS;
-                started_after.unwrap_or(had_just_started)
-            }
-            Some(_) => started_after != Some(false),
-            None => started_after.unwrap_or(has_just_started && !current.draining),
-        }
-    }
-
-    /// Whether the contender registers again.
-    fn registers_again(
-        &self,
-        incarnation: &BackendIncarnation,
-        registration: &Registration,
-    ) -> bool {
-        let contender = self.contender.as_ref();
-        contender.is_some_and(|contender| {
+        let contender = self.contender.as_ref().filter(|contender| {
             contender.incarnation == *incarnation && contender.sequence < registration.sequence
-        })
-    }
-
-    /// Whether the contender registers again, and has registered for so long that it runs.
-    fn contender_outlasts(
-        &self,
-        now: Timestamp,
-        incarnation: &BackendIncarnation,
-        registration: &Registration,
-    ) -> bool {
-        let current = self.current.as_ref();
-        let is_leaving = current.is_none_or(|current| current.draining);
-        let contender = self.contender.as_ref();
-        contender.is_some_and(|contender| {
-            self.registers_again(incarnation, registration) && contender.outlasts(now, is_leaving)
-        })
+        });
+        let registers_for = |contender: &Contender| {
+            now.saturating_since(contender.registering_since) >= EARLIER_START_TIMEOUT
+        };
+        if contender.is_some_and(registers_for) {
+            return true;
+        }
+        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
+        let registers_again = contender.is_some();
+        incarnation
+            .started_after(&current.incarnation)
+            .unwrap_or(registers_again || (has_just_started && current.draining_since.is_none()))
     }
 
-    /// Notes a registration of an incarnation that isn't known to be newer. If its start time
-    /// is earlier than that of the current one, its draining state has no effect.
+    /// Notes a registration of an incarnation that isn't known to be newer.
     fn note_contender(
         &mut self,
         now: Timestamp,
         incarnation: BackendIncarnation,
         registration: &Registration,
     ) {
-        let current = self.current.as_ref().map(|current| &current.incarnation);
-        let is_older =
-            current.and_then(|current| incarnation.started_after(current)) == Some(false);
         let known = self
             .contender
             .take_if(|contender| contender.incarnation == incarnation);
-        let registering_since = known.as_ref().and_then(|known| known.registering_since);
-        let first_sequence = known.as_ref().map(|known| known.first_sequence);
+        let is_repeated = |known: &Contender| known.sequence == registration.sequence;
+        let repeated = known.as_ref().is_some_and(is_repeated);
+        let registering_since = known.as_ref().map(|known| known.registering_since);
         let registrations = known.map_or(0, |known| known.registrations);
         self.contender = Some(Contender {
             incarnation,
-            first_sequence: first_sequence.unwrap_or(registration.sequence),
             sequence: registration.sequence,
-            draining: registration.draining && !is_older,
-            registrations: registrations + 1,
-            registering_since: registering_since.or(Some(now)),
+            registrations: registrations + u32::from(!repeated),
+            registering_since: registering_since.unwrap_or(now),
         });
     }
 
-    /// Removes the current incarnation in favour of another one. If it was draining, it must
-    /// not come back.
-    ///
-    /// A delayed registration may be replaced as well, by an incarnation that has run since
-    /// before this agent started.
-    fn replace_current(&mut self, registration: &Registration) {
-        let Some(replaced) = self.current.take() else {
-            return;
-        };
-        let registered_for = replaced
-            .registered_at
-            .saturating_since(replaced.first_seen_at);
+    /// Replaces the current incarnation with another one. If it was draining, it must not come
+    /// back.
+    fn replace_current(&mut self, now: Timestamp, registration: &Registration) {
+        let mut current = Current::new(now, registration);
+        let contender = self.contender.take();
+        if let Some(contender) = contender.filter(|it| it.incarnation == current.incarnation) {
+            current.registrations += contender.registrations;
+            current.first_seen_at = contender.registering_since;
+        }
+        let replaced = self.current.replace(current);
         let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
-        self.saw_restart |= has_just_started && registered_for >= EARLIER_START_TIMEOUT;
-        if replaced.draining {
-            self.note_deregistered(replaced.incarnation.digest());
+        self.saw_restart |= has_just_started
+            && replaced.as_ref().is_some_and(|replaced| {
+                replaced.registered_at >= replaced.first_seen_at + EARLIER_START_TIMEOUT
+            });
+        let draining = replaced.and_then(|it| Some((it.draining_since?, it.incarnation)));
+        if let Some((draining_since, incarnation)) = draining {
+            self.leaving.note(now, draining_since, &incarnation);
         }
     }
 
@@ -403,79 +317,33 @@
     /// ignored. Returns whether the current incarnation or its draining state changed.
     ///
     /// A deregistration names no start time. It may come from an incarnation that hasn't
-    /// registered since the start of this agent, so it holds for each one of the name that
-    /// isn't known to have started later.
-    pub fn handle_deregistration(&mut self, id: &str) -> bool {
+    /// registered since the start of this agent, so it holds for each one of the name.
+    pub fn handle_deregistration(&mut self, now: Timestamp, id: &str) -> bool {
         let before = self.drain_state();
         let of_name = BackendIncarnation {
             id: id.to_owned(),
             started_at_millis: None,
         };
-        let was_deregistered = self.deregistered.contains(&of_name.digest());
-        for digest in self.registered_digests(id) {
-            self.note_deregistered(digest);
+        let is_repeated = self.leaving.contains(of_name.digest());
+        for incarnation in self.registered_incarnations(id) {
+            self.leaving.note(now, now, &incarnation);
         }
-        self.note_deregistered(of_name.digest());
-        match &mut self.current {
-            Some(current) if current.incarnation.id == id => current.draining = true,
-            _ if was_deregistered => {}
-            Some(current) if current.is_confirmed => {
-                // The current one may be a previous incarnation whose registration was delayed.
-                self.contender = Some(Contender {
-                    incarnation: of_name,
-                    first_sequence: u64::MAX,
-                    sequence: u64::MAX,
-                    draining: true,
-                    registrations: 0,
-                    registering_since: None,
-                });
-            }
-            Some(_) => self.demote_unconfirmed(),
-            None => {}
+        self.leaving.note(now, now, &of_name);
+        if !is_repeated {
+            self.restored_serving = None;
+            self.has_deregistered = true;
         }
-        self.restored_serving = None;
-        self.has_deregistered = true;
         before != self.drain_state()
     }
 
-    /// Digests of the incarnations that have registered under a name.
-    fn registered_digests(&self, id: &str) -> Vec<u64> {
+    /// The incarnations that have registered under a name.
+    fn registered_incarnations(&self, id: &str) -> Vec<BackendIncarnation> {
         let current = self.current.iter().map(|current| &current.incarnation);
         let contender = self.contender.iter();
         let contender = contender.map(|contender| &contender.incarnation);
         let registered = contender.chain(current);
         let of_name = registered.filter(|incarnation| incarnation.id == id);
-        of_name.map(BackendIncarnation::digest).collect()
-    }
-
-    /// Whether an incarnation with a start time has the name of one that deregistered without
-    /// one.
-    fn is_deregistered_name(&self, incarnation: &BackendIncarnation) -> bool {
-        incarnation.started_at_millis.is_some()
-            && self.deregistered.contains(&incarnation.name_digest())
-    }
-
-    /// A newer incarnation has the name of a deregistered one.
-    fn forget_deregistered_name(&mut self, incarnation: &BackendIncarnation) {
-        let digest = incarnation.name_digest();
-        self.deregistered.retain(|it| *it != digest);
-    }
-
-    /// Makes the current incarnation a contender unless it certainly runs, as another one is
-    /// leaving.
-    fn demote_unconfirmed(&mut self) {
-        let is_unconfirmed = |current: &mut Current| !current.is_confirmed && !current.draining;
-        let Some(current) = self.current.take_if(is_unconfirmed) else {
-            return;
-        };
-        self.contender = Some(Contender {
-            incarnation: current.incarnation,
-            first_sequence: current.sequence,
-            sequence: current.sequence,
-            draining: false,
-            registrations: 1,
-            registering_since: Some(current.first_seen_at),
-        });
+        of_name.cloned().collect()
     }
 
     /// Notes a packet of the back end, which shows that it runs. A returned packet doesn't
@@ -501,6 +369,7 @@
     pub fn note_refused_packet(&mut self) {
         self.was_absent = true;
         self.seen_alive = false;
+        self.leaving.note_absence();
     }
 
     /// Whether no back end ran at some time since the start.
@@ -516,21 +385,36 @@
     /// Whether a back end is draining or has deregistered, may still own flows and hasn't
     /// registered since the start: it need not register again, and is silent without requests.
     fn has_left(&self) -> bool {
-        let is_restored = self.restored_serving.is_none() && !self.deregistered.is_empty();
+        let is_restored = self.restored_serving.is_none() && !self.leaving.is_empty();
         self.current.is_none() && !self.was_absent && is_restored
     }
 
-    /// Whether the current incarnation has registered until so long after `since` that no
-    /// registration sent before that is still on its way.
+    /// Whether the current incarnation is leaving, or one that is leaving may run instead.
+    fn is_leaving(&self, current: &Current) -> bool {
+        current.draining_since.is_some()
+            || self.leaving.may_run_instead_of(&self.registered(current))
+    }
+
+    fn registered<'a>(&self, current: &'a Current) -> RegisteredIncarnation<'a> {
+        RegisteredIncarnation {
+            incarnation: &current.incarnation,
+            registrations: current.registrations,
+            registered_at: current.registered_at,
+            had_proof: self.restored_serving == Some(current.incarnation.digest()),
+        }
+    }
+
+    /// Whether the current incarnation has registered steadily until so long after `since` that
+    /// no registration sent before that is still on its way.
     pub fn registers_steadily(&self, since: Timestamp) -> bool {
         let current = self.current.as_ref();
-        current.is_some_and(|it| it.registered_at >= since + LATE_REGISTRATION_TIMEOUT)
+        current.is_some_and(|current| self.registered(current).registers_steadily(since))
     }
 
     /// State of the back end. It is unavailable if it was silent for `silence_timeout`.
     pub fn state(&self, now: Timestamp, silence_timeout: Duration) -> AgentState {
         match &self.current {
-            Some(current) if current.draining || self.contender_drains() => AgentState::Draining,
+            Some(current) if self.is_leaving(current) => AgentState::Draining,
             Some(current) if now.saturating_since(current.last_seen_at) < silence_timeout => {
                 AgentState::Ready
             }
@@ -544,7 +428,7 @@
     /// Whether a back end that hasn't registered may get new flows. It may not after a
     /// deregistration, as packets may come from the incarnation that deregistered.
     fn is_provisional(&self, now: Timestamp) -> bool {
-        self.deregistered.is_empty() && !self.returned_syn && now < self.provisional_until
+        self.leaving.is_empty() && !self.returned_syn && now < self.provisional_until
     }
 
     /// Number of requests that the back end processes at once.
@@ -623,28 +507,18 @@
         self.unanswered_since.is_some_and(is_late)
     }
 
-    /// Whether the contender drains; it may be the incarnation that runs.
-    fn contender_drains(&self) -> bool {
-        self.contender
-            .as_ref()
-            .is_some_and(|contender| contender.draining)
-    }
-
     fn drain_state(&self) -> Option<(BackendIncarnation, bool)> {
         let current = self.current.as_ref()?;
-        let drains = current.draining || self.contender_drains();
-        Some((current.incarnation.clone(), drains))
+        Some((current.incarnation.clone(), self.is_leaving(current)))
     }
 
     /// Digests of draining and deregistered incarnations, the latest last.
     pub fn draining_backends(&self) -> Vec<u64> {
-        let current = self.current.iter().filter(|current| current.draining);
+        let is_draining = |current: &&Current| current.draining_since.is_some();
+        let current = self.current.iter().filter(is_draining);
         let current = current.map(|current| current.incarnation.digest());
-        let contender = self.contender.iter().filter(|contender| contender.draining);
-        let contender = contender.map(|contender| contender.incarnation.digest());
-        let deregistered = self.deregistered.iter().copied();
-        let mut draining: Vec<u64> = deregistered.chain(contender).chain(current).collect();
-        draining.dedup();
+        let mut draining: Vec<u64> = self.leaving.digests().collect();
+        draining.extend(current);
         draining.split_off(draining.len().saturating_sub(MAX_DRAINING_REPORTED))
     }
 
@@ -652,37 +526,31 @@
     /// the agent knows.
     pub fn serving_backend(&self) -> Option<u64> {
         match &self.current {
-            Some(current) if current.draining || self.contender_drains() => None,
+            Some(current) if self.is_leaving(current) => None,
             Some(current) => Some(current.incarnation.digest()),
             None => self.restored_serving,
         }
     }
 
     /// Restores what a previous incarnation of the agent reported with
-    /// [`RegistrationState::draining_backends`] and [`RegistrationState::serving_backend`]. Returns
-    /// whether any of it is new.
-    pub fn restore(&mut self, draining: &[u64], serving: Option<u64>) -> bool {
-        let mut has_new = false;
+    /// [`RegistrationState::draining_backends`], with the times since then, and with
+    /// [`RegistrationState::serving_backend`]. Returns whether any of it is new.
+    pub fn restore(
+        &mut self,
+        now: Timestamp,
+        draining: impl IntoIterator<Item = (u64, Duration)>,
+        serving: Option<u64>,
+    ) -> bool {
         let serving = serving.filter(|_| !self.has_deregistered);
-        let reused_name = self.reused_name_digest();
-        for digest in draining.iter().copied() {
-            if Some(digest) != serving && Some(digest) != reused_name {
-                has_new |= !self.deregistered.contains(&digest);
-                self.note_deregistered(digest);
-            }
-        }
         if self.current.is_none() && !self.was_absent {
             self.restored_serving = self.restored_serving.or(serving);
         }
-        let Some(current) = &mut self.current else {
-            return has_new;
-        };
-        let digest = current.incarnation.digest();
-        current.is_confirmed |= serving == Some(digest);
-        if self.deregistered.contains(&digest) {
-            current.draining = true;
-        } else if has_new && serving.is_none() {
-            self.demote_unconfirmed();
+        let reused_name = self.reused_name_digest();
+        let mut has_new = false;
+        for (digest, age) in draining {
+            if Some(digest) != serving && Some(digest) != reused_name {
+                has_new |= self.leaving.restore(now - age, digest);
+            }
         }
         has_new
     }
@@ -691,18 +559,8 @@
     /// same name that deregistered.
     fn reused_name_digest(&self) -> Option<u64> {
         let current = self.current.as_ref().filter(|current| {
-            current.is_confirmed && current.incarnation.started_at_millis.is_some()
+            current.incarnation.started_at_millis.is_some() && !self.is_leaving(current)
         });
         current.map(|current| current.incarnation.name_digest())
     }
-
-    fn note_deregistered(&mut self, digest: u64) {
-        if self.deregistered.contains(&digest) {
-            return;
-        }
-        self.deregistered.push_back(digest);
-        if self.deregistered.len() > MAX_DEREGISTERED {
-            self.deregistered.pop_front();
-        }
-    }
 }
--- a/crates/petrellatch-core/src/pass_through/agent/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/departures.rs
@@ -6,6 +6,7 @@
 //! that starts admits no flows until a majority has told which back ends have left.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use petrellatch_proto::pass_through::GroupStatus;
 
@@ -62,9 +63,13 @@
     }
 
     /// Notes what a replica knows of the departures at this address.
-    pub(super) fn restore_departures(&mut self, group: &GroupStatus) {
+    pub(super) fn restore_departures(&mut self, now: Timestamp, group: &GroupStatus) {
         let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
-        if self.registration.restore(&group.draining_backends, serving) {
+        let ages = group.draining_ages_millis.iter().copied();
+        let ages = ages.chain(std::iter::repeat(0));
+        let ages = ages.map(|millis| Duration::from_millis(u64::from(millis)));
+        let draining = group.draining_backends.iter().copied().zip(ages);
+        if self.registration.restore(now, draining, serving) {
             let draining = group.draining_backends.len();
             let serving = group.serving_backend;
             let subject = format!("restored={draining} serving={serving:x}");
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -360,7 +360,7 @@
     /// Handles a deregistration of the back end, which may be acknowledged once
     /// [`PassThroughAgent::departures_are_saved`] holds.
     pub fn handle_deregistration(&mut self, now: Timestamp, id: &str) {
-        if self.registration.handle_deregistration(id) {
+        if self.registration.handle_deregistration(now, id) {
             self.emit_event(EventKind::BackendLeaving, format!("{id} withdrawn"));
         }
         self.report_departure(now);
@@ -403,7 +403,7 @@
         let known = self.known_replicas.all();
         self.known_replicas.handle_group_status(group);
         let has_new_replicas = !self.known_replicas.all().is_subset(&known);
-        self.restore_departures(group);
+        self.restore_departures(now, group);
         self.note_replica_answer(now, from, group);
         if group.has_report {
             self.note_report_interval(group.report_interval_millis);
