Don't deny a flow by its acknowledgement number

Cause: the agent compared the caller's acknowledgement number with the back end's initial sequence number, took one that was 4 MiB ahead for that of another connection, and denied for certain that its back end owned the flow.

Change: an agent that knows a flow between the same endpoints never denies it by a number: the flow is possibly owned, and the back end decides. So that this stays rare, the window moves on with the flow: it lies around the latest number that the caller acknowledged or the back end sent, wraps, and takes up again where the record of a previous incarnation of the agent lags behind. The comparison stands once, in flows/acknowledgements.rs, for agents, flow records, restart probes, orphaned flows and the balancer's cache, which had a window of its own.

Tests: long_downloads::a_long_download_is_found_by_another_balancer (1 to 40 MiB) and a_flow_is_not_denied_for_its_acknowledgement_number fail on the previous code; acknowledgements::tests cover wrapping.

--- a/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/backend_packets.rs
@@ -88,7 +88,9 @@
             } => BackendPacket::Response,
             _ => BackendPacket::Established,
         };
-        if let Some(time) = self.flows.note_from_backend(now, flow, packet_kind) {
+        let processing_time = self.flows.note_from_backend(now, flow, packet_kind);
+        self.flows.note_sent(flow, view.next_sequence());
+        if let Some(time) = processing_time {
             self.processing_time.record(time);
             self.reported_processing_time
                 .record(time, self.registration.is_cold(now));
--- a/crates/petrellatch-core/src/pass_through/agent/flow_proofs.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_proofs.rs
@@ -5,7 +5,7 @@
 //! end possibly owns it. The balancer then delivers a packet of the flow speculatively, and what
 //! the back end does with it is the proof.
 //!
-//! Silence, and what replicas have forgotten in a restart, are no proofs.
+//! Acknowledgement numbers, silence, and what replicas have forgotten in a restart are no proofs.
 
 use petrellatch_proto::pass_through::QueriedFlow;
 
@@ -70,6 +70,11 @@
         if self.speculative_deliveries.was_returned(flow) {
             return Some(NotOwned::Returned);
         }
+        // The agent knows a flow between these endpoints, and the acknowledgement number may be
+        // that of a part of it that the agent hasn't seen.
+        if self.flows.get(flow).is_some() {
+            return None;
+        }
         self.all_flows_known(now).map(NotOwned::Unknown)
     }
 }
--- a/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/agent_flows.rs
@@ -6,14 +6,12 @@
 
 use crate::time::Timestamp;
 
+use super::acknowledgements::{KnownSequence, is_ahead};
 use super::flow_demand::FlowDemand;
 use super::recorded_flow::RecordedFlow;
 use super::restart_probe::ProbedFlow;
 use crate::pass_through::packet::{FlowId, PacketView};
 
-/// Distance from the back end's initial sequence number within which a caller's
-/// acknowledgement number belongs to the same connection, in bytes.
-pub(crate) const SEQUENCE_WINDOW: u32 = 1 << 22;
 /// Idle time after which a flow is forgotten whose SYN wasn't accepted or whose handshake
 /// wasn't completed.
 const SYN_TTL: Duration = Duration::from_millis(1_600);
@@ -39,6 +37,8 @@
     pub(crate) open: bool,
     /// Latest acknowledgement number of the caller, if any.
     pub(crate) acknowledged: Option<u32>,
+    /// Sequence number that follows the latest packet of the back end, if one was seen.
+    sent: Option<u32>,
     /// Latest data-less packet of the caller. A back end that doesn't own the flow returns it.
     pub(crate) probe_packet: Option<Vec<u8>>,
     /// Whether this incarnation of the agent has seen a packet of the back end.
@@ -84,8 +84,14 @@
 
     /// Whether an acknowledgement number continues those seen on the flow so far.
     fn continues_acks(&self, acknowledged: u32) -> bool {
-        let known_ack = self.acknowledged.or(self.sequence);
-        known_ack.is_none_or(|known_ack| acknowledged.wrapping_sub(known_ack) < SEQUENCE_WINDOW)
+        let Some(known) = self.acknowledged.or(self.sequence) else {
+            return true;
+        };
+        // What is known may be the record of a previous incarnation of the agent, after which the
+        // flow has moved on.
+        let is_outdated = |sent: &u32| !is_ahead(*sent, known);
+        let sent = self.sent.filter(is_outdated);
+        is_ahead(acknowledged, known) || sent.is_some_and(|sent| is_ahead(sent, acknowledged))
     }
 
     /// Whether either end has closed the flow, so that no new request follows.
@@ -98,13 +104,19 @@
         self.sequence.is_none_or(|known| known == flow.sequence)
     }
 
-    /// Whether a packet with this acknowledgement number belongs to the back end's connection.
-    /// As long as its initial sequence number is unknown, every packet of an open flow does.
+    /// Whether a packet with this acknowledgement number is likely to belong to the back end's
+    /// connection. As long as its initial sequence number is unknown, every packet of an open flow
+    /// is.
     pub(crate) fn owns_ack(&self, acknowledged: u32) -> bool {
-        match self.sequence {
-            Some(sequence) => acknowledged.wrapping_sub(sequence) < SEQUENCE_WINDOW,
-            None => self.open,
-        }
+        let Some(initial) = self.sequence else {
+            return self.open;
+        };
+        let known = KnownSequence {
+            initial,
+            latest: self.acknowledged.unwrap_or(initial),
+        };
+        let is_close_to_sent = |sent| is_ahead(sent, acknowledged) || is_ahead(acknowledged, sent);
+        known.is_close(acknowledged) || self.sent.is_some_and(is_close_to_sent)
     }
 }
 
@@ -250,6 +262,17 @@
         None
     }
 
+    /// Records the sequence number that follows a packet of the back end.
+    pub(crate) fn note_sent(&mut self, id: FlowId, next_sequence: u32) {
+        if let Some(flow) = self.flows.get_mut(&id) {
+            let is_retransmission =
+                |sent: u32| sent != next_sequence && is_ahead(sent, next_sequence);
+            if !flow.sent.is_some_and(is_retransmission) {
+                flow.sent = Some(next_sequence);
+            }
+        }
+    }
+
     /// Forgets an earlier connection between the same endpoints when the back end accepts a SYN
     /// with another initial sequence number.
     fn forget_if_reopened(&mut self, now: Timestamp, id: FlowId, sequence: u32) {
@@ -398,6 +421,7 @@
             sequence: None,
             open: false,
             acknowledged: None,
+            sent: None,
             probe_packet: None,
             has_backend_packet: false,
             in_flight: false,
--- a/crates/petrellatch-core/src/pass_through/flows/flow_cache.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_cache.rs
@@ -9,9 +9,8 @@
 
 use crate::pass_through::packet::FlowId;
 
-/// Distance from the back end's initial sequence number within which a caller's
-/// acknowledgement number belongs to the same connection, in bytes.
-const SEQUENCE_WINDOW: u32 = 1 << 22;
+use super::acknowledgements::is_ahead;
+
 /// Maximum number of cached flows. More than this is a flood, or needs more balancers.
 const MAX_FLOWS: usize = 1 << 19;
 /// Idle time after which a flow without an owner, or one closed by its caller, is forgotten.
@@ -139,9 +138,7 @@
     /// The agent whose back end's sequence numbers the caller acknowledges.
     pub(crate) fn agent_for_ack(&self, acknowledged: u32) -> Option<SocketAddrV4> {
         let matches = |it: &&Offer| match it.state {
-            OfferState::Accepted { sequence } => {
-                acknowledged.wrapping_sub(sequence) < SEQUENCE_WINDOW
-            }
+            OfferState::Accepted { sequence } => is_ahead(acknowledged, sequence),
             _ => false,
         };
         self.offers.iter().find(matches).map(|it| it.agent)
--- a/crates/petrellatch-core/src/pass_through/flows/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/mod.rs
@@ -1,6 +1,7 @@
 //! State of flows at agents and balancers, and the search for the back end that owns a flow
 //! which the balancer doesn't know.
 
+pub(crate) mod acknowledgements;
 pub(crate) mod agent_flows;
 pub(crate) mod agent_set;
 pub(crate) mod closed_flow_columns;
--- a/crates/petrellatch-core/src/pass_through/flows/recorded_flow.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/recorded_flow.rs
@@ -6,7 +6,7 @@
     ACKNOWLEDGED_STEP_BYTES, FlowColumns, pack_address, unpack_address,
 };
 
-use super::agent_flows::SEQUENCE_WINDOW;
+use super::acknowledgements::KnownSequence;
 use crate::pass_through::packet::FlowId;
 
 /// An open flow in a flow record.
@@ -20,12 +20,14 @@
 }
 
 impl RecordedFlow {
-    /// Whether a packet with this acknowledgement number belongs to the flow, and not to another
-    /// one between the same endpoints.
+    /// Whether a packet with this acknowledgement number is likely to belong to the flow, and not
+    /// to another one between the same endpoints.
     pub(crate) fn owns_ack(&self, acknowledged: u32) -> bool {
-        let known_advance = self.acknowledged.wrapping_sub(self.sequence);
-        let advance = acknowledged.wrapping_sub(self.sequence);
-        advance < known_advance.saturating_add(SEQUENCE_WINDOW)
+        let known = KnownSequence {
+            initial: self.sequence,
+            latest: self.acknowledged,
+        };
+        known.is_close(acknowledged)
     }
 }
 
--- a/crates/petrellatch-core/src/pass_through/packet.rs
+++ b/crates/petrellatch-core/src/pass_through/packet.rs
@@ -64,6 +64,13 @@
         self.syn && !self.ack
     }
 
+    /// The sequence number that follows the packet.
+    pub(crate) fn next_sequence(&self) -> u32 {
+        let flags = u32::from(self.syn) + u32::from(self.fin);
+        let length = u32::from(self.data_bytes) + flags;
+        self.sequence_number.wrapping_add(length)
+    }
+
     /// Minimum time since the first SYN of the flow, from the number of this retransmission.
     pub fn min_syn_age(&self) -> Duration {
         let retransmission = self.ack_number as usize;
--- a/crates/petrellatch-core/tests/pass_through/main.rs
+++ b/crates/petrellatch-core/tests/pass_through/main.rs
@@ -25,6 +25,7 @@
 mod late_registrations;
 mod leaving_backends;
 mod load_shedding;
+mod long_downloads;
 mod long_lived_flows;
 mod lost_flows;
 mod lost_flows_at_size;
