Don't deny flows because a registration looks like a restart of the back end

What callers saw: a back end crashed with a heartbeat on its way, and the next one started at its address and kept flows open. The agent was killed and started, and heard four heartbeats of the running back end; then the heartbeat of the crashed one arrived.

Cause: a registration with a sequence number of 3 or less, beside a back end that had registered for 3 s, counted as proof that a new incarnation had started beside this agent, and so that no flow was older than the agent.

Change: that proof is gone, as nothing that a registration says can prove it. The flows of a back end that did restart beside a restarted agent are possibly owned, until the new one returns their packet.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -90,8 +90,6 @@
     provisional_until: Timestamp,
     /// Whether the back end has returned a SYN since its last packet.
     returned_syn: bool,
-    /// Whether an incarnation has started after another one had run beside this agent.
-    saw_restart: bool,
     /// When the back end got the first SYN that it hasn't answered.
     unanswered_since: Option<Timestamp>,
     /// Whether the back end may have restarted, and be cold, since its last registration.
@@ -180,7 +178,6 @@
             was_absent: false,
             provisional_until,
             returned_syn: false,
-            saw_restart: false,
             unanswered_since: None,
             may_have_restarted: false,
             restored_serving: None,
@@ -302,11 +299,6 @@
             current.first_seen_at = contender.registering_since;
         }
         let replaced = self.current.replace(current);
-        let has_just_started = registration.sequence <= EARLY_REGISTRATIONS;
-        self.saw_restart |= has_just_started
-            && replaced.as_ref().is_some_and(|replaced| {
-                replaced.registered_at >= replaced.first_seen_at + EARLIER_START_TIMEOUT
-            });
         let draining = replaced.and_then(|it| Some((it.draining_since?, it.incarnation)));
         if let Some((draining_since, incarnation)) = draining {
             self.leaving.note(now, draining_since, &incarnation);
@@ -473,12 +465,6 @@
         current.is_some_and(|current| current.incarnation.started_at_millis.is_some())
     }
 
-    /// Whether an incarnation has started after another one had run beside this agent, so that
-    /// no flow is older than the agent.
-    pub fn saw_restart(&self) -> bool {
-        self.saw_restart
-    }
-
     /// Whether the back end still warms up, according to its last registration.
     pub fn is_cold(&self, now: Timestamp) -> bool {
         let cold = |current: &Current| now < current.cold_until;
