Count the admissions of a previous incarnation of the agent against a cold back end

Cause: the admissions of the last second are in the agent's memory, and a new incarnation started with none.

Change: unless the agent is known to have no previous incarnation, it takes the bound as used up for one window after its start. A back end that is warm, or whose warm-up rate isn't known, isn't limited.

--- a/crates/petrellatch-core/src/pass_through/admission/warm_up_limiter.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/warm_up_limiter.rs
@@ -29,17 +29,28 @@
     /// Warm-up rate of the back end in requests per 1,000 s; zero if unknown.
     millirequests_per_second: u32,
     admitted: VecDeque<Timestamp>,
+    /// Until when admissions of a previous incarnation of the agent, which aren't known, may be
+    /// within the window.
+    unknown_until: Timestamp,
 }
 
 impl WarmUpLimiter {
-    pub(crate) fn new(bounds: WarmUpBounds) -> Self {
+    /// Creates the limiter of an agent that starts now. A previous incarnation of the agent may
+    /// have admitted flows until then.
+    pub(crate) fn new(now: Timestamp, bounds: WarmUpBounds) -> Self {
         WarmUpLimiter {
             bounds,
             millirequests_per_second: 0,
             admitted: VecDeque::new(),
+            unknown_until: now + WINDOW,
         }
     }
 
+    /// Notes that the agent has no previous incarnation.
+    pub(crate) fn note_first_incarnation(&mut self) {
+        self.unknown_until = Timestamp::ZERO;
+    }
+
     /// Notes the warm-up rate that a balancer sent. Zero is ignored: the balancer may not have
     /// the configuration that sets the rate.
     pub(crate) fn note_rate(&mut self, millirequests_per_second: u32) {
@@ -52,7 +63,8 @@
     /// unknown.
     pub(crate) fn admits(&mut self, now: Timestamp) -> bool {
         self.drop_expired(now);
-        self.millirequests_per_second == 0 || self.admitted.len() < self.limit()
+        let is_within_bounds = now >= self.unknown_until && self.admitted.len() < self.limit();
+        self.millirequests_per_second == 0 || is_within_bounds
     }
 
     /// Notes an admitted flow.
--- a/crates/petrellatch-core/src/pass_through/agent/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/departures.rs
@@ -90,6 +90,9 @@
         self.replica_answers.note(from, group);
         let members = self.known_replicas.members();
         let departures_are_known = self.replica_answers.know_all_departures(members);
+        if self.replica_answers.prove_first_incarnation(members) {
+            self.warm_up_limiter.note_first_incarnation();
+        }
         if !self.departures.are_known && departures_are_known {
             self.departures.are_known = true;
             let waited = now.saturating_since(self.started_at).as_millis();
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -217,13 +217,17 @@
     ) -> Self {
         let provisional_timeout = settings.provisional_timeout.min(MAX_PROVISIONAL_TIMEOUT);
         let departures = DepartureProgress::new(settings.first_start);
+        let mut warm_up_limiter = WarmUpLimiter::new(now, settings.warm_up_bounds);
+        if settings.first_start {
+            warm_up_limiter.note_first_incarnation();
+        }
         let may_have_previous =
             !settings.first_start && !settings.flow_record.min_flow_age.is_zero();
         PassThroughAgent {
             service: service_digest(&settings.service),
             report_interval: settings.report_interval,
             registration: RegistrationState::new(now + provisional_timeout),
-            warm_up_limiter: WarmUpLimiter::new(settings.warm_up_bounds),
+            warm_up_limiter,
             outlier_detector: OutlierDetector::default(),
             competing_balancers: CompetingBalancers::default(),
             admission_queue: AdmissionQueue::default(),
