Measure the age of an unfinished request from its first bytes

Cause: the age of an unfinished request was taken from the last response on its connection.

Change: the age begins with the first bytes of the request; the idle time counts only for a connection without one. A request may still take 3 s.

Test: event_server::the_time_of_a_request_begins_with_its_first_bytes fails on the previous code.

--- a/crates/petrellatch/src/http/event_server.rs
+++ b/crates/petrellatch/src/http/event_server.rs
@@ -63,6 +63,8 @@
     close_after_response: bool,
     /// Time of the last complete request or response, at first of the accept.
     active_at: Timestamp,
+    /// When the first bytes of the unfinished request in `input` arrived.
+    input_since: Timestamp,
 }
 
 enum Parsed {
@@ -148,7 +150,11 @@
         let has_expired = |connection: &Connection| {
             let idle_time = now.saturating_since(connection.active_at);
             let partial = !connection.input.is_empty() && !connection.awaits_response;
-            idle_time >= IDLE_TIMEOUT || (partial && idle_time >= REQUEST_TIMEOUT)
+            let request_age = now.saturating_since(connection.input_since);
+            match partial {
+                true => request_age >= REQUEST_TIMEOUT,
+                false => idle_time >= IDLE_TIMEOUT,
+            }
         };
         let expired: Vec<ConnectionId> = self
             .connections
@@ -207,6 +213,7 @@
                 awaits_response: false,
                 close_after_response: false,
                 active_at: now,
+                input_since: now,
             };
             self.connections.insert(id, connection);
             received.extend(self.serve(now, id));
@@ -220,6 +227,9 @@
             return Vec::new();
         };
         let limit = self.max_body_bytes + MAX_HEADER_BYTES;
+        if connection.input.is_empty() {
+            connection.input_since = now;
+        }
         let is_open = read_available(connection, limit);
         if !is_open && connection.awaits_response {
             self.connections.remove(&id);
@@ -248,6 +258,7 @@
             } => {
                 connection.input.drain(..bytes);
                 connection.input.shrink_to(READ_BYTES);
+                connection.input_since = now;
                 connection.awaits_response = true;
                 connection.close_after_response = !keep_alive;
                 connection.active_at = now;
--- a/crates/petrellatch/tests/event_server.rs
+++ b/crates/petrellatch/tests/event_server.rs
@@ -69,6 +69,11 @@
         if sent.is_err() {
             return false;
         }
+        self.reads_success(stream)
+    }
+
+    /// Whether a successful response arrives.
+    fn reads_success(&mut self, stream: &mut TcpStream) -> bool {
         let end = Instant::now() + RESPONSE_TIMEOUT;
         let mut response = [0; 256];
         while Instant::now() < end {
@@ -114,3 +119,37 @@
         assert!(server.is_served(stream));
     }
 }
+
+/// Sends a request in two parts on a connection that was idle for `idle_time`, the second part
+/// `pause` after the first. Returns whether it is served.
+fn is_served_in_parts(idle_time: Duration, pause: Duration) -> bool {
+    let mut server = TestServer::start();
+    let mut stream = server.connect();
+    assert!(server.is_served(&mut stream));
+    server.now = server.now + idle_time;
+    let head = stream.write_all(b"PUT /x HTTP/1.1\r\nContent-Length: 2\r\n");
+    head.expect("the connection is open");
+    // The part has arrived once the server has handled its event.
+    for _ in 0..10 {
+        server.run_once();
+    }
+    server.now = server.now + pause;
+    server.run_once();
+    let sent = stream.write_all(b"Host: h\r\n\r\n{}");
+    sent.is_ok() && server.reads_success(&mut stream)
+}
+
+// Guards against a request that is refused as cut short because its connection was idle before,
+// and not because it takes long itself.
+#[test]
+fn the_time_of_a_request_begins_with_its_first_bytes() {
+    let served = |idle, pause| {
+        let (idle, pause) = (Duration::from_millis(idle), Duration::from_millis(pause));
+        is_served_in_parts(idle, pause)
+    };
+    assert!(served(2_900, 1_100));
+    assert!(served(3_500, 1_100));
+    assert!(served(19_900, 2_900));
+    assert!(!served(0, 3_000), "the request takes too long");
+    assert!(!served(10_000, 3_000), "the request takes too long");
+}
