Don't take a delayed registration for proof that a recorded back end has ended

What callers would see: an agent restarts, and the flows whose probe packets its record has are closed meanwhile, so that the running back end returns those. A delayed registration of the back end that crashed before it then made the agent mark all other recorded flows as orphaned, and reset their callers (FLOW).

Cause: any registration of another incarnation than the recorded one counted as proof that the recorded one had ended.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -458,11 +458,10 @@
         Some(current.incarnation.digest())
     }
 
-    /// Whether that digest identifies a single incarnation: the back end reports its start
-    /// time.
-    pub fn identifies_incarnation(&self) -> bool {
-        let current = self.current.as_ref();
-        current.is_some_and(|current| current.incarnation.started_at_millis.is_some())
+    /// Start time of the registered incarnation, if it reports one. The digest then identifies a
+    /// single incarnation.
+    pub fn started_at_millis(&self) -> Option<u64> {
+        self.current.as_ref()?.incarnation.started_at_millis
     }
 
     /// Whether the back end still warms up, according to its last registration.
--- a/crates/petrellatch-core/src/pass_through/agent/flow_recording.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_recording.rs
@@ -12,6 +12,7 @@
 use crate::event::EventKind;
 use crate::pass_through::flows::flow_record_recovery::{RecoveryEnd, RecoveryOutcome};
 use crate::pass_through::flows::flow_recorder::FlowRecorderStats;
+use crate::pass_through::flows::recorded_flow::RecordedBackend;
 use crate::pass_through::group::replica_assignment::is_assigned;
 use crate::pass_through::packet::PacketCodec;
 use crate::time::Timestamp;
@@ -34,7 +35,10 @@
             return;
         }
         self.recorder.set_record_replicas(self.record_replicas());
-        let backend = self.registration.incarnation_digest().unwrap_or_default();
+        let backend = RecordedBackend {
+            digest: self.registration.incarnation_digest().unwrap_or_default(),
+            started_at_millis: self.registration.started_at_millis(),
+        };
         self.recorder.note_flows(now, backend, &self.flows);
         let agent = pack_address(self.settings.address);
         let messages = self.recorder.poll_messages(now, agent, self.incarnation.0);
--- a/crates/petrellatch-core/src/pass_through/agent/restart_probes.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/restart_probes.rs
@@ -11,7 +11,9 @@
 use crate::pass_through::admission::registration::Registration;
 use crate::pass_through::digest::backend_digest;
 use crate::pass_through::flows::orphaned_flows::OrphanedFlows;
-use crate::pass_through::flows::recorded_flow::{PreviousFlowRecord, RecordedFlow};
+use crate::pass_through::flows::recorded_flow::{
+    PreviousFlowRecord, RecordedBackend, RecordedFlow,
+};
 use crate::pass_through::flows::restart_probe::{
     ProbedFlow, RestartProbe, RestartProbeResult, RestartProbeStep,
 };
@@ -57,6 +59,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SeenRegistration {
     incarnation_digest: u64,
+    started_at_millis: Option<u64>,
     sequence: u64,
 }
 
@@ -64,6 +67,7 @@
     fn new(registration: &Registration) -> SeenRegistration {
         SeenRegistration {
             incarnation_digest: backend_digest(&registration.id, registration.started_at_millis),
+            started_at_millis: registration.started_at_millis,
             sequence: registration.sequence,
         }
     }
@@ -199,10 +203,10 @@
         let Some(record) = &self.previous.record else {
             return;
         };
-        let is_same = record.flow_record.backend_incarnation == registration.incarnation_digest;
+        let is_same = record.flow_record.backend.digest == registration.incarnation_digest;
         let is_current =
             self.registration.incarnation_digest() == Some(registration.incarnation_digest);
-        let identifies_incarnation = self.registration.identifies_incarnation();
+        let identifies_incarnation = self.registration.started_at_millis().is_some();
         match (is_same, is_current) {
             (true, true) if identifies_incarnation => self.take_over(now),
             (true, false) => {}
@@ -211,6 +215,22 @@
         }
     }
 
+    /// Whether the latest registration proves that the recorded incarnation of the back end has
+    /// ended: another one has started later, or registers steadily. A delayed registration of an
+    /// earlier one does neither.
+    fn recorded_backend_has_ended(&self, recorded: RecordedBackend) -> bool {
+        let Some(latest) = self.previous.last_registration else {
+            return false;
+        };
+        if latest.incarnation_digest == recorded.digest {
+            return false;
+        }
+        let started_at = latest.started_at_millis.zip(recorded.started_at_millis);
+        let is_current = self.registration.incarnation_digest() == Some(latest.incarnation_digest);
+        started_at.is_some_and(|(latest, recorded)| latest > recorded)
+            || (is_current && self.registration.registers_steadily(self.started_at))
+    }
+
     fn start_record_probe(&mut self, now: Timestamp) {
         let probe_packets = self.recorded_probe_packets().collect();
         if let Some(record) = &mut self.previous.record {
@@ -253,7 +273,7 @@
             }
         }
         self.counters.taken_over += taken_over;
-        let backend = recovered.flow_record.backend_incarnation;
+        let backend = recovered.flow_record.backend.digest;
         let recorded = recovered.flow_record.flows.len();
         let subject =
             format!("backend={backend:x} flows={taken_over} recorded={recorded} record_age={age}");
@@ -352,26 +372,31 @@
         };
         let probe = record.probe.take();
         record.next_probe_at = now + PROBE_INTERVAL;
-        let backend = record.flow_record.backend_incarnation;
         if !result.orphaned.is_empty() {
             record.flow_record.flows.clone_from(&result.orphaned);
             record.probes_returned = true;
         }
         self.note_probe_result(now, "record", probe, &result);
-        let is_other = |registration: SeenRegistration| registration.incarnation_digest != backend;
-        let registered_as_other = self.previous.last_registration.is_some_and(is_other);
         match result.orphaned.is_empty() {
             true if result.has_ended => self.previous.record = None,
-            false if registered_as_other => self.orphan_recorded_flows(now),
-            _ => {}
+            false => self.orphan_recorded_flows(now),
+            true => {}
         }
     }
 
     /// Marks the recorded flows without probe packets as orphaned, once all probe packets were
-    /// returned and another incarnation has registered. The registration is required as well:
-    /// flows of a running incarnation, those with probe packets among them, may have closed
-    /// while this agent didn't run.
+    /// returned and the recorded incarnation has certainly ended. That is required as well: flows
+    /// of a running incarnation, those with probe packets among them, may have closed while this
+    /// agent didn't run.
     fn orphan_recorded_flows(&mut self, now: Timestamp) {
+        let backend = self
+            .previous
+            .record
+            .as_ref()
+            .map(|it| it.flow_record.backend);
+        if !backend.is_some_and(|backend| self.recorded_backend_has_ended(backend)) {
+            return;
+        }
         let Some(recovered) = self.previous.record.take() else {
             return;
         };
--- a/crates/petrellatch-core/src/pass_through/flows/flow_record_recovery.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_record_recovery.rs
@@ -6,7 +6,7 @@
 
 use petrellatch_proto::pass_through::FlowRecordResponse;
 
-use super::recorded_flow::{PreviousFlowRecord, from_columns};
+use super::recorded_flow::{PreviousFlowRecord, RecordedBackend, from_columns};
 use crate::time::Timestamp;
 
 /// Interval between requests to a replica that hasn't responded, in the initial period.
@@ -202,7 +202,10 @@
 fn join_parts(parts: BTreeMap<u32, FlowRecordResponse>) -> PreviousFlowRecord {
     let mut record = PreviousFlowRecord::default();
     for part in parts.into_values() {
-        record.backend_incarnation = part.backend_incarnation;
+        record.backend = RecordedBackend {
+            digest: part.backend_incarnation,
+            started_at_millis: Some(part.backend_started_at_millis).filter(|it| *it != 0),
+        };
         record.flows.extend(from_columns(&part.flows));
         record.probe_packets.extend(part.probe_packets);
     }
--- a/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/flow_recorder.rs
@@ -8,7 +8,7 @@
 
 use super::agent_flows::{AgentFlow, AgentFlows};
 use super::closed_flow_columns::to_closed_columns;
-use super::recorded_flow::{RecordedFlow, to_columns};
+use super::recorded_flow::{RecordedBackend, RecordedFlow, to_columns};
 use crate::pass_through::packet::FlowId;
 use crate::time::Timestamp;
 
@@ -112,7 +112,7 @@
     /// Whether this incarnation has had anything to record. Until then nothing is sent, so that
     /// the record of the previous incarnation stays.
     has_record: bool,
-    backend_incarnation: u64,
+    backend: RecordedBackend,
     recorded: HashMap<FlowId, Recorded>,
     over_limit: usize,
     /// Closed flows with the revisions that removed them, in that order.
@@ -131,7 +131,7 @@
             settings,
             revision: 0,
             has_record: false,
-            backend_incarnation: 0,
+            backend: RecordedBackend::default(),
             recorded: HashMap::new(),
             over_limit: 0,
             closed: VecDeque::new(),
@@ -175,7 +175,7 @@
     pub(crate) fn note_flows(
         &mut self,
         now: Timestamp,
-        backend_incarnation: u64,
+        backend: RecordedBackend,
         flows: &AgentFlows,
     ) {
         if self.settings.min_flow_age.is_zero() {
@@ -185,9 +185,8 @@
         let mut changed = self.remove_closed(next, flows);
         changed |= self.update_flows(now, next, flows);
         changed |= self.choose_probe_packets(next, flows);
-        let backend_has_changed =
-            self.backend_incarnation != backend_incarnation && !self.recorded.is_empty();
-        self.backend_incarnation = backend_incarnation;
+        let backend_has_changed = self.backend != backend && !self.recorded.is_empty();
+        self.backend = backend;
         if changed || backend_has_changed {
             self.revision = next;
             self.has_record = true;
@@ -412,7 +411,8 @@
         let part = |part| FlowRecordChange {
             agent,
             incarnation,
-            backend_incarnation: self.backend_incarnation,
+            backend_incarnation: self.backend.digest,
+            backend_started_at_millis: self.backend.started_at_millis.unwrap_or(0),
             base_revision,
             revision: self.revision,
             part: part as u32,
--- a/crates/petrellatch-core/src/pass_through/flows/recorded_flow.rs
+++ b/crates/petrellatch-core/src/pass_through/flows/recorded_flow.rs
@@ -31,11 +31,19 @@
     }
 }
 
+/// The incarnation of a back end that owns recorded flows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RecordedBackend {
+    /// Its digest; zero if unknown.
+    pub(crate) digest: u64,
+    /// Its start time in milliseconds of its own clock, if it reports one.
+    pub(crate) started_at_millis: Option<u64>,
+}
+
 /// Flows that one incarnation of a back end owned.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PreviousFlowRecord {
-    /// Digest of that incarnation; zero if unknown.
-    pub(crate) backend_incarnation: u64,
+    pub(crate) backend: RecordedBackend,
     pub(crate) flows: Vec<RecordedFlow>,
     /// Data-less packets from callers of some of the flows. A back end returns them once that
     /// incarnation has ended.
--- a/crates/petrellatch-core/src/pass_through/group/flow_record_store.rs
+++ b/crates/petrellatch-core/src/pass_through/group/flow_record_store.rs
@@ -56,6 +56,7 @@
 struct StoredFlowRecord {
     incarnation: u64,
     backend_incarnation: u64,
+    backend_started_at_millis: u64,
     revision: u64,
     /// Initial sequence number of the back end, and last acknowledgement number of the caller.
     flows: BTreeMap<FlowId, (u32, u32)>,
@@ -74,6 +75,7 @@
         }
         self.incarnation = change.incarnation;
         self.backend_incarnation = change.backend_incarnation;
+        self.backend_started_at_millis = change.backend_started_at_millis;
         self.revision = change.revision;
         for id in closed_flows(&change.removed) {
             self.flows.remove(&id);
@@ -103,6 +105,7 @@
             agent,
             incarnation: self.incarnation,
             backend_incarnation: self.backend_incarnation,
+            backend_started_at_millis: self.backend_started_at_millis,
             base_revision: 0,
             revision: self.revision,
             part: 0,
@@ -378,6 +381,7 @@
             FlowRecordResponse {
                 incarnation: request.incarnation,
                 backend_incarnation: record.backend_incarnation,
+                backend_started_at_millis: record.backend_started_at_millis,
                 revision: record.revision,
                 part: part as u32,
                 parts: parts as u32,
--- a/crates/petrellatch-core/tests/pass_through/leaving_backends.rs
+++ b/crates/petrellatch-core/tests/pass_through/leaving_backends.rs
@@ -212,6 +212,7 @@
             sequences: vec![sequence],
             acknowledged_steps: vec![0],
         },
+        backend_started_at_millis: 0,
         probe_packets: vec![encode(&probe_packet)],
     };
     let now = world.now;
--- a/crates/petrellatch-core/tests/pass_through/orphaned_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/orphaned_flows.rs
@@ -446,3 +446,38 @@
     assert_eq!(world.reset_ports(), []);
     assert_eq!(world.dataless_packets, []);
 }
+
+// Guards against the reset of flows of a running back end whose recorded probe packets belong to
+// flows that were closed while its agent didn't run, after a delayed registration of the back end
+// that crashed before it (FLOW).
+#[test]
+fn a_delayed_registration_orphans_no_recorded_flow_of_a_running_back_end() {
+    for reports_start_time in [false, true] {
+        for late_comes_first in [false, true] {
+            let mut world = RestartWorld::unregistered(reports_start_time, false);
+            let mut crashed = world.incarnation();
+            crashed.registrations = 2;
+            world.restart_backend();
+            world.register();
+            (1..=6).for_each(|port| assert!(world.open(port)));
+            let mut record = world.record(&world.incarnation());
+            record.probe_packets.truncate(3);
+            (1..=3).for_each(|port| world.finish(port));
+            world.restart_agent();
+            if late_comes_first {
+                world.register_incarnation(&crashed);
+                world.recover(record);
+            } else {
+                world.recover(record);
+                world.run(SECOND);
+                world.register_incarnation(&crashed);
+            }
+            world.run(2 * SECOND);
+            (4..=6).for_each(|port| world.query(port));
+            let told = world.returned_packets.iter().filter(|it| it.was_open);
+            let told = told.map(caller_port).chain(world.reset_ports());
+            let told: Vec<u16> = told.filter(|port| *port > 3).collect();
+            assert_eq!(told, [], "{reports_start_time} {late_comes_first}");
+        }
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/restart_world.rs
+++ b/crates/petrellatch-core/tests/pass_through/restart_world.rs
@@ -316,6 +316,7 @@
         FlowRecordResponse {
             incarnation: 0,
             backend_incarnation: incarnation.digest(),
+            backend_started_at_millis: incarnation.started_at_millis.unwrap_or(0),
             revision: 1,
             part: 0,
             parts: 1,
--- a/crates/petrellatch-proto/src/pass_through/flow_record.rs
+++ b/crates/petrellatch-proto/src/pass_through/flow_record.rs
@@ -63,6 +63,9 @@
     /// incarnation that owned the flows has ended.
     #[prost(bytes = "vec", repeated, tag = "10")]
     pub probe_packets: Vec<Vec<u8>>,
+    /// Start time of that incarnation in milliseconds of its own clock; zero if it isn't known.
+    #[prost(uint64, tag = "11")]
+    pub backend_started_at_millis: u64,
 }
 
 /// Replica to agent: the revision of the flow record that the replica has.
@@ -115,4 +118,7 @@
     /// See [`FlowRecordChange::probe_packets`].
     #[prost(bytes = "vec", repeated, tag = "7")]
     pub probe_packets: Vec<Vec<u8>>,
+    /// See [`FlowRecordChange::backend_started_at_millis`].
+    #[prost(uint64, tag = "8")]
+    pub backend_started_at_millis: u64,
 }
