Keep a departure whatever comes after it, and count denials by their proof

Two more ways in which an acknowledged departure was undone, found while reading: a replica that named a back end both as departed and as serving (an agent that didn't know of the departure yet had reported it) made a restarted agent skip the departure; and a draining back end that registered as ready again got new flows. A departure that was acknowledged is final now, for the incarnation that left.

What replicas know of departures travels in a message of its own, boxed, as the group status had made every queued output larger.

petrellatch_pass_through_flows_denied_total counts denials by proof, and petrellatch_pass_through_departures the kept departures, so that a reset can be led back to the proof that was given for it.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -140,13 +140,13 @@
     fn update(&mut self, now: Timestamp, registration: &Registration) {
         let is_repeated = registration.sequence == self.sequence;
         let registrations = self.registrations + u32::from(!is_repeated);
-        let draining_since = self.draining_since.unwrap_or(now);
-        let first_seen_at = self.first_seen_at;
+        let updated = Current::new(now, registration);
         *self = Current {
             registrations,
-            draining_since: registration.draining.then_some(draining_since),
-            first_seen_at,
-            ..Current::new(now, registration)
+            // A departure is final: it was acknowledged.
+            draining_since: self.draining_since.or(updated.draining_since),
+            first_seen_at: self.first_seen_at,
+            ..updated
         };
     }
 }
@@ -533,7 +533,7 @@
         let reused_name = self.reused_name_digest();
         let mut has_new = false;
         for (digest, age) in draining {
-            if Some(digest) != serving && Some(digest) != reused_name {
+            if Some(digest) != reused_name {
                 has_new |= self.leaving.restore(now - age, digest);
             }
         }
--- a/crates/petrellatch-core/src/pass_through/agent/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/departures.rs
@@ -65,7 +65,9 @@
     /// Notes what a replica knows of the departures at this address.
     pub(super) fn restore_departures(&mut self, now: Timestamp, group: &GroupStatus) {
         let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
-        let ages = group.draining_ages_millis.iter().copied();
+        let departures = group.departures.as_deref();
+        let ages = departures.map_or(&[][..], |departures| &departures.ages_millis);
+        let ages = ages.iter().copied();
         let ages = ages.chain(std::iter::repeat(0));
         let ages = ages.map(|millis| Duration::from_millis(u64::from(millis)));
         let draining = group.draining_backends.iter().copied().zip(ages);
--- a/crates/petrellatch-core/src/pass_through/agent/flow_proofs.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_proofs.rs
@@ -40,6 +40,20 @@
     Orphaned,
 }
 
+impl NotOwned {
+    /// Name of the proof in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            NotOwned::Unknown(AllFlowsKnown::FirstStart) => "first_start",
+            NotOwned::Unknown(AllFlowsKnown::OlderThanFlows) => "older_than_flows",
+            NotOwned::Unknown(AllFlowsKnown::FirstIncarnation) => "first_incarnation",
+            NotOwned::Unknown(AllFlowsKnown::BackendWasAbsent) => "backend_was_absent",
+            NotOwned::Returned => "returned",
+            NotOwned::Orphaned => "orphaned",
+        }
+    }
+}
+
 impl<C: PacketCodec> PassThroughAgent<C> {
     /// The proof that the agent knows every flow of its back end, if there is one.
     pub(super) fn all_flows_known(&self, now: Timestamp) -> Option<AllFlowsKnown> {
--- a/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/flow_queries.rs
@@ -51,7 +51,7 @@
     }
 
     /// Splits the flows of a query into those that the back end owns and those that it doesn't.
-    fn split_by_owner(&self, now: Timestamp, query: &FlowQuery) -> (FlowsOwned, FlowsNotOwned) {
+    fn split_by_owner(&mut self, now: Timestamp, query: &FlowQuery) -> (FlowsOwned, FlowsNotOwned) {
         let mut owned = FlowsOwned::default();
         let mut not_owned = FlowsNotOwned::default();
         for queried in &query.flows {
@@ -62,7 +62,8 @@
                     flow: queried.flow,
                     sequence: known.sequence,
                 });
-            } else if self.not_owned(now, queried).is_some() {
+            } else if let Some(proof) = self.not_owned(now, queried) {
+                *self.counters.denied.entry(proof.name()).or_default() += 1;
                 not_owned.not_owned.push(queried.flow);
             } else {
                 not_owned.possibly_owned.push(queried.flow);
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -115,6 +115,8 @@
     pub tried: u64,
     /// Packets that the back end returned.
     pub returned: u64,
+    /// Flows of queries that the agent denied for certain, by the proof.
+    pub denied: BTreeMap<&'static str, u64>,
     /// Orphaned flows whose callers were reset at once, because they awaited a response.
     pub told_at_once: u64,
     /// Orphaned flows that were reported to a balancer that forwarded a request of the flow or
--- a/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
@@ -100,9 +100,7 @@
             saved_agents: Vec::new(),
             saved_agent_count: 0,
             policies: None,
-            draining_ages_millis: Vec::new(),
-            saved_departures: Vec::new(),
-            departures_are_complete: false,
+            departures: None,
             remembers_agents: false,
             agent_incarnation: 0,
         }
--- a/crates/petrellatch-core/src/pass_through/configuration_node/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/departures.rs
@@ -60,13 +60,10 @@
     /// Sends an agent the reply to a report.
     pub(super) fn send_agent_status(&mut self, now: Timestamp, to: SocketAddrV4, report: &Report) {
         let (agent, incarnation) = (report.address, report.incarnation);
-        let service = service_digest(&report.service);
-        let departures = self.departures.known(now, (agent, service));
+        let key = (agent, service_digest(&report.service));
         let status = GroupStatus {
-            draining_backends: departures.backends,
-            draining_ages_millis: departures.ages_millis,
-            saved_departures: departures.saved,
-            departures_are_complete: self.departures.is_complete(now),
+            draining_backends: self.departures.backends(key),
+            departures: Some(Box::new(self.departures.status(now, key))),
             serving_backend: self.daemons.served_previously(agent, incarnation),
             knows_previous_incarnation: self.daemons.knows_previous_incarnation(agent),
             remembers_agents: self.daemons.remembers_agents(now),
--- a/crates/petrellatch-core/src/pass_through/group/departure_store.rs
+++ b/crates/petrellatch-core/src/pass_through/group/departure_store.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use petrellatch_proto::pass_through::SavedDepartures;
+use petrellatch_proto::pass_through::{DepartureStatus, SavedDepartures};
 use prost::Message;
 
 use crate::time::Timestamp;
@@ -47,17 +47,6 @@
     }
 }
 
-/// The departures that a replica knows at one agent.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct KnownDepartures {
-    /// Digests of the back ends, the latest last.
-    pub(crate) backends: Vec<u64>,
-    /// Time since this replica knows of each of them, in milliseconds.
-    pub(crate) ages_millis: Vec<u32>,
-    /// Those that are synced.
-    pub(crate) saved: Vec<u64>,
-}
-
 /// The departures at all agents, and their state on disk.
 #[derive(Debug)]
 pub(crate) struct DepartureStore {
@@ -142,23 +131,28 @@
         known.departures.drain(..excess);
     }
 
-    /// The departures at an agent.
-    pub(crate) fn known(&self, now: Timestamp, agent: AgentKey) -> KnownDepartures {
-        let Some(known) = self.agents.get(&agent) else {
-            return KnownDepartures::default();
-        };
+    /// Digests of the back ends that have left at an agent, the latest last.
+    pub(crate) fn backends(&self, agent: AgentKey) -> Vec<u64> {
+        let known = self.agents.get(&agent);
+        known.map_or_else(Vec::new, |known| known.backends().collect())
+    }
+
+    /// What this replica knows of those departures.
+    pub(crate) fn status(&self, now: Timestamp, agent: AgentKey) -> DepartureStatus {
+        let known = self.agents.get(&agent);
+        let departures = known.map_or(&[][..], |known| &known.departures);
         let age = |it: &Departure| now.saturating_since(it.known_since).as_millis() as u32;
-        let saved = known.departures.iter().filter(|it| it.is_saved);
-        KnownDepartures {
-            backends: known.backends().collect(),
-            ages_millis: known.departures.iter().map(age).collect(),
+        let saved = departures.iter().filter(|it| it.is_saved);
+        DepartureStatus {
+            ages_millis: departures.iter().map(age).collect(),
             saved: saved.map(|it| it.backend).collect(),
+            is_complete: self.is_complete(now),
         }
     }
 
     /// Whether the store has every departure that was ever reported to this replica and may still
     /// matter.
-    pub(crate) fn is_complete(&self, now: Timestamp) -> bool {
+    fn is_complete(&self, now: Timestamp) -> bool {
         self.was_complete || now.saturating_since(self.started_at) >= DEPARTURE_TTL
     }
 
--- a/crates/petrellatch-core/src/pass_through/group/replica_answers.rs
+++ b/crates/petrellatch-core/src/pass_through/group/replica_answers.rs
@@ -27,11 +27,13 @@
 impl ReplicaAnswers {
     /// Notes the status that a replica sent in reply to a report of this incarnation.
     pub(crate) fn note(&mut self, from: SocketAddrV4, status: &GroupStatus) {
+        let departures = status.departures.as_deref();
+        let saved = departures.map_or(&[][..], |departures| &departures.saved);
         let answer = ReplicaAnswer {
             remembers_agents: status.remembers_agents,
             knows_previous_incarnation: status.knows_previous_incarnation,
-            departures_are_complete: status.departures_are_complete,
-            saved_departures: status.saved_departures.iter().copied().collect(),
+            departures_are_complete: departures.is_some_and(|it| it.is_complete),
+            saved_departures: saved.iter().copied().collect(),
         };
         self.answers.insert(from, answer);
     }
--- a/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
+++ b/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
@@ -193,11 +193,10 @@
             }
             while let Some(output) = self.agent.as_mut().and_then(|it| it.poll_output()) {
                 match output {
-                    PassThroughOutput::Send { to, body } if to == BALANCER => {
-                        if let PassThroughBody::FlowsNotOwned(reply) = body {
-                            self.denials.push(!reply.not_owned.is_empty());
-                        }
-                    }
+                    PassThroughOutput::Send {
+                        to: BALANCER,
+                        body: PassThroughBody::FlowsNotOwned(reply),
+                    } => self.denials.push(!reply.not_owned.is_empty()),
                     PassThroughOutput::Send { to, body } => {
                         let index = to.ip().octets()[3];
                         if index < FIRST_DAEMON && self.group.is_running(index) {
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use petrellatch_core::Timestamp;
-use petrellatch_core::pass_through::Registration;
+use petrellatch_core::pass_through::{Registration, backend_digest};
+use petrellatch_proto::pass_through::GroupStatus;
 
 use super::world::{MILLI, SERVICE, World};
 
@@ -690,3 +691,40 @@
     register(&mut world, "new", 1, false);
     assert!(admits_flows(&mut world, 1));
 }
+
+// Guards against a departure that is undone by a replica which goes on naming the back end as the
+// one that serves: an agent that didn't know of the departure had reported that.
+#[test]
+fn a_departure_holds_although_the_same_replica_names_the_back_end_as_serving() {
+    let mut world = world_with_restarted_agent();
+    register(&mut world, "new", 1, false);
+    let serving = backend_digest("new", None);
+    world.start_agent(AGENT);
+    let status = GroupStatus {
+        draining_backends: vec![serving],
+        serving_backend: serving,
+        ..GroupStatus::default()
+    };
+    world.restore_draining(AGENT, status);
+    register(&mut world, "new", 11, false);
+    assert!(!admits_flows(&mut world, 1));
+}
+
+// A departure was acknowledged, and holds whatever the back end says later.
+#[test]
+fn a_back_end_that_is_ready_again_after_draining_gets_no_flows() {
+    for is_restarted in [false, true] {
+        let mut world = world_with_restarted_agent();
+        register(&mut world, "backend", 1, false);
+        register(&mut world, "backend", 2, true);
+        if is_restarted {
+            world.run(MILLI);
+            world.restart_agent_with_draining(AGENT);
+        }
+        for sequence in 3..16 {
+            register(&mut world, "backend", sequence, false);
+            assert!(!admits_flows(&mut world, sequence as u16), "{is_restarted}");
+            world.run(Duration::from_secs(1));
+        }
+    }
+}
--- a/crates/petrellatch-core/tests/pass_through/world.rs
+++ b/crates/petrellatch-core/tests/pass_through/world.rs
@@ -13,9 +13,10 @@
 };
 use petrellatch_core::{EventKind, Timestamp};
 use petrellatch_proto::pass_through::{
-    ConfigurationChange, ConfigurationPart, DirectoryChange, DirectoryEntry, DirectoryPart,
-    ForwardReason, ForwardedPacket, GroupStatus, PassThroughBody, PassThroughMessage, Report,
-    RouteRecord, RouteShare, ServiceRecord, VersionConfirmed, pack_address,
+    ConfigurationChange, ConfigurationPart, DepartureStatus, DirectoryChange, DirectoryEntry,
+    DirectoryPart, ForwardReason, ForwardedPacket, GroupStatus, PassThroughBody,
+    PassThroughMessage, Report, RouteRecord, RouteShare, ServiceRecord, VersionConfirmed,
+    pack_address,
 };
 use prost::Message;
 
@@ -39,7 +40,10 @@
     GroupStatus {
         replicas: vec![pack_address(replica)],
         agent_incarnation,
-        departures_are_complete: true,
+        departures: Some(Box::new(DepartureStatus {
+            is_complete: true,
+            ..DepartureStatus::default()
+        })),
         ..GroupStatus::default()
     }
 }
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -111,16 +111,9 @@
     /// ends are draining.
     #[prost(fixed64, tag = "19")]
     pub serving_backend: u64,
-    /// To an agent: time since the sender knows of each of `draining_backends`, in milliseconds.
-    #[prost(uint32, repeated, tag = "20")]
-    pub draining_ages_millis: Vec<u32>,
-    /// To an agent: those of `draining_backends` that the sender has synced to its disk.
-    #[prost(fixed64, repeated, tag = "21")]
-    pub saved_departures: Vec<u64>,
-    /// To an agent: whether the sender's disk has every departure that was ever reported to the
-    /// sender and may still matter. A replica that lost its disk can't say so for some time.
-    #[prost(bool, tag = "22")]
-    pub departures_are_complete: bool,
+    /// To an agent: what the sender knows of `draining_backends`.
+    #[prost(message, optional, boxed, tag = "20")]
+    pub departures: Option<Box<DepartureStatus>>,
     /// To an agent: whether the sender remembers every agent that has reported to it within the
     /// lifetime of a flow. A replica that restarted can't say so for that time.
     #[prost(bool, tag = "23")]
@@ -130,6 +123,22 @@
     pub agent_incarnation: u64,
 }
 
+/// Replica to agent: the departures of back ends that the replica knows.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct DepartureStatus {
+    /// Time since the replica knows of each of [`GroupStatus::draining_backends`], in
+    /// milliseconds.
+    #[prost(uint32, repeated, tag = "1")]
+    pub ages_millis: Vec<u32>,
+    /// Those of [`GroupStatus::draining_backends`] that the replica has synced to its disk.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub saved: Vec<u64>,
+    /// Whether the replica's disk has every departure that was ever reported to it and may still
+    /// matter. A replica that lost its disk can't say so for some time.
+    #[prost(bool, tag = "3")]
+    pub is_complete: bool,
+}
+
 /// Replica's file of departures: one record.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SavedDepartures {
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -21,7 +21,8 @@
     FlowRecordResponse,
 };
 pub use group::{
-    GroupStatus, ReplicaZone, SavedDaemons, SavedDepartures, Subscribe, VersionConfirmed,
+    DepartureStatus, GroupStatus, ReplicaZone, SavedDaemons, SavedDepartures, Subscribe,
+    VersionConfirmed,
 };
 pub use new_flow::{
     Accepted, DeclineReason, Declined, FlowQueued, ForwardReason, ForwardedPacket, LoadMessage,
--- a/crates/petrellatch/src/runtime/pass_through/metrics.rs
+++ b/crates/petrellatch/src/runtime/pass_through/metrics.rs
@@ -61,6 +61,8 @@
 const RECORD_WRITE_AGE_MILLISECONDS: &str =
     "petrellatch_pass_through_record_write_age_milliseconds";
 
+const DEPARTURES: &str = "petrellatch_pass_through_departures";
+const FLOWS_DENIED_TOTAL: &str = "petrellatch_pass_through_flows_denied_total";
 const FLOWS_TOLD_TOTAL: &str = "petrellatch_pass_through_flows_told_total";
 const FLOWS_TAKEN_OVER_TOTAL: &str = "petrellatch_pass_through_flows_taken_over_total";
 const PROOFS_TOTAL: &str = "petrellatch_pass_through_proofs_total";
@@ -71,7 +73,7 @@
 const POLICY_ELIGIBLE: &str = "petrellatch_pass_through_policy_eligible";
 
 /// Names of all metrics of the tier. A test checks that `docs/API.md` lists them.
-pub const METRIC_NAMES: [&str; 51] = [
+pub const METRIC_NAMES: [&str; 53] = [
     PACKETS_TOTAL,
     PLACED_TOTAL,
     REFUSED_TOTAL,
@@ -115,6 +117,8 @@
     RECORD_BYTES,
     RECORDS_REFUSED_TOTAL,
     RECORD_WRITE_AGE_MILLISECONDS,
+    DEPARTURES,
+    FLOWS_DENIED_TOTAL,
     FLOWS_TOLD_TOTAL,
     FLOWS_TAKEN_OVER_TOTAL,
     PROOFS_TOTAL,
@@ -372,6 +376,8 @@
     let help = "Since the records were last written.";
     let age = stats.write_age.as_millis() as u64;
     set(&gauge(registry, RECORD_WRITE_AGE_MILLISECONDS, help), age);
+    let help = "Departures of back ends that are kept for their agents.";
+    set(&gauge(registry, DEPARTURES, help), node.departure_count());
 }
 
 /// Adds what an agent did with the flows of previous incarnations: of its back end, whose
@@ -390,6 +396,11 @@
     ] {
         raise(&notified.with_label_values(&[cause]), total);
     }
+    let help = "Flows of queries that were denied for certain, by proof.";
+    let denied = counters(registry, FLOWS_DENIED_TOTAL, help, "proof");
+    for (proof, total) in &counted.denied {
+        raise(&denied.with_label_values(&[proof]), *total);
+    }
     let help = "Flows of a recorded former life of the agent that were taken over.";
     let taken_over = counter(registry, FLOWS_TAKEN_OVER_TOTAL, help);
     raise(&taken_over, counted.taken_over);
