Find out after a restart whether a back end that has left has ended

Cause: an agent that was killed with all replicas now knows that its back end had left, where it had forgotten that before. It holds that back end for one that may own flows until it stops, and balancers wait for its replies afterwards, so that callers of flows that died are told late. Before, they were told soon because the departure was forgotten.

Change: with a departure, an agent reports one data-less packet of a caller, which replicas keep with it. After a restart it sends that to a back end that has left and hasn't been seen, every 2 s and before its final report. If the address refuses it, the back end has ended, and the agent knows all flows. A running back end drops the packet as an old duplicate or returns it.

Test: departures::the_end_of_a_back_end_that_has_left_is_found_after_a_restart.

--- a/crates/petrellatch-core/src/pass_through/admission/registration.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/registration.rs
@@ -376,7 +376,7 @@
 
     /// Whether a back end is draining or has deregistered, may still own flows and hasn't
     /// registered since the start: it need not register again, and is silent without requests.
-    fn has_left(&self) -> bool {
+    pub fn has_left(&self) -> bool {
         let is_restored = self.restored_serving.is_none() && !self.leaving.is_empty();
         self.current.is_none() && !self.was_absent && is_restored
     }
--- a/crates/petrellatch-core/src/pass_through/agent/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/departures.rs
@@ -8,13 +8,17 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use petrellatch_proto::pass_through::GroupStatus;
+use petrellatch_proto::pass_through::{DepartureRequest, GroupStatus};
 
 use super::PassThroughAgent;
 use crate::event::EventKind;
+use crate::pass_through::output::PassThroughOutput;
 use crate::pass_through::packet::PacketCodec;
 use crate::time::Timestamp;
 
+/// Interval between packets to a back end that has left, which has closed their flow.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What an agent knows of the departures at its address, and what the replicas have of it.
 #[derive(Debug)]
 pub(super) struct DepartureProgress {
@@ -24,6 +28,10 @@
     pub(super) reported: Vec<u64>,
     /// Since when reported departures are not saved by a majority; `None` if all are.
     unsaved_since: Option<Timestamp>,
+    /// A caller's data-less packet to a back end that left before the start of the agent.
+    probe_packet: Option<Vec<u8>>,
+    /// Earliest time to send that packet again.
+    next_probe_at: Timestamp,
 }
 
 impl DepartureProgress {
@@ -33,6 +41,8 @@
             are_known: first_start,
             reported: Vec::new(),
             unsaved_since: None,
+            probe_packet: None,
+            next_probe_at: Timestamp::ZERO,
         }
     }
 }
@@ -66,6 +76,9 @@
     pub(super) fn restore_departures(&mut self, now: Timestamp, group: &GroupStatus) {
         let serving = Some(group.serving_backend).filter(|digest| *digest != 0);
         let departures = group.departures.as_deref();
+        if let Some(departures) = departures.filter(|it| !it.probe_packet.is_empty()) {
+            self.departures.probe_packet = Some(departures.probe_packet.clone());
+        }
         let ages = departures.map_or(&[][..], |departures| &departures.ages_millis);
         let ages = ages.iter().copied();
         let ages = ages.chain(std::iter::repeat(0));
@@ -79,6 +92,40 @@
         }
     }
 
+    /// Sends a packet to a back end that has left and hasn't been seen since the start of the
+    /// agent. A refusal shows that it has ended, so that the agent knows all flows, and balancers
+    /// need not wait for its replies. A running back end returns the packet of a flow that it has
+    /// closed, or drops it as an old duplicate.
+    pub(super) fn probe_left_backend(&mut self, now: Timestamp) {
+        let is_due = now >= self.departures.next_probe_at;
+        if !is_due || !self.awaits_backend_refusal() || !self.registration.has_left() {
+            return;
+        }
+        if let Some(packet) = self.departure_probe() {
+            self.departures.next_probe_at = now + PROBE_INTERVAL;
+            self.outputs.push_back(PassThroughOutput::ToBackend(packet));
+        }
+    }
+
+    /// A caller's data-less packet to the back end that left before the start of the agent.
+    pub(super) fn departure_probe(&self) -> Option<Vec<u8>> {
+        self.departures.probe_packet.clone()
+    }
+
+    /// The request to send with a report, if the agent awaits something about departures.
+    pub(super) fn departure_request(&self) -> Option<DepartureRequest> {
+        self.awaits_departures_since()?;
+        if self.departures_are_saved() {
+            return Some(DepartureRequest::default());
+        }
+        let mut flows = self.flows.iter();
+        let seen = flows.find_map(|(_, flow)| flow.probe_packet.clone());
+        let probe_packet = seen.or_else(|| self.departure_probe());
+        Some(DepartureRequest {
+            probe_packet: probe_packet.unwrap_or_default(),
+        })
+    }
+
     /// Notes the reply of a replica to a report of this incarnation.
     pub(super) fn note_replica_answer(
         &mut self,
--- a/crates/petrellatch-core/src/pass_through/agent/mod.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/mod.rs
@@ -410,6 +410,7 @@
         self.known_replicas.handle_group_status(group);
         let has_new_replicas = !self.known_replicas.all().is_subset(&known);
         self.restore_departures(now, group);
+        self.probe_left_backend(now);
         self.note_replica_answer(now, from, group);
         if group.has_report {
             self.note_report_interval(group.report_interval_millis);
@@ -463,6 +464,7 @@
                 .retain(|_, last_seen_at| now.saturating_since(*last_seen_at) < BALANCER_TTL);
             self.report_if_changed(now);
             self.record_flows(now);
+            self.probe_left_backend(now);
         }
         self.continue_recovery(now);
         if now >= self.report_at {
--- a/crates/petrellatch-core/src/pass_through/agent/reports.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/reports.rs
@@ -158,7 +158,7 @@
             },
             evacuations_index: self.evacuations.index(),
             backend: self.registration.description(now),
-            awaits_departures: self.awaits_departures_since().is_some(),
+            departures: self.departure_request().map(Box::new),
         };
         for replica in self.known_replicas.all() {
             self.send(replica, PassThroughBody::Report(report.clone()));
--- a/crates/petrellatch-core/src/pass_through/agent/stopping.rs
+++ b/crates/petrellatch-core/src/pass_through/agent/stopping.rs
@@ -90,7 +90,8 @@
         if let Some(until) = self.refusal_until {
             return now < until;
         }
-        let Some(packet) = self.recorded_probe_packet() else {
+        let packet = self.recorded_probe_packet();
+        let Some(packet) = packet.or_else(|| self.departure_probe()) else {
             return false;
         };
         self.outputs.push_back(PassThroughOutput::ToBackend(packet));
--- a/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/daemon_messages.rs
@@ -17,7 +17,7 @@
             let at = now + DIRECTORY_DELAY;
             self.send_directory_at = Some(self.send_directory_at.map_or(at, |due| due.min(at)));
         }
-        let awaits_departures = report.awaits_departures;
+        let awaits_departures = report.departures.is_some();
         if has_changed || is_group_status_due || lacks_zone_command || is_final || awaits_departures
         {
             self.send_agent_status(now, from, &report);
--- a/crates/petrellatch-core/src/pass_through/configuration_node/departures.rs
+++ b/crates/petrellatch-core/src/pass_through/configuration_node/departures.rs
@@ -45,7 +45,10 @@
     /// Notes the departures that an agent reports, and writes those that are new.
     pub(super) fn note_departures(&mut self, now: Timestamp, report: &Report) {
         let agent = (report.address, service_digest(&report.service));
-        self.departures.note(now, agent, &report.draining_backends);
+        let request = report.departures.as_deref();
+        let probe_packet = request.map_or(&[][..], |request| &request.probe_packet);
+        self.departures
+            .note(now, agent, &report.draining_backends, probe_packet);
         self.save_departures(now);
     }
 
--- a/crates/petrellatch-core/src/pass_through/group/departure_store.rs
+++ b/crates/petrellatch-core/src/pass_through/group/departure_store.rs
@@ -38,6 +38,9 @@
 #[derive(Debug)]
 struct AgentDepartures {
     departures: Vec<Departure>,
+    /// A packet that the address of the latest back end refuses once that has ended; empty if
+    /// there is none.
+    probe_packet: Vec<u8>,
     reported_at: Timestamp,
 }
 
@@ -101,19 +104,28 @@
         for record in saved {
             self.was_complete |= record.is_complete;
             if record.agent != 0 {
-                self.note(now, (record.agent, record.service), &record.backends);
+                let key = (record.agent, record.service);
+                self.note(now, key, &record.backends, &record.probe_packet);
             }
         }
         true
     }
 
-    /// Notes the departures that an agent reports.
-    pub(crate) fn note(&mut self, now: Timestamp, agent: AgentKey, backends: &[u64]) {
+    /// Notes the departures that an agent reports, and a packet that the address of the back end
+    /// refuses once that has ended.
+    pub(crate) fn note(
+        &mut self,
+        now: Timestamp,
+        agent: AgentKey,
+        backends: &[u64],
+        probe_packet: &[u8],
+    ) {
         if backends.is_empty() {
             return;
         }
         let known = self.agents.entry(agent).or_insert(AgentDepartures {
             departures: Vec::new(),
+            probe_packet: Vec::new(),
             reported_at: now,
         });
         known.reported_at = now;
@@ -125,6 +137,9 @@
                     is_saved: false,
                 });
                 self.unsaved.insert(agent);
+                if !probe_packet.is_empty() {
+                    known.probe_packet = probe_packet.to_vec();
+                }
             }
         }
         let excess = known.departures.len().saturating_sub(MAX_DEPARTURES);
@@ -147,6 +162,7 @@
             ages_millis: departures.iter().map(age).collect(),
             saved: saved.map(|it| it.backend).collect(),
             is_complete: self.is_complete(now),
+            probe_packet: known.map_or_else(Vec::new, |known| known.probe_packet.clone()),
         }
     }
 
@@ -216,6 +232,7 @@
             service,
             backends: known.backends().collect(),
             is_complete: false,
+            probe_packet: known.probe_packet.clone(),
         };
         Some(record.encode_to_vec())
     }
--- a/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
+++ b/crates/petrellatch-core/tests/pass_through/agent_with_group.rs
@@ -28,6 +28,8 @@
     incarnation: u64,
     reports_start_time: bool,
     next_port: u16,
+    /// Whether the back end has ended, so that its address refuses packets.
+    pub backend_has_ended: bool,
     /// Whether the agent denied the flow of each query, or replied that its back end possibly
     /// owns it.
     denials: Vec<bool>,
@@ -56,6 +58,7 @@
             incarnation: 0,
             reports_start_time: false,
             next_port: 1,
+            backend_has_ended: false,
             denials: Vec::new(),
         }
     }
@@ -150,14 +153,30 @@
     /// Whether the agent admits a new flow.
     pub fn admits_flows(&mut self) -> bool {
         self.next_port += 1;
-        let packet = PacketView {
+        let syn = PacketView {
             syn: true,
             ..empty(caller(self.next_port), ROUTE)
         };
+        self.forward(ForwardReason::OpenQueued, &syn)
+    }
+
+    /// Opens a flow, whose caller sends an acknowledgement without data.
+    pub fn open_flow(&mut self) {
+        assert!(self.admits_flows());
+        let acknowledgement = PacketView {
+            ack: true,
+            ack_number: 7,
+            ..empty(caller(self.next_port), ROUTE)
+        };
+        self.forward(ForwardReason::Deliver, &acknowledgement);
+    }
+
+    /// A balancer forwards a packet. Returns whether the back end got one.
+    fn forward(&mut self, reason: ForwardReason, packet: &PacketView) -> bool {
         let forwarded = ForwardedPacket {
             service: service_digest(SERVICE),
-            reason: ForwardReason::OpenQueued.into(),
-            packet: encode(&packet),
+            reason: reason.into(),
+            packet: encode(packet),
             ..ForwardedPacket::default()
         };
         let body = PassThroughBody::ForwardedPacket(forwarded);
@@ -203,6 +222,9 @@
                             self.group.receive(index, AGENT, body);
                         }
                     }
+                    PassThroughOutput::ToBackend(_) if self.backend_has_ended => {
+                        self.agent().handle_refused_packet(now);
+                    }
                     PassThroughOutput::ToBackend(_) => is_delivered = true,
                     _ => {}
                 }
--- a/crates/petrellatch-core/tests/pass_through/departures.rs
+++ b/crates/petrellatch-core/tests/pass_through/departures.rs
@@ -153,3 +153,21 @@
     world.register(6, false);
     assert!(world.admits_flows());
 }
+
+// Guards against callers that are told late that their flow has died: the agent of a back end that
+// had left before all processes were killed finds out that it has ended.
+#[test]
+fn the_end_of_a_back_end_that_has_left_is_found_after_a_restart() {
+    for departure in DEPARTURES {
+        let mut world = AgentWithGroup::new(3, false);
+        world.open_flow();
+        leave(&mut world, departure, 6);
+        assert!(world.is_acknowledged_within(ACKNOWLEDGEMENT_TIMEOUT));
+        world.kill_all(3);
+        world.run(100 * MILLI);
+        assert!(!world.denies_unknown_flow(), "{departure:?}: it may run");
+        world.backend_has_ended = true;
+        world.run(3 * SECOND);
+        assert!(world.denies_unknown_flow(), "{departure:?}: it has ended");
+    }
+}
--- a/crates/petrellatch-proto/src/pass_through/directory.rs
+++ b/crates/petrellatch-proto/src/pass_through/directory.rs
@@ -61,9 +61,18 @@
     /// Digest of the back end incarnation that takes new flows; zero if there is none.
     #[prost(fixed64, tag = "13")]
     pub serving_backend: u64,
-    /// Whether the agent awaits that replicas save departures, or tell it which ones they have.
-    #[prost(bool, tag = "14")]
-    pub awaits_departures: bool,
+    /// Set while the agent awaits that replicas save departures, or tell it which ones they have.
+    #[prost(message, optional, boxed, tag = "14")]
+    pub departures: Option<Box<DepartureRequest>>,
+}
+
+/// Agent to replica: asks which departures of back ends the replica knows and has saved.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct DepartureRequest {
+    /// With a departure that isn't saved yet: a data-less packet that a caller has sent to the back
+    /// end. Once that has ended, its address refuses the packet.
+    #[prost(bytes = "vec", tag = "1")]
+    pub probe_packet: Vec<u8>,
 }
 
 /// One agent of a [`DirectoryPart`].
--- a/crates/petrellatch-proto/src/pass_through/group.rs
+++ b/crates/petrellatch-proto/src/pass_through/group.rs
@@ -137,6 +137,9 @@
     /// matter. A replica that lost its disk can't say so for some time.
     #[prost(bool, tag = "3")]
     pub is_complete: bool,
+    /// See [`super::DepartureRequest::probe_packet`].
+    #[prost(bytes = "vec", tag = "4")]
+    pub probe_packet: Vec<u8>,
 }
 
 /// Replica's file of departures: one record.
@@ -154,6 +157,9 @@
     /// Whether the file has every departure that was reported to the replica.
     #[prost(bool, tag = "4")]
     pub is_complete: bool,
+    /// See [`super::DepartureRequest::probe_packet`].
+    #[prost(bytes = "vec", tag = "5")]
+    pub probe_packet: Vec<u8>,
 }
 
 /// Daemons that a replica saves on disk, to send them the group's addresses after a
--- a/crates/petrellatch-proto/src/pass_through/mod.rs
+++ b/crates/petrellatch-proto/src/pass_through/mod.rs
@@ -15,7 +15,9 @@
 pub use configuration::{
     ConfigurationChange, ConfigurationPart, LogCommand, RouteRecord, RouteShare, ServiceRecord,
 };
-pub use directory::{AgentState, DirectoryChange, DirectoryEntry, DirectoryPart, Report};
+pub use directory::{
+    AgentState, DepartureRequest, DirectoryChange, DirectoryEntry, DirectoryPart, Report,
+};
 pub use flow_record::{
     ACKNOWLEDGED_STEP_BYTES, FlowColumns, FlowRecordAck, FlowRecordChange, FlowRecordRequest,
     FlowRecordResponse,
