Let the departure soak meet young back ends, kills of all processes and downloads

Seeds from 1000 on also draw back ends that have just started when they leave or when their agents restart, with their first heartbeats held up; all replicas and one agent, or all processes, killed at the same moment; flows that rest for longer than machines need to be in touch again; and downloads of 6 MiB. Earlier seeds keep their schedules.

--- a/scripts/soak_lib/departures.py
+++ b/scripts/soak_lib/departures.py
@@ -7,6 +7,11 @@
 ends overlap, and balancers and replicas restart meanwhile, so that flows come through other
 balancers. Callers keep using their flows until the back end is gone.
 
+Seeds from `FIRST_EXTENDED_SEED` on also draw back ends that have just started when they leave
+or when agents restart, with their first heartbeats held up; all replicas and one agent, or all
+processes, that are killed at the same moment; flows that rest for longer than the machines need
+to be in touch again; and downloads of more than 4 MiB.
+
 Checked from outside, by the rules of the platform:
 
 - FLOW: no open flow of a living back end is reset by the system;
@@ -15,7 +20,8 @@
 - no request runs twice, and an answer belongs to its request.
 
 FLOW always counts during planned work. Both count after a kill or a late heartbeat once the
-machines have been in touch for `CONTACT_SECONDS` again.
+machines have been in touch for `CONTACT_SECONDS` again, or for twice as long after a kill of
+all processes.
 """
 
 import asyncio
@@ -46,6 +52,15 @@
 REQUEST_SECONDS = 3.0
 # Each life begins its flows at sequences of its own.
 SEQUENCES_OF_A_LIFE, LIVES = 1_000_000, 40
+# What seeds from this one on draw as well.
+FIRST_EXTENDED_SEED = 1000
+# A resting flow is idle for so long; it may be forgotten after 15 s.
+LONG_REST_SECONDS = (9.0, 13.0)
+RESTING_FLOWS_A_BACKEND, DOWNLOADS = 4, 2
+# An answer of a download, and what one packet carries of it.
+SHEET_BYTES, PACKET_BYTES = 19_200, 1_200
+# A download goes on without rests until its caller has received this much.
+DOWNLOAD_BYTES = 6 << 20
 # Steps that may come before and after a departure, with their chances.
 STEPS = {"hold": 0.5, "kill_agent": 0.4, "stop_agent": 0.4, "crash": 0.35}
 LATER_STEPS = {"kill_agent": 0.4, "stop_agent": 0.4, "hold_end": 0.5}
@@ -77,7 +92,46 @@
         at += chance.uniform(1.0, 2.5)
     if seconds >= 40 and chance.random() < 0.3:
         steps.append((chance.uniform(15, seconds - 15), "kill_replicas", 0))
-    return sorted(steps)
+    return sorted(steps + extended_schedule(seed, seconds, backends))
+
+
+def extended_schedule(seed, seconds, backends):
+    """Further steps of a seed from `FIRST_EXTENDED_SEED` on, in no order."""
+    chance, steps = random.Random(f"extended {seed}"), []
+    if seed < FIRST_EXTENDED_SEED:
+        return steps
+    for number in range(backends):
+        at = 7 + chance.uniform(0, 8)
+        while at < seconds - 16:
+            steps += young_departure(chance, at, number)
+            at += chance.uniform(18, 26)
+    if chance.random() < 0.5:
+        number = chance.randrange(backends)
+        at = chance.uniform(12, seconds - 16)
+        steps += [(at, chance.choice(("drain", "delete")), number),
+                  (at + chance.uniform(0.1, 0.5), "kill_replicas_and_agent", number)]
+        steps.append((at - chance.uniform(0.1, 0.8), "hold", number))
+    if chance.random() < 0.4:
+        number, at = chance.randrange(backends), chance.uniform(9, seconds - 22)
+        # The back end has just started.
+        steps += [(at - chance.uniform(0.6, 1.2), "crash", number), (at, "kill_all", 0)]
+    return steps
+
+
+def young_departure(chance, at, number):
+    """A back end starts, its agent restarts, and it leaves with its first heartbeats held up."""
+    steps = [(at, "crash", number)]
+    at += chance.uniform(0.0, 0.6)
+    if chance.random() < 0.7:
+        steps.append((at, chance.choice(("kill_agent", "stop_agent")), number))
+        at += chance.uniform(0.2, 1.0)
+    steps.append((at, "hold", number))
+    at += chance.uniform(0.2, 1.2)
+    steps.append((at, chance.choice(("drain", "delete", "crash")), number))
+    if chance.random() < 0.4:
+        at += chance.uniform(0.1, 1.0)
+        steps.append((at, chance.choice(("kill_agent", "stop_agent")), number))
+    return steps
 
 
 class Findings:
@@ -154,10 +208,12 @@
             if number == signal.SIGKILL:
                 self.disturb(machine)
 
-    def disturb(self, machine):
-        self.disturbed_at[machine] = time.monotonic()
+    def disturb(self, machine, extra=0.0):
+        """Notes a disturbance, after which machines are out of touch for longer by `extra`."""
+        at = time.monotonic() + extra
+        self.disturbed_at[machine] = max(at, self.disturbed_at[machine])
         if machine in REPLICAS:
-            self.core_disturbed_at = time.monotonic()
+            self.core_disturbed_at = max(at, self.core_disturbed_at)
 
     def are_in_touch(self, *machines):
         last = max([self.core_disturbed_at, *(self.disturbed_at[it] for it in machines)])
@@ -294,7 +350,7 @@
                 self.note_new_flow(life)
                 life.flows[source] = {"open": False, "answers": {}, "next": life.first + 1}
             self.reply(destination, source, SYN | ACK, life.first, sequence)
-        elif flow is None or not 0 < acknowledged - life.first < SEQUENCES_OF_A_LIFE:
+        elif flow is None or not 0 < acknowledged - life.first <= flow["next"] - life.first:
             head = bytearray(packet)
             head[14] |= BOUNCED
             self.transport.sendto(bytes(head), self.fleet.at(self.machine, "outbound"))
@@ -318,6 +374,8 @@
         if answer is None:
             self.fleet.findings.counts["runs"] += 1
             text = f"{life.name}:".encode() + data
+            if data.startswith(b"sheet-"):
+                text += b"." * SHEET_BYTES + b"\n"
             answer = flow["answers"][sequence] = (flow["next"], text, self.slot())
             flow["next"] += len(text)
             runs = self.fleet.runs
@@ -326,8 +384,11 @@
                 self.fleet.findings.note("TWICE", f"{data} ran {runs[data]} times")
         first, text, done = answer
         delay = max(0.0, done - time.monotonic())
-        asyncio.get_running_loop().call_later(
-            delay, self.answer, life, (destination, source, ACK, first, sequence + len(data), text))
+        acknowledged = sequence + len(data)
+        for start in range(0, len(text), PACKET_BYTES):
+            part = text[start:start + PACKET_BYTES]
+            packet = (destination, source, ACK, first + start, acknowledged, part)
+            asyncio.get_running_loop().call_later(delay, self.answer, life, packet)
 
     def slot(self):
         """When a request that comes now is done."""
@@ -362,6 +423,13 @@
         return max(ready, key=weight)
 
 
+class FlowUse:
+    """How a caller uses its flows."""
+
+    def __init__(self, limit=None, rest=REST_SECONDS, bytes_without_rest=0):
+        self.limit, self.rest, self.bytes_without_rest = limit, rest, bytes_without_rest
+
+
 class Callers(asyncio.DatagramProtocol):
     """All callers: one address, a port for each flow."""
 
@@ -369,12 +437,14 @@
         self.fleet, self.router, self.backends, self.chance = fleet, router, backends, chance
         self.queues, self.port, self.requests, self.transport = {}, 1024, 0, None
 
-    async def start(self, long_flows, short_flows):
+    async def start(self, long_flows, short_flows, resting_flows, downloads):
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=self.fleet.at(CLIENT, "packets"))
-        limits = [None] * long_flows + [1] * short_flows
-        return [asyncio.create_task(self.use_flows(limit)) for limit in limits]
+        uses = [FlowUse()] * long_flows + [FlowUse(limit=1)] * short_flows
+        uses += [FlowUse(rest=LONG_REST_SECONDS)] * resting_flows
+        uses += [FlowUse(bytes_without_rest=DOWNLOAD_BYTES)] * downloads
+        return [asyncio.create_task(self.use_flows(use)) for use in uses]
 
     def datagram_received(self, packet, _):
         view = unpack(packet)
@@ -395,8 +465,8 @@
         except asyncio.TimeoutError:
             return None
 
-    async def use_flows(self, limit):
-        """Uses one flow after the other, each until it ends or for this number of requests."""
+    async def use_flows(self, use):
+        """Uses one flow after the other, each until it ends or for its number of requests."""
         while not self.fleet.over:
             self.port = 1024 + (self.port - 1023) % 60_000
             port, counts = self.port, self.fleet.findings.counts
@@ -405,7 +475,7 @@
                 first = await self.open(port)
                 counts["opened" if first is not None else "not_opened"] += 1
                 if first is not None:
-                    await self.use_flow(port, first, limit)
+                    await self.use_flow(port, first, use)
             finally:
                 del self.queues[port]
             await asyncio.sleep(0.1)
@@ -423,29 +493,32 @@
                     return answer[3]
         return None
 
-    async def use_flow(self, port, first, limit):
+    async def use_flow(self, port, first, use):
         sequence, acknowledged, answered = 101, first + 1, 0
         life = next(it for backend in self.backends for it in backend.lives if it.first == first)
         counts = self.fleet.findings.counts
         while not self.fleet.over:
             self.requests += 1
-            body = f"request-{self.requests}".encode()
+            downloads = acknowledged - first < use.bytes_without_rest
+            body = f"{'sheet' if downloads else 'request'}-{self.requests}".encode()
             answer = await self.request(port, life, sequence, acknowledged, body)
             if answer is None:
                 return
-            if not answer.endswith(b":" + body):
-                self.fleet.findings.note("MIXED", f"{body} got the answer {answer}")
+            if answer.split(b":", 1)[1].split(b".", 1)[0] != body:
+                self.fleet.findings.note("MIXED", f"{body} got the answer {answer[:60]}")
             counts["answered"] += 1
             sequence, acknowledged = sequence + len(body), acknowledged + len(answer)
             answered += 1
-            if answered == limit:
+            if answered == use.limit:
                 self.send(port, FIN | ACK, sequence, acknowledged)
                 return
             self.send(port, ACK, sequence, acknowledged)
-            await asyncio.sleep(self.chance.uniform(*REST_SECONDS))
+            if acknowledged - first >= use.bytes_without_rest:
+                await asyncio.sleep(self.chance.uniform(*use.rest))
 
     async def request(self, port, life, sequence, acknowledged, body):
-        end, wait = time.monotonic() + REQUEST_SECONDS, 0.2
+        """The whole answer, or None."""
+        end, wait, parts = time.monotonic() + REQUEST_SECONDS, 0.2, {}
         while time.monotonic() < end:
             balancer = self.send(port, ACK, sequence, acknowledged, body)
             until = min(time.monotonic() + wait, end)
@@ -453,8 +526,10 @@
                 if answer[2] & RST:
                     self.note_reset(port, life, balancer)
                     return None
-                if answer[5] and answer[3] == acknowledged:
-                    return answer[5]
+                parts[answer[3]] = answer[5]
+                text = contiguous(parts, acknowledged)
+                if text and (text.endswith(b"\n") or not body.startswith(b"sheet-")):
+                    return text
             wait = min(2 * wait, 1.6)
         self.fleet.findings.counts["unanswered"] += 1
         return None
@@ -471,6 +546,21 @@
                 f"left={life.left_at is not None}")
 
 
+def contiguous(parts, first):
+    """The data from this sequence number on, as far as no part of it is missing."""
+    text = b""
+    while parts.get(first + len(text)):
+        text += parts[first + len(text)]
+    return text
+
+
+async def kill_at_once(fleet, machines, pause, extra=0.0):
+    """Kills processes at the same moment, and starts them again together."""
+    await asyncio.gather(*(fleet.restart(it, signal.SIGKILL, pause) for it in machines))
+    for machine in machines:
+        fleet.disturb(machine, extra)
+
+
 async def take_step(fleet, backends, chance, step, number):
     """One step of the schedule. Back ends without a life skip theirs."""
     pause = chance.uniform(0.05, 0.8)
@@ -479,9 +569,16 @@
         await fleet.restart(fleet.balancers[number], how, pause)
         return
     if step == "kill_replicas":
-        await asyncio.gather(*(fleet.restart(it, signal.SIGKILL, pause) for it in REPLICAS))
+        await kill_at_once(fleet, REPLICAS, pause)
+        return
+    if step == "kill_all":
+        machines = (*REPLICAS, *fleet.balancers, *fleet.agents)
+        await kill_at_once(fleet, machines, pause, CONTACT_SECONDS)
         return
     backend = backends[number]
+    if step == "kill_replicas_and_agent":
+        await kill_at_once(fleet, (*REPLICAS, backend.machine), pause)
+        return
     if step.endswith("_agent"):
         how = signal.SIGTERM if step == "stop_agent" else signal.SIGKILL
         await fleet.restart(backend.machine, how, pause)
@@ -518,8 +615,10 @@
     callers = Callers(fleet, router, backends, chance)
     began = time.monotonic()
     fleet.findings.began = began
+    is_extended = seed >= FIRST_EXTENDED_SEED
     tasks += await callers.start(
-        LONG_FLOWS_A_BACKEND * len(backends), SHORT_FLOWS_A_BACKEND * len(backends))
+        LONG_FLOWS_A_BACKEND * len(backends), SHORT_FLOWS_A_BACKEND * len(backends),
+        RESTING_FLOWS_A_BACKEND * len(backends) * is_extended, DOWNLOADS * is_extended)
     running = []
     for at, step, number in steps:
         await asyncio.sleep(max(0.0, began + at - time.monotonic()))
