--- a/scripts/soak_lib/departures.py
+++ b/scripts/soak_lib/departures.py
@@ -26,6 +26,7 @@
 
 import asyncio
 import collections
+import contextlib
 import hashlib
 import json
 import os
@@ -154,7 +155,7 @@
         self.balancers = [21 + number for number in range(balancers)]
         self.agents = [81 + number for number in range(backends)]
         names = ("messages", "packets", "ready", "control", "app", "outbound")
-        self.ports = {name: self.free_port() for name in names}
+        self.ports = dict(zip(names, self.free_ports(len(names))))
         self.processes, self.restarts = {}, {}
         self.logs = open(self.folder / "log.jsonl", "ab")
         # When each machine was last disturbed by something that isn't planned work.
@@ -162,10 +163,15 @@
         self.core_disturbed_at = 0.0
         self.findings, self.over = Findings(), False
 
-    def free_port(self):
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-            probe.bind((f"{self.net}.{CLIENT}", 0))
-            return probe.getsockname()[1]
+    def free_ports(self, count):
+        """Different ports, as all of them are used on one machine."""
+        with contextlib.ExitStack() as probes:
+            ports = []
+            for _ in range(count):
+                probe = probes.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+                probe.bind((f"{self.net}.{CLIENT}", 0))
+                ports.append(probe.getsockname()[1])
+            return ports
 
     def at(self, machine, port):
         return f"{self.net}.{machine}", self.ports[port]
