--- a/crates/petrellatch-core/src/pass_through/admission/leaving_backends.rs
+++ b/crates/petrellatch-core/src/pass_through/admission/leaving_backends.rs
@@ -3,7 +3,7 @@
 //! A leaving back end may run on for a long time, and must not get new flows again. So another
 //! incarnation that registers gets new flows only once it is proved that it runs, and not the
 //! leaving one. A registration may arrive seconds late, even after its sender has crashed, so
-//! that neither its sequence number nor the number of registrations is a proof. These are:
+//! that neither its sequence number nor the number of registrations is a proof. The proofs are:
 //!
 //! * the incarnation started later than the leaving one, if both report their start times;
 //! * it registers steadily, and still does [`MAX_REGISTRATION_DELAY`] after the other one left:
--- a/crates/petrellatch-core/tests/pass_through/late_registrations.rs
+++ b/crates/petrellatch-core/tests/pass_through/late_registrations.rs
@@ -728,3 +728,21 @@
         }
     }
 }
+
+// Guards against a deregistration that a restarted agent takes for a repeated one, as an earlier
+// back end of the same name had deregistered, so that it goes on trusting the one that served (DRAIN).
+#[test]
+fn a_deregistration_of_a_reused_name_holds_before_the_first_registration() {
+    let mut world = world_with_restarted_agent();
+    register_started_at(&mut world, 1_000, 1, false);
+    deregister(&mut world);
+    let left_at = world.now;
+    register_until_proved(&mut world, left_at, 1, |world, sequence| {
+        register_started_at(world, 11_000, sequence, false);
+    });
+    world.run(Duration::from_secs(1));
+    world.restart_agent_with_draining(AGENT);
+    deregister(&mut world);
+    register_started_at(&mut world, 11_000, 30, false);
+    assert!(!admits_flows(&mut world, 1));
+}
--- a/crates/petrellatch-core/tests/pass_through/orphaned_flows.rs
+++ b/crates/petrellatch-core/tests/pass_through/orphaned_flows.rs
@@ -481,3 +481,22 @@
         }
     }
 }
+
+// Guards against idle callers that are told late that their flows have died with their back end, if
+// back ends report no start times and the agent has restarted too.
+#[test]
+fn idle_callers_of_recorded_flows_are_reset_soon_after_back_end_and_agent_restart() {
+    let mut world = RestartWorld::unregistered(false, false);
+    world.register();
+    open(&mut world, 1, 10);
+    let mut record = world.record(&world.incarnation());
+    record.probe_packets.truncate(3);
+    world.restart_agent();
+    world.restart_backend();
+    world.recover(record);
+    for _ in 0..2 {
+        world.register();
+        world.run(SECOND);
+    }
+    assert_eq!(world.reset_ports(), Vec::from_iter(1..=10));
+}
