--- a/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
+++ b/crates/petrellatch/src/runtime/pass_through/agent_loop.rs
@@ -51,6 +51,23 @@
     request: PendingRequest,
 }
 
+impl PendingDeparture {
+    /// Responds to the back end. Returns the next request on its connection, if it has arrived.
+    fn acknowledge<T: ApiTranslator>(
+        self,
+        now: Timestamp,
+        http: &mut EventServer,
+        translator: &T,
+    ) -> Option<ReceivedRequest> {
+        let PendingRequest {
+            connection,
+            request,
+        } = self.request;
+        let response = translator.translate_response(&request, &ApiResponse::Registered);
+        http.respond(now, connection, &response)
+    }
+}
+
 pub(super) fn run<C: PacketCodec, T: ApiTranslator>(
     watcher: SettingsWatcher,
     settings: PassThroughSettings,
@@ -155,13 +172,13 @@
             agent.handle_timeout(now);
         }
         if agent.departures_are_saved() {
-            for PendingDeparture { server, request } in departures.drain(..) {
-                let response =
-                    translator.translate_response(&request.request, &ApiResponse::Registered);
-                let next = http[server].respond(now, request.connection, &response);
+            for departure in departures.drain(..) {
+                let server = departure.server;
+                let next = departure.acknowledge(now, &mut http[server], &translator);
                 pipelined[server].extend(next);
             }
         }
+        // Back ends that have waited for longer have disconnected.
         while departures.len() > MAX_CONNECTIONS {
             departures.pop_front();
         }
